--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,8 @@
+/** Test runner settings: tests stand beside the code they test and run from TypeScript through tsx. */
+export default {
+  files: ['src/**/*.test.ts'],
+  extensions: { ts: 'module' },
+  nodeArguments: ['--import=tsx'],
+  timeout: '2m',
+  concurrency: 6,
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,22 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'build/**', 'node_modules/**', 'src/**/pb/*.js', 'src/**/pb/*.d.ts'] },
+  js.configs.recommended,
+  ...tseslint.configs.recommended,
+  {
+    rules: {
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', varsIgnorePattern: '^_' }],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      eqeqeq: 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', Buffer: 'readonly', URL: 'readonly' },
+    },
+  },
+);
--- /dev/null
+++ b/src/health/types.ts
@@ -0,0 +1,36 @@
+/** What is believed of each back end, as placement, status and the admin pages see it. */
+
+/** Why a back end may or may not get new flows. */
+export type BackendCondition = 'healthy' | 'unhealthy' | 'ejected' | 'draining' | 'unknown';
+
+/** One thing that was seen, for explanation. */
+export interface HealthEvidence {
+  readonly source: 'probe' | 'passive' | 'reported-load' | 'peer' | 'settings';
+  readonly text: string;
+  /** Monotonic ms when it was seen. */
+  readonly atMs: number;
+}
+
+/** The belief about one back end. */
+export interface BackendHealth {
+  readonly backendId: number;
+  readonly condition: BackendCondition;
+  /** May get new flows; in a panic this can be true for an unhealthy one. */
+  readonly eligible: boolean;
+  /** 0–1: share of its weight in force during slow start; 1 when warm. */
+  readonly warmup: number;
+  /** Open flows over capacity as the back end reports it, 0–1, already discounted; undefined when not trusted. */
+  readonly reportedLoad: number | undefined;
+  readonly evidence: readonly HealthEvidence[];
+}
+
+/** What was seen of a back end on the data path. */
+export type PassiveEvidence = 'opened' | 'open-timeout' | 'reset-on-open' | 'reset-mid-flow' | 'answered';
+
+/** What other slices use of health. */
+export interface HealthFeed {
+  /** Belief about a back end; unknown ones are eligible until something speaks against them. */
+  health(backendId: number): BackendHealth;
+  /** Reports what the data path saw. */
+  recordPassive(backendId: number, evidence: PassiveEvidence): void;
+}
--- /dev/null
+++ b/src/platform/types.ts
@@ -0,0 +1,49 @@
+/**
+ * The platform's object API as this project uses it (HTTP and JSON; docs/PLATFORM.md describes it).
+ * Every object has a version that rises by at least one with each accepted write to any object.
+ */
+import type Result from 'true-myth/result';
+import type { Endpoint } from '../common/types.js';
+import type { PlatformError } from './errors.js';
+
+/** A stored object. `value` is JSON. */
+export interface StoredObject<T = unknown> {
+  readonly key: string;
+  readonly version: number;
+  readonly value: T;
+}
+
+/** A granted lease. */
+export interface Lease {
+  readonly name: string;
+  readonly holder: string;
+  /** Fencing token: rises with each new grant of this lease. */
+  readonly fencingToken: number;
+  /** Monotonic ms until which the holder may act: grant request time + duration - safety margin. */
+  readonly trustedUntilMs: number;
+}
+
+/** One entry of the platform's lagging machine list. */
+export interface MachineEntry {
+  readonly name: string;
+  readonly zone: string;
+  readonly control: Endpoint;
+  readonly state: 'live' | 'leaving';
+}
+
+/** Client of the platform. All calls have deadlines and retry with jittered backoff only where safe. */
+export interface PlatformClient {
+  get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>>;
+  /** Writes if the object's version is still `expectedVersion` (0: must not exist). */
+  putIfVersion<T>(
+    key: string,
+    value: T,
+    expectedVersion: number,
+  ): Promise<Result<StoredObject<T>, PlatformError>>;
+  /** Yields the object at each version after `afterVersion` until `signal` aborts; reconnects by itself. */
+  watch<T>(key: string, afterVersion: number, signal: AbortSignal): AsyncIterable<StoredObject<T>>;
+  /** Takes or renews a lease; err `platform.lease-held` when another holder has it. */
+  acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, PlatformError>>;
+  releaseLease(lease: Lease): Promise<Result<void, PlatformError>>;
+  listMachines(): Promise<Result<readonly MachineEntry[], PlatformError>>;
+}
