Add the event log, the metrics registry and the admin server

Cause: slices need one place to write events and counters, and operators one address to ask. Conclusion: the daemon can be wired on it.

--- /dev/null
+++ b/src/observability/index.ts
@@ -0,0 +1,22 @@
+/**
+ * Logs, metrics and the admin server of a daemon.
+ *
+ * ```ts
+ * const events = new ConsolaEventLog({ format: 'json', level: 'info', memberId: 'balancer-1', clock });
+ * const metrics = new DaemonMetrics(() => snapshot());
+ * const admin = await AdminServer.listen({ host: '127.0.0.1', port: 0 }, source);
+ * ```
+ */
+export { AdminServer, type AdminSource, type Readiness } from './admin-server.js';
+export { ObservabilityError, type ObservabilityErrorKind } from './errors.js';
+export {
+  defineEvents,
+  EVENT_RANGES,
+  SILENT_EVENT_LOG,
+  type EventDefinition,
+  type EventFields,
+  type EventLevel,
+  type EventLog,
+} from './event.js';
+export { ConsolaEventLog, type EventLogOptions, type LogFormat } from './event-log.js';
+export { DaemonMetrics, type CountsByLabel, type MetricsSnapshot } from './metrics.js';
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,135 @@
+/**
+ * Prometheus metrics of one daemon. The other slices keep their own counters; a snapshot of them is copied into the
+ * registry at each scrape, so that nothing on the packet path touches a metrics library.
+ */
+import { Counter, Gauge, Registry } from 'prom-client';
+import type { FlowStatistics } from '../flow/types.js';
+import { METRIC_PREFIX } from './constants.js';
+
+/** Counts by the value of one label. */
+export type CountsByLabel = Readonly<Record<string, number>>;
+
+/** Everything a scrape shows. Counts are totals since start; the rest are current values. */
+export interface MetricsSnapshot {
+  readonly flow: FlowStatistics;
+  /** Refused openings by reason. */
+  readonly refusals: CountsByLabel;
+  /** Packets dropped at the edge, by reason. */
+  readonly edgeDrops: CountsByLabel;
+  /** Control bytes by kind. */
+  readonly controlBytesSent: CountsByLabel;
+  readonly controlBytesReceived: CountsByLabel;
+  /** Control messages dropped, by reason. */
+  readonly controlDrops: CountsByLabel;
+  /** Version of the settings in force; 0 before the first. */
+  readonly settingsVersion: number;
+  /** Seconds since that version came into force here. */
+  readonly settingsInForceSeconds: number;
+  readonly membersByState: CountsByLabel;
+  readonly backendsByCondition: CountsByLabel;
+  readonly quorate: boolean;
+  readonly ready: boolean;
+  /** Processor seconds of the process since its start. */
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+}
+
+/** Name, help and (optional) label of one metric and how its value is read from a snapshot. */
+interface MetricDefinition {
+  readonly name: string;
+  readonly help: string;
+  readonly type: 'counter' | 'gauge';
+  readonly label?: string;
+  readonly read: (snapshot: MetricsSnapshot) => number | CountsByLabel;
+}
+
+const METRICS: readonly MetricDefinition[] = [
+  gauge('flows_open', 'Flows kept by this balancer', (s) => s.flow.open),
+  gauge('flows_replicated', 'Flow records held as a backup', (s) => s.flow.replicated),
+  counter('flows_opened_total', 'Openings placed', (s) => s.flow.opened),
+  counter('flow_exceptions_total', 'Openings placed off their first choice', (s) => s.flow.exceptions),
+  counter('flows_refused_total', 'Openings refused', (s) => s.refusals, 'reason'),
+  counter('openings_deferred_total', 'Openings left to be repeated by the caller', (s) => s.flow.deferred),
+  counter('packets_relayed_total', 'Packets relayed to another balancer', (s) => s.flow.relayed),
+  counter(
+    'unknown_flow_packets_total',
+    'Mid-flow packets without a known owner, by answer',
+    readUnknown,
+    'answer',
+  ),
+  counter('edge_drops_total', 'Packets dropped at the edge', (s) => s.edgeDrops, 'reason'),
+  gauge('shards', 'Shards held, by role', readShards, 'role'),
+  counter('control_sent_bytes_total', 'Control bytes sent', (s) => s.controlBytesSent, 'kind'),
+  counter('control_received_bytes_total', 'Control bytes received', (s) => s.controlBytesReceived, 'kind'),
+  counter('control_drops_total', 'Control messages dropped', (s) => s.controlDrops, 'reason'),
+  gauge('settings_version', 'Version of the settings in force', (s) => s.settingsVersion),
+  gauge(
+    'settings_in_force_seconds',
+    'Time since that version came into force',
+    (s) => s.settingsInForceSeconds,
+  ),
+  gauge('members', 'Members of the region, by state', (s) => s.membersByState, 'state'),
+  gauge('backends', 'Back ends, by condition', (s) => s.backendsByCondition, 'condition'),
+  gauge('quorate', '1 while this balancer reaches a quorum of its region', (s) => Number(s.quorate)),
+  gauge('ready', '1 while the fabric may send new flows here', (s) => Number(s.ready)),
+  counter('process_cpu_seconds_total', 'Processor time of the process', (s) => s.cpuSeconds),
+  gauge('process_resident_memory_bytes', 'Resident memory of the process', (s) => s.residentBytes),
+];
+
+/** The registry of one daemon; `collect` is asked for a snapshot at each scrape. */
+export class DaemonMetrics {
+  private readonly registry = new Registry();
+  private readonly instruments: { definition: MetricDefinition; instrument: Gauge | Counter }[];
+  readonly contentType = this.registry.contentType;
+
+  constructor(private readonly collect: () => MetricsSnapshot) {
+    this.instruments = METRICS.map((definition) => ({ definition, instrument: this.register(definition) }));
+  }
+
+  /** The metrics in Prometheus' text format. */
+  async render(): Promise<string> {
+    const snapshot = this.collect();
+    for (const { definition, instrument } of this.instruments) copy(definition, instrument, snapshot);
+    return this.registry.metrics();
+  }
+
+  private register(definition: MetricDefinition): Gauge | Counter {
+    const options = {
+      name: METRIC_PREFIX + definition.name,
+      help: definition.help,
+      labelNames: definition.label ? [definition.label] : [],
+      registers: [this.registry],
+    };
+    return definition.type === 'gauge' ? new Gauge(options) : new Counter(options);
+  }
+}
+
+function copy(definition: MetricDefinition, instrument: Gauge | Counter, snapshot: MetricsSnapshot): void {
+  instrument.reset();
+  const value = definition.read(snapshot);
+  if (typeof value === 'number') {
+    instrument.inc(value);
+    return;
+  }
+  for (const [label, count] of Object.entries(value)) {
+    instrument.inc({ [definition.label ?? 'label']: label }, count);
+  }
+}
+
+type Read = MetricDefinition['read'];
+
+function gauge(name: string, help: string, read: Read, label?: string): MetricDefinition {
+  return { name, help, type: 'gauge', read, label };
+}
+
+function counter(name: string, help: string, read: Read, label?: string): MetricDefinition {
+  return { name, help, type: 'counter', read, label };
+}
+
+function readUnknown({ flow }: MetricsSnapshot): CountsByLabel {
+  return { drop: flow.unknownDropped, reset: flow.unknownReset };
+}
+
+function readShards({ flow }: MetricsSnapshot): CountsByLabel {
+  return { keeper: flow.shardsKept, backup: flow.shardsBackedUp, acquiring: flow.shardsAcquiring };
+}
