Add placement policies, opening limits and the retry budget

Cause: the flow keeper needs a choice of back end and limits on openings. Change: bounded load over weighted rendezvous, four baselines, opening limiter, retry budget; optional reportedAtMs on BackendHealth.

--- a/src/health/types.ts
+++ b/src/health/types.ts
@@ -21,6 +21,8 @@
   readonly warmup: number;
   /** Open flows over capacity as the back end reports it, 0–1, already discounted; undefined when not trusted. */
   readonly reportedLoad: number | undefined;
+  /** Monotonic ms when the report was learned; lets a reader discount it by age. */
+  readonly reportedAtMs?: number;
   readonly evidence: readonly HealthEvidence[];
 }
 
--- /dev/null
+++ b/src/placement/bounded-load-policy.ts
@@ -0,0 +1,105 @@
+/**
+ * The product's policy. The first choice of the shard's base set is taken unless it may not be used or holds clearly more
+ * flows than its share; then the least loaded of a few candidates is taken, as an exception.
+ */
+import { listCandidates, type Candidate } from './candidates.js';
+import { EXCEPTION_CANDIDATES, TARGET_EXCEPTION_SHARE } from './constants.js';
+import type { PlacementOptions } from './policy-options.js';
+import { ServiceBalance, type WeighedCandidate } from './service-balance.js';
+import type { PlacementDecision, PlacementPolicy, PlacementRequest } from './types.js';
+import { firstChoice, weightedRendezvous } from './weighted-rendezvous.js';
+
+const NO_BACKEND: PlacementDecision = { outcome: 'refuse', reason: 'no-eligible-backend' };
+
+/** Bounded load over weighted rendezvous; see docs/DESIGN.md. */
+export class BoundedLoadPolicy implements PlacementPolicy {
+  readonly name = 'bounded-load';
+  private readonly balances = new Map<number, ServiceBalance>();
+
+  constructor(private readonly options: PlacementOptions) {}
+
+  choose(request: PlacementRequest): PlacementDecision {
+    const candidates = listCandidates(request, this.options.capacityShare?.() ?? 1);
+    const first = firstChoice(request.fingerprint, request.baseBackends);
+    if (!request.exceptionsAllowed) return firstOnly(candidates, first?.id);
+    if (candidates.length === 0) return NO_BACKEND;
+    const balance = this.balance(request.service.id);
+    const weighed = balance.weigh(candidates, this.options.clock.now());
+    const chosen = chooseWeighed(request, balance, weighed, first?.id);
+    const isFirst = chosen.id === first?.id;
+    balance.record(!isFirst, this.options.targetExceptionShare?.() ?? TARGET_EXCEPTION_SHARE);
+    return { outcome: 'place', backend: chosen.backend, firstChoice: isFirst };
+  }
+
+  /** Balance of a service by its id, for status and tests. */
+  balance(serviceId: number): ServiceBalance {
+    let balance = this.balances.get(serviceId);
+    if (!balance) {
+      balance = new ServiceBalance();
+      this.balances.set(serviceId, balance);
+    }
+    return balance;
+  }
+}
+
+/** Places on the first choice or refuses: used while an exception could not be replicated. */
+export function firstOnly(candidates: readonly Candidate[], firstId: number | undefined): PlacementDecision {
+  const candidate = candidates.find((entry) => entry.id === firstId);
+  if (!candidate) return NO_BACKEND;
+  return { outcome: 'place', backend: candidate.backend, firstChoice: true };
+}
+
+function chooseWeighed(
+  request: PlacementRequest,
+  balance: ServiceBalance,
+  weighed: readonly WeighedCandidate[],
+  firstId: number | undefined,
+): WeighedCandidate {
+  const first = weighed.find((entry) => entry.id === firstId);
+  const others = weighed.filter((entry) => entry !== first);
+  const alternative = leastLoaded(request, balance, others);
+  if (!first) return alternative ?? weighed[0]!;
+  if (!alternative) return first;
+  const tolerated = toleratedExcess(request, balance, first, alternative);
+  if (first.excess < tolerated) return first;
+  return alternative.excess < first.excess - 1 ? alternative : first;
+}
+
+/**
+ * A candidate of the balancer's own zone may take the opening a little earlier; only one below its share, from a first choice
+ * above its share, so that the preference never worsens the balance.
+ */
+function toleratedExcess(
+  request: PlacementRequest,
+  balance: ServiceBalance,
+  first: WeighedCandidate,
+  alternative: WeighedCandidate,
+): number {
+  const tolerated = balance.toleratedExcess(first);
+  const leavesZone = first.backend.zone !== request.zone && alternative.backend.zone === request.zone;
+  if (!leavesZone || alternative.excess >= 0) return tolerated;
+  return Math.max(0.5, tolerated * (1 - request.service.zonePreference));
+}
+
+/**
+ * The least loaded of a few candidates that the flow's hash picks: balancers that learn of one idle back end at the same
+ * time send it only the openings whose hash picks it, not all of them.
+ */
+function leastLoaded(
+  request: PlacementRequest,
+  balance: ServiceBalance,
+  others: readonly WeighedCandidate[],
+): WeighedCandidate | undefined {
+  const picked = weightedRendezvous(request.fingerprint, others, EXCEPTION_CANDIDATES);
+  const preference = request.service.zonePreference * balance.biasFlows;
+  let best: WeighedCandidate | undefined;
+  let bestCost = Infinity;
+  for (const candidate of picked) {
+    const sameZone = candidate.backend.zone === request.zone;
+    const cost = candidate.excess - (sameZone && candidate.excess < 0 ? preference : 0);
+    if (cost >= bestCost) continue;
+    best = candidate;
+    bestCost = cost;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/placement/constants.ts
@@ -0,0 +1,33 @@
+/** Fixed numbers of placement, with their units. */
+
+/** Share of openings that a policy aims to spend on exceptions; issue goal: at most 0.15. */
+export const TARGET_EXCEPTION_SHARE = 0.125;
+/** Least and largest bias in flows: how far above its share a first choice may be before an exception is made. */
+export const MIN_BIAS_FLOWS = 0.75;
+export const MAX_BIAS_FLOWS = 8;
+/** The bias is at least this part of a back end's share, so that large counts are not balanced to the last flow. */
+export const MIN_BIAS_SHARE = 0.005;
+/** Bias that a service starts with, in flows. */
+export const INITIAL_BIAS_FLOWS = 3;
+/** Relative change of the bias for one decision above the target share. */
+export const BIAS_GAIN = 0.01;
+/** Candidates compared for an exception. */
+export const EXCEPTION_CANDIDATES = 3;
+/** The load that back ends report moves an own count by at most this part of the back end's share. */
+export const REPORT_CORRECTION_SHARE = 0.2;
+/** A reported load of this age in ms has no weight any more; in between the weight falls linearly. */
+export const REPORT_MAX_AGE_MS = 10_000;
+/** Client addresses that the opening limiter remembers; the least recently used one is forgotten first. */
+export const MAX_TRACKED_CLIENTS = 65_536;
+/** Burst that a token bucket takes, as time at its rate. */
+export const BURST_MS = 1_000;
+/** Retries a second that a retry budget always allows, whatever the openings. */
+export const RETRY_FLOOR_PER_SECOND = 1;
+/** Time over which a retry budget counts openings. */
+export const RETRY_WINDOW_MS = 10_000;
+/** Largest relative change of a retry's delay in either direction. */
+export const RETRY_JITTER = 0.5;
+/** Decisions over which the share of exceptions is averaged. */
+export const EXCEPTION_AVERAGE_DECISIONS = 1_000;
+/** Relative slack on this balancer's part of a back end's capacity, because flows are not split exactly evenly. */
+export const CAPACITY_SLACK = 0.1;
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,27 @@
+/**
+ * Placement: chooses the back end of each opening, and limits openings.
+ *
+ * ```ts
+ * const policy = createPlacementPolicy('bounded-load', { clock, random });
+ * const decision = policy.choose({ fingerprint, service, baseBackends, exceptionsAllowed: true, load, health, zone });
+ * if (decision.outcome === 'place') send(decision.backend);
+ * ```
+ */
+export * from './types.js';
+export {
+  createPlacementPolicy,
+  PLACEMENT_MODES,
+  type CountingPolicy,
+  type PlacementStatistics,
+} from './create-policy.js';
+export { exceptionShareForBudget, type PlacementOptions } from './policy-options.js';
+export {
+  firstChoice,
+  rendezvousScore,
+  weightedRendezvous,
+  type RankedBackend,
+} from './weighted-rendezvous.js';
+export { OpeningLimiter, type OpeningLimiterOptions } from './opening-limiter.js';
+export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
+export { UnknownPlacementModeError } from './errors.js';
+export { PLACEMENT_EVENTS } from './events.js';
