--- /dev/null
+++ b/src/settings/resolve.ts
@@ -0,0 +1,192 @@
+/** From a settings tree to the effective settings that the other slices read. */
+import Result from 'true-myth/result';
+import { hashString } from '../common/hash.js';
+import type { Endpoint } from '../common/types.js';
+import type { SettingsFault } from './errors.js';
+import { allowsField, FIELD_DEFINITIONS, parseEndpoint } from './fields.js';
+import { inheritanceChain, inheritedValue } from './inherit.js';
+import {
+  indexNodes,
+  pathAbove,
+  type FieldValue,
+  type NodeKind,
+  type TreeDocument,
+  type TreeNode,
+} from './tree.js';
+import type { EffectiveBackend, EffectiveService, EffectiveSettings, HealthPolicy } from './types.js';
+import { validateDocument } from './validate.js';
+
+type NodeIndex = ReadonlyMap<string, TreeNode>;
+
+/** Typed access to the values in force at one node of a valid tree. */
+class EffectiveValues {
+  private readonly chain: readonly TreeNode[];
+
+  constructor(nodes: NodeIndex, node: TreeNode) {
+    this.chain = inheritanceChain(nodes, node);
+  }
+
+  number(field: string): number {
+    return this.optionalNumber(field) ?? 0;
+  }
+
+  optionalNumber(field: string): number | undefined {
+    const { value } = inheritedValue(this.chain, field);
+    return typeof value === 'number' ? value : undefined;
+  }
+
+  text(field: string): string {
+    const { value } = inheritedValue(this.chain, field);
+    return typeof value === 'string' ? value : '';
+  }
+
+  flag(field: string): boolean {
+    return inheritedValue(this.chain, field).value === true;
+  }
+
+  endpoint(field: string): Endpoint | undefined {
+    return parseEndpoint(this.text(field));
+  }
+}
+
+const NO_ENDPOINT: Endpoint = { host: '0.0.0.0', port: 0 };
+
+function resolveBackend(nodes: NodeIndex, node: TreeNode): EffectiveBackend {
+  const values = new EffectiveValues(nodes, node);
+  const endpoint = values.endpoint('endpoint') ?? NO_ENDPOINT;
+  return {
+    name: node.path,
+    id: hashString(node.path),
+    zone: values.text('zone'),
+    endpoint,
+    health: values.endpoint('healthEndpoint') ?? endpoint,
+    weight: values.number('weight'),
+    maxConnections: values.number('maxConnections'),
+    slots: values.number('slots'),
+    draining: values.flag('draining'),
+  };
+}
+
+function resolveHealthPolicy(values: EffectiveValues): HealthPolicy {
+  return {
+    probeIntervalMs: values.number('health.probeIntervalMs'),
+    probeTimeoutMs: values.number('health.probeTimeoutMs'),
+    unhealthyThreshold: values.number('health.unhealthyThreshold'),
+    healthyThreshold: values.number('health.healthyThreshold'),
+    maxEjectedShare: values.number('health.maxEjectedShare'),
+    panicShare: values.number('health.panicShare'),
+    slowStartMs: values.number('health.slowStartMs'),
+  };
+}
+
+function byId(left: { readonly id: number }, right: { readonly id: number }): number {
+  return left.id - right.id;
+}
+
+function resolveService(nodes: NodeIndex, node: TreeNode, backends: readonly TreeNode[]): EffectiveService {
+  const values = new EffectiveValues(nodes, node);
+  return {
+    name: node.path,
+    id: hashString(node.path),
+    site: pathAbove(node.path) ?? '',
+    address: values.endpoint('address') ?? NO_ENDPOINT,
+    unknownFlow: values.text('unknownFlow') === 'drop' ? 'drop' : 'reset',
+    idleTimeoutMs: values.number('idleTimeoutMs'),
+    zonePreference: values.number('zonePreference'),
+    limits: {
+      maxConnections: values.optionalNumber('limits.maxConnections'),
+      openingsPerSecond: values.optionalNumber('limits.openingsPerSecond'),
+      openingsPerSecondPerClient: values.optionalNumber('limits.openingsPerSecondPerClient'),
+      retryBudgetShare: values.number('limits.retryBudgetShare'),
+    },
+    healthPolicy: resolveHealthPolicy(values),
+    backends: backends.map((backend) => resolveBackend(nodes, backend)).sort(byId),
+  };
+}
+
+function backendsByService(nodes: readonly TreeNode[]): Map<string, TreeNode[]> {
+  const groups = new Map<string, TreeNode[]>();
+  for (const node of nodes) {
+    if (node.kind !== 'backend') continue;
+    const service = pathAbove(node.path) ?? '';
+    const group = groups.get(service);
+    if (group) group.push(node);
+    else groups.set(service, [node]);
+  }
+  return groups;
+}
+
+/** Structural equality of effective values (plain objects, arrays and scalars). */
+function sameValue(left: unknown, right: unknown): boolean {
+  if (left === right) return true;
+  if (typeof left !== 'object' || typeof right !== 'object' || left === null || right === null) return false;
+  const [leftKeys, rightKeys] = [Object.keys(left), Object.keys(right)];
+  if (leftKeys.length !== rightKeys.length) return false;
+  return leftKeys.every((key) =>
+    sameValue((left as Record<string, unknown>)[key], (right as Record<string, unknown>)[key]),
+  );
+}
+
+/** Keeps the objects of the previous service, or of its back ends, where nothing has changed. */
+function shareService(now: EffectiveService, before: EffectiveService | undefined): EffectiveService {
+  if (!before) return now;
+  if (sameValue(now, before)) return before;
+  const known = new Map(before.backends.map((backend) => [backend.id, backend]));
+  const backends = now.backends.map((backend) => {
+    const previous = known.get(backend.id);
+    return previous && sameValue(backend, previous) ? previous : backend;
+  });
+  return { ...now, backends };
+}
+
+/**
+ * Resolves a tree. Nothing is applied when there is any fault: the result is then the list of all of them.
+ * Services that equal those of `previous` are the same objects, so that readers can compare by identity.
+ */
+export function resolveSettings(
+  document: TreeDocument,
+  version: number,
+  previous?: EffectiveSettings,
+): Result<EffectiveSettings, SettingsFault[]> {
+  const faults = validateDocument(document);
+  if (faults.length > 0) return Result.err(faults);
+  const nodes = indexNodes(document.nodes);
+  const groups = backendsByService(document.nodes);
+  const known = new Map(previous?.services.map((service) => [service.name, service]));
+  const services = document.nodes
+    .filter((node) => node.kind === 'service')
+    .map((node) => resolveService(nodes, node, groups.get(node.path) ?? []))
+    .map((service) => shareService(service, known.get(service.name)))
+    .sort(byId);
+  return Result.ok({ version, services });
+}
+
+/** One field in force at a node. */
+export interface EffectiveField {
+  readonly field: string;
+  readonly value: FieldValue | undefined;
+  readonly unit: string;
+  /** Path of the node that set it ('' is the defaults node), or `BUILT_IN_ORIGIN`. */
+  readonly origin: string;
+}
+
+/** A node with every field that may be set on it. */
+export interface EffectiveNode {
+  readonly path: string;
+  readonly kind: NodeKind;
+  readonly fields: readonly EffectiveField[];
+}
+
+/** The fields in force at a node, each with the node it was inherited from; undefined when there is no such node. */
+export function effectiveNode(document: TreeDocument, path: string): EffectiveNode | undefined {
+  const nodes = indexNodes(document.nodes);
+  const node = nodes.get(path);
+  if (!node) return undefined;
+  const chain = inheritanceChain(nodes, node);
+  const definitions = FIELD_DEFINITIONS.filter((definition) => allowsField(node.kind, definition));
+  const fields = definitions.map(({ name, unit }) => {
+    const { value, origin } = inheritedValue(chain, name);
+    return { field: name, value, unit, origin };
+  });
+  return { path, kind: node.kind, fields };
+}
