Add the edge: GUE over UDP, relay frames, resets

Change: GueEdgePort decodes bare IPv4/TCP packets in place, relays with a 4-byte header and a hop limit of 3, passes returns to the fabric and builds resets; sockets connected to a destination share the data address.

--- /dev/null
+++ b/src/fabric/checksum.ts
@@ -0,0 +1,28 @@
+/** The Internet checksum (RFC 1071) over IPv4 headers and TCP segments. */
+import { PROTOCOL_TCP } from './constants.js';
+
+function fold(sum: number): number {
+  let folded = sum;
+  while (folded > 0xffff) folded = (folded & 0xffff) + Math.floor(folded / 0x10000);
+  return folded;
+}
+
+function sumWords(bytes: Buffer, start: number, end: number): number {
+  let sum = 0;
+  let offset = start;
+  for (; offset + 1 < end; offset += 2) sum += (bytes[offset]! << 8) | bytes[offset + 1]!;
+  if (offset < end) sum += bytes[offset]! << 8;
+  return sum;
+}
+
+/** Checksum of an IPv4 header of `headerBytes` at `offset`; 0 when its checksum field is right. */
+export function headerChecksum(bytes: Buffer, headerBytes: number, offset = 0): number {
+  return ~fold(sumWords(bytes, offset, offset + headerBytes)) & 0xffff;
+}
+
+/** Checksum of a TCP segment with its pseudo header; 0 when its checksum field is right. */
+export function tcpChecksum(packet: Buffer, headerBytes: number, totalBytes: number): number {
+  const addresses = sumWords(packet, 12, 20);
+  const segment = sumWords(packet, headerBytes, totalBytes);
+  return ~fold(addresses + PROTOCOL_TCP + (totalBytes - headerBytes) + segment) & 0xffff;
+}
--- /dev/null
+++ b/src/fabric/index.ts
@@ -0,0 +1,17 @@
+/**
+ * The edge of a balancer: encapsulated packets from the fabric, other balancers and back ends.
+ *
+ * ```ts
+ * const edge = await createEdgePort({ data, fabricReturn, isPeer, isBackend, handler, events });
+ * // in handler.onForward:
+ * edge.sendToBackend(packet, backend.endpoint);
+ * ```
+ */
+export { createEdgePort, type BoundEdgePort, type EdgePortOptions } from './gue-edge-port.js';
+export { MAX_PACKET_BYTES, RELAY_HOP_LIMIT } from './constants.js';
+export { EdgeBindError } from './errors.js';
+export { FABRIC_EVENTS } from './events.js';
+export { formatIpv4, parseIpv4 } from './ipv4-address.js';
+export { buildReset, decodeSegment, encodeSegment, type Segment } from './segment-codec.js';
+export type { SourceRules } from './source-cache.js';
+export type * from './types.js';
