Add the authenticated control channel and a simulated network

Cause: balancers need a datagram channel that resists forging and replay. Change: UDP channel with a protobuf envelope and truncated HMAC, key ring, replay window, version range, meter and byte budget; an in-memory network with seeded faults for tests.

--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,26 @@
+/**
+ * The authenticated control channel between balancers.
+ *
+ * @example
+ * const opened = await UdpControlChannel.open({
+ *   bind: { host: '10.0.0.5', port: 7946 }, memberId: 'bal-01', incarnation: Date.now(),
+ *   keyFile: '/etc/sailquay/keys.json', clock: new SystemClock(),
+ * });
+ * if (opened.isOk) opened.value.handle('membership', (message) => console.log(message.senderId));
+ */
+export * from './types.js';
+export { ControlBudget, MINIMUM_SHARE, SHARED_FLOOR } from './budget.js';
+export { messageWireBytes } from './envelope.js';
+export { ControlError, type ControlErrorKind } from './errors.js';
+export { CONTROL_EVENTS } from './events.js';
+export { KeyRing } from './key-ring.js';
+export type { KindMeter, MeterSnapshot } from './meter.js';
+export { PausableClock } from './pausable-clock.js';
+export { SimulatedChannel, SimulatedNetwork, type SimulatedNetworkOptions } from './simulated-network.js';
+export {
+  UdpControlChannel,
+  type ControlDropReason,
+  type IncompatiblePeer,
+  type UdpControlChannelOptions,
+} from './udp-channel.js';
+export type { VersionRange } from './version.js';
