--- /dev/null
+++ b/src/standin/platform/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Stand-in platform for tests and experiments.
+ *
+ * ```ts
+ * const standin = await startPlatformStandin({ port: 0 });
+ * standin.setFaults({ down: true });
+ * ```
+ */
+export { startPlatformStandin, type PlatformStandin, type PlatformStandinOptions } from './server.js';
+export { registerPlatformStandin } from './command.js';
+export type { CounterReport } from './request-counters.js';
