--- /dev/null
+++ b/src/experiment/scenario-actions.ts
@@ -0,0 +1,129 @@
+/** The timed actions of a scenario: planned changes and faults. */
+import { z } from 'zod';
+
+const at = z.number().nonnegative();
+const forSeconds = z.number().positive().optional();
+/** A balancer by name, `random` (drawn from the seed), `leaseholder`, or `zone:NAME` (the first one of a zone). */
+const balancer = z.string().min(1);
+/** A back end by the last part of its node path, e.g. `pick-01`, or `random`. */
+const backend = z.string().min(1);
+
+/** One operation of a tree edit; `node` is relative to the site, e.g. `pickguide/pick-01`. */
+export const treeOperationSchema = z.strictObject({
+  node: z.string(),
+  field: z.string().min(1),
+  /** Absent: the override is removed and the inherited value holds. */
+  value: z.unknown().optional(),
+});
+
+/** Faults of one back-end stand-in; what is left out stays as it was. */
+export const backendFaultsSchema = z.strictObject({
+  /** Health endpoint's answer whatever the truth is. */
+  lieHealth: z.enum(['healthy', 'unhealthy', 'off']).optional(),
+  /** Load endpoint's answer, 0–1 of the capacity; null: the truth. */
+  lieLoad: z.number().min(0).max(1).nullable().optional(),
+  /** Lag of health and load endpoints, ms. */
+  lagMs: z.number().nonnegative().optional(),
+  /** Added time of each request, ms. */
+  slowMs: z.number().nonnegative().optional(),
+  /** Share of requests shed as not run. */
+  shedShare: z.number().min(0).max(1).optional(),
+  /** Accepts openings but answers nothing. */
+  silent: z.boolean().optional(),
+});
+
+/** Faults of the platform stand-in; what is left out stays as it was. */
+export const platformFaultsSchema = z.strictObject({
+  down: z.boolean().optional(),
+  slowMs: z.number().nonnegative().optional(),
+  /** Number of next writes whose answer is lost after they took effect. */
+  loseWriteAnswers: z.number().int().nonnegative().optional(),
+});
+
+/** Names of the faults that a random pair is drawn from. */
+export const PAIR_FAULTS = [
+  'balancer-crash',
+  'balancer-pause',
+  'balancer-leave',
+  'balancer-join',
+  'backend-drain',
+  'platform-down',
+  'zone-partition',
+  'tree-edit',
+] as const;
+
+export type PairFault = (typeof PAIR_FAULTS)[number];
+
+export const actionSchema = z.discriminatedUnion('do', [
+  z.strictObject({ do: z.literal('balancer-join'), at, zone: z.string().min(1) }),
+  z.strictObject({ do: z.literal('balancer-leave'), at, balancer }),
+  z.strictObject({ do: z.literal('balancer-crash'), at, balancer }),
+  z.strictObject({ do: z.literal('balancer-pause'), at, balancer, forSeconds }),
+  z.strictObject({ do: z.literal('balancer-resume'), at, balancer }),
+  z.strictObject({ do: z.literal('balancer-restart'), at, balancer }),
+  z.strictObject({ do: z.literal('balancer-replace'), at, balancer }),
+  z.strictObject({ do: z.literal('balancer-replace-all'), at }),
+  z.strictObject({
+    do: z.literal('tree-edit'),
+    at,
+    operator: z.string().min(1).default('operator'),
+    operations: z.array(treeOperationSchema).min(1),
+    /** Repeats the edit this often, `everySeconds` apart; numbers in `value` are raised by one each time. */
+    repeat: z.number().int().positive().default(1),
+    everySeconds: z.number().positive().default(0.5),
+  }),
+  z.strictObject({ do: z.literal('backend-drain'), at, backend }),
+  z.strictObject({ do: z.literal('backend-undrain'), at, backend }),
+  z.strictObject({ do: z.literal('backend-add'), at, backend }),
+  z.strictObject({ do: z.literal('backend-remove'), at, backend }),
+  z.strictObject({ do: z.literal('backend-crash'), at, backend }),
+  z.strictObject({ do: z.literal('backend-restart'), at, backend }),
+  z.strictObject({ do: z.literal('backend-faults'), at, backend, faults: backendFaultsSchema, forSeconds }),
+  z.strictObject({ do: z.literal('platform-faults'), at, faults: platformFaultsSchema, forSeconds }),
+  z.strictObject({
+    do: z.literal('zone-partition'),
+    at,
+    zone: z.string().min(1),
+    forSeconds: z.number().positive(),
+  }),
+  z.strictObject({
+    do: z.literal('load'),
+    at,
+    service: z.string().min(1),
+    flows: z.number().int().nonnegative().optional(),
+    openingsPerSecond: z.number().positive().optional(),
+  }),
+  z.strictObject({ do: z.literal('reconnect-all'), at, service: z.string().min(1) }),
+  z.strictObject({
+    do: z.literal('random-pair'),
+    at,
+    /** Faults to draw from. */
+    among: z
+      .array(z.enum(PAIR_FAULTS))
+      .min(2)
+      .default([...PAIR_FAULTS]),
+    /** Second fault follows the first within this time. */
+    withinSeconds: z.number().nonnegative().default(2),
+    forSeconds: z.number().positive().default(4),
+  }),
+]);
+
+export type Action = z.infer<typeof actionSchema>;
+export type ActionName = Action['do'];
+export type TreeOperation = z.infer<typeof treeOperationSchema>;
+export type BackendFaults = z.infer<typeof backendFaultsSchema>;
+export type PlatformFaults = z.infer<typeof platformFaultsSchema>;
+
+const UNPLANNED: ReadonlySet<ActionName> = new Set<ActionName>([
+  'balancer-crash',
+  'balancer-pause',
+  'backend-crash',
+  'backend-restart',
+  'backend-faults',
+  'zone-partition',
+]);
+
+/** True for an action that may break flows through no fault of the product: a crash, a pause, a partition. */
+export function isUnplanned(name: ActionName): boolean {
+  return UNPLANNED.has(name);
+}
