--- a/ava.config.js
+++ b/ava.config.js
@@ -5,4 +5,5 @@
   nodeArguments: ['--import=tsx'],
   timeout: '2m',
   concurrency: 6,
+  workerThreads: false,
 };
