Keep the virtual clock's timers in a heap

Cause: the virtual clock searched every timer for the earliest one, which a simulation of a thousand balancers cannot afford. Change: a binary heap of timers with the same order: due time, then creation.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -1,6 +1,7 @@
 /**
  * Time source of every slice. Product code takes a `Clock`; tests pass a `VirtualClock` and step it.
  */
+import { TimerQueue, type QueuedTimer } from './timer-queue.js';
 
 /** A pending timer. */
 export interface TimerHandle {
@@ -35,17 +36,11 @@
   }
 }
 
-interface VirtualTimer {
-  readonly dueMs: number;
-  readonly order: number;
-  readonly callback: () => void;
-}
-
 /** A clock that moves only when a test says so; timers fire in due order, ties in creation order. */
 export class VirtualClock implements Clock {
   private currentMs = 0;
   private nextOrder = 0;
-  private readonly timers = new Set<VirtualTimer>();
+  private readonly timers = new TimerQueue();
 
   constructor(private readonly wallOffsetMs = 1_700_000_000_000) {}
 
@@ -58,17 +53,21 @@
   }
 
   schedule(delayMs: number, callback: () => void): TimerHandle {
-    const timer = { dueMs: this.currentMs + Math.max(0, delayMs), order: this.nextOrder, callback };
+    const dueMs = this.currentMs + Math.max(0, delayMs);
+    const timer: QueuedTimer = { dueMs, order: this.nextOrder, callback, cancelled: false };
     this.nextOrder += 1;
-    this.timers.add(timer);
-    return { cancel: () => this.timers.delete(timer) };
+    this.timers.push(timer);
+    return {
+      cancel: () => {
+        timer.cancelled = true;
+      },
+    };
   }
 
   /** Moves time forward by `milliseconds`, firing each timer that falls due at its own time. */
   advance(milliseconds: number): void {
     const target = this.currentMs + milliseconds;
-    for (let timer = this.earliest(target); timer; timer = this.earliest(target)) {
-      this.timers.delete(timer);
+    for (let timer = this.timers.popDue(target); timer; timer = this.timers.popDue(target)) {
       this.currentMs = Math.max(this.currentMs, timer.dueMs);
       timer.callback();
     }
@@ -82,15 +81,4 @@
       await new Promise((resolve) => setImmediate(resolve));
     }
   }
-
-  private earliest(limitMs: number): VirtualTimer | undefined {
-    let first: VirtualTimer | undefined;
-    for (const timer of this.timers) {
-      if (timer.dueMs > limitMs) continue;
-      if (!first || timer.dueMs < first.dueMs || (timer.dueMs === first.dueMs && timer.order < first.order)) {
-        first = timer;
-      }
-    }
-    return first;
-  }
 }
