Add the health monitor: shared probing, votes by gossip, passive ejection

Cause: placement needs a belief about each back end that no single signal can mislead. Change: three probers a back end, versioned votes with gossip and anti-entropy, passive ejection with a cap, panic, slow start, trust in reported load.

--- /dev/null
+++ b/src/health/gossip.ts
@@ -0,0 +1,191 @@
+/**
+ * Spreads votes: a changed vote goes to a few random members at once, each of which passes it on a few times; a digest exchanged
+ * with one random member now and then repairs what was lost.
+ */
+import type { Clock } from '../common/clock.js';
+import { jitter, type RandomSource } from '../common/random.js';
+import { Ticker } from '../common/event-stream.js';
+import type { ControlChannel, InboundControlMessage } from '../control/types.js';
+import type { Member, MembershipFeed } from '../membership/types.js';
+import type { EventLog } from '../observability/event.js';
+import {
+  ANTI_ENTROPY_INTERVAL_MS,
+  ANTI_ENTROPY_JITTER,
+  DIGEST_BUCKETS,
+  GOSSIP_FANOUT,
+  GOSSIP_INTERVAL_MS,
+  LOAD_SENDS,
+  VERDICT_SENDS,
+} from './constants.js';
+import { HealthMessageError } from './errors.js';
+import { HEALTH_EVENTS } from './events.js';
+import { decodeUpdate, encodeUpdate, pages, type HealthUpdate } from './message.js';
+import type { Vote, VoteTable } from './votes.js';
+
+/** Buckets answered to one digest at most, so that a newcomer does not cause a burst. */
+const MAX_BUCKETS_PER_ANSWER = 4;
+
+/** What the gossip is made with. */
+export interface HealthGossipOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly membership: MembershipFeed;
+  readonly control: ControlChannel;
+  readonly table: VoteTable;
+  /** Called for each vote of another member that was newer than what was known. */
+  readonly onVote: (vote: Vote) => void;
+}
+
+/** Totals since start. */
+export interface GossipStatistics {
+  readonly messagesSent: number;
+  readonly messagesReceived: number;
+  readonly payloadBytesSent: number;
+  /** Messages that waited because the byte budget was spent. */
+  readonly deferred: number;
+}
+
+interface PendingVote {
+  vote: Vote;
+  /** Verdicts and passive counts go before loads when the byte budget is short. */
+  urgent: boolean;
+  sendsLeft: number;
+}
+
+/** The gossip of one balancer. */
+export class HealthGossip {
+  /** By back end and member; the newest vote replaces an older one that still waits. */
+  private readonly pending = new Map<string, PendingVote>();
+  private messagesSent = 0;
+  private messagesReceived = 0;
+  private payloadBytesSent = 0;
+  private deferred = 0;
+
+  constructor(private readonly options: HealthGossipOptions) {}
+
+  /** Starts sending and receiving until `signal` aborts. */
+  start(signal: AbortSignal): void {
+    const { clock, random, control } = this.options;
+    control.handle('health', (message) => {
+      if (!signal.aborted) this.receive(message);
+    });
+    new Ticker(clock, () => GOSSIP_INTERVAL_MS).run(signal, () => this.sendPending());
+    const antiEntropyDelay = (): number => jitter(ANTI_ENTROPY_INTERVAL_MS, ANTI_ENTROPY_JITTER, random);
+    new Ticker(clock, antiEntropyDelay).run(signal, () => this.sendDigest());
+  }
+
+  /** Queues a changed vote. */
+  spread(vote: Vote, change: 'load' | 'verdict'): void {
+    const key = `${vote.backendId}:${vote.memberHash}`;
+    const sends = change === 'verdict' ? VERDICT_SENDS : LOAD_SENDS;
+    const waiting = this.pending.get(key);
+    const urgent = change === 'verdict' || waiting?.urgent === true;
+    this.pending.set(key, { vote, urgent, sendsLeft: Math.max(sends, waiting?.sendsLeft ?? 0) });
+  }
+
+  statistics(): GossipStatistics {
+    const { messagesSent, messagesReceived, payloadBytesSent, deferred } = this;
+    return { messagesSent, messagesReceived, payloadBytesSent, deferred };
+  }
+
+  private sendPending(): void {
+    if (this.pending.size === 0) return;
+    const peers = this.randomPeers(GOSSIP_FANOUT);
+    if (peers.length === 0) {
+      this.pending.clear();
+      return;
+    }
+    const entries = [...this.pending.values()];
+    entries.sort((left, right) => Number(right.urgent) - Number(left.urgent));
+    for (const part of pages(entries.map(({ vote }) => vote))) this.sendPart(part, peers);
+  }
+
+  private sendPart(part: readonly Vote[], peers: readonly Member[]): void {
+    let sent = 0;
+    for (const peer of peers) {
+      if (this.send(peer, { votes: part, digest: [], answer: false })) sent += 1;
+    }
+    for (const vote of part) this.countSends(vote, sent, peers.length);
+  }
+
+  private countSends(vote: Vote, sent: number, peers: number): void {
+    const key = `${vote.backendId}:${vote.memberHash}`;
+    const entry = this.pending.get(key);
+    if (!entry || entry.vote !== vote) return;
+    entry.sendsLeft -= sent;
+    const everyoneHasIt = peers < GOSSIP_FANOUT && sent === peers;
+    if (entry.sendsLeft <= 0 || everyoneHasIt) this.pending.delete(key);
+  }
+
+  private sendDigest(): void {
+    const [peer] = this.randomPeers(1);
+    if (peer) this.send(peer, { votes: [], digest: this.options.table.digest(), answer: false });
+  }
+
+  private receive(message: InboundControlMessage): void {
+    this.messagesReceived += 1;
+    let update: HealthUpdate;
+    try {
+      update = decodeUpdate(message.payload, this.options.clock.now());
+    } catch (cause) {
+      const error = new HealthMessageError(message.senderId, { cause });
+      this.options.events.emit(HEALTH_EVENTS.badMessage, { sender: message.senderId, error: error.message });
+      return;
+    }
+    for (const vote of update.votes) this.learn(vote);
+    if (update.digest.length === DIGEST_BUCKETS) this.answerDigest(message, update);
+  }
+
+  private learn(vote: Vote): void {
+    const change = this.options.table.apply(vote);
+    if (change === 'stale') return;
+    this.spread(vote, change);
+    this.options.onVote(vote);
+  }
+
+  /** Sends the votes of the buckets that differ, and the own digest back once so that the other side does the same. */
+  private answerDigest(message: InboundControlMessage, update: HealthUpdate): void {
+    const own = this.options.table.digest();
+    const differing = own.flatMap((hash, bucket) => (hash === update.digest[bucket] ? [] : [bucket]));
+    if (differing.length === 0) return;
+    const peer = this.peers().find((member) => member.id === message.senderId);
+    if (!peer) return;
+    const start = Math.floor(this.options.random() * differing.length);
+    const rotated = [...differing.slice(start), ...differing.slice(0, start)].slice(
+      0,
+      MAX_BUCKETS_PER_ANSWER,
+    );
+    const votes = rotated.flatMap((bucket) => this.options.table.votesInBucket(bucket));
+    for (const part of pages(votes)) this.send(peer, { votes: part, digest: [], answer: true });
+    if (!update.answer) this.send(peer, { votes: [], digest: own, answer: true });
+  }
+
+  private send(peer: Member, update: HealthUpdate): boolean {
+    const payload = encodeUpdate(update, this.options.clock.now());
+    if (!this.options.control.send(peer.control, 'health', payload)) {
+      this.deferred += 1;
+      return false;
+    }
+    this.messagesSent += 1;
+    this.payloadBytesSent += payload.length;
+    return true;
+  }
+
+  private peers(): readonly Member[] {
+    const { membership } = this.options;
+    return membership.view().members.filter((member) => member.id !== membership.selfId);
+  }
+
+  private randomPeers(count: number): Member[] {
+    const peers = [...this.peers()];
+    const chosen: Member[] = [];
+    while (chosen.length < count && peers.length > 0) {
+      const index = Math.floor(this.options.random() * peers.length);
+      chosen.push(peers[index]!);
+      peers[index] = peers[peers.length - 1]!;
+      peers.pop();
+    }
+    return chosen;
+  }
+}
--- /dev/null
+++ b/src/health/service-health.ts
@@ -0,0 +1,220 @@
+/** Health of one service: the beliefs about its back ends, the cap on ejections, panic, and trust in reported loads. */
+import { formatEndpoint } from '../common/types.js';
+import type { RandomSource } from '../common/random.js';
+import type { EventLog } from '../observability/event.js';
+import type { LoadView } from '../placement/types.js';
+import type { EffectiveService } from '../settings/types.js';
+import { BackendBelief } from './backend-belief.js';
+import { PASSIVE_FAILURE_THRESHOLD } from './constants.js';
+import { describeBelief } from './evidence.js';
+import { HEALTH_EVENTS } from './events.js';
+import { countingVotes } from './probe-verdict.js';
+import { judgeLoads, newestLoad, type LoadTrust } from './reported-load.js';
+import type { BackendHealth } from './types.js';
+import type { ReportedLoad, VoteTable } from './votes.js';
+
+/** What a service's health is made with. */
+export interface ServiceHealthOptions {
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly load: LoadView;
+  readonly table: VoteTable;
+  readonly selfHash: number;
+  /** Hashes of the assigned probers of a back end. */
+  readonly probers: (backendId: number) => readonly number[];
+  /** Name of a member by its hash, for evidence. */
+  readonly memberName: (memberHash: number) => string;
+}
+
+/** A service is in panic until the healthy share is this much above the limit. */
+const PANIC_HYSTERESIS = 0.05;
+
+/** Health of one service. */
+export class ServiceHealth {
+  readonly beliefs = new Map<number, BackendBelief>();
+  private readonly published = new Map<number, BackendHealth>();
+  private readonly trust = new Map<number, LoadTrust>();
+  private readonly capped = new Set<number>();
+  private panic = false;
+  private dirty = true;
+
+  constructor(
+    private service: EffectiveService,
+    private readonly options: ServiceHealthOptions,
+  ) {}
+
+  /** Takes over new settings; added back ends begin with slow start unless `warm`. */
+  configure(service: EffectiveService, nowMs: number, warm: boolean): void {
+    this.service = service;
+    const wanted = new Set(service.backends.map(({ id }) => id));
+    for (const id of this.beliefs.keys()) {
+      if (!wanted.has(id)) this.forget(id);
+    }
+    for (const backend of service.backends) {
+      const known = this.beliefs.get(backend.id);
+      if (known) {
+        known.backend = backend;
+        known.policy = service.healthPolicy;
+        continue;
+      }
+      const belief = new BackendBelief(backend, service.healthPolicy, this.options.random);
+      if (!warm) belief.beginSlowStart(nowMs);
+      this.beliefs.set(backend.id, belief);
+    }
+    this.dirty = true;
+  }
+
+  /** Something was learned: the next read evaluates anew. */
+  markDirty(): void {
+    this.dirty = true;
+  }
+
+  /** True when something was learned or some belief changes with time alone. */
+  needsEvaluation(nowMs: number): boolean {
+    if (this.dirty) return true;
+    for (const belief of this.beliefs.values()) {
+      if (belief.isMoving(nowMs)) return true;
+    }
+    return false;
+  }
+
+  /** The published belief; evaluates first when something changed. */
+  health(backendId: number, nowMs: number): BackendHealth | undefined {
+    if (this.dirty) this.evaluate(nowMs);
+    return this.published.get(backendId);
+  }
+
+  /** True while every back end that does not drain is used because too few are healthy. */
+  get inPanic(): boolean {
+    return this.panic;
+  }
+
+  /** Forms all beliefs anew and publishes them. */
+  evaluate(nowMs: number): void {
+    this.dirty = false;
+    for (const [id, belief] of this.beliefs) {
+      const votes = countingVotes(this.options.table.votesOn(id), this.options.probers(id));
+      const remoteFailures = this.options.table.remoteFailures(id, this.options.selfHash);
+      belief.evaluate({ votes, remoteFailures, nowMs });
+    }
+    this.updateCap();
+    this.updatePanic();
+    const loads = this.judgeReports(nowMs);
+    for (const [id, belief] of this.beliefs) this.publish(id, belief, loads.get(id), nowMs);
+  }
+
+  private forget(id: number): void {
+    this.beliefs.delete(id);
+    this.published.delete(id);
+    this.trust.delete(id);
+    this.capped.delete(id);
+  }
+
+  /** Keeps the earliest ejections up to the cap in force; one is always allowed beside another back end. */
+  private updateCap(): void {
+    const { maxEjectedShare } = this.service.healthPolicy;
+    const count = [...this.beliefs.values()].filter((belief) => belief.condition !== 'draining').length;
+    const atLeastOne = maxEjectedShare > 0 && count > 1 ? 1 : 0;
+    const allowed = Math.max(atLeastOne, Math.floor(maxEjectedShare * count));
+    const ejected = [...this.beliefs].filter(([, belief]) => belief.condition === 'ejected');
+    ejected.sort(([, left], [, right]) => left.ejectedSinceMs - right.ejectedSinceMs);
+    const over = new Set(ejected.slice(allowed).map(([id]) => id));
+    for (const id of over) {
+      if (!this.capped.has(id)) this.emit('ejectionCapped', id);
+    }
+    this.capped.clear();
+    for (const id of over) this.capped.add(id);
+  }
+
+  private isUsable(id: number, belief: BackendBelief): boolean {
+    return belief.usable || this.capped.has(id);
+  }
+
+  private updatePanic(): void {
+    const inUse = [...this.beliefs].filter(([, belief]) => belief.condition !== 'draining');
+    const healthy = inUse.filter(([id, belief]) => this.isUsable(id, belief)).length;
+    const share = inUse.length === 0 ? 1 : healthy / inUse.length;
+    const limit = this.service.healthPolicy.panicShare;
+    const panic = this.panic ? share < Math.min(1, limit + PANIC_HYSTERESIS) : share < limit;
+    if (panic !== this.panic) {
+      const event = panic ? HEALTH_EVENTS.panicStarted : HEALTH_EVENTS.panicEnded;
+      this.options.events.emit(event, { service: this.service.name, healthyShare: share });
+    }
+    this.panic = panic;
+  }
+
+  private judgeReports(nowMs: number): Map<number, ReportedLoad | undefined> {
+    const reports = new Map<number, ReportedLoad | undefined>();
+    const observations = [...this.beliefs].map(([backendId, belief]) => {
+      const report = newestLoad(this.options.table.votesOn(backendId));
+      reports.set(backendId, report);
+      const ownFlows = this.options.load.openFlows(backendId);
+      const failing = belief.passive.failures >= PASSIVE_FAILURE_THRESHOLD || belief.condition === 'ejected';
+      return { backendId, report, ownFlows, failing };
+    });
+    for (const [id, trust] of judgeLoads(observations, nowMs)) {
+      if (trust === 'contradicted' && this.trust.get(id) !== 'contradicted') this.emit('loadDistrusted', id);
+      this.trust.set(id, trust);
+    }
+    return reports;
+  }
+
+  private publish(id: number, belief: BackendBelief, report: ReportedLoad | undefined, nowMs: number): void {
+    const before = this.published.get(id);
+    const rescued = this.panic && belief.condition !== 'draining';
+    const trust = this.trust.get(id) ?? 'missing';
+    const capped = this.capped.has(id);
+    const usable = this.isUsable(id, belief);
+    const next: BackendHealth = {
+      backendId: id,
+      condition: belief.condition,
+      eligible: usable || rescued,
+      warmup: rescued && !usable ? 1 : belief.warmup,
+      reportedLoad:
+        report && trust === 'trusted' ? loadShare(report, belief.backend.maxConnections) : undefined,
+      ...(report && trust === 'trusted' ? { reportedAtMs: report.sampledAtMs } : {}),
+      evidence: describeBelief({
+        belief,
+        votes: [...this.options.table.votesOn(id)],
+        memberName: this.options.memberName,
+        report,
+        trust,
+        ownFlows: this.options.load.openFlows(id),
+        capped,
+        panic: rescued,
+        nowMs,
+      }),
+    };
+    this.published.set(id, next);
+    if (before) this.emitTransition(id, before, next, belief);
+  }
+
+  private emitTransition(
+    id: number,
+    before: BackendHealth,
+    next: BackendHealth,
+    belief: BackendBelief,
+  ): void {
+    if (before.condition === next.condition) return;
+    if (next.condition === 'unhealthy') {
+      this.emit(belief.conflictSinceMs === undefined ? 'backendUnhealthy' : 'conflictingEvidence', id);
+    }
+    if (next.condition === 'ejected') this.emit('backendEjected', id);
+    const recovered = before.condition === 'unhealthy' || before.condition === 'ejected';
+    if (next.condition === 'healthy' && recovered) this.emit('backendHealthy', id);
+  }
+
+  private emit(name: keyof typeof HEALTH_EVENTS, backendId: number): void {
+    const backend = this.beliefs.get(backendId)?.backend;
+    this.options.events.emit(HEALTH_EVENTS[name], {
+      backend: backend?.name,
+      endpoint: backend && formatEndpoint(backend.endpoint),
+    });
+  }
+}
+
+/** Open flows over capacity; at least 1 when the back end itself says that it is full. */
+function loadShare(report: ReportedLoad, maxConnections: number): number {
+  const share = report.openFlows / maxConnections;
+  return report.openFlows >= report.capacity ? Math.max(1, share) : Math.min(1, share);
+}
--- /dev/null
+++ b/src/health/votes.ts
@@ -0,0 +1,115 @@
+/** What each member says of each back end, with versions; the newest vote of a member wins. */
+import { combine32 } from '../common/hash.js';
+import { DIGEST_BUCKETS, REMOTE_FAILURE_CAP } from './constants.js';
+import { sailquay } from './pb/health.js';
+
+export const Verdict = sailquay.health.Verdict;
+export type Verdict = sailquay.health.Verdict;
+
+/** A back end's own report of its load. */
+export interface ReportedLoad {
+  readonly openFlows: number;
+  readonly capacity: number;
+  /** Monotonic ms on this balancer when the sample was taken, as well as its age in the message tells. */
+  readonly sampledAtMs: number;
+}
+
+/** One member's vote on one back end. */
+export interface Vote {
+  readonly memberHash: number;
+  readonly backendId: number;
+  /** Unsigned 32 bits; compared in serial order. */
+  readonly version: number;
+  readonly verdict: Verdict;
+  readonly passiveFailures: number;
+  readonly load: ReportedLoad | undefined;
+  /** Monotonic ms when this balancer learned it. */
+  readonly learnedAtMs: number;
+}
+
+/** What a new vote changed. */
+export type VoteChange = 'stale' | 'load' | 'verdict';
+
+const HALF_RANGE = 0x8000_0000;
+
+/** True when `left` is newer than `right` in 32-bit serial order. */
+export function isNewer(left: number, right: number): boolean {
+  const distance = (left - right) >>> 0;
+  return distance > 0 && distance < HALF_RANGE;
+}
+
+/** All votes that this balancer knows; size: back ends × voters of each. */
+export class VoteTable {
+  private readonly byBackend = new Map<number, Map<number, Vote>>();
+
+  /** Stores a vote unless a newer one of the same member is known. */
+  apply(vote: Vote): VoteChange {
+    const votes = this.byBackend.get(vote.backendId) ?? new Map<number, Vote>();
+    const known = votes.get(vote.memberHash);
+    if (known && !isNewer(vote.version, known.version)) return 'stale';
+    votes.set(vote.memberHash, vote);
+    this.byBackend.set(vote.backendId, votes);
+    const sameVerdict = known?.verdict === vote.verdict && known.passiveFailures === vote.passiveFailures;
+    return sameVerdict ? 'load' : 'verdict';
+  }
+
+  get(backendId: number, memberHash: number): Vote | undefined {
+    return this.byBackend.get(backendId)?.get(memberHash);
+  }
+
+  /** Every vote on a back end. */
+  votesOn(backendId: number): Iterable<Vote> {
+    return this.byBackend.get(backendId)?.values() ?? [];
+  }
+
+  /** Drops the votes of members and on back ends that no longer exist. */
+  retain(memberHashes: ReadonlySet<number>, backendIds: ReadonlySet<number>): void {
+    for (const [backendId, votes] of this.byBackend) {
+      if (!backendIds.has(backendId)) {
+        this.byBackend.delete(backendId);
+        continue;
+      }
+      for (const memberHash of votes.keys()) {
+        if (!memberHashes.has(memberHash)) votes.delete(memberHash);
+      }
+    }
+  }
+
+  /** Openings without an answer that other members saw, each member's count capped. */
+  remoteFailures(backendId: number, selfHash: number): number {
+    let total = 0;
+    for (const vote of this.votesOn(backendId)) {
+      if (vote.memberHash !== selfHash) total += Math.min(REMOTE_FAILURE_CAP, vote.passiveFailures);
+    }
+    return total;
+  }
+
+  /** One hash for each bucket of back ends over the verdicts; loads and passive counts are left out. */
+  digest(): number[] {
+    const buckets = new Array<number>(DIGEST_BUCKETS).fill(0);
+    for (const [backendId, votes] of this.byBackend) {
+      const bucket = bucketOf(backendId);
+      for (const vote of votes.values()) buckets[bucket] = (buckets[bucket]! ^ verdictHash(vote)) >>> 0;
+    }
+    return buckets;
+  }
+
+  /** The votes in one bucket that say something. */
+  votesInBucket(bucket: number): Vote[] {
+    const found: Vote[] = [];
+    for (const [backendId, votes] of this.byBackend) {
+      if (bucketOf(backendId) === bucket) found.push(...votes.values());
+    }
+    return found;
+  }
+}
+
+/** Digest bucket of a back end. */
+export function bucketOf(backendId: number): number {
+  return backendId % DIGEST_BUCKETS;
+}
+
+function verdictHash(vote: Vote): number {
+  if (vote.verdict === Verdict.VERDICT_NONE) return 0;
+  return combine32(combine32(vote.backendId, vote.memberHash), vote.verdict);
+}
