Add edits of the settings tree with tokens and conflict detection, and its commands

Cause: operators edit the tree at the same time and may lose the platform's answer after a write took effect. Change: pure edits, conflict detection by node and field, TreeEditor over the platform client, compact codec for nodes and deltas, config check and schema, tree get, set, unset, move, remove, diff, history, apply and effective.

--- a/src/settings/diff.ts
+++ b/src/settings/diff.ts
@@ -52,10 +52,16 @@
   return NODE_KINDS.find((kind) => kind === value);
 }
 
-function changeNode(node: TreeNode | undefined, path: string, changes: readonly TreeChange[]) {
+/** The node after the changes; undefined when it does not exist then. A removal drops every field at once. */
+function changeNode(
+  node: TreeNode | undefined,
+  path: string,
+  changes: readonly TreeChange[],
+): TreeNode | undefined {
   const values = new Map(nodeValues(node));
   for (const { field, after } of changes) {
-    if (after === undefined) values.delete(field);
+    if (after === undefined && field === NODE_KIND_FIELD) values.clear();
+    else if (after === undefined) values.delete(field);
     else values.set(field, after);
   }
   const kind = asKind(values.get(NODE_KIND_FIELD));
--- a/src/settings/errors.ts
+++ b/src/settings/errors.ts
@@ -52,6 +52,7 @@
   | 'settings.platform-unavailable'
   | 'settings.outcome-unknown'
   | 'settings.too-many-races'
+  | 'settings.malformed-object'
   | 'settings.bad-message';
 
 /** Base of the errors of the settings slice. */
--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -1,119 +1,38 @@
 /** The fields of the tree: where each may stand, its range, unit, built-in default and number on the wire. */
-import ipaddr from 'ipaddr.js';
 import { z } from 'zod';
-import type { Endpoint } from '../common/types.js';
-import type { FieldValue, NodeKind } from './tree.js';
+import {
+  durationField,
+  endpointField,
+  numberField,
+  shareField,
+  type FieldDefinition,
+} from './field-types.js';
+import type { NodeKind } from './tree.js';
 
-/**
- * Where a field may be set. `backend`: at any level, in force on back ends. `service`: down to services, in force on
- * services. `own-service` and `own-backend`: only on that kind of node and never inherited.
- */
-export type FieldScope = 'backend' | 'service' | 'own-service' | 'own-backend';
-
-/** Definition of one field. */
-export interface FieldDefinition {
-  readonly name: string;
-  /** Number on the wire; never reused. */
-  readonly number: number;
-  readonly scope: FieldScope;
-  /** Unit of the value, e.g. `ms`; '' when it has none. */
-  readonly unit: string;
-  readonly schema: z.ZodType<FieldValue>;
-  /** Value in force where no node sets the field; undefined: the field must be set. */
-  readonly fallback: FieldValue | undefined;
-  readonly description: string;
-  /** Permitted values in words, for remedies. */
-  readonly permitted: string;
-  /** True when the value is a number. */
-  readonly numeric: boolean;
-}
-
-const ENDPOINT_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
 const ZONE_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
-const MAX_PORT = 65_535;
-const DAY_MS = 86_400_000;
 const HOUR_MS = 3_600_000;
-
-/** Reads `a.b.c.d:port`; undefined when it is not a numeric IPv4 endpoint with a port of 1 to 65535. */
-export function parseEndpoint(text: string): Endpoint | undefined {
-  const match = ENDPOINT_PATTERN.exec(text);
-  const host = match?.[1];
-  const port = Number(match?.[2]);
-  if (host === undefined || !ipaddr.IPv4.isValidFourPartDecimal(host)) return undefined;
-  if (host !== new ipaddr.IPv4(host.split('.').map(Number)).toString()) return undefined;
-  return port >= 1 && port <= MAX_PORT ? { host, port } : undefined;
-}
-
-function endpointSchema(): z.ZodType<FieldValue> {
-  return z.string().refine((text) => parseEndpoint(text) !== undefined, 'is not an IPv4 address and port');
-}
-
-const ENDPOINT_WORDS = 'a.b.c.d:port with a numeric IPv4 address and a port of 1 to 65535';
-
-interface NumberRange {
-  readonly from: number;
-  readonly to: number;
-  readonly integer?: boolean;
-  readonly nullable?: boolean;
-}
-
-type FieldTexts = Pick<FieldDefinition, 'name' | 'number' | 'scope' | 'unit' | 'fallback' | 'description'>;
-
-function numberField(texts: FieldTexts, range: NumberRange): FieldDefinition {
-  const base = z.number().min(range.from).max(range.to);
-  const number = range.integer === false ? base : base.int();
-  const words = `${range.integer === false ? 'a number' : 'a whole number'} from ${range.from} to ${range.to}`;
-  return {
-    ...texts,
-    numeric: true,
-    schema: range.nullable ? number.nullable() : number,
-    permitted: range.nullable ? `${words}, or null for no limit` : words,
-  };
-}
-
-function shareField(texts: Omit<FieldTexts, 'unit'>): FieldDefinition {
-  return numberField({ ...texts, unit: 'share' }, { from: 0, to: 1, integer: false });
-}
-
-function durationField(texts: Omit<FieldTexts, 'unit'>, from: number, to: number): FieldDefinition {
-  return numberField({ ...texts, unit: 'ms' }, { from, to });
-}
+const DAY_MS = 24 * HOUR_MS;
 
 /** Every field, in the order in which documentation and output list them. */
 export const FIELD_DEFINITIONS: readonly FieldDefinition[] = [
-  {
+  endpointField({
     name: 'address',
     number: 1,
     scope: 'own-service',
-    unit: '',
-    schema: endpointSchema(),
-    fallback: undefined,
     description: 'Service address and TCP port that callers use.',
-    numeric: false,
-    permitted: ENDPOINT_WORDS,
-  },
-  {
+  }),
+  endpointField({
     name: 'endpoint',
     number: 2,
     scope: 'own-backend',
-    unit: '',
-    schema: endpointSchema(),
-    fallback: undefined,
     description: 'Address and UDP port to which encapsulated packets of its flows are sent.',
-    numeric: false,
-    permitted: ENDPOINT_WORDS,
-  },
-  {
+  }),
+  endpointField({
     name: 'healthEndpoint',
     number: 3,
     scope: 'own-backend',
-    unit: '',
-    schema: endpointSchema(),
-    fallback: undefined,
     description: 'Address and TCP port of its HTTP health and load endpoints; as `endpoint` when absent.',
-    numeric: false,
-    permitted: ENDPOINT_WORDS,
-  },
+  }),
   {
     name: 'zone',
     number: 4,
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -10,15 +10,17 @@
 export * from './tree.js';
 export * from './errors.js';
 export { TREE_OBJECT_KEY, EDIT_HISTORY_LENGTH } from './constants.js';
-export {
-  FIELD_DEFINITIONS,
-  fieldNamed,
-  parseEndpoint,
-  type FieldDefinition,
-  type FieldScope,
-} from './fields.js';
+export { parseEndpoint, type FieldDefinition, type FieldScope } from './field-types.js';
+export { FIELD_DEFINITIONS, fieldNamed } from './fields.js';
 export { BUILT_IN_ORIGIN } from './inherit.js';
 export { asTreeDocument, validateDocument, validateNodes } from './validate.js';
 export { effectiveNode, resolveSettings, type EffectiveField, type EffectiveNode } from './resolve.js';
 export { nestTree, parseTree, parseTreeText } from './parse.js';
 export { applyChanges, diffTrees } from './diff.js';
+export { decodeDelta, decodeNode, encodeDelta, encodeNode } from './codec.js';
+export { findConflicts, type RacingEdit } from './conflicts.js';
+export * from './edits.js';
+export { SETTINGS_EVENTS } from './events.js';
+export { fileJsonSchema, fileSchema } from './file-schema.js';
+export { readStoredTree } from './stored-tree.js';
+export { TreeEditor, type EditOutcome, type EditRequest, type TreeEditorOptions } from './tree-editor.js';
--- a/src/settings/node-checks.ts
+++ b/src/settings/node-checks.ts
@@ -1,5 +1,6 @@
 /** Checks of single nodes: shape, path, field names, places and ranges. */
-import { allowsField, fieldNamed, FIELD_DEFINITIONS, type FieldDefinition } from './fields.js';
+import type { FieldDefinition } from './field-types.js';
+import { allowsField, fieldNamed, FIELD_DEFINITIONS } from './fields.js';
 import type { SettingsFault, SettingsFaultKind } from './errors.js';
 import { MAX_SEGMENT_LENGTH } from './constants.js';
 import { kindOfPath, NODE_KINDS, type NodeKind, type TreeNode } from './tree.js';
--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -3,7 +3,8 @@
 import { hashString } from '../common/hash.js';
 import type { Endpoint } from '../common/types.js';
 import type { SettingsFault } from './errors.js';
-import { allowsField, FIELD_DEFINITIONS, parseEndpoint } from './fields.js';
+import { parseEndpoint } from './field-types.js';
+import { allowsField, FIELD_DEFINITIONS } from './fields.js';
 import { inheritanceChain, inheritedValue } from './inherit.js';
 import {
   indexNodes,
--- a/src/settings/validate.ts
+++ b/src/settings/validate.ts
@@ -3,7 +3,14 @@
 import type { SettingsFault } from './errors.js';
 import { inheritanceChain, inheritedValue } from './inherit.js';
 import { checkNode, checkNodeShape, fault, isRecord } from './node-checks.js';
-import { NODE_KINDS, parentPath, pathAbove, type TreeDocument, type TreeNode } from './tree.js';
+import {
+  NODE_KINDS,
+  parentPath,
+  pathAbove,
+  type EditRecord,
+  type TreeDocument,
+  type TreeNode,
+} from './tree.js';
 
 type NodeIndex = ReadonlyMap<string, TreeNode>;
 
@@ -178,11 +185,18 @@
   return [...faults, ...validateNodes(wellShaped as TreeNode[])];
 }
 
+function isEditRecord(value: unknown): value is EditRecord {
+  if (!isRecord(value)) return false;
+  const { token, author, summary, changes, version } = value;
+  const texts = [token, author, summary].every((text) => typeof text === 'string');
+  return texts && typeof version === 'number' && Array.isArray(changes) && changes.every(isRecord);
+}
+
 /** Reads any JSON value as a document, without judging its fields; undefined when it is not one. */
 export function asTreeDocument(value: unknown): TreeDocument | undefined {
   if (!isRecord(value) || !Array.isArray(value['nodes'])) return undefined;
   const nodes = value['nodes'] as readonly unknown[];
   if (nodes.some((node, position) => checkNodeShape(node, position).length > 0)) return undefined;
-  const edits = Array.isArray(value['edits']) ? value['edits'] : [];
-  return { nodes: nodes as TreeNode[], edits };
+  const edits: readonly unknown[] = Array.isArray(value['edits']) ? value['edits'] : [];
+  return { nodes: nodes as TreeNode[], edits: edits.filter(isEditRecord) };
 }
