Let the handler keep a return packet from the caller

Cause: the flow keeper answers true for a reset of an opening that it repeats on another back end; the edge passed it on all the same. Change: onReturn's answer true stops the packet. Conclusion: a retried opening does not show its caller a reset.

--- a/src/fabric/gue-edge-port.ts
+++ b/src/fabric/gue-edge-port.ts
@@ -105,8 +105,8 @@
   }
 
   private passReturn(view: PacketView, from: Endpoint): void {
-    this.options.handler.onReturn(view, from);
-    this.sockets.send(view.bytes, this.options.fabricReturn);
+    const consumed = this.options.handler.onReturn(view, from) === true;
+    if (!consumed) this.sockets.send(view.bytes, this.options.fabricReturn);
   }
 
   private receiveRelayed(frame: Buffer, source: Source): void {
--- a/src/fabric/types.ts
+++ b/src/fabric/types.ts
@@ -48,8 +48,11 @@
 export interface EdgeHandler {
   /** A packet from a caller (from the fabric or relayed). */
   onForward(packet: PacketView): void;
-  /** A packet from a back end towards a caller; it is passed on to the fabric by the edge after this returns. */
-  onReturn(packet: PacketView, from: Endpoint): void;
+  /**
+   * A packet from a back end towards a caller. The edge passes it on to the fabric after this returns, unless the
+   * answer is true (a reset of an opening that is repeated on another back end).
+   */
+  onReturn(packet: PacketView, from: Endpoint): unknown;
   onDrop(reason: EdgeDropReason): void;
 }
 
