Add dissemination of the settings tree

Cause: an accepted edit must be in force on every balancer within seconds, never revert, and the store bears only a few readers. Change: lease-holding readers, eager pushes with deltas, anti-entropy by version and digest, chunked transfers from peers; an in-memory platform for simulations.

--- /dev/null
+++ b/src/dissemination/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Spreading of the settings tree: a few lease-holding readers per region, eager gossip of deltas, anti-entropy by
+ * version and digest, and snapshots from peers while the store is down.
+ *
+ * ```ts
+ * const settings = new SettingsDistributor({ region, clock, random, events, channel, membership, platform });
+ * settings.subscribe((effective) => placement.apply(effective));
+ * settings.start();
+ * ```
+ */
+export {
+  SettingsDistributor,
+  type DisseminationStatus,
+  type SettingsDistributorOptions,
+} from './distributor.js';
+export { READERS_PER_REGION } from './constants.js';
+export { DisseminationError, type DisseminationErrorKind } from './errors.js';
+export { DISSEMINATION_EVENTS } from './events.js';
+export type { DisseminationCounters } from './statistics.js';
+export type { TreeCodec } from './distributed-tree.js';
+export type { SettingsFeed } from './types.js';
--- /dev/null
+++ b/src/dissemination/puller.ts
@@ -0,0 +1,192 @@
+/** Fetches a newer tree from peers, chunk by chunk, from one peer at a time, within the byte budget. */
+import type { Clock } from '../common/clock.js';
+import { pick, type RandomSource } from '../common/random.js';
+import type { Endpoint } from '../common/types.js';
+import * as limits from './constants.js';
+import type { Messenger, Sender } from './messenger.js';
+import type { sailquay } from './pb/dissemination.js';
+import { decodeStamp, encodeStamp, NO_TREE, sameTree, supersedes, type TreeStamp } from './stamp.js';
+import type { DisseminationCounters } from './statistics.js';
+import type { TreeHolder } from './tree-holder.js';
+
+type Chunk = sailquay.dissemination.IPullChunk;
+
+/** A peer that has a tree that this member wants. */
+interface Source extends Sender {
+  readonly stamp: TreeStamp;
+}
+
+/** A complete transfer. */
+export interface Pulled {
+  /** Version 0: a snapshot. */
+  readonly base: TreeStamp;
+  readonly target: TreeStamp;
+  readonly bytes: Uint8Array;
+  readonly from: Sender;
+}
+
+/** A transfer under way. */
+interface Progress {
+  readonly base: TreeStamp;
+  readonly target: TreeStamp;
+  readonly parts: Uint8Array[];
+  received: number;
+}
+
+export class Puller {
+  private readonly sources = new Map<string, Source>();
+  private running = false;
+  private nextRequestId: number;
+  private awaited:
+    { readonly requestId: number; readonly resolve: (chunk: Chunk | undefined) => void } | undefined;
+
+  constructor(
+    private readonly holder: TreeHolder,
+    private readonly messenger: Messenger,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly counters: DisseminationCounters,
+    private readonly deliver: (pulled: Pulled) => void,
+    private readonly signal: AbortSignal,
+  ) {
+    this.nextRequestId = Math.floor(random() * 0xffff_ffff);
+  }
+
+  /** True while a newer tree is known of that is not in force yet. */
+  isBehind(): boolean {
+    return this.usableSources().length > 0;
+  }
+
+  /** Newest version that a peer has named; 0 when none is newer than the one in force. */
+  newestVersionKnown(): number {
+    return Math.max(0, ...this.usableSources().map((source) => source.stamp.version));
+  }
+
+  /** Notes that a peer has `stamp`, and starts fetching when that wins over the tree in force. */
+  consider(stamp: TreeStamp, sender: Sender): void {
+    if (!this.holder.wants(stamp)) return;
+    this.sources.delete(sender.id);
+    this.sources.set(sender.id, { ...sender, stamp });
+    const oldest = this.sources.keys().next().value;
+    if (this.sources.size > limits.SOURCES_KEPT && oldest !== undefined) this.sources.delete(oldest);
+    if (!this.running) void this.run();
+  }
+
+  /** Takes a chunk from the network. */
+  receive(chunk: Chunk): void {
+    if (this.awaited && chunk.requestId === this.awaited.requestId) this.awaited.resolve(chunk);
+  }
+
+  private usableSources(): Source[] {
+    for (const [id, source] of this.sources) {
+      if (!this.holder.wants(source.stamp)) this.sources.delete(id);
+    }
+    return [...this.sources.values()];
+  }
+
+  /** Among the peers with the newest tree, a random one, so that a crowd of newcomers spreads out. */
+  private chooseSource(): Source | undefined {
+    const [first, ...others] = this.usableSources();
+    if (!first) return undefined;
+    const newest = others.reduce(
+      (best, source) => (supersedes(source.stamp, best.stamp) ? source : best),
+      first,
+    );
+    return pick(
+      [first, ...others].filter((source) => source.stamp.version === newest.stamp.version),
+      this.random,
+    );
+  }
+
+  private async run(): Promise<void> {
+    this.running = true;
+    try {
+      for (let source = this.chooseSource(); source && !this.signal.aborted; source = this.chooseSource()) {
+        this.counters.pullsStarted += 1;
+        const pulled = await this.fetchFrom(source);
+        this.sources.delete(source.id);
+        if (pulled) this.deliver(pulled);
+        else this.counters.pullsFailed += 1;
+      }
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private async fetchFrom(source: Source): Promise<Pulled | undefined> {
+    const have = this.holder.stamp();
+    let progress: Progress | undefined;
+    while (!this.signal.aborted) {
+      const chunk = await this.requestChunk(source.endpoint, have, progress);
+      if (!chunk) return undefined;
+      progress = advance(progress, chunk, have);
+      if (!progress) return undefined;
+      if (progress.received >= (chunk.totalBytes ?? 0)) {
+        const { base, target } = progress;
+        return { base, target, bytes: Buffer.concat(progress.parts), from: source };
+      }
+      // An announcement may have brought this member further than the transfer would.
+      if (!this.holder.wants(progress.target)) return undefined;
+      await this.pace(chunk.data?.length ?? 0);
+    }
+    return undefined;
+  }
+
+  private async requestChunk(
+    endpoint: Endpoint,
+    have: TreeStamp,
+    progress: Progress | undefined,
+  ): Promise<Chunk | undefined> {
+    for (let attempt = 0; attempt < limits.CHUNK_ATTEMPTS; attempt += 1) {
+      if (this.signal.aborted) return undefined;
+      this.nextRequestId = (this.nextRequestId + 1) >>> 0;
+      const requestId = this.nextRequestId;
+      const answer = this.awaitChunk(requestId);
+      const pullRequest = {
+        requestId,
+        have: encodeStamp(have),
+        target: encodeStamp(progress?.target ?? NO_TREE),
+        offset: progress?.received ?? 0,
+      };
+      this.messenger.send(endpoint, { pullRequest });
+      const chunk = await answer;
+      if (chunk) return chunk;
+    }
+    return undefined;
+  }
+
+  private awaitChunk(requestId: number): Promise<Chunk | undefined> {
+    return new Promise((resolve) => {
+      const timer = this.clock.schedule(limits.CHUNK_TIMEOUT_MS, () => settle(undefined));
+      const settle = (chunk: Chunk | undefined): void => {
+        timer.cancel();
+        this.awaited = undefined;
+        resolve(chunk);
+      };
+      this.awaited = { requestId, resolve: settle };
+    });
+  }
+
+  private pace(bytes: number): Promise<void> {
+    const share = this.messenger.availableBytesPerSecond() * limits.TRANSFER_BUDGET_SHARE;
+    const bytesPerSecond = Math.max(limits.TRANSFER_MIN_BYTES_PER_SECOND, share);
+    return new Promise((resolve) => this.clock.schedule((bytes / bytesPerSecond) * 1_000, resolve));
+  }
+}
+
+/** Adds a chunk to a transfer, or starts one; undefined when the chunk cannot be used. */
+function advance(progress: Progress | undefined, chunk: Chunk, have: TreeStamp): Progress | undefined {
+  const base = decodeStamp(chunk.base);
+  const target = decodeStamp(chunk.target);
+  const data = chunk.data ?? new Uint8Array();
+  const offset = chunk.offset ?? 0;
+  const usableBase = base.version === 0 || sameTree(base, have);
+  const totalBytes = chunk.totalBytes ?? 0;
+  if (!usableBase || data.length === 0 || totalBytes > limits.MAX_TRANSFER_BYTES) return undefined;
+  const continues = progress && sameTree(progress.target, target) && sameTree(progress.base, base);
+  const current = continues ? progress : { base, target, parts: [], received: 0 };
+  if (offset !== current.received) return undefined;
+  current.parts.push(data);
+  current.received += data.length;
+  return current;
+}
--- /dev/null
+++ b/src/dissemination/tree-holder.ts
@@ -0,0 +1,148 @@
+/**
+ * The tree in force on this balancer. The only place where a tree takes effect: nothing older than the one in force,
+ * nothing with faults and nothing that fails its digest gets past it.
+ */
+import type { Clock } from '../common/clock.js';
+import { Subject } from '../common/event-stream.js';
+import type { EventLog } from '../observability/event.js';
+import type { EffectiveSettings } from '../settings/index.js';
+import { ChangeLog } from './change-log.js';
+import { REJECTED_STAMPS_KEPT } from './constants.js';
+import { isIntact, type BuiltTree, type DistributedTree } from './distributed-tree.js';
+import type { DisseminationError } from './errors.js';
+import { DISSEMINATION_EVENTS } from './events.js';
+import type { NodeChanges } from './node-set.js';
+import { NO_TREE, sameTree, stampKey, supersedes, type TreeStamp } from './stamp.js';
+import type { DisseminationCounters } from './statistics.js';
+
+/** How a tree came here. */
+export type TreeOrigin = 'store' | 'push' | 'pull';
+
+/** A tree that has just taken effect. */
+export interface AppliedTree extends BuiltTree {
+  /** The tree in force before. */
+  readonly base: TreeStamp;
+  readonly origin: TreeOrigin;
+}
+
+export class TreeHolder {
+  readonly applied = new Subject<AppliedTree>();
+  readonly log = new ChangeLog();
+  private tree: DistributedTree | undefined;
+  private appliedAtWall = 0;
+  private corrupt = false;
+  private readonly rejected: string[] = [];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly events: EventLog,
+    private readonly counters: DisseminationCounters,
+  ) {}
+
+  current(): DistributedTree | undefined {
+    return this.tree;
+  }
+
+  settings(): EffectiveSettings | undefined {
+    return this.tree?.settings;
+  }
+
+  /** Stamp of the tree in force; that of no tree before the first, and while the tree in memory is corrupt. */
+  stamp(): TreeStamp {
+    return this.corrupt || !this.tree ? NO_TREE : this.tree.stamp;
+  }
+
+  /** Wall time at which the tree in force took effect, ms since the epoch; 0 before the first. */
+  appliedAtWallMs(): number {
+    return this.appliedAtWall;
+  }
+
+  /** True when `stamp` should be fetched: it wins over the tree in force and was not found faulty before. */
+  wants(stamp: TreeStamp): boolean {
+    if (this.rejected.includes(stampKey(stamp))) return false;
+    return this.mayReplace(stamp);
+  }
+
+  /** Puts a built tree in force if it wins over the one that is; false when it does not. */
+  install(built: BuiltTree, origin: TreeOrigin): boolean {
+    const { stamp } = built.tree;
+    if (!this.mayReplace(stamp)) {
+      this.counters.ignoredOlder += 1;
+      return false;
+    }
+    const base = this.stamp();
+    this.recordChanges(base, built.changes);
+    this.tree = built.tree;
+    this.corrupt = false;
+    this.appliedAtWall = this.clock.wall();
+    this.count(origin);
+    this.events.emit(DISSEMINATION_EVENTS.settingsApplied, {
+      version: stamp.version,
+      origin,
+      changedNodes: built.changes.nodes.size + built.changes.removedPaths.size,
+      sinceAcceptedMs: stamp.acceptedAtWallMs > 0 ? this.appliedAtWall - stamp.acceptedAtWallMs : undefined,
+    });
+    this.applied.push({ ...built, base, origin });
+    return true;
+  }
+
+  /** Remembers a tree that cannot be used, and reports it once. */
+  reject(stamp: Pick<TreeStamp, 'version' | 'digest'>, error: DisseminationError, from: string): void {
+    if (error.kind !== 'dissemination.invalid-tree') {
+      this.counters.rejectedDigest += 1;
+      this.events.emit(DISSEMINATION_EVENTS.digestMismatch, { version: stamp.version, from });
+      return;
+    }
+    const key = `${stamp.version}/${stamp.digest}`;
+    if (this.rejected.includes(key)) return;
+    this.rejected.push(key);
+    if (this.rejected.length > REJECTED_STAMPS_KEPT) this.rejected.shift();
+    this.counters.rejectedInvalid += 1;
+    this.events.emit(DISSEMINATION_EVENTS.treeRejected, {
+      version: stamp.version,
+      from,
+      fault: error.message,
+      inForce: this.stamp().version,
+    });
+  }
+
+  /** Takes note of a peer's stamp: counts divergence, and adopts the newer lease of an equal tree. */
+  meet(stamp: TreeStamp, from: string): void {
+    const own = this.stamp();
+    if (stamp.version === 0 || stamp.version !== own.version || !this.tree) return;
+    if (!sameTree(stamp, own)) {
+      this.counters.divergences += 1;
+      this.events.emit(DISSEMINATION_EVENTS.treesDiverged, { version: own.version, from });
+      return;
+    }
+    if (stamp.readerToken > own.readerToken) {
+      this.tree = { ...this.tree, stamp: { ...own, readerToken: stamp.readerToken } };
+    }
+  }
+
+  /** Compares the tree in memory with its digest; a corrupt one is offered to nobody and replaced by a peer's. */
+  checkIntegrity(): void {
+    if (!this.tree || this.corrupt || isIntact(this.tree)) return;
+    this.corrupt = true;
+    this.log.clear();
+    this.counters.corruptions += 1;
+    this.events.emit(DISSEMINATION_EVENTS.treeCorrupted, { version: this.tree.stamp.version });
+  }
+
+  private mayReplace(stamp: TreeStamp): boolean {
+    if (!this.tree) return stamp.version > 0;
+    if (this.corrupt) return stamp.version >= this.tree.stamp.version;
+    return supersedes(stamp, this.tree.stamp);
+  }
+
+  private recordChanges(base: TreeStamp, changes: NodeChanges): void {
+    if (base.version === 0) this.log.clear();
+    else this.log.append(base, changes);
+  }
+
+  private count(origin: TreeOrigin): void {
+    if (origin === 'store') this.counters.appliedFromStore += 1;
+    else if (origin === 'push') this.counters.appliedFromPush += 1;
+    else this.counters.appliedFromPull += 1;
+  }
+}
--- /dev/null
+++ b/src/standin/platform/in-memory-platform.ts
@@ -0,0 +1,177 @@
+/** The platform without HTTP, on any clock, for simulations: the same store, leases and machine list behind clients. */
+import Result from 'true-myth/result';
+import type { Clock } from '../../common/clock.js';
+import { Subject } from '../../common/event-stream.js';
+import {
+  leaseHeld,
+  unknownOutcome,
+  unreachable,
+  versionConflict,
+  type PlatformError,
+} from '../../platform/errors.js';
+import { pause, trustedDurationMs } from '../../platform/index.js';
+import type { Lease, MachineEntry, PlatformClient, StoredObject } from '../../platform/types.js';
+import { LeaseTable } from './lease-table.js';
+import { MachineList } from './machine-list.js';
+import { ObjectStore } from './object-store.js';
+import { RequestCounters, type CounterReport, type RequestKind } from './request-counters.js';
+
+/** How often a client whose watch was cut tries to open it again. */
+const RECONNECT_MS = 1_000;
+const NO_MACHINE_LAG_MS = 0;
+
+export class InMemoryPlatform {
+  readonly store = new ObjectStore();
+  readonly leases: LeaseTable;
+  readonly machines: MachineList;
+  readonly requests = new RequestCounters();
+  /** Answers to this many coming writes are lost after they took effect. */
+  lostAnswers = 0;
+  private readonly faultChanged = new Subject<void>();
+  private down = false;
+
+  constructor(readonly clock: Clock) {
+    this.leases = new LeaseTable(clock, () => this.store.nextRevision());
+    this.machines = new MachineList(clock, NO_MACHINE_LAG_MS);
+  }
+
+  /** While down every call fails and watches end. */
+  setDown(down: boolean): void {
+    this.down = down;
+    this.faultChanged.push();
+  }
+
+  isDown(): boolean {
+    return this.down;
+  }
+
+  counters(): CounterReport {
+    return this.requests.report(this.leases.holders());
+  }
+
+  /** A client for one caller; `clock` is the caller's own, which may be paused. */
+  client(caller: string, clock: Clock = this.clock): PlatformClient {
+    return new InMemoryClient(this, caller, clock);
+  }
+
+  /** Calls `listener` when the store goes down or comes back. */
+  onFaultChange(listener: () => void): () => void {
+    return this.faultChanged.subscribe(listener);
+  }
+}
+
+class InMemoryClient implements PlatformClient {
+  constructor(
+    private readonly platform: InMemoryPlatform,
+    private readonly caller: string,
+    private readonly clock: Clock,
+  ) {}
+
+  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>> {
+    if (!this.admit('get')) return Result.err(unreachable(`read object ${key}`));
+    return Result.ok(this.platform.store.get(key) as StoredObject<T> | undefined);
+  }
+
+  async putIfVersion<T>(
+    key: string,
+    value: T,
+    expectedVersion: number,
+  ): Promise<Result<StoredObject<T>, PlatformError>> {
+    if (!this.admit('put')) return Result.err(unreachable(`write object ${key}`));
+    const outcome = this.platform.store.put(key, value, expectedVersion);
+    if (!outcome.accepted) return Result.err(versionConflict(key, expectedVersion, outcome.version));
+    if (this.losesAnswer()) return Result.err(unknownOutcome(`write object ${key}`));
+    return Result.ok(outcome.entry as StoredObject<T>);
+  }
+
+  async *watch<T>(key: string, afterVersion: number, signal: AbortSignal): AsyncGenerator<StoredObject<T>> {
+    let lastVersion = afterVersion;
+    while (!signal.aborted) {
+      if (this.admit('watch')) {
+        for await (const entry of this.watchOnce(key, lastVersion, signal)) {
+          lastVersion = entry.version;
+          yield entry as StoredObject<T>;
+        }
+      }
+      await pause(this.clock, RECONNECT_MS, signal);
+    }
+  }
+
+  async acquireLease(
+    name: string,
+    holder: string,
+    durationMs: number,
+  ): Promise<Result<Lease, PlatformError>> {
+    const requestedAtMs = this.clock.now();
+    if (!this.admit('lease')) return Result.err(unreachable(`take lease ${name}`));
+    const outcome = this.platform.leases.acquire(name, holder, durationMs);
+    if (!outcome.granted) return Result.err(leaseHeld(name, outcome.holder));
+    if (this.losesAnswer()) return Result.err(unreachable(`take lease ${name}`));
+    const trustedUntilMs = requestedAtMs + trustedDurationMs(durationMs);
+    return Result.ok({ name, holder, fencingToken: outcome.fencingToken, trustedUntilMs });
+  }
+
+  async releaseLease(lease: Lease): Promise<Result<void, PlatformError>> {
+    if (!this.admit('release')) return Result.err(unreachable(`release lease ${lease.name}`));
+    this.platform.leases.release(lease.name, lease.fencingToken);
+    return Result.ok(undefined);
+  }
+
+  async listMachines(): Promise<Result<readonly MachineEntry[], PlatformError>> {
+    if (!this.admit('machines')) return Result.err(unreachable('list the machines'));
+    return Result.ok(this.platform.machines.list());
+  }
+
+  private admit(kind: RequestKind): boolean {
+    this.platform.requests.count(kind, this.caller);
+    return !this.platform.isDown();
+  }
+
+  private losesAnswer(): boolean {
+    if (this.platform.lostAnswers === 0) return false;
+    this.platform.lostAnswers -= 1;
+    return true;
+  }
+
+  /** One connection of a watch: ends when the store goes down. */
+  private async *watchOnce(
+    key: string,
+    afterVersion: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<StoredObject> {
+    const changes = new Subject<void>();
+    const unsubscribe = [
+      this.platform.store.subscribe(key, () => changes.push()),
+      this.platform.onFaultChange(() => changes.push()),
+    ];
+    this.platform.requests.watchOpened(this.caller);
+    let lastVersion = afterVersion;
+    try {
+      while (!signal.aborted && !this.platform.isDown()) {
+        const entry = this.platform.store.get(key);
+        if (entry && entry.version > lastVersion) {
+          lastVersion = entry.version;
+          yield entry;
+        } else {
+          await nextChange(changes, signal);
+        }
+      }
+    } finally {
+      for (const end of unsubscribe) end();
+      this.platform.requests.watchClosed(this.caller);
+    }
+  }
+}
+
+function nextChange(changes: Subject<void>, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const done = (): void => {
+      unsubscribe();
+      signal.removeEventListener('abort', done);
+      resolve();
+    };
+    const unsubscribe = changes.subscribe(done);
+    if (signal.aborted) done();
+    else signal.addEventListener('abort', done, { once: true });
+  });
+}
--- a/src/standin/platform/index.ts
+++ b/src/standin/platform/index.ts
@@ -8,4 +8,5 @@
  */
 export { startPlatformStandin, type PlatformStandin, type PlatformStandinOptions } from './server.js';
 export { registerPlatformStandin } from './command.js';
+export { InMemoryPlatform } from './in-memory-platform.js';
 export type { CounterReport } from './request-counters.js';
