--- /dev/null
+++ b/src/flow/flow-context.ts
@@ -0,0 +1,117 @@
+/** State that the parts of the flow keeper share. */
+import type { Member, MembershipView } from '../membership/types.js';
+import type { FlowFingerprint } from '../placement/types.js';
+import { firstChoice } from '../placement/weighted-rendezvous.js';
+import type { EffectiveBackend } from '../settings/types.js';
+import { BackendCatalogue, type BackendEntry } from './backend-catalogue.js';
+import { BaseCatalogue } from './base-catalogue.js';
+import { FlowCounters } from './flow-counters.js';
+import { FlowFlag, type FlowTable } from './flow-table.js';
+import type { FlowComponents } from './packet-forwarder.js';
+import { ServiceIndex } from './service-index.js';
+import type { KeptShard, ReplicaShard } from './shard-holding.js';
+import { listOwners, ShardMap } from './shard-map.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Shared by the parts of one flow keeper. */
+export class FlowContext {
+  readonly catalogue = new BackendCatalogue();
+  readonly bases = new BaseCatalogue();
+  readonly services = new ServiceIndex();
+  readonly counters = new FlowCounters();
+  readonly kept = new Map<number, KeptShard>();
+  readonly replicas = new Map<number, ReplicaShard>();
+  view: MembershipView;
+  map: ShardMap;
+  /** Set by a planned leave: this balancer owns no shards any more, whatever the view says. */
+  leaving = false;
+  /** Flows kept here that are not closed. */
+  openFlows = 0;
+  /** No new backup is chosen before this time, because this process may have been replaced unknowingly. */
+  cautiousUntilMs = 0;
+  private membersById = new Map<string, Member>();
+
+  constructor(readonly components: FlowComponents) {
+    this.view = components.membership.view();
+    this.map = ShardMap.build(listOwners(this.view));
+    this.indexMembers();
+  }
+
+  get selfId(): string {
+    return this.components.selfId;
+  }
+
+  /** Monotonic ms. */
+  now(): number {
+    return this.components.clock.now();
+  }
+
+  /** Monotonic seconds, as flow tables store them. */
+  nowSeconds(): number {
+    return Math.floor(this.components.clock.now() / MS_PER_SECOND);
+  }
+
+  /** Takes over a view; false when the owners are the same as before. */
+  setView(view: MembershipView): boolean {
+    this.view = view;
+    this.indexMembers();
+    const owners = listOwners(view).filter((member) => !this.leaving || member.id !== this.selfId);
+    const changed = !sameOwners(this.map.owners, owners);
+    this.map = ShardMap.update(this.map, owners);
+    return changed;
+  }
+
+  /** A member that is not gone. */
+  member(id: string): Member | undefined {
+    return this.membersById.get(id);
+  }
+
+  /** First choice of a flow in a base version, as a catalogue entry. */
+  firstChoice(
+    fingerprint: FlowFingerprint,
+    baseVersion: number,
+    serviceId: number,
+  ): BackendEntry | undefined {
+    const service = this.bases.get(baseVersion)?.get(serviceId);
+    if (!service) return undefined;
+    const backend: EffectiveBackend | undefined = firstChoice(fingerprint, service.backends);
+    return backend && this.catalogue.entry(service, backend);
+  }
+
+  /** Counts a flow that became open at a back end. */
+  countOpen(entry: BackendEntry): void {
+    this.openFlows += 1;
+    entry.backendFlows.open += 1;
+    entry.serviceFlows.open += 1;
+  }
+
+  /** Counts a flow that closed or was forgotten. */
+  countClosed(entry: BackendEntry): void {
+    this.openFlows -= 1;
+    entry.backendFlows.open -= 1;
+    entry.serviceFlows.open -= 1;
+  }
+
+  /** Adds an open flow to a kept table. */
+  insertKept(table: FlowTable, fingerprint: FlowFingerprint, entry: BackendEntry, flags: number): number {
+    this.countOpen(entry);
+    return table.insert(fingerprint.high, fingerprint.low, entry.index, flags, this.nowSeconds());
+  }
+
+  /** Removes a flow from a kept table. */
+  removeKept(table: FlowTable, slot: number): void {
+    if (!table.hasFlag(slot, FlowFlag.CLOSED)) this.countClosed(this.catalogue.at(table.backendIndex(slot)));
+    table.remove(slot);
+  }
+
+  private indexMembers(): void {
+    this.membersById = new Map(this.view.members.map((member) => [member.id, member]));
+  }
+}
+
+function sameOwners(left: readonly Member[], right: readonly Member[]): boolean {
+  if (left.length !== right.length) return false;
+  const ids = new Set(left.map((member) => member.id));
+  return right.every((member) => ids.has(member.id));
+}
--- /dev/null
+++ b/src/flow/flow-table.ts
@@ -0,0 +1,153 @@
+/**
+ * Flows of one shard in a hash table with linear probing over one typed array: 16 bytes a slot, grown before it is
+ * four fifths full. Slots are plain numbers; any insertion or removal makes slots found earlier invalid.
+ */
+
+const WORDS_PER_SLOT = 4;
+const INITIAL_SLOTS = 8;
+const MAX_LOAD = 0.8;
+const OCCUPIED = 0x8000_0000;
+const INDEX_MASK = 0xffff;
+const FLAG_SHIFT = 16;
+const FLAG_MASK = 0xff;
+
+/** State bits of a flow. */
+export const FlowFlag = {
+  /** Not the first choice of the shard's base, so it needs a record at the backup. */
+  EXCEPTION: 1,
+  /** Waits for the backup's acknowledgement; nothing has been sent to the back end. */
+  PENDING: 2,
+  /** The back end has answered the opening, or the flow was learned when already established. */
+  ANSWERED: 4,
+  CALLER_FINISHED: 8,
+  BACKEND_FINISHED: 16,
+  /** Both directions finished, or reset. */
+  CLOSED: 32,
+  /** Placed by an acting backup and not yet reported to the keeper. */
+  UNREPORTED: 64,
+} as const;
+
+/** Flows by fingerprint; a value is a back end index (16 bits), flags (8 bits) and the second it was last seen. */
+export class FlowTable {
+  private words = new Uint32Array(INITIAL_SLOTS * WORDS_PER_SLOT);
+  private mask = INITIAL_SLOTS - 1;
+  private count = 0;
+
+  /** Flows in the table. */
+  get size(): number {
+    return this.count;
+  }
+
+  /** Slots; valid slot numbers are 0 to capacity - 1. */
+  get capacity(): number {
+    return this.mask + 1;
+  }
+
+  /** Memory of the slots. */
+  get bytes(): number {
+    return this.words.byteLength;
+  }
+
+  /** Slot of a flow, or -1. */
+  find(high: number, low: number): number {
+    const { words, mask } = this;
+    for (let slot = low & mask; ; slot = (slot + 1) & mask) {
+      const word = slot * WORDS_PER_SLOT;
+      if (words[word + 2] === 0) return -1;
+      if (words[word + 1] === low && words[word] === high) return slot;
+    }
+  }
+
+  /** Adds a flow that is not in the table and returns its slot. */
+  insert(high: number, low: number, backendIndex: number, flags: number, seenSeconds: number): number {
+    if (this.count + 1 > this.capacity * MAX_LOAD) this.resize(this.capacity * 2);
+    const slot = this.freeSlot(low);
+    const word = slot * WORDS_PER_SLOT;
+    this.words[word] = high;
+    this.words[word + 1] = low;
+    this.words[word + 2] = OCCUPIED | (flags << FLAG_SHIFT) | backendIndex;
+    this.words[word + 3] = seenSeconds;
+    this.count += 1;
+    return slot;
+  }
+
+  /** Removes the flow in `slot`; a later flow may move into this slot. */
+  remove(slot: number): void {
+    const { words, mask } = this;
+    let hole = slot;
+    for (let next = (hole + 1) & mask; words[next * WORDS_PER_SLOT + 2] !== 0; next = (next + 1) & mask) {
+      const home = words[next * WORDS_PER_SLOT + 1]! & mask;
+      const distanceFromHome = (next - home) & mask;
+      const distanceFromHole = (next - hole) & mask;
+      if (distanceFromHome < distanceFromHole) continue;
+      words.copyWithin(hole * WORDS_PER_SLOT, next * WORDS_PER_SLOT, (next + 1) * WORDS_PER_SLOT);
+      hole = next;
+    }
+    words.fill(0, hole * WORDS_PER_SLOT, (hole + 1) * WORDS_PER_SLOT);
+    this.count -= 1;
+  }
+
+  /** Frees memory after many removals; invalidates all slots. */
+  compact(): void {
+    const needed = Math.max(INITIAL_SLOTS, this.count * 2);
+    if (this.capacity < needed * 4) return;
+    this.resize(2 ** Math.ceil(Math.log2(needed)));
+  }
+
+  isOccupied(slot: number): boolean {
+    return this.words[slot * WORDS_PER_SLOT + 2] !== 0;
+  }
+
+  high(slot: number): number {
+    return this.words[slot * WORDS_PER_SLOT]!;
+  }
+
+  low(slot: number): number {
+    return this.words[slot * WORDS_PER_SLOT + 1]!;
+  }
+
+  backendIndex(slot: number): number {
+    return this.words[slot * WORDS_PER_SLOT + 2]! & INDEX_MASK;
+  }
+
+  flags(slot: number): number {
+    return (this.words[slot * WORDS_PER_SLOT + 2]! >>> FLAG_SHIFT) & FLAG_MASK;
+  }
+
+  seenSeconds(slot: number): number {
+    return this.words[slot * WORDS_PER_SLOT + 3]!;
+  }
+
+  hasFlag(slot: number, flag: number): boolean {
+    return (this.flags(slot) & flag) !== 0;
+  }
+
+  setValue(slot: number, backendIndex: number, flags: number): void {
+    this.words[slot * WORDS_PER_SLOT + 2] = OCCUPIED | (flags << FLAG_SHIFT) | backendIndex;
+  }
+
+  setFlags(slot: number, flags: number): void {
+    this.setValue(slot, this.backendIndex(slot), flags);
+  }
+
+  touch(slot: number, seenSeconds: number): void {
+    this.words[slot * WORDS_PER_SLOT + 3] = seenSeconds;
+  }
+
+  private freeSlot(low: number): number {
+    let slot = low & this.mask;
+    while (this.words[slot * WORDS_PER_SLOT + 2] !== 0) slot = (slot + 1) & this.mask;
+    return slot;
+  }
+
+  private resize(slots: number): void {
+    const old = this.words;
+    this.words = new Uint32Array(slots * WORDS_PER_SLOT);
+    this.mask = slots - 1;
+    for (let word = 0; word < old.length; word += WORDS_PER_SLOT) {
+      if (old[word + 2] === 0) continue;
+      const target = this.freeSlot(old[word + 1]!) * WORDS_PER_SLOT;
+      this.words.set(old.subarray(word, word + WORDS_PER_SLOT), target);
+    }
+  }
+}
--- /dev/null
+++ b/src/flow/kept-flows.ts
@@ -0,0 +1,173 @@
+/** Packets of shards that are kept here. */
+import { sameEndpoint, type Endpoint } from '../common/types.js';
+import type { PacketView } from '../fabric/types.js';
+import type { FlowFingerprint } from '../placement/types.js';
+import type { BackendEntry } from './backend-catalogue.js';
+import { FLOW_EVENTS } from './events.js';
+import type { FlowContext } from './flow-context.js';
+import { FlowFlag } from './flow-table.js';
+import type { Openings } from './openings.js';
+import type { PacketRelay } from './packet-relay.js';
+import type { ServicePort } from './service-index.js';
+import type { KeptShard } from './shard-holding.js';
+
+/** Forwards packets of known flows, opens new ones, and answers for unknown ones. */
+export class KeptFlows {
+  constructor(
+    private readonly context: FlowContext,
+    private readonly openings: Openings,
+    private readonly relay: PacketRelay,
+  ) {}
+
+  /** A packet from a caller. */
+  handle(kept: KeptShard, fingerprint: FlowFingerprint, packet: PacketView): void {
+    const port = this.context.services.find(packet.destinationAddress, packet.destinationPort);
+    const slot = kept.table.find(fingerprint.high, fingerprint.low);
+    if (slot >= 0) this.handleKnown(kept, slot, fingerprint, packet, port);
+    else if (kept.role === 'transferring') this.relay.relayTo(packet, kept.transferTarget);
+    else if (packet.syn && !packet.ack) this.openings.open(kept, fingerprint, packet, port);
+    else this.handleUnknown(kept, fingerprint, packet, port);
+  }
+
+  /** A packet from a back end; true when it must not reach the caller. */
+  handleReturn(kept: KeptShard, fingerprint: FlowFingerprint, packet: PacketView, from: Endpoint): boolean {
+    const { table } = kept;
+    const slot = table.find(fingerprint.high, fingerprint.low);
+    if (slot < 0 || table.hasFlag(slot, FlowFlag.PENDING)) return false;
+    const entry = this.context.catalogue.at(table.backendIndex(slot));
+    if (!sameEndpoint(entry.endpoint, from)) return false;
+    table.touch(slot, this.context.nowSeconds());
+    if (packet.rst) return this.handleBackendReset(kept, slot, fingerprint, entry);
+    if (!table.hasFlag(slot, FlowFlag.ANSWERED)) {
+      table.setFlags(slot, table.flags(slot) | FlowFlag.ANSWERED);
+      this.openings.answered(fingerprint, entry);
+    }
+    if (packet.fin) this.finish(kept, slot, entry, FlowFlag.BACKEND_FINISHED);
+    return false;
+  }
+
+  private handleKnown(
+    kept: KeptShard,
+    slot: number,
+    fingerprint: FlowFingerprint,
+    packet: PacketView,
+    port: ServicePort | undefined,
+  ): void {
+    const { table } = kept;
+    const flags = table.flags(slot);
+    const entry = this.context.catalogue.at(table.backendIndex(slot));
+    if (!port?.serviceIds.has(entry.serviceId)) return this.countWrongService(kept, entry);
+    if ((flags & FlowFlag.PENDING) !== 0) {
+      if (packet.syn) this.openings.repeat(fingerprint, packet);
+      return;
+    }
+    const opening = packet.syn && !packet.ack;
+    if (opening && (flags & FlowFlag.CLOSED) !== 0 && kept.role === 'serving') {
+      return this.openings.open(kept, fingerprint, packet, port);
+    }
+    this.context.components.edge.sendToBackend(packet, entry.endpoint);
+    if ((flags & FlowFlag.CLOSED) === 0) this.follow(kept, slot, fingerprint, packet, entry);
+  }
+
+  /** Updates the state of an open flow after a packet of its caller. */
+  private follow(
+    kept: KeptShard,
+    slot: number,
+    fingerprint: FlowFingerprint,
+    packet: PacketView,
+    entry: BackendEntry,
+  ): void {
+    const { table } = kept;
+    table.touch(slot, this.context.nowSeconds());
+    if (!packet.syn && !table.hasFlag(slot, FlowFlag.ANSWERED)) {
+      table.setFlags(slot, table.flags(slot) | FlowFlag.ANSWERED);
+      this.openings.answered(fingerprint, entry);
+    }
+    if (packet.rst) this.close(kept, slot, entry);
+    else if (packet.fin) this.finish(kept, slot, entry, FlowFlag.CALLER_FINISHED);
+  }
+
+  private handleBackendReset(
+    kept: KeptShard,
+    slot: number,
+    fingerprint: FlowFingerprint,
+    entry: BackendEntry,
+  ): boolean {
+    const { health } = this.context.components;
+    if (kept.table.hasFlag(slot, FlowFlag.ANSWERED)) {
+      if (!kept.table.hasFlag(slot, FlowFlag.CLOSED)) health.recordPassive(entry.id, 'reset-mid-flow');
+      this.close(kept, slot, entry);
+      return false;
+    }
+    health.recordPassive(entry.id, 'reset-on-open');
+    if (this.openings.retryAfterReset(fingerprint, entry)) return true;
+    this.openings.forget(fingerprint);
+    this.close(kept, slot, entry);
+    return false;
+  }
+
+  private finish(kept: KeptShard, slot: number, entry: BackendEntry, flag: number): void {
+    const flags = kept.table.flags(slot) | flag;
+    kept.table.setFlags(slot, flags);
+    const both = FlowFlag.CALLER_FINISHED | FlowFlag.BACKEND_FINISHED;
+    if ((flags & both) === both) this.close(kept, slot, entry);
+  }
+
+  private close(kept: KeptShard, slot: number, entry: BackendEntry): void {
+    const flags = kept.table.flags(slot);
+    if ((flags & FlowFlag.CLOSED) !== 0) return;
+    kept.table.setFlags(slot, flags | FlowFlag.CLOSED);
+    this.context.countClosed(entry);
+  }
+
+  private handleUnknown(
+    kept: KeptShard,
+    fingerprint: FlowFingerprint,
+    packet: PacketView,
+    port: ServicePort | undefined,
+  ): void {
+    const entry = this.reconstruct(kept, fingerprint, port);
+    if (!entry) return this.answerUnknown(packet, port);
+    this.context.counters.reconstructed += 1;
+    this.context.insertKept(kept.table, fingerprint, entry, FlowFlag.ANSWERED);
+    this.context.components.edge.sendToBackend(packet, entry.endpoint);
+  }
+
+  /** The back end of a flow without a record, if every base under which it may have been opened agrees. */
+  private reconstruct(
+    kept: KeptShard,
+    fingerprint: FlowFingerprint,
+    port: ServicePort | undefined,
+  ): BackendEntry | undefined {
+    const { context } = this;
+    if (kept.complete || !port || port.serviceIds.size !== 1 || !this.mayReconstruct(kept)) return undefined;
+    const [serviceId] = port.serviceIds;
+    const entry = context.firstChoice(fingerprint, kept.baseVersion, serviceId!);
+    const oldest = context.firstChoice(fingerprint, kept.oldestBaseVersion, serviceId!);
+    if (entry !== oldest) return undefined;
+    const next = kept.rebase && context.firstChoice(fingerprint, kept.rebase.toVersion, serviceId!);
+    return kept.rebase && next !== entry ? undefined : entry;
+  }
+
+  private mayReconstruct(kept: KeptShard): boolean {
+    if (!this.context.view.quorate) return false;
+    if (kept.backup) return kept.backup.leaseHeld;
+    return this.context.now() >= this.context.cautiousUntilMs;
+  }
+
+  private answerUnknown(packet: PacketView, port: ServicePort | undefined): void {
+    const { counters, components } = this.context;
+    if (port?.service?.unknownFlow === 'reset' && !packet.rst) {
+      counters.unknownReset += 1;
+      components.edge.sendReset(packet);
+      return;
+    }
+    counters.unknownDropped += 1;
+  }
+
+  private countWrongService(kept: KeptShard, entry: BackendEntry): void {
+    const { counters, components } = this.context;
+    counters.wrongServiceRecords += 1;
+    components.events.emit(FLOW_EVENTS.wrongServiceRecord, { shard: kept.shard, backend: entry.id });
+  }
+}
--- /dev/null
+++ b/src/flow/ownership.ts
@@ -0,0 +1,419 @@
+/**
+ * Who holds which shard: takes shards over, replicates them, and hands them on as the membership view changes. A shard
+ * is held until its next holder has acknowledged it; the view alone gives nobody a shard.
+ */
+import type { Member, MembershipView } from '../membership/types.js';
+import { ORPHAN_WAIT_MS, PAUSE_DETECTION_MS, SHARD_COUNT } from './constants.js';
+import { FLOW_EVENTS } from './events.js';
+import type { FlowContext } from './flow-context.js';
+import { FlowFlag } from './flow-table.js';
+import type { PacketRelay } from './packet-relay.js';
+import { sailquay } from './pb/flow.js';
+import type { ReplicaHolder } from './replica-holder.js';
+import type { ReplicaPeer } from './replica-peer.js';
+import type { ReplicaPeers } from './replica-peers.js';
+import { fromBitmap } from './shard-set.js';
+import { KeptShard, ReplicaShard } from './shard-holding.js';
+import { ShardInstaller } from './shard-installer.js';
+import type { IncomingShard, InstallOutcome, ShardReceiver } from './shard-receiver.js';
+import type { ShardSender, ShardSnapshot } from './shard-sender.js';
+import { snapshotKept, snapshotReplica } from './shard-snapshot.js';
+
+const { ShardPurpose } = sailquay.flow;
+
+/** Delay before a refused recovery is offered again. */
+const RECOVERY_RETRY_MS = 300;
+
+/** The parts that ownership works with. */
+export interface OwnershipParts {
+  readonly relay: PacketRelay;
+  readonly holder: ReplicaHolder;
+  readonly peers: ReplicaPeers;
+  readonly sender: ShardSender;
+  readonly receiver: ShardReceiver;
+}
+
+/** Decides about every shard on each view and each tick. */
+export class Ownership {
+  /** Shards given to another keeper since start. */
+  givenShards = 0;
+  private readonly installer: ShardInstaller;
+  private lastTickMs: number;
+
+  constructor(
+    private readonly context: FlowContext,
+    private readonly parts: OwnershipParts,
+  ) {
+    this.installer = new ShardInstaller(context);
+    this.lastTickMs = context.now();
+  }
+
+  /** Takes over a membership view. */
+  onView(view: MembershipView): void {
+    const previous = this.context.map;
+    const changed = this.context.setView(view);
+    if (changed) {
+      this.parts.relay.previousMap = previous;
+      this.context.components.events.emit(FLOW_EVENTS.ownershipChanged, {
+        owners: this.context.map.owners.length,
+      });
+    }
+    for (const targetId of this.parts.sender.targets()) {
+      if (!this.context.member(targetId)) this.parts.sender.failTarget(targetId);
+    }
+    this.reconcile();
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    this.detectPause();
+    this.reconcile();
+  }
+
+  /** Takes in a shard from another balancer. */
+  install(incoming: IncomingShard): InstallOutcome {
+    if (incoming.header.purpose === ShardPurpose.REPLICA) return this.installReplica(incoming);
+    if (!this.isOwnKeeper(incoming.shard)) return 'refused';
+    const { header } = incoming;
+    const kept = this.context.kept.get(incoming.shard);
+    if (!header.trusted && !this.hasWaitedForBetter(kept)) return 'refused';
+    const target = kept ?? this.acquire(incoming.shard);
+    const outcome = this.installer.install(target, header, incoming.records);
+    if (outcome === 'superseded') return 'done';
+    this.dropBackup(target);
+    target.owed.push({ senderId: incoming.from.senderId, transferId: incoming.transferId });
+    this.reconcileKept(target);
+    return 'later';
+  }
+
+  /** Another balancer will hand over these shards: they are not started empty meanwhile. */
+  onOffer(offer: sailquay.flow.Offer.$Properties): void {
+    const nowMs = this.context.now();
+    for (const shard of fromBitmap(offer.shards ?? new Uint8Array())) {
+      const kept = this.context.kept.get(shard);
+      if (kept?.role === 'acquiring') kept.awaitedSinceMs = nowMs;
+    }
+  }
+
+  /** The backup has handed this keeper's shards to others: gives them up. */
+  onLapsed(peer: ReplicaPeer): void {
+    let given = 0;
+    for (const kept of [...this.context.kept.values()]) {
+      if (kept.backup !== peer) continue;
+      this.giveUp(kept, [peer.memberId]);
+      given += 1;
+    }
+    this.parts.peers.close(peer);
+    if (given > 0) this.context.components.events.emit(FLOW_EVENTS.steppedDown, { shards: given });
+  }
+
+  /** The backup lacks shards: they are replicated again. */
+  onMissing(peer: ReplicaPeer, shards: Iterable<number>): void {
+    for (const shard of shards) {
+      const kept = this.context.kept.get(shard);
+      peer.shards.delete(shard);
+      if (kept?.backup === peer) kept.backup = undefined;
+    }
+  }
+
+  /** The link to a backup ended. */
+  onPeerClosed(peer: ReplicaPeer): void {
+    for (const kept of this.context.kept.values()) {
+      if (kept.backup !== peer) continue;
+      kept.backup = undefined;
+      peer.release(kept.shard);
+      kept.formerBackup = peer;
+    }
+  }
+
+  private detectPause(): void {
+    const nowMs = this.context.now();
+    const gapMs = nowMs - this.lastTickMs;
+    this.lastTickMs = nowMs;
+    const paused = gapMs > PAUSE_DETECTION_MS;
+    if (paused) this.context.components.events.emit(FLOW_EVENTS.pauseDetected, { gapMs: Math.round(gapMs) });
+    if (!paused && this.context.view.quorate) return;
+    this.parts.holder.distrustAll();
+    this.context.cautiousUntilMs = nowMs + ORPHAN_WAIT_MS;
+  }
+
+  private reconcile(): void {
+    this.acquireOwnShards();
+    for (const kept of [...this.context.kept.values()]) this.reconcileKept(kept);
+    for (const replica of [...this.context.replicas.values()]) this.reconcileReplica(replica);
+  }
+
+  private acquireOwnShards(): void {
+    const { map, selfId, kept } = this.context;
+    for (let shard = 0; shard < SHARD_COUNT; shard += 1) {
+      if (map.keeper(shard)?.id === selfId && !kept.has(shard)) this.acquire(shard);
+    }
+  }
+
+  private acquire(shard: number): KeptShard {
+    const kept = new KeptShard(shard, this.context.now(), this.probableHolders(shard));
+    this.context.kept.set(shard, kept);
+    return kept;
+  }
+
+  private probableHolders(shard: number): string[] {
+    const { previousMap } = this.parts.relay;
+    const keeper = previousMap.keeper(shard);
+    const backups = keeper ? [previousMap.backup(shard, keeper), ...previousMap.backups(keeper)] : [];
+    const ids = [keeper, ...backups].flatMap((member) => (member ? [member.id] : []));
+    return [...new Set(ids)].filter((id) => id !== this.context.selfId);
+  }
+
+  private isOwnKeeper(shard: number): boolean {
+    return this.context.view.quorate && this.context.map.keeper(shard)?.id === this.context.selfId;
+  }
+
+  private hasWaitedForBetter(kept: KeptShard | undefined): boolean {
+    if (!kept) return false;
+    return kept.role !== 'acquiring' || this.context.now() - kept.acquiringSinceMs > ORPHAN_WAIT_MS;
+  }
+
+  private reconcileKept(kept: KeptShard): void {
+    const keeper = this.context.map.keeper(kept.shard);
+    if (kept.role === 'acquiring') this.reconcileAcquiring(kept, keeper);
+    else if (kept.role === 'transferring') this.reconcileTransferring(kept);
+    else if (keeper && keeper.id !== this.context.selfId) this.handToNextKeeper(kept, keeper);
+    else this.ensureBackup(kept);
+  }
+
+  private reconcileAcquiring(kept: KeptShard, keeper: Member | undefined): void {
+    const nowMs = this.context.now();
+    if (keeper?.id !== this.context.selfId) {
+      this.context.kept.delete(kept.shard);
+      return;
+    }
+    const settings = this.context.components.settings.current();
+    const ready =
+      this.context.view.quorate && settings !== undefined && nowMs >= this.context.cautiousUntilMs;
+    if (!ready) kept.awaitedSinceMs = nowMs;
+    else if (nowMs - kept.awaitedSinceMs > ORPHAN_WAIT_MS) {
+      this.installer.startEmpty(kept, settings.version);
+      this.context.components.events.emit(FLOW_EVENTS.shardsStartedEmpty, { shard: kept.shard });
+      this.ensureBackup(kept);
+    }
+  }
+
+  private reconcileTransferring(kept: KeptShard): void {
+    if (kept.targetGoneSinceMs === undefined) return;
+    if (this.context.now() - kept.targetGoneSinceMs < ORPHAN_WAIT_MS) return;
+    kept.targetGoneSinceMs = undefined;
+    kept.transferTarget = undefined;
+    kept.role = 'serving';
+  }
+
+  private handToNextKeeper(kept: KeptShard, keeper: Member): void {
+    if (kept.transferTarget !== undefined || keeper.state !== 'active' || !this.context.view.quorate) return;
+    kept.transferTarget = keeper.id;
+    this.parts.sender.enqueue({
+      shard: kept.shard,
+      purpose: ShardPurpose.TRANSFER,
+      targetId: keeper.id,
+      snapshot: () => this.beginTransfer(kept, keeper.id),
+      onDone: () => this.onTransferred(kept, keeper.id),
+      onFailed: () => this.onTransferFailed(kept, keeper.id),
+    });
+  }
+
+  private beginTransfer(kept: KeptShard, targetId: string): ShardSnapshot | undefined {
+    const current = this.context.kept.get(kept.shard) === kept && kept.role === 'serving';
+    if (!current || this.context.map.keeper(kept.shard)?.id !== targetId) return undefined;
+    kept.role = 'transferring';
+    this.dropPending(kept);
+    return snapshotKept(this.context, kept, true);
+  }
+
+  /** Openings that wait for the backup have not reached a back end; the caller's next SYN goes to the new keeper. */
+  private dropPending(kept: KeptShard): void {
+    for (let slot = kept.table.capacity - 1; slot >= 0; slot -= 1) {
+      while (kept.table.isOccupied(slot) && kept.table.hasFlag(slot, FlowFlag.PENDING)) {
+        this.context.removeKept(kept.table, slot);
+      }
+    }
+  }
+
+  private onTransferred(kept: KeptShard, targetId: string): void {
+    if (this.context.kept.get(kept.shard) !== kept) return;
+    this.givenShards += 1;
+    this.giveUp(kept, [targetId]);
+  }
+
+  private onTransferFailed(kept: KeptShard, targetId: string): void {
+    if (this.context.kept.get(kept.shard) !== kept || kept.transferTarget !== targetId) return;
+    if (kept.role === 'transferring' && !this.context.member(targetId)) {
+      // The target may have taken the shard before it failed: its backup may still hand it on.
+      kept.targetGoneSinceMs = this.context.now();
+      return;
+    }
+    kept.transferTarget = undefined;
+    kept.role = 'serving';
+  }
+
+  private ensureBackup(kept: KeptShard): void {
+    const self = this.context.member(this.context.selfId);
+    if (!self || this.context.now() < this.context.cautiousUntilMs) return;
+    const desired = this.context.map.backup(kept.shard, self);
+    if (!desired) {
+      this.dropBackup(kept);
+      kept.syncingTo = undefined;
+      return this.acknowledgeOwed(kept);
+    }
+    if (kept.backup?.memberId === desired.id) {
+      kept.syncingTo = undefined;
+      return this.acknowledgeOwed(kept);
+    }
+    if (kept.syncingTo !== desired.id) {
+      kept.syncingTo = desired.id;
+      kept.syncStarted = false;
+    }
+    if (!kept.syncStarted && kept.unacknowledgedRecords === 0) this.startSync(kept, desired.id);
+  }
+
+  private startSync(kept: KeptShard, targetId: string): void {
+    kept.syncStarted = true;
+    this.parts.sender.enqueue({
+      shard: kept.shard,
+      purpose: ShardPurpose.REPLICA,
+      targetId,
+      snapshot: () => (this.isSyncing(kept, targetId) ? snapshotKept(this.context, kept, false) : undefined),
+      onDone: (boot, snapshot) => this.onSynced(kept, targetId, boot, snapshot),
+      onFailed: () => {
+        if (this.isSyncing(kept, targetId)) kept.syncStarted = false;
+      },
+    });
+  }
+
+  private isSyncing(kept: KeptShard, targetId: string): boolean {
+    return this.context.kept.get(kept.shard) === kept && kept.syncingTo === targetId && kept.syncStarted;
+  }
+
+  private onSynced(kept: KeptShard, targetId: string, boot: number, snapshot: ShardSnapshot): void {
+    if (!this.isSyncing(kept, targetId)) return;
+    const former = kept.backup;
+    const peer = this.parts.peers.open(targetId, boot);
+    kept.backup = peer;
+    kept.syncingTo = undefined;
+    peer.assign(kept.shard);
+    if (former && former !== peer) {
+      former.release(kept.shard);
+      former.sendReleases();
+      kept.formerBackup = former;
+    }
+    if (snapshot.baseVersion > kept.baseVersion) {
+      kept.baseVersion = snapshot.baseVersion;
+      kept.oldestBaseVersion = snapshot.oldestBaseVersion;
+      kept.rebase = undefined;
+    }
+    this.acknowledgeOwed(kept);
+  }
+
+  private acknowledgeOwed(kept: KeptShard): void {
+    for (const owed of kept.owed.splice(0))
+      this.parts.receiver.acknowledge(owed.senderId, owed.transferId, true);
+  }
+
+  private dropBackup(kept: KeptShard): void {
+    if (!kept.backup) return;
+    kept.backup.release(kept.shard);
+    kept.formerBackup = kept.backup;
+    kept.backup = undefined;
+  }
+
+  /** Lets go of a shard that others hold now. */
+  private giveUp(kept: KeptShard, holders: readonly string[]): void {
+    this.installer.forgetFlows(kept);
+    this.dropBackup(kept);
+    kept.formerBackup?.sendReleases();
+    for (const owed of kept.owed.splice(0))
+      this.parts.receiver.acknowledge(owed.senderId, owed.transferId, false);
+    this.context.kept.delete(kept.shard);
+    if (this.context.map.keeper(kept.shard)?.id !== this.context.selfId) return;
+    const next = new KeptShard(kept.shard, this.context.now(), holders);
+    this.context.kept.set(kept.shard, next);
+  }
+
+  private installReplica(incoming: IncomingShard): InstallOutcome {
+    const { header, shard, from } = incoming;
+    const epoch = header.epoch ?? 0;
+    const earlier = this.context.replicas.get(shard);
+    const sameKeeper = earlier?.keeperId === from.senderId && earlier.keeperBoot === from.senderIncarnation;
+    if (earlier && !sameKeeper && earlier.epoch >= epoch && !this.parts.holder.keeperFailed(earlier))
+      return 'refused';
+    const own = this.context.kept.get(shard);
+    if (own && own.role !== 'acquiring' && own.epoch >= epoch) return 'refused';
+    const replica = new ReplicaShard(
+      shard,
+      from.senderId,
+      from.senderIncarnation,
+      epoch,
+      header.baseVersion ?? 0,
+      header.oldestBaseVersion ?? 0,
+      this.context.now(),
+    );
+    for (const record of incoming.records) {
+      const entry = this.context.catalogue.find(record.backendKey)!;
+      if (replica.table.find(record.high, record.low) >= 0) continue;
+      replica.table.insert(
+        record.high,
+        record.low,
+        entry.index,
+        FlowFlag.EXCEPTION,
+        this.context.nowSeconds(),
+      );
+    }
+    return this.parts.holder.install(replica) ? 'done' : 'refused';
+  }
+
+  private reconcileReplica(replica: ReplicaShard): void {
+    if (replica.recovering || !this.context.view.quorate || !this.parts.holder.keeperFailed(replica)) return;
+    const nowMs = this.context.now();
+    const keeper = this.context.map.keeper(replica.shard);
+    if (!keeper || nowMs < replica.retryRecoveryAtMs) return;
+    if (keeper.id === this.context.selfId) this.promote(replica);
+    else if (keeper.state === 'active') this.recover(replica, keeper.id);
+  }
+
+  /** This balancer is the next keeper itself. */
+  private promote(replica: ReplicaShard): void {
+    const kept = this.context.kept.get(replica.shard);
+    if (!replica.trusted && !this.hasWaitedForBetter(kept)) return;
+    this.parts.holder.markLapsed(replica);
+    const { records, ...header } = snapshotReplica(this.context, replica);
+    const target = kept ?? this.acquire(replica.shard);
+    const recovery = { ...header, purpose: ShardPurpose.RECOVERY };
+    const outcome = this.installer.install(target, recovery, records);
+    if (outcome === 'installed') this.dropBackup(target);
+    this.parts.holder.remove(replica);
+    this.reconcileKept(target);
+  }
+
+  private recover(replica: ReplicaShard, keeperId: string): void {
+    replica.recovering = true;
+    this.parts.holder.markLapsed(replica);
+    this.context.components.events.emit(FLOW_EVENTS.takeover, {
+      shard: replica.shard,
+      from: replica.keeperId,
+    });
+    this.parts.sender.enqueue({
+      shard: replica.shard,
+      purpose: ShardPurpose.RECOVERY,
+      targetId: keeperId,
+      snapshot: () => this.beginRecovery(replica, keeperId),
+      onDone: () => this.parts.holder.remove(replica),
+      onFailed: () => {
+        replica.recovering = false;
+        replica.retryRecoveryAtMs = this.context.now() + RECOVERY_RETRY_MS;
+      },
+    });
+  }
+
+  private beginRecovery(replica: ReplicaShard, keeperId: string): ShardSnapshot | undefined {
+    if (this.context.replicas.get(replica.shard) !== replica) return undefined;
+    if (this.context.map.keeper(replica.shard)?.id !== keeperId) return undefined;
+    return snapshotReplica(this.context, replica);
+  }
+}
--- /dev/null
+++ b/src/flow/replica-holder.ts
@@ -0,0 +1,341 @@
+/** The backup's side of replication: stores exceptions, acknowledges heartbeats, and answers with its own placements. */
+import type { InboundControlMessage } from '../control/types.js';
+import { HEARTBEAT_MS, LEASE_MARGIN_MS, LEASE_MS } from './constants.js';
+import type { FlowContext } from './flow-context.js';
+import { shardOf } from './flow-key.js';
+import { FlowFlag } from './flow-table.js';
+import type { KnowledgeExchange } from './knowledge-exchange.js';
+import { sailquay } from './pb/flow.js';
+import { packBatch, RecordOperation, RecordStatus, unpackBatch, type BatchRecord } from './record-codec.js';
+import type { ReplicaShard } from './shard-holding.js';
+import { DigestedShardSet, fromBitmap, packShards, toBitmap, unpackShards } from './shard-set.js';
+
+const { ReplicationMessage, HandoverMessage } = sailquay.flow;
+
+/** A replica this young is not dropped by an assignment that may have been sent before it. */
+const ASSIGNMENT_GRACE_MS = 1_000;
+/** Acknowledgements kept to answer copies of batches. */
+const REMEMBERED_ACKS = 64;
+/** Own placements reported in one message. */
+const MAX_REPORTED = 60;
+/** A keeper that is silent here but active in the view for this long may have chosen another backup. */
+const TRUSTED_SILENCE_MS = 10_000;
+
+/** What a backup knows of one keeper's process. */
+class KeeperLink {
+  lastAckSentAtMs = Number.NEGATIVE_INFINITY;
+  lastHeardAtMs: number;
+  /** Set when this backup began to hand the keeper's shards to others. */
+  lapsed = false;
+  session = 0;
+  nextSequence = 1;
+  readonly acks = new Map<number, sailquay.flow.RecordBatchAck.$Properties>();
+  readonly shards = new DigestedShardSet();
+
+  constructor(
+    readonly boot: number,
+    nowMs: number,
+  ) {
+    this.lastHeardAtMs = nowMs;
+  }
+}
+
+/** Replicas of other keepers' shards. */
+export class ReplicaHolder {
+  private readonly keepers = new Map<string, KeeperLink>();
+  private nextReportMs = 0;
+
+  constructor(
+    private readonly context: FlowContext,
+    private readonly knowledge: KnowledgeExchange,
+  ) {}
+
+  /**
+   * Stores a snapshot of a keeper's exceptions in place of any earlier replica of the shard. False while shards of this
+   * keeper are being handed to others.
+   */
+  install(replica: ReplicaShard): boolean {
+    const link = this.link(replica.keeperId, replica.keeperBoot);
+    if (link.boot !== replica.keeperBoot || (link.lapsed && this.isRecovering(replica))) return false;
+    link.lapsed = false;
+    const earlier = this.context.replicas.get(replica.shard);
+    if (earlier) {
+      this.keepOwnPlacements(earlier, replica);
+      this.remove(earlier);
+    }
+    this.context.replicas.set(replica.shard, replica);
+    link.shards.add(replica.shard);
+    return true;
+  }
+
+  /** Drops a replica. */
+  remove(replica: ReplicaShard): void {
+    if (this.context.replicas.get(replica.shard) !== replica) return;
+    this.context.replicas.delete(replica.shard);
+    const link = this.keepers.get(replica.keeperId);
+    if (link?.boot === replica.keeperBoot) link.shards.delete(replica.shard);
+  }
+
+  /** True when the keeper's process has ended, is gone from the view, or was replaced; its lease has expired then. */
+  keeperFailed(replica: ReplicaShard): boolean {
+    const link = this.keepers.get(replica.keeperId);
+    if (link && link.boot > replica.keeperBoot) return true;
+    if (this.context.member(replica.keeperId)) return false;
+    const silentMs = this.context.now() - (link?.lastAckSentAtMs ?? Number.NEGATIVE_INFINITY);
+    return silentMs > LEASE_MS + LEASE_MARGIN_MS;
+  }
+
+  /** Stops acknowledging a keeper's heartbeats, because its shards are being handed to others. */
+  markLapsed(replica: ReplicaShard): void {
+    const link = this.keepers.get(replica.keeperId);
+    if (link?.boot === replica.keeperBoot) link.lapsed = true;
+  }
+
+  /** Marks every replica as possibly superseded, until its keeper confirms it. */
+  distrustAll(): void {
+    for (const replica of this.context.replicas.values()) replica.trusted = false;
+  }
+
+  /** Distrusts replicas of keepers that are heard by others only, and reports own placements to the keepers. */
+  tick(): void {
+    const nowMs = this.context.now();
+    for (const [keeperId, link] of this.keepers) {
+      const state = this.context.member(keeperId)?.state;
+      if (state !== 'active' || nowMs - link.lastHeardAtMs < TRUSTED_SILENCE_MS) continue;
+      this.distrust(keeperId);
+    }
+    if (nowMs < this.nextReportMs) return;
+    this.nextReportMs = nowMs + HEARTBEAT_MS;
+    this.reportOwnPlacements();
+  }
+
+  /** Takes in a keeper's message; false when it is not one. */
+  handle(message: sailquay.flow.ReplicationMessage, from: InboundControlMessage): boolean {
+    if (message.heartbeat) this.onHeartbeat(message.heartbeat, from);
+    else if (message.records && !message.records.fromBackup) this.onRecords(message.records, from);
+    else if (message.recordsAck?.fromBackup) this.onReportAck(message.recordsAck, from);
+    else if (message.assignment) this.onAssignment(message.assignment, from);
+    else if (message.baseAdvance) this.onBaseAdvance(message.baseAdvance, from);
+    else return false;
+    return true;
+  }
+
+  /** Lets go of shards that a keeper replicates elsewhere now, once the keeper knows all flows placed here. */
+  onRelease(release: sailquay.flow.Release.$Properties, from: InboundControlMessage): void {
+    const released = unpackShards(release.shards ?? new Uint8Array()).filter((shard) => {
+      const replica = this.held(shard, from);
+      if (replica && hasUnreported(replica)) return false;
+      if (replica) this.remove(replica);
+      return true;
+    });
+    const shards = packShards(released);
+    const payload = HandoverMessage.encode({ releaseAck: { shards } }).finish();
+    this.context.components.control.send(from.from, 'handover', payload);
+  }
+
+  private isRecovering(replica: ReplicaShard): boolean {
+    const { keeperId, keeperBoot } = replica;
+    return [...this.context.replicas.values()].some(
+      (other) => other.recovering && other.keeperId === keeperId && other.keeperBoot === keeperBoot,
+    );
+  }
+
+  private link(keeperId: string, boot: number): KeeperLink {
+    const known = this.keepers.get(keeperId);
+    if (known && known.boot >= boot) return known;
+    const link = new KeeperLink(boot, this.context.now());
+    this.keepers.set(keeperId, link);
+    return link;
+  }
+
+  private held(shard: number, from: InboundControlMessage): ReplicaShard | undefined {
+    const replica = this.context.replicas.get(shard);
+    if (replica?.keeperId !== from.senderId) return undefined;
+    return replica.keeperBoot === from.senderIncarnation ? replica : undefined;
+  }
+
+  private onHeartbeat(heartbeat: sailquay.flow.Heartbeat.$Properties, from: InboundControlMessage): void {
+    const link = this.link(from.senderId, from.senderIncarnation);
+    if (link.boot !== from.senderIncarnation) return;
+    const nowMs = this.context.now();
+    link.lastHeardAtMs = nowMs;
+    if (!link.lapsed) link.lastAckSentAtMs = nowMs;
+    const confirmed =
+      (heartbeat.digest ?? 0) === link.shards.digest && (heartbeat.echo ?? 0) > nowMs - LEASE_MS;
+    if (confirmed && !link.lapsed) this.trust(from.senderId, link);
+    const { size, digest } = link.shards;
+    this.reply(from, {
+      heartbeatAck: { echo: heartbeat.sentAt, sentAt: nowMs, shards: size, digest, lapsed: link.lapsed },
+    });
+  }
+
+  private trust(keeperId: string, link: KeeperLink): void {
+    for (const shard of link.shards.values()) {
+      const replica = this.context.replicas.get(shard);
+      if (replica && !replica.trusted && replica.keeperId === keeperId) replica.trusted = true;
+    }
+  }
+
+  private distrust(keeperId: string): void {
+    for (const replica of this.context.replicas.values()) {
+      if (replica.keeperId === keeperId) replica.trusted = false;
+    }
+  }
+
+  private onRecords(batch: sailquay.flow.RecordBatch.$Properties, from: InboundControlMessage): void {
+    const link = this.link(from.senderId, from.senderIncarnation);
+    if (link.boot !== from.senderIncarnation || link.lapsed) return;
+    const session = batch.session ?? 0;
+    if (session < link.session) return;
+    if (session > link.session) {
+      link.session = session;
+      link.nextSequence = 1;
+      link.acks.clear();
+    }
+    const sequence = batch.sequence ?? 0;
+    const known = link.acks.get(sequence);
+    if (known) return this.reply(from, { recordsAck: known });
+    if (sequence !== link.nextSequence) return;
+    const backendKeys = [...(batch.backendKeys ?? [])];
+    if (!this.knowledge.requireBackends(backendKeys, from)) return;
+    const records = unpackBatch({ backendKeys, records: batch.records ?? new Uint8Array() });
+    const ack = this.store(records, from);
+    const recordsAck = { ...ack, sequence, session };
+    link.nextSequence += 1;
+    link.acks.set(sequence, recordsAck);
+    link.acks.delete(sequence - REMEMBERED_ACKS);
+    this.reply(from, { recordsAck });
+  }
+
+  private store(
+    records: readonly BatchRecord[],
+    from: InboundControlMessage,
+  ): { statuses: Uint8Array; ownKeys: number[] } {
+    const statuses = new Uint8Array(records.length);
+    const ownKeys: number[] = [];
+    records.forEach((record, index) => {
+      const replica = this.held(shardOf(record.high), from);
+      if (!replica || replica.recovering) statuses[index] = RecordStatus.NOT_HELD;
+      else statuses[index] = this.storeOne(replica, record, ownKeys);
+    });
+    return { statuses, ownKeys };
+  }
+
+  private storeOne(replica: ReplicaShard, record: BatchRecord, ownKeys: number[]): number {
+    const { table } = replica;
+    const { catalogue } = this.context;
+    const slot = table.find(record.high, record.low);
+    if (record.operation === RecordOperation.REMOVE) {
+      if (slot >= 0) table.remove(slot);
+      return RecordStatus.STORED;
+    }
+    const entry = catalogue.find(record.backendKey)!;
+    if (slot < 0) {
+      table.insert(record.high, record.low, entry.index, FlowFlag.EXCEPTION, this.context.nowSeconds());
+      return RecordStatus.STORED;
+    }
+    if (table.hasFlag(slot, FlowFlag.UNREPORTED) && table.backendIndex(slot) !== entry.index) {
+      ownKeys.push(catalogue.at(table.backendIndex(slot)).key);
+      return RecordStatus.OWN_RECORD;
+    }
+    table.setValue(slot, entry.index, FlowFlag.EXCEPTION);
+    return RecordStatus.STORED;
+  }
+
+  private onAssignment(assignment: sailquay.flow.Assignment.$Properties, from: InboundControlMessage): void {
+    const link = this.link(from.senderId, from.senderIncarnation);
+    if (link.boot !== from.senderIncarnation || link.lapsed) return;
+    const assigned = fromBitmap(assignment.shards ?? new Uint8Array());
+    const youngestMs = this.context.now() - ASSIGNMENT_GRACE_MS;
+    for (const shard of link.shards.values()) {
+      const replica = this.held(shard, from);
+      if (assigned.has(shard) || !replica || replica.installedAtMs > youngestMs) continue;
+      this.remove(replica);
+    }
+    const missing = [...assigned].filter((shard) => !this.held(shard, from));
+    if (missing.length > 0) this.reply(from, { assignmentReply: { missing: toBitmap(missing) } });
+  }
+
+  private onBaseAdvance(advance: sailquay.flow.BaseAdvance.$Properties, from: InboundControlMessage): void {
+    const baseVersion = advance.baseVersion ?? 0;
+    if (!this.knowledge.requireBases([baseVersion], from)) return;
+    const advanced = unpackShards(advance.shards ?? new Uint8Array()).filter((shard) => {
+      const replica = this.held(shard, from);
+      if (!replica || replica.recovering || hasUnreported(replica)) return false;
+      replica.baseVersion = Math.max(replica.baseVersion, baseVersion);
+      return true;
+    });
+    if (advanced.length < (advance.shards?.length ?? 0) / 2) this.reportOwnPlacements();
+    this.reply(from, { baseAdvanceAck: { baseVersion, shards: packShards(advanced) } });
+  }
+
+  private reportOwnPlacements(): void {
+    for (const keeperId of this.keepers.keys()) {
+      const member = this.context.member(keeperId);
+      if (!member || member.state !== 'active') continue;
+      const records = this.unreported(keeperId).slice(0, MAX_REPORTED);
+      if (records.length === 0) continue;
+      const message = { records: { fromBackup: true, sequence: 0, ...packBatch(records) } };
+      const payload = ReplicationMessage.encode(message).finish();
+      this.context.components.control.send(member.control, 'replication', payload);
+    }
+  }
+
+  private unreported(keeperId: string): BatchRecord[] {
+    const records: BatchRecord[] = [];
+    for (const replica of this.context.replicas.values()) {
+      if (replica.keeperId !== keeperId || replica.ownPlacements === 0) continue;
+      const { table } = replica;
+      for (let slot = 0; slot < table.capacity; slot += 1) {
+        if (!table.isOccupied(slot) || !table.hasFlag(slot, FlowFlag.UNREPORTED)) continue;
+        const backendKey = this.context.catalogue.at(table.backendIndex(slot)).key;
+        records.push({
+          high: table.high(slot),
+          low: table.low(slot),
+          backendKey,
+          operation: RecordOperation.PUT,
+        });
+      }
+    }
+    return records;
+  }
+
+  /** The keeper has taken in reported placements; `ownKeys` holds the fingerprints as pairs of halves. */
+  private onReportAck(ack: sailquay.flow.RecordBatchAck.$Properties, from: InboundControlMessage): void {
+    const halves = ack.ownKeys ?? [];
+    for (let index = 0; index + 1 < halves.length; index += 2) {
+      const replica = this.held(shardOf(halves[index]!), from);
+      const slot = replica?.table.find(halves[index]!, halves[index + 1]!) ?? -1;
+      if (!replica || slot < 0 || !replica.table.hasFlag(slot, FlowFlag.UNREPORTED)) continue;
+      replica.table.setFlags(slot, replica.table.flags(slot) & ~FlowFlag.UNREPORTED);
+      replica.ownPlacements -= 1;
+    }
+  }
+
+  /** Flows placed here for an earlier keeper stay known until the new keeper has them. */
+  private keepOwnPlacements(earlier: ReplicaShard, replica: ReplicaShard): void {
+    if (earlier.ownPlacements === 0) return;
+    const { table } = earlier;
+    for (let slot = 0; slot < table.capacity; slot += 1) {
+      if (!table.isOccupied(slot) || !table.hasFlag(slot, FlowFlag.UNREPORTED)) continue;
+      if (replica.table.find(table.high(slot), table.low(slot)) >= 0) continue;
+      replica.table.insert(
+        table.high(slot),
+        table.low(slot),
+        table.backendIndex(slot),
+        FlowFlag.UNREPORTED,
+        table.seenSeconds(slot),
+      );
+      replica.ownPlacements += 1;
+    }
+  }
+
+  private reply(to: InboundControlMessage, message: sailquay.flow.ReplicationMessage.$Properties): void {
+    const payload = ReplicationMessage.encode(message).finish();
+    this.context.components.control.send(to.from, 'replication', payload);
+  }
+}
+
+function hasUnreported(replica: ReplicaShard): boolean {
+  return replica.ownPlacements > 0;
+}
--- /dev/null
+++ b/src/flow/replica-peers.ts
@@ -0,0 +1,90 @@
+/** All links of a keeper to its backups, one for each boot of a member. */
+import { HEARTBEAT_MS } from './constants.js';
+import type { FlowContext } from './flow-context.js';
+import type { InboundControlMessage } from '../control/types.js';
+import type { sailquay } from './pb/flow.js';
+import { ReplicaPeer, type ReplicaPeerListener } from './replica-peer.js';
+import { fromBitmap, unpackShards } from './shard-set.js';
+
+/** Creates, finds and closes the links. */
+export class ReplicaPeers {
+  private readonly peers = new Map<string, ReplicaPeer>();
+  private nextHeartbeatMs = 0;
+  private nextSession = 1;
+
+  constructor(
+    private readonly context: FlowContext,
+    private readonly listener: ReplicaPeerListener & { onClosed(peer: ReplicaPeer): void },
+  ) {}
+
+  /** The link to a member's present boot; a link to an earlier boot is closed. */
+  open(memberId: string, boot: number): ReplicaPeer {
+    const known = this.peers.get(memberId);
+    if (known && known.boot === boot) return known;
+    if (known) this.close(known);
+    const peer = new ReplicaPeer(this.context, memberId, boot, this.nextSession, this.listener);
+    this.nextSession += 1;
+    this.peers.set(memberId, peer);
+    return peer;
+  }
+
+  list(): ReplicaPeer[] {
+    return [...this.peers.values()];
+  }
+
+  /** Sends heartbeats when due, repeats what is unacknowledged, and closes links to members that are gone. */
+  tick(): void {
+    const nowMs = this.context.now();
+    const heartbeatDue = nowMs >= this.nextHeartbeatMs;
+    if (heartbeatDue) this.nextHeartbeatMs = nowMs + HEARTBEAT_MS;
+    for (const peer of this.list()) {
+      if (!this.context.member(peer.memberId)) {
+        this.close(peer);
+        continue;
+      }
+      peer.resend();
+      if (heartbeatDue) this.heartbeat(peer);
+    }
+    if (heartbeatDue) this.announceBoot();
+  }
+
+  /** Takes in a replication message that answers a keeper; false when it is not one. */
+  handle(message: sailquay.flow.ReplicationMessage, from: InboundControlMessage): boolean {
+    const peer = this.peers.get(from.senderId);
+    if (peer && from.senderIncarnation > peer.boot) this.close(peer);
+    const current = peer && peer.boot === from.senderIncarnation && !peer.closed ? peer : undefined;
+    if (message.heartbeatAck) current?.onHeartbeatAck(message.heartbeatAck);
+    else if (message.recordsAck) current?.onRecordsAck(message.recordsAck);
+    else if (message.assignmentReply) {
+      current?.onMissing(fromBitmap(message.assignmentReply.missing ?? new Uint8Array()));
+    } else return false;
+    return true;
+  }
+
+  onReleaseAck(ack: sailquay.flow.ReleaseAck.$Properties, from: InboundControlMessage): void {
+    const peer = this.peers.get(from.senderId);
+    if (peer?.boot === from.senderIncarnation)
+      peer.onReleaseAck(unpackShards(ack.shards ?? new Uint8Array()));
+  }
+
+  close(peer: ReplicaPeer): void {
+    if (this.peers.get(peer.memberId) === peer) this.peers.delete(peer.memberId);
+    peer.close();
+    this.listener.onClosed(peer);
+  }
+
+  private heartbeat(peer: ReplicaPeer): void {
+    if (peer.shards.size > 0 || peer.releasing.size > 0) peer.sendHeartbeat();
+  }
+
+  /** Lets probable former backups notice that this process has restarted and holds nothing. */
+  private announceBoot(): void {
+    const self = this.context.member(this.context.selfId);
+    if (!self) return;
+    for (const backup of this.context.map.backups(self)) {
+      if (this.peers.has(backup.id)) continue;
+      const peer = new ReplicaPeer(this.context, backup.id, 0, 0, this.listener);
+      peer.sendHeartbeat();
+    }
+  }
+}
--- /dev/null
+++ b/src/flow/shard-installer.ts
@@ -0,0 +1,108 @@
+/** Puts received flows into kept shards. */
+import type { BackendEntry } from './backend-catalogue.js';
+import type { FlowContext } from './flow-context.js';
+import { FlowFlag } from './flow-table.js';
+import { sailquay } from './pb/flow.js';
+import type { ShardRecord } from './record-codec.js';
+import type { KeptShard } from './shard-holding.js';
+
+const { ShardPurpose } = sailquay.flow;
+const MS_PER_SECOND = 1_000;
+
+/** `superseded`: the shard here already descends from the one received. */
+export type KeptInstallOutcome = 'installed' | 'superseded';
+
+/** What is known of a received shard besides its flows. */
+export type ShardHeader = Pick<
+  sailquay.flow.ShardPart.$Properties,
+  'epoch' | 'purpose' | 'baseVersion' | 'oldestBaseVersion' | 'complete' | 'learningMs'
+>;
+
+/** Installs transfers and recoveries, and starts shards that nobody holds. */
+export class ShardInstaller {
+  constructor(private readonly context: FlowContext) {}
+
+  /** Starts a shard that nobody offered; flows may exist that are not in the table. */
+  startEmpty(kept: KeptShard, baseVersion: number): void {
+    kept.role = 'serving';
+    kept.epoch = Math.floor(this.context.components.clock.wall() / MS_PER_SECOND);
+    kept.baseVersion = baseVersion;
+    kept.oldestBaseVersion = baseVersion;
+    kept.complete = false;
+    kept.learningSinceMs = this.context.now();
+  }
+
+  /** Takes a shard over, or merges it into the one held here. Of two records of a flow the newer epoch's wins. */
+  install(kept: KeptShard, header: ShardHeader, records: readonly ShardRecord[]): KeptInstallOutcome {
+    const epoch = header.epoch ?? 0;
+    const held = kept.role !== 'acquiring';
+    if (held && kept.epoch > epoch && kept.complete) return 'superseded';
+    const incomingIsNewer = !held || kept.epoch <= epoch;
+    this.adoptBase(kept, header, held);
+    kept.epoch = Math.max(kept.epoch, epoch) + 1;
+    if (!held) kept.role = 'serving';
+    kept.rebase = undefined;
+    for (const record of records) this.put(kept, record, incomingIsNewer);
+    this.markExceptions(kept);
+    return 'installed';
+  }
+
+  /** Removes every flow of a shard that is given up. */
+  forgetFlows(kept: KeptShard): void {
+    for (let slot = kept.table.capacity - 1; slot >= 0; slot -= 1) {
+      while (kept.table.isOccupied(slot)) this.context.removeKept(kept.table, slot);
+    }
+  }
+
+  private adoptBase(kept: KeptShard, header: ShardHeader, held: boolean): void {
+    const baseVersion = header.baseVersion ?? 0;
+    const oldest = header.oldestBaseVersion ?? baseVersion;
+    const whole = header.purpose === ShardPurpose.TRANSFER && header.complete === true;
+    const current = this.context.components.settings.current()?.version ?? 0;
+    if (!held && whole) {
+      // Every flow is in the table, so nothing has to be reconstructed from an older base.
+      kept.baseVersion = Math.max(baseVersion, current);
+      kept.oldestBaseVersion = kept.baseVersion;
+      kept.complete = true;
+      return;
+    }
+    kept.oldestBaseVersion = held ? Math.min(oldest, kept.oldestBaseVersion) : oldest;
+    kept.baseVersion = Math.max(baseVersion, kept.baseVersion);
+    kept.complete = false;
+    kept.learningSinceMs = this.context.now() - (header.learningMs ?? 0);
+  }
+
+  private put(kept: KeptShard, record: ShardRecord, incomingIsNewer: boolean): void {
+    const entry = this.context.catalogue.find(record.backendKey)!;
+    const slot = kept.table.find(record.high, record.low);
+    if (slot < 0) {
+      this.context.insertKept(kept.table, record, entry, FlowFlag.ANSWERED);
+      return;
+    }
+    const known = this.context.catalogue.at(kept.table.backendIndex(slot));
+    if (known === entry || !incomingIsNewer) return;
+    this.context.removeKept(kept.table, slot);
+    this.context.insertKept(kept.table, record, entry, FlowFlag.ANSWERED);
+  }
+
+  /** Flows that cannot be reconstructed from the base are the ones to replicate. */
+  private markExceptions(kept: KeptShard): void {
+    const { table } = kept;
+    for (let slot = 0; slot < table.capacity; slot += 1) {
+      if (!table.isOccupied(slot)) continue;
+      const entry = this.context.catalogue.at(table.backendIndex(slot));
+      const fingerprint = { high: table.high(slot), low: table.low(slot) };
+      if (this.isReconstructible(kept, fingerprint, entry)) continue;
+      table.setFlags(slot, table.flags(slot) | FlowFlag.EXCEPTION);
+    }
+  }
+
+  private isReconstructible(
+    kept: KeptShard,
+    fingerprint: { high: number; low: number },
+    entry: BackendEntry,
+  ): boolean {
+    if (this.context.firstChoice(fingerprint, kept.baseVersion, entry.serviceId) !== entry) return false;
+    return this.context.firstChoice(fingerprint, kept.oldestBaseVersion, entry.serviceId) === entry;
+  }
+}
--- a/src/flow/types.ts
+++ b/src/flow/types.ts
@@ -18,4 +18,16 @@
   readonly shardsKept: number;
   readonly shardsBackedUp: number;
   readonly shardsAcquiring: number;
+  /** SYNs of openings that already wait for their backup. */
+  readonly duplicateOpenings: number;
+  /** Openings repeated on another back end after a reset. */
+  readonly retried: number;
+  /** Unknown flows whose back end was reconstructed as the first choice. */
+  readonly reconstructed: number;
+  /** Records that named a back end of another service; never used. */
+  readonly wrongServiceRecords: number;
+  /** Openings in which the backup's own placement won. */
+  readonly adopted: number;
+  /** Packets dropped because no holder of their shard was known or the hop limit was reached. */
+  readonly unroutable: number;
 }
