Add the daemon, its command line and the fleet commands

Cause: the slices had no process that wires them and no command to start or watch it. Change: daemon configuration, control and data plane wiring, drain and stop, memory guard, status document, fault injection for experiments; daemon, status, backend and standin commands; optional admin address in the machine list.

--- /dev/null
+++ b/src/cli/fleet-status.ts
@@ -0,0 +1,91 @@
+/** Reads the status of every balancer of a region over their admin addresses. */
+import { request } from 'undici';
+import { formatEndpoint, SailquayError, type Endpoint } from '../common/types.js';
+import type { DaemonStatus, MemberStatus } from '../daemon/status.js';
+
+/** Longest wait for one daemon's answer. */
+const STATUS_TIMEOUT_MS = 3_000;
+
+/** Daemons asked at the same time. */
+const PARALLEL_REQUESTS = 32;
+
+/** No admin address gave an answer. */
+export class FleetUnreachableError extends SailquayError {
+  readonly kind = 'cli.fleet-unreachable';
+
+  constructor(addresses: readonly string[], reasons: readonly string[]) {
+    super(
+      `no daemon answered at ${addresses.join(', ')} (${reasons.join('; ')})`,
+      'Give the admin address of a running daemon with --admin',
+    );
+  }
+}
+
+/** What is known of one balancer: its own status, or why it could not be had. */
+export interface BalancerReport {
+  readonly id: string;
+  readonly admin: string;
+  readonly zone: string;
+  /** State as the daemon that was asked first sees it. */
+  readonly state: MemberStatus['state'];
+  readonly status?: DaemonStatus;
+  readonly error?: string;
+}
+
+/** The balancers of a region as one of them lists them. */
+export interface FleetReport {
+  readonly region: string;
+  readonly askedFirst: string;
+  readonly balancers: readonly BalancerReport[];
+}
+
+/** Asks the first of `admins` that answers for its members, then every member. Throws `FleetUnreachableError`. */
+export async function readFleet(admins: readonly Endpoint[]): Promise<FleetReport> {
+  const first = await firstAnswer(admins);
+  const balancers = await inBatches(first.membership.members, (member) => readBalancer(member, first));
+  return { region: first.region, askedFirst: first.id, balancers };
+}
+
+async function firstAnswer(admins: readonly Endpoint[]): Promise<DaemonStatus> {
+  const reasons: string[] = [];
+  for (const admin of admins) {
+    try {
+      return await readStatus(formatEndpoint(admin));
+    } catch (error) {
+      reasons.push(describe(error));
+    }
+  }
+  throw new FleetUnreachableError(admins.map(formatEndpoint), reasons);
+}
+
+async function readBalancer(member: MemberStatus, first: DaemonStatus): Promise<BalancerReport> {
+  const { id, admin, zone, state } = member;
+  if (id === first.id) return { id, admin, zone, state, status: first };
+  try {
+    return { id, admin, zone, state, status: await readStatus(admin) };
+  } catch (error) {
+    return { id, admin, zone, state, error: describe(error) };
+  }
+}
+
+async function readStatus(admin: string): Promise<DaemonStatus> {
+  const answer = await request(`http://${admin}/status`, { signal: AbortSignal.timeout(STATUS_TIMEOUT_MS) });
+  if (answer.statusCode !== 200) {
+    await answer.body.dump();
+    throw new Error(`status ${answer.statusCode}`);
+  }
+  return (await answer.body.json()) as DaemonStatus;
+}
+
+async function inBatches<T, R>(items: readonly T[], read: (item: T) => Promise<R>): Promise<R[]> {
+  const results: R[] = [];
+  for (let start = 0; start < items.length; start += PARALLEL_REQUESTS) {
+    results.push(...(await Promise.all(items.slice(start, start + PARALLEL_REQUESTS).map(read))));
+  }
+  return results;
+}
+
+function describe(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  return 'code' in error ? `${String(error.code)}` : error.message;
+}
--- /dev/null
+++ b/src/daemon/components.ts
@@ -0,0 +1,38 @@
+/** Everything one daemon is made of, in one place. */
+import type { Clock } from '../common/clock.js';
+import type { RandomSource } from '../common/random.js';
+import type { UdpControlChannel } from '../control/index.js';
+import type { BoundEdgePort } from '../fabric/index.js';
+import type { AdminServer, EventLog } from '../observability/index.js';
+import type { ConnectedPlatformClient } from '../platform/index.js';
+import type { BalancerIdentity, ControlPlane } from './control-plane.js';
+import type { DataPlane, EdgeGate } from './data-plane.js';
+import type { FaultInjection } from './fault-injection.js';
+import type { MemoryGuard } from './memory-guard.js';
+
+/** What a daemon needs from its surroundings; tests give their own. */
+export interface DaemonEnvironment {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  /** Lets experiments inject faults over the admin address; absent in production. */
+  readonly faults?: FaultInjection;
+}
+
+/** The sockets of a daemon. */
+export interface DaemonSockets {
+  readonly admin: AdminServer;
+  readonly control: UdpControlChannel;
+  readonly edge: BoundEdgePort;
+  /** Between the edge and the flow keeper, which is made later. */
+  readonly gate: EdgeGate;
+}
+
+/** The wired parts of a running daemon. */
+export interface Components extends DaemonEnvironment, DaemonSockets {
+  readonly identity: BalancerIdentity;
+  readonly platform: ConnectedPlatformClient | undefined;
+  readonly controlPlane: ControlPlane;
+  readonly dataPlane: DataPlane;
+  readonly memory: MemoryGuard;
+}
--- /dev/null
+++ b/src/daemon/drain.ts
@@ -0,0 +1,35 @@
+/** Waits until no data packet arrives any more, within a longest time. */
+import type { Clock } from '../common/clock.js';
+import { DRAIN_POLL_INTERVAL_MS } from './constants.js';
+
+/** What the wait looks at. */
+export interface DrainOptions {
+  readonly clock: Clock;
+  /** Data packets received since start. */
+  readonly packetsReceived: () => number;
+  /** The wait ends after this long without a packet. */
+  readonly quietMs: number;
+  /** It ends after this long in any case. */
+  readonly maxMs: number;
+}
+
+/** Resolves to true when it became quiet, to false when the longest time passed first. */
+export async function waitUntilQuiet(options: DrainOptions): Promise<boolean> {
+  const { clock, packetsReceived, quietMs, maxMs } = options;
+  const startedMs = clock.now();
+  let lastCount = packetsReceived();
+  let lastChangeMs = startedMs;
+  while (clock.now() - startedMs < maxMs) {
+    await delay(clock, DRAIN_POLL_INTERVAL_MS);
+    const count = packetsReceived();
+    if (count !== lastCount) lastChangeMs = clock.now();
+    lastCount = count;
+    if (clock.now() - lastChangeMs >= quietMs) return true;
+  }
+  return false;
+}
+
+/** Resolves after `milliseconds` on `clock`. */
+export function delay(clock: Clock, milliseconds: number): Promise<void> {
+  return new Promise((resolve) => clock.schedule(milliseconds, resolve));
+}
--- /dev/null
+++ b/src/daemon/errors.ts
@@ -0,0 +1,25 @@
+/** Errors of the daemon's configuration and life. */
+import { SailquayError } from '../common/types.js';
+
+export type DaemonErrorKind = 'daemon.config-unreadable' | 'daemon.config-invalid' | 'daemon.bind';
+
+/** One fault of a daemon configuration. */
+export interface ConfigFault {
+  /** Field as it is written in the file, e.g. `limits.maxFlows`. */
+  readonly path: string;
+  readonly message: string;
+}
+
+/** A daemon that cannot start as configured. */
+export class DaemonError extends SailquayError {
+  constructor(
+    readonly kind: DaemonErrorKind,
+    message: string,
+    remedy: string,
+    /** Every fault of the configuration; empty for other kinds. */
+    readonly faults: readonly ConfigFault[] = [],
+    options?: ErrorOptions,
+  ) {
+    super(message, remedy, options);
+  }
+}
--- a/src/observability/admin-server.ts
+++ b/src/observability/admin-server.ts
@@ -1,8 +1,11 @@
-/** HTTP admin address of a daemon: `/metrics`, `/livez`, `/readyz` and `/status`; read-only, GET and HEAD. */
+/**
+ * HTTP admin address of a daemon: `/metrics`, `/livez`, `/readyz` and `/status`, read with GET or HEAD. A daemon that
+ * takes faults on demand has `PUT /faults` besides.
+ */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
-import { ADMIN_MAX_CONNECTIONS, ADMIN_REQUEST_TIMEOUT_MS } from './constants.js';
+import { ADMIN_MAX_BODY_BYTES, ADMIN_MAX_CONNECTIONS, ADMIN_REQUEST_TIMEOUT_MS } from './constants.js';
 import { ObservabilityError } from './errors.js';
 
 /** Whether new flows may come here, and if not, why. */
@@ -18,6 +21,8 @@
   /** A JSON value. */
   status(): unknown;
   metrics(): Promise<{ readonly contentType: string; readonly text: string }>;
+  /** Takes the JSON body of `PUT /faults`; throws when it is malformed. Absent: there is no such page. */
+  setFaults?: (body: unknown) => void;
 }
 
 interface Answer {
@@ -77,8 +82,9 @@
 }
 
 async function route(source: AdminSource, request: IncomingMessage): Promise<Answer> {
-  if (request.method !== 'GET' && request.method !== 'HEAD') return json(405, { error: 'use GET or HEAD' });
   const path = (request.url ?? '/').split('?', 1)[0];
+  if (path === '/faults' && source.setFaults) return setFaults(source.setFaults, request);
+  if (request.method !== 'GET' && request.method !== 'HEAD') return json(405, { error: 'use GET or HEAD' });
   switch (path) {
     case '/livez':
       return json(200, { alive: true });
@@ -97,6 +103,28 @@
   }
 }
 
+async function setFaults(apply: (body: unknown) => void, request: IncomingMessage): Promise<Answer> {
+  if (request.method !== 'PUT') return json(405, { error: 'use PUT' });
+  try {
+    apply(JSON.parse(await readBody(request)));
+    return json(200, { applied: true });
+  } catch (error) {
+    return json(400, { error: error instanceof Error ? error.message : String(error) });
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of request as AsyncIterable<Buffer>) {
+    bytes += part.length;
+    if (bytes > ADMIN_MAX_BODY_BYTES)
+      throw new RangeError(`the body is longer than ${ADMIN_MAX_BODY_BYTES} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
 function json(code: number, value: unknown): Answer {
   return { code, contentType: JSON_TYPE, body: `${JSON.stringify(value)}\n` };
 }
--- a/src/observability/constants.ts
+++ b/src/observability/constants.ts
@@ -14,3 +14,6 @@
 
 /** Connections the admin server keeps open at once. */
 export const ADMIN_MAX_CONNECTIONS = 64;
+
+/** Longest request body the admin server reads. */
+export const ADMIN_MAX_BODY_BYTES = 1_048_576;
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -58,6 +58,13 @@
     'answer',
   ),
   counter('edge_drops_total', 'Packets dropped at the edge', (s) => s.edgeDrops, 'reason'),
+  counter('openings_repeated_total', 'Openings repeated on another back end', (s) => s.flow.retried),
+  counter(
+    'flows_reconstructed_total',
+    'Unknown flows found by their first choice',
+    (s) => s.flow.reconstructed,
+  ),
+  counter('packets_unroutable_total', 'Packets dropped without a known holder', (s) => s.flow.unroutable),
   gauge('shards', 'Shards held, by role', readShards, 'role'),
   counter('control_sent_bytes_total', 'Control bytes sent', (s) => s.controlBytesSent, 'kind'),
   counter('control_received_bytes_total', 'Control bytes received', (s) => s.controlBytesReceived, 'kind'),
--- /dev/null
+++ b/src/observability/observability.test.ts
@@ -0,0 +1,180 @@
+import test from 'ava';
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { VirtualClock } from '../common/clock.js';
+import { AdminServer, type Readiness } from './admin-server.js';
+import { EVENT_BURST, EVENT_WINDOW_MS } from './constants.js';
+import { checkEvents, collectEvents, renderCatalogue, type CatalogueEntry } from './event-catalogue.js';
+import { ConsolaEventLog, type EventLogOptions } from './event-log.js';
+import type { EventDefinition } from './event.js';
+import { DaemonMetrics, type MetricsSnapshot } from './metrics.js';
+
+const SOURCE = fileURLToPath(new URL('..', import.meta.url));
+const PAGE = fileURLToPath(new URL('../../docs/EVENTS.md', import.meta.url));
+const EVENT: EventDefinition = { number: 1000, level: 'info', message: 'Something happened', action: 'none' };
+
+function logTo(lines: string[], options: Partial<EventLogOptions> = {}): ConsolaEventLog {
+  return new ConsolaEventLog({
+    format: 'json',
+    level: 'info',
+    memberId: 'balancer-1',
+    clock: new VirtualClock(0),
+    write: (line) => lines.push(line),
+    ...options,
+  });
+}
+
+test('a JSON line has time, level, number, member, message and fields', (t) => {
+  const lines: string[] = [];
+  logTo(lines).emit(EVENT, { count: 3, missing: undefined });
+  t.deepEqual(
+    lines.map((line) => JSON.parse(line) as unknown),
+    [
+      {
+        time: '1970-01-01T00:00:00.000Z',
+        level: 'info',
+        event: 1000,
+        member: 'balancer-1',
+        message: 'Something happened',
+        count: 3,
+      },
+    ],
+  );
+});
+
+test('a text line quotes values with spaces', (t) => {
+  const lines: string[] = [];
+  logTo(lines, { format: 'text' }).emit(EVENT, { path: 'a b', count: 3, missing: undefined });
+  t.deepEqual(lines, [
+    '1970-01-01T00:00:00.000Z INFO  SQ1000 balancer-1 Something happened path="a b" count=3',
+  ]);
+});
+
+test('events below the level are left out, also after the level changes', (t) => {
+  const lines: string[] = [];
+  const log = logTo(lines, { level: 'warn' });
+  log.emit(EVENT);
+  log.setLevel('info');
+  log.emit(EVENT);
+  t.is(lines.length, 1);
+});
+
+test('a flood of one event is bounded and counted, others pass', (t) => {
+  const lines: string[] = [];
+  const clock = new VirtualClock(0);
+  const log = logTo(lines, { clock });
+  for (let count = 0; count < EVENT_BURST + 30; count += 1) log.emit(EVENT);
+  log.emit({ ...EVENT, number: 1001 });
+  t.is(lines.length, EVENT_BURST + 1);
+  clock.advance(EVENT_WINDOW_MS);
+  log.emit(EVENT);
+  t.is((JSON.parse(lines.at(-1) as string) as { suppressed: number }).suppressed, 30);
+});
+
+const SNAPSHOT: MetricsSnapshot = {
+  flow: {
+    open: 5,
+    replicated: 2,
+    opened: 9,
+    exceptions: 1,
+    refused: 3,
+    deferred: 0,
+    relayed: 4,
+    unknownDropped: 6,
+    unknownReset: 0,
+    shardsKept: 10,
+    shardsBackedUp: 11,
+    shardsAcquiring: 12,
+    duplicateOpenings: 0,
+    retried: 13,
+    reconstructed: 14,
+    wrongServiceRecords: 0,
+    adopted: 0,
+    unroutable: 15,
+  },
+  refusals: { 'no-eligible-backend': 3 },
+  edgeDrops: { truncated: 8 },
+  controlBytesSent: { membership: 100 },
+  controlBytesReceived: { membership: 101 },
+  controlDrops: { forged: 2 },
+  settingsVersion: 7,
+  settingsInForceSeconds: 1.5,
+  membersByState: { active: 3 },
+  backendsByCondition: { healthy: 13 },
+  quorate: true,
+  ready: false,
+  cpuSeconds: 0.5,
+  residentBytes: 1024,
+};
+
+test('a scrape shows the snapshot, and counters do not add up over scrapes', async (t) => {
+  const metrics = new DaemonMetrics(() => SNAPSHOT);
+  await metrics.render();
+  const lines = (await metrics.render()).split('\n');
+  for (const line of [
+    'sailquay_flows_open 5',
+    'sailquay_flows_refused_total{reason="no-eligible-backend"} 3',
+    'sailquay_edge_drops_total{reason="truncated"} 8',
+    'sailquay_shards{role="backup"} 11',
+    'sailquay_unknown_flow_packets_total{answer="drop"} 6',
+    'sailquay_control_received_bytes_total{kind="membership"} 101',
+    'sailquay_settings_version 7',
+    'sailquay_members{state="active"} 3',
+    'sailquay_quorate 1',
+    'sailquay_ready 0',
+  ]) {
+    t.true(lines.includes(line), line);
+  }
+});
+
+test('the admin server answers each page and refuses the rest', async (t) => {
+  let readiness: Readiness = { ready: false, reasons: ['no settings'] };
+  const server = await AdminServer.listen(
+    { host: '127.0.0.1', port: 0 },
+    {
+      readiness: () => readiness,
+      status: () => ({ id: 'balancer-1' }),
+      metrics: () => Promise.reject(new Error('no metrics')),
+    },
+  );
+  t.teardown(() => server.close());
+  const ask = async (path: string, method: 'GET' | 'POST' = 'GET'): Promise<[number, unknown]> => {
+    const answer = await request(`http://127.0.0.1:${server.endpoint.port}${path}`, { method });
+    return [answer.statusCode, await answer.body.json()];
+  };
+  t.deepEqual(await ask('/livez'), [200, { alive: true }]);
+  t.deepEqual(await ask('/readyz'), [503, { ready: false, reasons: ['no settings'] }]);
+  readiness = { ready: true, reasons: [] };
+  t.deepEqual(await ask('/readyz?verbose'), [200, { ready: true, reasons: [] }]);
+  t.deepEqual(await ask('/status'), [200, { id: 'balancer-1' }]);
+  t.deepEqual(await ask('/metrics'), [500, { error: 'no metrics' }]);
+  t.is((await ask('/status', 'POST'))[0], 405);
+  t.is((await ask('/other'))[0], 404);
+});
+
+test('an admin address in use is a typed error', async (t) => {
+  const source = {
+    readiness: () => ({ ready: true, reasons: [] }),
+    status: () => 0,
+    metrics: () => Promise.reject(),
+  };
+  const server = await AdminServer.listen({ host: '127.0.0.1', port: 0 }, source);
+  t.teardown(() => server.close());
+  await t.throwsAsync(AdminServer.listen(server.endpoint, source), { name: 'ObservabilityError' });
+});
+
+test('event numbers are unique and in range, and docs/EVENTS.md lists them all', async (t) => {
+  const entries = await collectEvents(SOURCE);
+  t.true(entries.length > 0);
+  t.notThrows(() => checkEvents(entries));
+  t.is(readFileSync(PAGE, 'utf8'), renderCatalogue(entries), 'run npx tsx tools/generate-events.mjs');
+});
+
+test('a number used twice or out of range is found', (t) => {
+  const entry: CatalogueEntry = { ...EVENT, slice: 'daemon', name: 'first' };
+  const faulty = [entry, { ...entry, name: 'second' }, { ...entry, slice: 'flow', number: 1300 }];
+  const error = t.throws(() => checkEvents(faulty));
+  t.regex(error.message, /daemon\.second and daemon\.first share number 1000/);
+  t.regex(error.message, /flow\.first has number 1300, outside/);
+});
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -28,6 +28,8 @@
   readonly name: string;
   readonly zone: string;
   readonly control: Endpoint;
+  /** HTTP admin address, where the platform knows it. */
+  readonly admin?: Endpoint;
   readonly state: 'live' | 'leaving';
 }
 
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -18,7 +18,13 @@
 const endpoint = z.object({ host: z.string(), port: z.number().int().min(1).max(65_535) });
 export const MACHINES = z.object({
   machines: z.array(
-    z.object({ name: z.string(), zone: z.string(), control: endpoint, state: z.enum(['live', 'leaving']) }),
+    z.object({
+      name: z.string(),
+      zone: z.string(),
+      control: endpoint,
+      admin: endpoint.optional(),
+      state: z.enum(['live', 'leaving']),
+    }),
   ),
 });
 
--- /dev/null
+++ b/src/standin/backend/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Stand-in of the back ends.
+ *
+ * ```ts
+ * const standin = await startBackendStandin({ control, seed: 1, backends: [{ name, service, addresses, endpoint, health }] });
+ * standin.setFaults('isartal/pickguide/pick-01', { blackhole: true });
+ * ```
+ */
+export { startBackendStandin, type BackendStandin, type RunningBackend } from './backend-standin.js';
+export { registerBackendStandin } from './command.js';
+export * from './types.js';
