--- /dev/null
+++ b/src/membership/gossiper.ts
@@ -0,0 +1,54 @@
+/** Gossip rounds: while there is news, a few random members get some of it in each round. */
+import type { RandomSource } from '../common/random.js';
+import type { TimerHandle } from '../common/clock.js';
+import { GOSSIP_BYTES, GOSSIP_FANOUT, type MembershipTiming } from './constants.js';
+import type { GossipQueue } from './gossip-queue.js';
+import type { GuardedTimers } from './guarded-timers.js';
+import type { MemberTable } from './member-table.js';
+import type { Messenger } from './messenger.js';
+import { sampleMembers } from './sampling.js';
+import { MessageType } from './wire.js';
+
+/** What the gossiper works with. */
+export interface GossiperContext {
+  readonly table: MemberTable;
+  readonly queue: GossipQueue;
+  readonly timers: GuardedTimers;
+  readonly random: RandomSource;
+  readonly timing: MembershipTiming;
+  readonly messenger: Messenger;
+}
+
+/** Runs only while the queue holds something. */
+export class Gossiper {
+  private timer: TimerHandle | undefined;
+  private stopped = false;
+
+  constructor(private readonly context: GossiperContext) {}
+
+  /** Makes sure that a round is coming; call it after queueing news. */
+  wake(): void {
+    if (this.timer || this.stopped) return;
+    const { timers, timing } = this.context;
+    this.timer = timers.schedule(timing.gossipIntervalMs, () => {
+      this.timer = undefined;
+      this.spread(GOSSIP_FANOUT);
+      if (this.context.queue.size > 0) this.wake();
+    });
+  }
+
+  /** Sends news to `fanout` members now. */
+  spread(fanout: number): void {
+    const { table, queue, random, messenger } = this.context;
+    const isWell = (member: { suspected: boolean }): boolean => !member.suspected;
+    for (const peer of sampleMembers(table.peers(), fanout, random, isWell)) {
+      if (queue.size === 0) return;
+      messenger.send(peer.identity.control, { type: MessageType.GOSSIP, entries: queue.take(GOSSIP_BYTES) });
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Membership of the balancers of one region.
+ *
+ * @example
+ * const membership = new SwimMembership({ identity, region, incarnation, channel, clock, random, seeds, platform });
+ * membership.subscribe((view) => console.log(view.members.length, view.quorate));
+ * await membership.join();
+ * membership.activate();
+ */
+export * from './types.js';
+export { DEFAULT_MEMBERSHIP_TIMING, type MembershipTiming } from './constants.js';
+export { MembershipError, type MembershipErrorKind } from './errors.js';
+export { MEMBERSHIP_EVENTS } from './events.js';
+export type { MemberIdentity } from './member-record.js';
+export {
+  SwimMembership,
+  type MembershipPlatform,
+  type MembershipStatistics,
+  type SwimMembershipOptions,
+} from './swim-membership.js';
--- /dev/null
+++ b/src/membership/member-table.ts
@@ -0,0 +1,229 @@
+/** All known members and the rules by which news about them is merged. */
+import type { Clock } from '../common/clock.js';
+import { hashString } from '../common/hash.js';
+import { DIGEST_BUCKETS, REMOVED_RETENTION_MS } from './constants.js';
+import {
+  compareVersions,
+  isRemoved,
+  LIFECYCLES,
+  newRecord,
+  recordDigest,
+  type Lifecycle,
+  type MemberIdentity,
+  type MemberRecord,
+  type MemberVersion,
+} from './member-record.js';
+import type { MemberNews } from './wire.js';
+
+/** One change of the table; `previous` is undefined for a new member. */
+export interface RecordChange {
+  readonly record: MemberRecord;
+  readonly previous: MemberRecord | undefined;
+  /** True when the news came from another member, false when this one decided it. */
+  readonly heard: boolean;
+  /** Hash of the accuser's id for a suspicion; 0 otherwise. */
+  readonly accuserHash: number;
+}
+
+/**
+ * What became of a piece of news. `unknown`: it names a member or an incarnation that was never introduced.
+ * `accused`: it holds this member for suspected or removed. `collision`: another member has the same id hash.
+ */
+export type MergeOutcome = 'changed' | 'known' | 'unknown' | 'accused' | 'collision';
+
+/** Mutable table; every change is reported to `onChange` after it took effect. */
+export class MemberTable {
+  private readonly records = new Map<number, MemberRecord>();
+  private readonly versions = new Map<number, number>();
+  private readonly digests = new Uint32Array(DIGEST_BUCKETS);
+  private liveRecords: readonly MemberRecord[] | undefined;
+  private livePeers: readonly MemberRecord[] | undefined;
+  private selfRecord: MemberRecord;
+
+  constructor(
+    private readonly clock: Clock,
+    identity: MemberIdentity,
+    incarnation: number,
+    private readonly onChange: (change: RecordChange) => void,
+  ) {
+    this.selfRecord = newRecord(identity, { incarnation, refutation: 0 }, 'joining', clock.now());
+    this.records.set(this.selfRecord.idHash, this.selfRecord);
+    this.toggleDigest(this.selfRecord);
+  }
+
+  get self(): MemberRecord {
+    return this.selfRecord;
+  }
+
+  get(idHash: number): MemberRecord | undefined {
+    return this.records.get(idHash);
+  }
+
+  /** Every record, removed members included. */
+  all(): Iterable<MemberRecord> {
+    return this.records.values();
+  }
+
+  /** Members that are neither failed nor left, self included. */
+  live(): readonly MemberRecord[] {
+    this.liveRecords ??= [...this.records.values()].filter((record) => !isRemoved(record));
+    return this.liveRecords;
+  }
+
+  /** Live members other than this one. */
+  peers(): readonly MemberRecord[] {
+    this.livePeers ??= this.live().filter((record) => record !== this.selfRecord);
+    return this.livePeers;
+  }
+
+  /** One digest for each bucket of members; removed members do not count. */
+  bucketDigests(): number[] {
+    return [...this.digests];
+  }
+
+  /** Tree version the member last reported; 0 when unknown. */
+  settingsVersion(idHash: number): number {
+    return this.versions.get(idHash) ?? 0;
+  }
+
+  /** As `settingsVersion`, by member id. */
+  settingsVersionOf(id: string): number {
+    return this.settingsVersion(hashString(id));
+  }
+
+  /** Notes the tree version that a live member reported; true when it is news. */
+  noteSettingsVersion(idHash: number, version: number): boolean {
+    const record = this.records.get(idHash);
+    if (!record || isRemoved(record) || version === 0 || this.versions.get(idHash) === version) return false;
+    this.versions.set(idHash, version);
+    return true;
+  }
+
+  /** Merges what another member said. */
+  merge(news: MemberNews): MergeOutcome {
+    const known = this.records.get(news.idHash);
+    if (known && news.identity && news.identity.id !== known.identity.id) return 'collision';
+    if (!known) return this.admit(news);
+    if (known === this.selfRecord) return this.judgeAccusation(news);
+    if (news.incarnation > known.incarnation) return this.replace(known, news);
+    return this.mergeSameIncarnation(known, news);
+  }
+
+  /** Marks a live member as suspected by `accuserHash`; false when it already is, or is no longer live. */
+  suspect(idHash: number, accuserHash: number): boolean {
+    const known = this.records.get(idHash);
+    if (!known || known === this.selfRecord || known.suspected || isRemoved(known)) return false;
+    this.store({ ...known, suspected: true, changedAtMs: this.clock.now() }, false, accuserHash);
+    return true;
+  }
+
+  /** Removes a member that stayed suspected. */
+  fail(idHash: number): void {
+    const known = this.records.get(idHash);
+    if (!known || known === this.selfRecord || isRemoved(known)) return;
+    this.store({ ...known, lifecycle: 'failed', suspected: false, changedAtMs: this.clock.now() }, false);
+  }
+
+  /** Moves this member on in its own lifecycle. */
+  advanceSelf(lifecycle: Lifecycle): void {
+    this.store({ ...this.selfRecord, lifecycle, changedAtMs: this.clock.now() }, false);
+  }
+
+  /**
+   * Makes this member's version newer than `version`, which accused it. A later incarnation is that of a predecessor
+   * whose clock was ahead; this process is a new one all the same.
+   */
+  refute(version: MemberVersion): void {
+    const { selfRecord } = this;
+    const next =
+      version.incarnation > selfRecord.incarnation
+        ? { incarnation: version.incarnation + 1, refutation: 0 }
+        : { incarnation: selfRecord.incarnation, refutation: version.refutation + 1 };
+    this.store({ ...selfRecord, ...next, suspected: false }, false);
+  }
+
+  /** Forgets members removed long ago. */
+  prune(): void {
+    const limitMs = this.clock.now() - REMOVED_RETENTION_MS;
+    for (const [idHash, record] of this.records) {
+      if (record === this.selfRecord || !isRemoved(record) || record.changedAtMs > limitMs) continue;
+      this.records.delete(idHash);
+      this.versions.delete(idHash);
+    }
+  }
+
+  private admit(news: MemberNews): MergeOutcome {
+    if (!news.identity) return isRemovedLifecycle(news.lifecycle) ? 'known' : 'unknown';
+    if (isRemovedLifecycle(news.lifecycle)) return 'known';
+    const record = newRecord(news.identity, news, news.lifecycle, this.clock.now());
+    this.store({ ...record, suspected: news.suspected }, true, news.accuserHash);
+    return 'changed';
+  }
+
+  /** A later incarnation: the process was restarted, perhaps elsewhere, and holds nothing. */
+  private replace(known: MemberRecord, news: MemberNews): MergeOutcome {
+    if (!news.identity && !isRemovedLifecycle(news.lifecycle)) return 'unknown';
+    const identity = news.identity ?? known.identity;
+    const record = newRecord(identity, news, news.lifecycle, this.clock.now());
+    this.versions.delete(known.idHash);
+    this.store({ ...record, suspected: news.suspected }, true, news.accuserHash);
+    return 'changed';
+  }
+
+  private mergeSameIncarnation(known: MemberRecord, news: MemberNews): MergeOutcome {
+    const order = compareVersions(news, known);
+    if (order < 0) return 'known';
+    const removed = order === 0 && isRemoved(known);
+    if (removed && !isRemovedLifecycle(news.lifecycle)) return 'known';
+    const lifecycle = order > 0 ? news.lifecycle : laterLifecycle(known.lifecycle, news.lifecycle);
+    const isLive = !isRemovedLifecycle(lifecycle);
+    const suspected = isLive && (news.suspected || (order === 0 && known.suspected));
+    const same = order === 0 && lifecycle === known.lifecycle && suspected === known.suspected;
+    if (same) return 'known';
+    const { incarnation, refutation } = news;
+    const changedAtMs = this.clock.now();
+    this.store(
+      { ...known, incarnation, refutation, lifecycle, suspected, changedAtMs },
+      true,
+      news.accuserHash,
+    );
+    return 'changed';
+  }
+
+  private judgeAccusation(news: MemberNews): MergeOutcome {
+    const order = compareVersions(news, this.selfRecord);
+    if (order < 0 || this.selfRecord.lifecycle === 'left') return 'known';
+    if (news.incarnation > this.selfRecord.incarnation && !news.identity) return 'unknown';
+    const accused = order > 0 || news.suspected || isRemovedLifecycle(news.lifecycle);
+    return accused ? 'accused' : 'known';
+  }
+
+  private store(record: MemberRecord, heard: boolean, accuserHash = 0): void {
+    const previous = this.records.get(record.idHash);
+    if (previous) this.toggleDigest(previous);
+    this.toggleDigest(record);
+    this.records.set(record.idHash, record);
+    if (previous === this.selfRecord) this.selfRecord = record;
+    this.liveRecords = undefined;
+    this.livePeers = undefined;
+    this.onChange({ record, previous, heard, accuserHash: record.suspected ? accuserHash : 0 });
+  }
+
+  private toggleDigest(record: MemberRecord): void {
+    if (isRemoved(record)) return;
+    this.digests[bucketOf(record.idHash)]! ^= recordDigest(record);
+  }
+}
+
+/** Bucket of the state digest that a member belongs to: the top bits of its id hash. */
+export function bucketOf(idHash: number): number {
+  return idHash >>> (32 - Math.log2(DIGEST_BUCKETS));
+}
+
+function isRemovedLifecycle(lifecycle: Lifecycle): boolean {
+  return lifecycle === 'failed' || lifecycle === 'left';
+}
+
+function laterLifecycle(left: Lifecycle, right: Lifecycle): Lifecycle {
+  return LIFECYCLES.indexOf(left) >= LIFECYCLES.indexOf(right) ? left : right;
+}
--- /dev/null
+++ b/src/membership/messenger.ts
@@ -0,0 +1,44 @@
+/** Sends membership messages: adds the region and entries waiting to be spread, and cuts off what does not fit. */
+import type { ControlChannel } from '../control/types.js';
+import type { Endpoint } from '../common/types.js';
+import type { GossipQueue } from './gossip-queue.js';
+import { encodeMessage, type WireMessageFields } from './wire.js';
+
+/** What every message tells about its sender. */
+export interface SenderFacts {
+  /** Tree version in force here; 0 when none. */
+  readonly settingsVersion: () => number;
+  /** This member belongs to a region that has been quorate. */
+  readonly isBootstrapped: () => boolean;
+}
+
+/** The sending half of membership. */
+export class Messenger {
+  constructor(
+    private readonly channel: ControlChannel,
+    private readonly regionHash: number,
+    private readonly gossip: GossipQueue,
+    private readonly self: SenderFacts,
+  ) {}
+
+  /** Sends a message as it is; false when the budget makes it wait. */
+  send(to: Endpoint, fields: WireMessageFields): boolean {
+    const payload = encodeMessage({
+      ...fields,
+      regionHash: this.regionHash,
+      bootstrapped: this.self.isBootstrapped() || undefined,
+    });
+    return this.channel.send(to, 'membership', payload);
+  }
+
+  /** Sends a probe or an answer with the tree version, `firstEntries`, and gossip of at most `maxBytes`. */
+  sendWithGossip(
+    to: Endpoint,
+    fields: WireMessageFields,
+    maxBytes: number,
+    firstEntries: readonly Uint8Array[] = [],
+  ): boolean {
+    const entries = [...firstEntries, ...this.gossip.take(maxBytes)];
+    return this.send(to, { ...fields, settingsVersion: this.self.settingsVersion() || undefined, entries });
+  }
+}
--- /dev/null
+++ b/src/membership/prober.ts
@@ -0,0 +1,235 @@
+/** Failure detector: probes one member an interval, in shuffled order, directly and then through other members. */
+import type { TimerHandle } from '../common/clock.js';
+import type { RandomSource } from '../common/random.js';
+import type { Endpoint } from '../common/types.js';
+import { BLIND_PROBES, INDIRECT_PROBES, PIGGYBACK_BYTES, type MembershipTiming } from './constants.js';
+import type { GuardedTimers } from './guarded-timers.js';
+import type { LocalHealth } from './local-health.js';
+import { isRemoved, type MemberRecord } from './member-record.js';
+import type { MemberTable } from './member-table.js';
+import type { Messenger } from './messenger.js';
+import { sampleMembers, shuffle } from './sampling.js';
+import { encodeEntry, MessageType, type WireMessage } from './wire.js';
+
+/** What the prober works with. */
+export interface ProberContext {
+  readonly table: MemberTable;
+  readonly timers: GuardedTimers;
+  readonly random: RandomSource;
+  readonly timing: MembershipTiming;
+  readonly messenger: Messenger;
+  readonly health: LocalHealth;
+  /** Called when a member answered neither directly nor through others. */
+  readonly onUnanswered: (target: MemberRecord) => void;
+  /** Called after each probe; the place for periodic work. */
+  readonly onRound: () => void;
+}
+
+interface OpenProbe {
+  readonly target: MemberRecord;
+  readonly sequence: number;
+  directTimer: TimerHandle;
+  helpersAsked: number;
+  negativeAnswers: number;
+}
+
+interface RelayedProbe {
+  readonly requester: Endpoint;
+  readonly requesterSequence: number;
+  readonly targetHash: number;
+  readonly timer: TimerHandle;
+}
+
+const MAX_RELAYED_PROBES = 1_024;
+
+/** One prober for each process. */
+export class Prober {
+  private order: number[] = [];
+  private sequence = 0;
+  private open: OpenProbe | undefined;
+  private roundTimer: TimerHandle | undefined;
+  private blindProbes = 0;
+  private readonly relayed = new Map<number, RelayedProbe>();
+
+  constructor(private readonly context: ProberContext) {}
+
+  /** True while the last probes got no sign of life from anyone: this member is probably cut off. */
+  get isCutOff(): boolean {
+    return this.blindProbes >= BLIND_PROBES;
+  }
+
+  /** Starts probing at a random phase. */
+  start(): void {
+    const { timing, random } = this.context;
+    this.scheduleRound(timing.probeIntervalMs * random());
+  }
+
+  stop(): void {
+    this.discard();
+    this.roundTimer?.cancel();
+    for (const { timer } of this.relayed.values()) timer.cancel();
+    this.relayed.clear();
+  }
+
+  /** Forgets the open probe without judging it: after a pause its silence means nothing. */
+  discard(): void {
+    this.open?.directTimer.cancel();
+    this.open = undefined;
+  }
+
+  /** Probes a member outside the order, only to hear from it. */
+  greet(member: MemberRecord): void {
+    this.sendPing(member, this.nextSequence());
+  }
+
+  onPing(from: Endpoint, message: WireMessage, firstEntries: readonly Uint8Array[]): void {
+    const answer = { type: MessageType.ACK, sequence: message.sequence };
+    this.context.messenger.sendWithGossip(from, answer, PIGGYBACK_BYTES, firstEntries);
+  }
+
+  /** `senderHash` is the authenticated sender; `message.targetHash` names the member an indirect answer is about. */
+  onAck(senderHash: number, message: WireMessage): void {
+    const { open, context } = this;
+    const answeredBy = message.targetHash || senderHash;
+    if (open && open.sequence === message.sequence && answeredBy === open.target.idHash) {
+      this.discard();
+      this.blindProbes = 0;
+      context.health.improve();
+      return;
+    }
+    this.passOn(senderHash, message.sequence);
+  }
+
+  onNegativeAck(message: WireMessage): void {
+    if (this.open?.sequence === message.sequence) this.open.negativeAnswers += 1;
+  }
+
+  onIndirectPing(from: Endpoint, message: WireMessage): void {
+    const { table, timers, timing, messenger } = this.context;
+    const target = table.get(message.targetHash);
+    if (!target || this.relayed.size >= MAX_RELAYED_PROBES) return;
+    const sequence = this.nextSequence();
+    const timer = timers.schedule(timing.directTimeoutMs, () => {
+      this.relayed.delete(sequence);
+      messenger.send(from, { type: MessageType.NEGATIVE_ACK, sequence: message.sequence });
+    });
+    this.relayed.set(sequence, {
+      requester: from,
+      requesterSequence: message.sequence,
+      targetHash: message.targetHash,
+      timer,
+    });
+    this.sendPing(target, sequence);
+  }
+
+  private passOn(senderHash: number, sequence: number): void {
+    const relayed = this.relayed.get(sequence);
+    if (!relayed || relayed.targetHash !== senderHash) return;
+    relayed.timer.cancel();
+    this.relayed.delete(sequence);
+    this.context.messenger.send(relayed.requester, {
+      type: MessageType.ACK,
+      sequence: relayed.requesterSequence,
+      targetHash: senderHash,
+    });
+  }
+
+  private scheduleRound(delayMs: number): void {
+    this.roundTimer = this.context.timers.schedule(delayMs, () => {
+      const { timing, health } = this.context;
+      this.scheduleRound(timing.probeIntervalMs * health.stretch);
+      this.judgeOpenProbe();
+      this.context.onRound();
+      this.probeNext();
+    });
+  }
+
+  private judgeOpenProbe(): void {
+    const { open, context } = this;
+    if (!open) return;
+    this.discard();
+    const missing = open.helpersAsked - open.negativeAnswers;
+    if (missing > 0) context.health.worsen();
+    if (open.helpersAsked > 0 && open.negativeAnswers === 0) this.blindProbes += 1;
+    const current = context.table.get(open.target.idHash);
+    if (current && !isRemoved(current) && current.incarnation === open.target.incarnation) {
+      context.onUnanswered(current);
+    }
+  }
+
+  private probeNext(): void {
+    const { timers, timing, health } = this.context;
+    const target = this.nextTarget();
+    if (!target) {
+      this.blindProbes = 0;
+      return;
+    }
+    const sequence = this.nextSequence();
+    const directTimer = timers.schedule(timing.directTimeoutMs * health.stretch, () => this.askHelpers());
+    this.open = { target, sequence, directTimer, helpersAsked: 0, negativeAnswers: 0 };
+    this.sendPing(target, sequence);
+  }
+
+  /** Next live member in the shuffled order; a new order begins when one is used up. */
+  private nextTarget(): MemberRecord | undefined {
+    const { table, random } = this.context;
+    if (table.peers().length === 0) return undefined;
+    for (;;) {
+      const idHash = this.order.pop();
+      if (idHash === undefined) {
+        this.order = shuffle(
+          table.peers().map((peer) => peer.idHash),
+          random,
+        );
+        continue;
+      }
+      const member = table.get(idHash);
+      if (member && !isRemoved(member)) return member;
+    }
+  }
+
+  /** A suspected target is told so first, so that it can refute. */
+  private sendPing(target: MemberRecord, sequence: number): void {
+    const { messenger } = this.context;
+    const accusation = target.suspected || isRemoved(target) ? [encodeEntry(target, false)] : [];
+    const ping = { type: MessageType.PING, sequence };
+    messenger.sendWithGossip(target.identity.control, ping, PIGGYBACK_BYTES, accusation);
+  }
+
+  private askHelpers(): void {
+    const { open, context } = this;
+    if (!open) return;
+    for (const helper of this.chooseHelpers(open.target)) {
+      const request = {
+        type: MessageType.INDIRECT_PING,
+        sequence: open.sequence,
+        targetHash: open.target.idHash,
+      };
+      if (context.messenger.send(helper.identity.control, request)) open.helpersAsked += 1;
+    }
+  }
+
+  /** Helpers in zones other than this one's, in different zones where possible, and one from anywhere. */
+  private chooseHelpers(target: MemberRecord): MemberRecord[] {
+    const { table, random } = this.context;
+    const usable = (member: MemberRecord): boolean => member.idHash !== target.idHash && !member.suspected;
+    const zonesTaken = new Set([table.self.identity.zone]);
+    const helpers: MemberRecord[] = [];
+    while (helpers.length < INDIRECT_PROBES - 1) {
+      const isNewZone = (member: MemberRecord): boolean =>
+        usable(member) && !zonesTaken.has(member.identity.zone);
+      const [helper] = sampleMembers(table.peers(), 1, random, isNewZone);
+      if (!helper) break;
+      zonesTaken.add(helper.identity.zone);
+      helpers.push(helper);
+    }
+    const others = (member: MemberRecord): boolean => usable(member) && !helpers.includes(member);
+    helpers.push(...sampleMembers(table.peers(), INDIRECT_PROBES - helpers.length, random, others));
+    return helpers;
+  }
+
+  private nextSequence(): number {
+    this.sequence = (this.sequence + 1) >>> 0;
+    return this.sequence;
+  }
+}
--- /dev/null
+++ b/src/membership/quorum-lease.ts
@@ -0,0 +1,93 @@
+/**
+ * The platform's lease `quorum/<region>`: the witness that lets a sole survivor be quorate.
+ *
+ * In a quorate region of several members the lowest-id one holds it, so that a member cut off from the others cannot get it. A sole
+ * survivor tries only after witnessWaitMs, which is longer than the lease: a majority elsewhere comes first.
+ */
+import type { Clock, TimerHandle } from '../common/clock.js';
+import type { Lease, PlatformClient } from '../platform/types.js';
+
+/** The part of the platform client that is used. */
+export type LeasePlatform = Pick<PlatformClient, 'acquireLease' | 'releaseLease'>;
+
+/** `unknown`: not asked yet or trust has run out. `unavailable`: the platform did not answer. */
+export type LeaseStanding = 'unknown' | 'held' | 'held-by-other' | 'unavailable';
+
+/** Renewals in the duration of a lease. */
+const RENEWALS_PER_LEASE = 3;
+
+/** Keeps, or keeps trying for, the lease while `wanted` says so. */
+export class QuorumLease {
+  private lease: Lease | undefined;
+  private lastAnswer: LeaseStanding = 'unknown';
+  private timer: TimerHandle | undefined;
+  private asking = false;
+  private stopped = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly platform: LeasePlatform | undefined,
+    private readonly leaseName: string,
+    private readonly holder: string,
+    private readonly durationMs: number,
+    private readonly wanted: () => boolean,
+    private readonly onChange: () => void,
+  ) {
+    if (!platform) this.lastAnswer = 'unavailable';
+  }
+
+  /** What is known about the lease now. */
+  standing(): LeaseStanding {
+    if (this.lastAnswer !== 'held') return this.lastAnswer;
+    const trusted = this.lease !== undefined && this.clock.now() < this.lease.trustedUntilMs;
+    return trusted ? 'held' : 'unknown';
+  }
+
+  start(): void {
+    if (!this.platform || this.stopped) return;
+    this.timer = this.clock.schedule(this.durationMs / RENEWALS_PER_LEASE, () => {
+      void this.refresh();
+      this.start();
+    });
+  }
+
+  /** Gives the lease up and forgets what was known. */
+  drop(): void {
+    const { lease } = this;
+    this.lease = undefined;
+    this.lastAnswer = this.platform ? 'unknown' : 'unavailable';
+    if (lease) void this.platform?.releaseLease(lease).catch(() => undefined);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+    this.drop();
+  }
+
+  /** Acquires or renews when wanted, gives up when not. One request at a time. */
+  async refresh(): Promise<void> {
+    if (!this.platform || this.asking || this.stopped) return;
+    if (!this.wanted()) {
+      if (this.lastAnswer !== 'unknown') this.drop();
+      return;
+    }
+    this.asking = true;
+    const standing = await this.ask(this.platform);
+    this.asking = false;
+    const changed = standing !== this.lastAnswer;
+    this.lastAnswer = standing;
+    if (this.stopped || !this.wanted()) this.drop();
+    if (changed) this.onChange();
+  }
+
+  private async ask(platform: LeasePlatform): Promise<LeaseStanding> {
+    const acquired = await platform.acquireLease(this.leaseName, this.holder, this.durationMs);
+    if (acquired.isOk) {
+      this.lease = acquired.value;
+      return 'held';
+    }
+    if (acquired.error.kind === 'platform.lease-held') return 'held-by-other';
+    return this.lease && this.clock.now() < this.lease.trustedUntilMs ? 'held' : 'unavailable';
+  }
+}
--- /dev/null
+++ b/src/membership/suspicion.ts
@@ -0,0 +1,95 @@
+/** Running suspicions: each ends by a refutation or, after a time that confirmations shorten, by removal. */
+import type { TimerHandle } from '../common/clock.js';
+import { SUSPICION_CONFIRMATIONS, SUSPICION_MAX_FACTOR, type MembershipTiming } from './constants.js';
+import type { GuardedTimers } from './guarded-timers.js';
+
+interface Suspicion {
+  startedMs: number;
+  readonly accusers: Set<number>;
+  timer: TimerHandle;
+}
+
+/** Shortest and longest time between suspicion and removal in a region of `members`. */
+export function suspicionBounds(members: number, timing: MembershipTiming): { minMs: number; maxMs: number } {
+  const scaledMs = timing.suspicionPerDecadeMs * Math.log10(Math.max(1, members));
+  const minMs = Math.max(timing.suspicionMinMs, scaledMs);
+  return { minMs, maxMs: minMs * SUSPICION_MAX_FACTOR };
+}
+
+/** Time from start to removal with `accusers` accusers in a region of `members`. */
+export function suspicionTimeoutMs(accusers: number, members: number, timing: MembershipTiming): number {
+  const { minMs, maxMs } = suspicionBounds(members, timing);
+  const confirmationsPossible = Math.min(SUSPICION_CONFIRMATIONS, members - 2);
+  if (confirmationsPossible <= 0) return minMs;
+  const confirmations = Math.min(accusers - 1, confirmationsPossible);
+  const share = Math.log(confirmations + 1) / Math.log(confirmationsPossible + 1);
+  return maxMs - (maxMs - minMs) * share;
+}
+
+/** Suspicions by the id hash of the suspected member. */
+export class Suspicions {
+  private readonly running = new Map<number, Suspicion>();
+
+  constructor(
+    private readonly timers: GuardedTimers,
+    private readonly timing: MembershipTiming,
+    private readonly memberCount: () => number,
+    private readonly onExpired: (idHash: number) => void,
+  ) {}
+
+  /** Starts or confirms a suspicion; true when `accuserHash` is a new accuser worth passing on. */
+  accuse(idHash: number, accuserHash: number): boolean {
+    const suspicion = this.running.get(idHash);
+    if (!suspicion) {
+      this.running.set(idHash, this.start(idHash, accuserHash));
+      return true;
+    }
+    if (suspicion.accusers.has(accuserHash) || suspicion.accusers.size > SUSPICION_CONFIRMATIONS)
+      return false;
+    suspicion.accusers.add(accuserHash);
+    suspicion.timer.cancel();
+    suspicion.timer = this.arm(idHash, suspicion);
+    return true;
+  }
+
+  /** Ends a suspicion without removal. */
+  clear(idHash: number): void {
+    this.running.get(idHash)?.timer.cancel();
+    this.running.delete(idHash);
+  }
+
+  /** Monotonic ms at which the suspicion started here; undefined when there is none. */
+  startedMs(idHash: number): number | undefined {
+    return this.running.get(idHash)?.startedMs;
+  }
+
+  /** Starts all suspicions anew with their first accuser only, after this process was paused. */
+  restart(): void {
+    for (const [idHash, suspicion] of this.running) {
+      const first = [...suspicion.accusers][0] ?? 0;
+      suspicion.timer.cancel();
+      this.running.set(idHash, this.start(idHash, first));
+    }
+  }
+
+  /** Ends all suspicions without removal. */
+  stop(): void {
+    for (const idHash of [...this.running.keys()]) this.clear(idHash);
+  }
+
+  private start(idHash: number, accuserHash: number): Suspicion {
+    const startedMs = this.timers.now();
+    const suspicion = { startedMs, accusers: new Set([accuserHash]), timer: { cancel: () => undefined } };
+    suspicion.timer = this.arm(idHash, suspicion) as typeof suspicion.timer;
+    return suspicion;
+  }
+
+  private arm(idHash: number, suspicion: Suspicion): TimerHandle {
+    const timeoutMs = suspicionTimeoutMs(suspicion.accusers.size, this.memberCount(), this.timing);
+    const remainingMs = Math.max(0, suspicion.startedMs + timeoutMs - this.timers.now());
+    return this.timers.schedule(remainingMs, () => {
+      this.running.delete(idHash);
+      this.onExpired(idHash);
+    });
+  }
+}
