--- a/src/experiment/constants.ts
+++ b/src/experiment/constants.ts
@@ -3,7 +3,7 @@
 /** Time between two samples of what the back ends truly hold, ms. */
 export const SAMPLE_INTERVAL_MS = 100;
 /** Time between two polls of the daemons' admin pages, ms. */
-export const DAEMON_POLL_INTERVAL_MS = 100;
+export const DAEMON_POLL_INTERVAL_MS = 250;
 /** Time between two points kept for plots, ms. */
 export const SERIES_INTERVAL_MS = 500;
 /** How long a started process may take to print its ready line, ms. */
--- a/src/experiment/document.ts
+++ b/src/experiment/document.ts
@@ -8,6 +8,8 @@
 export interface FlowFigures {
   readonly opened: number | null;
   readonly refused: number | null;
+  /** Openings that nobody answered until the caller gave up. */
+  readonly openTimeouts: number | null;
   readonly broken: number | null;
   /** Broken flows that no unplanned fault explains. */
   readonly brokenByPlannedChange: number | null;
@@ -91,6 +93,8 @@
   readonly requests: RequestFigures;
   readonly imbalance: ImbalanceFigures;
   readonly drain: { readonly secondsToLastNewFlow: number | null };
+  /** From a back end's fault until every balancer held it ineligible; the longest of the run. */
+  readonly health: { readonly secondsToIneligibleEverywhere: number | null };
   readonly config: {
     readonly secondsToEverywhere: number | null;
     readonly reverts: number | null;
--- a/src/experiment/figures.ts
+++ b/src/experiment/figures.ts
@@ -6,6 +6,7 @@
 const FIGURE_PATHS = [
   'flows.opened',
   'flows.refused',
+  'flows.openTimeouts',
   'flows.broken',
   'flows.brokenByPlannedChange',
   'flows.brokenByBackendCrash',
@@ -20,6 +21,7 @@
   'imbalance.busySlots.peakToMean',
   'exceptionsShare',
   'drain.secondsToLastNewFlow',
+  'health.secondsToIneligibleEverywhere',
   'config.secondsToEverywhere',
   'config.reverts',
   'control.bytesPerSecondPerDaemon.max',
--- a/src/experiment/run-plan.test.ts
+++ b/src/experiment/run-plan.test.ts
@@ -13,7 +13,7 @@
   name: 'pairs',
   description: 'pairs of faults',
   durationSeconds: 60,
-  load: [{ service: 'pickguide', flows: 10, openingsPerSecond: 10 }],
+  load: [{ service: 'pickguide', openingsPerSecond: 10 }],
   actions: [
     { do: 'random-pair', at: 20 },
     { do: 'random-pair', at: 5 },
--- a/src/experiment/scenario-actions.ts
+++ b/src/experiment/scenario-actions.ts
@@ -3,9 +3,9 @@
 
 const at = z.number().nonnegative();
 const forSeconds = z.number().positive().optional();
-/** A balancer by name, `random` (drawn from the seed), `leaseholder`, or `zone:NAME` (the first one of a zone). */
+/** A balancer by name (ZONE-1), `random` (drawn from the seed), `leaseholder`, or `zone:NAME` (the first one of a zone). */
 const balancer = z.string().min(1);
-/** A back end by the last part of its node path, e.g. `pick-01`, or `random`. */
+/** A back end by the last part of its node path, as `main-04` (fourth of the main service), or `random`. */
 const backend = z.string().min(1);
 
 /** One operation of a tree edit; `node` is relative to the site, e.g. `pickguide/pick-01`. */
@@ -18,26 +18,29 @@
 
 /** Faults of one back-end stand-in; what is left out stays as it was. */
 export const backendFaultsSchema = z.strictObject({
-  /** Health endpoint's answer whatever the truth is. */
-  lieHealth: z.enum(['healthy', 'unhealthy', 'off']).optional(),
-  /** Load endpoint's answer, 0–1 of the capacity; null: the truth. */
-  lieLoad: z.number().min(0).max(1).nullable().optional(),
-  /** Lag of health and load endpoints, ms. */
-  lagMs: z.number().nonnegative().optional(),
-  /** Added time of each request, ms. */
-  slowMs: z.number().nonnegative().optional(),
-  /** Share of requests shed as not run. */
-  shedShare: z.number().min(0).max(1).optional(),
-  /** Accepts openings but answers nothing. */
-  silent: z.boolean().optional(),
+  /** Health says the opposite of the truth. */
+  healthLies: z.boolean().optional(),
+  /** Load says that nothing is open. */
+  loadLies: z.boolean().optional(),
+  /** Load says how it was this long ago, ms. */
+  loadLagMs: z.number().nonnegative().optional(),
+  /** Packets vanish; health and load still answer. */
+  blackhole: z.boolean().optional(),
+  /** Each opening is answered with a reset. */
+  refuseOpenings: z.boolean().optional(),
+  /** Multiplies service times. */
+  slowFactor: z.number().positive().optional(),
 });
 
 /** Faults of the platform stand-in; what is left out stays as it was. */
 export const platformFaultsSchema = z.strictObject({
   down: z.boolean().optional(),
+  /** Each request waits this long. */
   slowMs: z.number().nonnegative().optional(),
-  /** Number of next writes whose answer is lost after they took effect. */
+  /** The answers to this many next writes are lost after they took effect. */
   loseWriteAnswers: z.number().int().nonnegative().optional(),
+  /** Watches stay open but say nothing. */
+  watchStall: z.boolean().optional(),
 });
 
 /** Names of the faults that a random pair is drawn from. */
@@ -86,14 +89,6 @@
     zone: z.string().min(1),
     forSeconds: z.number().positive(),
   }),
-  z.strictObject({
-    do: z.literal('load'),
-    at,
-    service: z.string().min(1),
-    flows: z.number().int().nonnegative().optional(),
-    openingsPerSecond: z.number().positive().optional(),
-  }),
-  z.strictObject({ do: z.literal('reconnect-all'), at, service: z.string().min(1) }),
   z.strictObject({
     do: z.literal('random-pair'),
     at,
--- a/src/experiment/scenario.test.ts
+++ b/src/experiment/scenario.test.ts
@@ -6,7 +6,7 @@
   name: 'sample',
   description: 'a sample',
   durationSeconds: 10,
-  load: [{ service: 'pickguide', flows: 100, openingsPerSecond: 50 }],
+  load: [{ service: 'pickguide', openingsPerSecond: 50 }],
 };
 
 test('a minimal scenario gets its defaults', (t) => {
@@ -15,7 +15,7 @@
   if (!check.valid) return;
   t.is(check.scenario.tree, 'isartal');
   t.is(check.scenario.topology.balancersPerZone, 1);
-  t.deepEqual(check.scenario.fabric, { loss: 0, reorder: 0, duplicate: 0, delayMs: 0 });
+  t.deepEqual(check.scenario.fabric, { loss: 0, reorder: 0, duplicate: 0, reorderDelayMs: 5, delayMs: 0 });
   t.is(check.scenario.load[0]!.requestIntervalMs, 1_000);
 });
 
@@ -42,7 +42,12 @@
     path: 'actions.0.operations',
   },
   { title: 'goal without bound', change: { goals: [{ figure: 'flows.broken' }] }, path: 'goals.0' },
-  { title: 'no flows', change: { load: [{ ...VALID.load[0], flows: 0 }] }, path: 'load.0.flows' },
+  { title: 'no flows at all', change: { load: [{ service: 'pickguide' }] }, path: 'load.0' },
+  {
+    title: 'negative flows',
+    change: { load: [{ ...VALID.load[0], longFlows: -1 }] },
+    path: 'load.0.longFlows',
+  },
 ];
 
 for (const { title, change, path } of FAULTS) {
--- a/src/experiment/scenario.ts
+++ b/src/experiment/scenario.ts
@@ -8,24 +8,44 @@
 const share = z.number().min(0).max(1);
 const positiveInteger = z.number().int().positive();
 
-/** Load on one service. Each caller process carries an equal part of flows and openings. */
-export const loadSchema = z.strictObject({
-  /** Name of the service node below the site, e.g. `pickguide`. */
-  service: z.string().min(1),
-  /** Caller processes. */
-  callers: positiveInteger.max(8).default(1),
-  /** Flows held open at once by all callers together. */
-  flows: positiveInteger.max(100_000),
-  /** Openings a second while fewer flows are open than wanted. */
-  openingsPerSecond: z.number().positive().max(50_000),
-  /** Mean time between two requests of a flow, ms. */
-  requestIntervalMs: z.number().positive().default(1_000),
-  /** Mean lifetime of a flow, seconds; absent: flows stay open for the whole run. */
-  lifetimeSeconds: z.number().positive().optional(),
-  /** Share of requests that must not run twice. */
-  unrepeatableShare: share.default(0.3),
-  /** Mean service time of a request at the back end, ms. */
-  serviceTimeMs: z.number().nonnegative().default(5),
+/** Load on one service by one group of caller processes. */
+export const loadSchema = z
+  .strictObject({
+    /** Service node below the site, or `main` (most back ends) or `second`. */
+    service: z.string().min(1),
+    /** Caller processes, which share the load equally. */
+    callers: positiveInteger.max(8).default(1),
+    /** Start and end of this load, seconds; absent end: the run's. At its end all flows are closed in order. */
+    from: z.number().nonnegative().default(0),
+    until: z.number().positive().optional(),
+    /** Flows held open from `from` until `until`, and the pace at which they are opened. */
+    longFlows: z.number().int().nonnegative().max(100_000).default(0),
+    longFlowsPerSecond: z.number().positive().default(500),
+    /** Flows of limited life opened a second, and their mean life (exponential). */
+    openingsPerSecond: z.number().nonnegative().max(50_000).default(0),
+    lifetimeSeconds: z.number().positive().default(5),
+    /** Mean time between two requests of a flow, ms. */
+    requestIntervalMs: z.number().positive().default(1_000),
+    /** Share of requests that must not run twice. */
+    unrepeatableShare: share.default(0.5),
+    /** Share of requests cancelled right after they were sent. */
+    cancelShare: share.default(0),
+    /** Deadline sent with each request, ms; absent: none. */
+    deadlineMs: z.number().positive().optional(),
+  })
+  .refine((load) => load.longFlows > 0 || load.openingsPerSecond > 0, 'give longFlows or openingsPerSecond');
+
+/** What a back end can do; what is left out is the stand-in's default (2 slots, 2,000 connections). */
+export const backendCapacitySchema = z.strictObject({
+  slots: positiveInteger.optional(),
+  maxConnections: positiveInteger.optional(),
+  /** Requests that wait for a slot; one more is shed. */
+  maxQueued: z.number().int().nonnegative().optional(),
+  serviceTimeMs: z.number().positive().optional(),
+  serviceTimeDistribution: z.enum(['fixed', 'exponential', 'lognormal']).optional(),
+  /** After a start, service times are multiplied by `coldFactor` for this long. */
+  coldStartMs: z.number().nonnegative().optional(),
+  coldFactor: z.number().positive().optional(),
 });
 
 /** What the network between fabric and balancers does to packets. */
@@ -33,7 +53,9 @@
   loss: share.default(0),
   reorder: share.default(0),
   duplicate: share.default(0),
-  /** One-way delay, ms. */
+  /** Added delay of the reordered packets, ms. */
+  reorderDelayMs: z.number().nonnegative().default(5),
+  /** One-way delay of every packet, ms. */
   delayMs: z.number().nonnegative().default(0),
 });
 
@@ -41,8 +63,11 @@
 export const topologySchema = z.strictObject({
   /** Balancers in each zone of the tree. */
   balancersPerZone: positiveInteger.max(16).default(1),
-  /** Back ends left out at the start, by node name; `backend-add` starts them later. */
+  /** Back ends left out at the start; `backend-add` adds them later. */
   spareBackends: z.array(z.string().min(1)).default([]),
+  /** Capacity of every back end, and of single ones by name. */
+  backends: backendCapacitySchema.prefault({}),
+  backendOverrides: z.record(z.string(), backendCapacitySchema).default({}),
 });
 
 /** A bound on one figure of the report; `max` and `min` are inclusive. */
@@ -83,6 +108,7 @@
 export type Scenario = z.infer<typeof scenarioSchema>;
 export type LoadSettings = z.infer<typeof loadSchema>;
 export type FabricSettings = z.infer<typeof fabricSchema>;
+export type BackendCapacitySettings = z.infer<typeof backendCapacitySchema>;
 export type GoalSettings = z.infer<typeof goalSchema>;
 
 /** One fault of a scenario document. */
