--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,7 +8,7 @@
 import { changedFields, type DaemonConfig } from './config.js';
 import { ACTIVATION_POLL_INTERVAL_MS, HANDOVER_TIMEOUT_MS } from './constants.js';
 import { createControlPlane, type BalancerIdentity } from './control-plane.js';
-import { bindEdge, EdgeGate, KnownSources, startDataPlane, type DataPlane } from './data-plane.js';
+import { bindEdge, EdgeGate, KnownSources, startDataPlane } from './data-plane.js';
 import { DAEMON_EVENTS } from './events.js';
 import { MemoryGuard } from './memory-guard.js';
 import type { DaemonPhase, DaemonStatus } from './status.js';
@@ -34,6 +34,11 @@
   private readonly stopping = new AbortController();
   private stopped: Promise<void> | undefined;
   private lastReady: boolean | undefined;
+  /**
+   * True once the first shards were taken over. Later takeovers do not end readiness: meanwhile packets are relayed
+   * to the previous holder, and all balancers that take over at once would leave the fabric with none.
+   */
+  private hasServed = false;
   private components!: Components;
 
   private constructor(
@@ -72,7 +77,7 @@
     if (this.phase !== 'active') reasons.push(this.phase);
     if (!controlPlane.settings.current()) reasons.push('no settings');
     if (!controlPlane.membership.view().quorate) reasons.push('no quorum');
-    if (!dataPlane.forwarder.isServing()) reasons.push('shards not taken over yet');
+    if (!this.hasServed && !dataPlane.forwarder.isServing()) reasons.push('first shards not taken over yet');
     return { ready: reasons.length === 0, reasons };
   }
 
@@ -121,8 +126,7 @@
       incarnation,
     };
     const platform = this.connectPlatform();
-    let dataPlane: DataPlane | undefined;
-    const load = { openFlows: (id: number): number => dataPlane?.forwarder.openFlows(id) ?? 0 };
+    const load = { openFlows: (id: number): number => gate.forwarder?.openFlows(id) ?? 0 };
     const controlPlane = createControlPlane({
       identity,
       clock,
@@ -136,7 +140,7 @@
     const memory = this.createMemoryGuard();
     const { membership, settings, health } = controlPlane;
     const memoryExceeded = (): boolean => memory.exceeded();
-    dataPlane = startDataPlane(
+    const dataPlane = startDataPlane(
       {
         config,
         ...{ clock, random, events, control, edge, gate, sources, membership, settings, health },
@@ -218,6 +222,7 @@
       }
     }
     while (this.phase === 'active') {
+      this.hasServed ||= this.components.dataPlane.forwarder.isServing();
       this.reportReadiness();
       await delay(clock, ACTIVATION_POLL_INTERVAL_MS);
     }
