--- a/src/settings/diff.ts
+++ b/src/settings/diff.ts
@@ -92,3 +92,13 @@
   }
   return withNodes(document, nodes.values());
 }
+
+/** The document with the node objects of `previous` wherever a node is unchanged, so that work on them is reused. */
+export function shareNodes(document: TreeDocument, previous: TreeDocument): TreeDocument {
+  const known = indexNodes(previous.nodes);
+  const nodes = document.nodes.map((node) => {
+    const old = known.get(node.path);
+    return old && diffNode(node.path, old, node).length === 0 ? old : node;
+  });
+  return { ...document, nodes };
+}
--- a/src/settings/field-types.ts
+++ b/src/settings/field-types.ts
@@ -1,5 +1,4 @@
 /** What defines a field of the tree, and builders of definitions by kind of value. */
-import ipaddr from 'ipaddr.js';
 import { z } from 'zod';
 import type { Endpoint } from '../common/types.js';
 import type { FieldValue } from './tree.js';
@@ -28,7 +27,9 @@
   readonly numeric: boolean;
 }
 
-const ENDPOINT_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+/** One way to write each endpoint: no leading zeros, so that equal endpoints are equal texts. */
+const ENDPOINT_PATTERN =
+  /^((?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)){3}):([1-9]\d{0,4})$/;
 const MAX_PORT = 65_535;
 
 /** Reads `a.b.c.d:port`; undefined when it is not a numeric IPv4 endpoint with a port of 1 to 65535. */
@@ -36,9 +37,7 @@
   const match = ENDPOINT_PATTERN.exec(text);
   const host = match?.[1];
   const port = Number(match?.[2]);
-  if (host === undefined || !ipaddr.IPv4.isValidFourPartDecimal(host)) return undefined;
-  if (host !== new ipaddr.IPv4(host.split('.').map(Number)).toString()) return undefined;
-  return port >= 1 && port <= MAX_PORT ? { host, port } : undefined;
+  return host !== undefined && port <= MAX_PORT ? { host, port } : undefined;
 }
 
 /** Schema of a text that `parseEndpoint` reads. */
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -16,7 +16,7 @@
 export { asTreeDocument, validateDocument, validateNodes } from './validate.js';
 export { effectiveNode, resolveSettings, type EffectiveField, type EffectiveNode } from './resolve.js';
 export { nestTree, parseTree, parseTreeText } from './parse.js';
-export { applyChanges, diffTrees } from './diff.js';
+export { applyChanges, diffTrees, shareNodes } from './diff.js';
 export { decodeDelta, decodeNode, encodeDelta, encodeNode } from './codec.js';
 export { findConflicts, type RacingEdit } from './conflicts.js';
 export * from './edits.js';
--- a/src/settings/inherit.ts
+++ b/src/settings/inherit.ts
@@ -11,24 +11,45 @@
   readonly origin: string;
 }
 
-/** Nodes from `node` up to the top of its inheritance. Ends at a missing parent or before a repeated node. */
-export function inheritanceChain(nodes: ReadonlyMap<string, TreeNode>, node: TreeNode): TreeNode[] {
-  const chain: TreeNode[] = [];
-  let current: TreeNode | undefined = node;
-  while (current && !chain.includes(current)) {
-    chain.push(current);
-    const above = parentPath(current);
-    current = above === undefined ? undefined : nodes.get(above);
+const NO_NODES: readonly TreeNode[] = [];
+
+/** The nodes of one tree with the chain of inheritance of each. Of nodes with equal paths the first counts. */
+export class Inheritance {
+  readonly nodes: ReadonlyMap<string, TreeNode>;
+  private readonly chains = new Map<TreeNode, readonly TreeNode[]>();
+
+  constructor(nodes: readonly TreeNode[]) {
+    const index = new Map<string, TreeNode>();
+    for (const node of nodes) {
+      if (!index.has(node.path)) index.set(node.path, node);
+    }
+    this.nodes = index;
+  }
+
+  /** Nodes from `node` up to the top. Ends at a missing parent, and somewhere in a cycle. */
+  chain(node: TreeNode): readonly TreeNode[] {
+    const known = this.chains.get(node);
+    if (known) return known;
+    this.chains.set(node, NO_NODES);
+    const parent = this.parentOf(node);
+    const chain = parent ? [node, ...this.chain(parent)] : [node];
+    this.chains.set(node, chain);
+    return chain;
+  }
+
+  /** The node whose fields `node` inherits; undefined at the top and when it is missing. */
+  parentOf(node: TreeNode): TreeNode | undefined {
+    const path = parentPath(node);
+    return path === undefined ? undefined : this.nodes.get(path);
   }
-  return chain;
-}
 
-/** Finds the value of `field` along a chain; fields that are not inherited are read from its first node only. */
-export function inheritedValue(chain: readonly TreeNode[], field: string): InheritedValue {
-  const definition = fieldNamed(field);
-  const sources = definition && isInheritable(definition) ? chain : chain.slice(0, 1);
-  for (const node of sources) {
-    if (Object.hasOwn(node.fields, field)) return { value: node.fields[field], origin: node.path };
+  /** The value of `field` in force at `node`; fields that are not inherited are read from the node only. */
+  value(node: TreeNode, field: string): InheritedValue {
+    const definition = fieldNamed(field);
+    const inherited = definition !== undefined && isInheritable(definition);
+    for (const source of inherited ? this.chain(node) : [node]) {
+      if (Object.hasOwn(source.fields, field)) return { value: source.fields[field], origin: source.path };
+    }
+    return { value: definition?.fallback, origin: BUILT_IN_ORIGIN };
   }
-  return { value: definition?.fallback, origin: BUILT_IN_ORIGIN };
 }
--- a/src/settings/parse.ts
+++ b/src/settings/parse.ts
@@ -108,7 +108,13 @@
       }),
     );
   }
-  return parseTree(parsed.toJS());
+  try {
+    return parseTree(parsed.toJS());
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    const remedy = 'Define each anchor before its alias, and use few aliases';
+    return Result.err([fault('settings.syntax', { path: '' }, message, remedy)]);
+  }
 }
 
 /** Writes a tree in the nested form that `parseTree` reads. */
--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -1,13 +1,12 @@
 /** From a settings tree to the effective settings that the other slices read. */
 import Result from 'true-myth/result';
-import { hashString } from '../common/hash.js';
 import type { Endpoint } from '../common/types.js';
 import type { SettingsFault } from './errors.js';
 import { parseEndpoint } from './field-types.js';
 import { allowsField, FIELD_DEFINITIONS } from './fields.js';
-import { inheritanceChain, inheritedValue } from './inherit.js';
+import { Inheritance } from './inherit.js';
 import {
-  indexNodes,
+  nodeId,
   pathAbove,
   type FieldValue,
   type NodeKind,
@@ -15,34 +14,31 @@
   type TreeNode,
 } from './tree.js';
 import type { EffectiveBackend, EffectiveService, EffectiveSettings, HealthPolicy } from './types.js';
-import { validateDocument } from './validate.js';
-
-type NodeIndex = ReadonlyMap<string, TreeNode>;
+import { checkShape, validateNodes } from './validate.js';
 
 /** Typed access to the values in force at one node of a valid tree. */
 class EffectiveValues {
-  private readonly chain: readonly TreeNode[];
-
-  constructor(nodes: NodeIndex, node: TreeNode) {
-    this.chain = inheritanceChain(nodes, node);
-  }
+  constructor(
+    private readonly inheritance: Inheritance,
+    private readonly node: TreeNode,
+  ) {}
 
   number(field: string): number {
     return this.optionalNumber(field) ?? 0;
   }
 
   optionalNumber(field: string): number | undefined {
-    const { value } = inheritedValue(this.chain, field);
+    const { value } = this.inheritance.value(this.node, field);
     return typeof value === 'number' ? value : undefined;
   }
 
   text(field: string): string {
-    const { value } = inheritedValue(this.chain, field);
+    const { value } = this.inheritance.value(this.node, field);
     return typeof value === 'string' ? value : '';
   }
 
   flag(field: string): boolean {
-    return inheritedValue(this.chain, field).value === true;
+    return this.inheritance.value(this.node, field).value === true;
   }
 
   endpoint(field: string): Endpoint | undefined {
@@ -52,12 +48,12 @@
 
 const NO_ENDPOINT: Endpoint = { host: '0.0.0.0', port: 0 };
 
-function resolveBackend(nodes: NodeIndex, node: TreeNode): EffectiveBackend {
-  const values = new EffectiveValues(nodes, node);
+function resolveBackend(inheritance: Inheritance, node: TreeNode): EffectiveBackend {
+  const values = new EffectiveValues(inheritance, node);
   const endpoint = values.endpoint('endpoint') ?? NO_ENDPOINT;
   return {
     name: node.path,
-    id: hashString(node.path),
+    id: nodeId(node),
     zone: values.text('zone'),
     endpoint,
     health: values.endpoint('healthEndpoint') ?? endpoint,
@@ -84,11 +80,15 @@
   return left.id - right.id;
 }
 
-function resolveService(nodes: NodeIndex, node: TreeNode, backends: readonly TreeNode[]): EffectiveService {
-  const values = new EffectiveValues(nodes, node);
+function resolveService(
+  inheritance: Inheritance,
+  node: TreeNode,
+  backends: readonly TreeNode[],
+): EffectiveService {
+  const values = new EffectiveValues(inheritance, node);
   return {
     name: node.path,
-    id: hashString(node.path),
+    id: nodeId(node),
     site: pathAbove(node.path) ?? '',
     address: values.endpoint('address') ?? NO_ENDPOINT,
     unknownFlow: values.text('unknownFlow') === 'drop' ? 'drop' : 'reset',
@@ -101,7 +101,7 @@
       retryBudgetShare: values.number('limits.retryBudgetShare'),
     },
     healthPolicy: resolveHealthPolicy(values),
-    backends: backends.map((backend) => resolveBackend(nodes, backend)).sort(byId),
+    backends: backends.map((backend) => resolveBackend(inheritance, backend)).sort(byId),
   };
 }
 
@@ -140,24 +140,57 @@
   return { ...now, backends };
 }
 
+/** The nodes that each service was resolved from: services of the same nodes are the same. */
+const SERVICE_SOURCES = new WeakMap<EffectiveService, readonly TreeNode[]>();
+
+function sourcesOf(
+  inheritance: Inheritance,
+  node: TreeNode,
+  backends: readonly TreeNode[],
+): readonly TreeNode[] {
+  const sources = [...inheritance.chain(node)];
+  for (const backend of backends) sources.push(...inheritance.chain(backend));
+  return sources;
+}
+
+function sameNodes(left: readonly TreeNode[], right: readonly TreeNode[] | undefined): boolean {
+  return left.length === right?.length && left.every((node, index) => node === right[index]);
+}
+
+/** Resolves a service unless the previous one came from the very same nodes. */
+function resolveOrReuse(
+  inheritance: Inheritance,
+  node: TreeNode,
+  backends: readonly TreeNode[],
+  previous: EffectiveService | undefined,
+): EffectiveService {
+  const sources = sourcesOf(inheritance, node, backends);
+  if (previous && sameNodes(sources, SERVICE_SOURCES.get(previous))) return previous;
+  const service = shareService(resolveService(inheritance, node, backends), previous);
+  SERVICE_SOURCES.set(service, sources);
+  return service;
+}
+
 /**
  * Resolves a tree. Nothing is applied when there is any fault: the result is then the list of all of them.
- * Services that equal those of `previous` are the same objects, so that readers can compare by identity.
+ * Services that equal those of `previous` are the same objects, so that readers can compare by identity. The cost of
+ * a change is small when the document shares its unchanged nodes with the previous one (`applyChanges`, `shareNodes`).
  */
 export function resolveSettings(
   document: TreeDocument,
   version: number,
   previous?: EffectiveSettings,
 ): Result<EffectiveSettings, SettingsFault[]> {
-  const faults = validateDocument(document);
+  const malformed = checkShape(document);
+  if (malformed.length > 0) return Result.err(malformed);
+  const inheritance = new Inheritance(document.nodes);
+  const faults = validateNodes(document.nodes, inheritance);
   if (faults.length > 0) return Result.err(faults);
-  const nodes = indexNodes(document.nodes);
   const groups = backendsByService(document.nodes);
   const known = new Map(previous?.services.map((service) => [service.name, service]));
   const services = document.nodes
     .filter((node) => node.kind === 'service')
-    .map((node) => resolveService(nodes, node, groups.get(node.path) ?? []))
-    .map((service) => shareService(service, known.get(service.name)))
+    .map((node) => resolveOrReuse(inheritance, node, groups.get(node.path) ?? [], known.get(node.path)))
     .sort(byId);
   return Result.ok({ version, services });
 }
@@ -180,13 +213,12 @@
 
 /** The fields in force at a node, each with the node it was inherited from; undefined when there is no such node. */
 export function effectiveNode(document: TreeDocument, path: string): EffectiveNode | undefined {
-  const nodes = indexNodes(document.nodes);
-  const node = nodes.get(path);
+  const inheritance = new Inheritance(document.nodes);
+  const node = inheritance.nodes.get(path);
   if (!node) return undefined;
-  const chain = inheritanceChain(nodes, node);
   const definitions = FIELD_DEFINITIONS.filter((definition) => allowsField(node.kind, definition));
   const fields = definitions.map(({ name, unit }) => {
-    const { value, origin } = inheritedValue(chain, name);
+    const { value, origin } = inheritance.value(node, name);
     return { field: name, value, unit, origin };
   });
   return { path, kind: node.kind, fields };
--- a/src/settings/tree.ts
+++ b/src/settings/tree.ts
@@ -3,6 +3,8 @@
  * edits. Documents and nodes are immutable; an edit makes a new document that shares the untouched nodes.
  */
 
+import { hashString } from '../common/hash.js';
+
 /** Level of a node. */
 export type NodeKind = 'defaults' | 'site' | 'service' | 'backend';
 
@@ -113,3 +115,14 @@
   const sorted = [...nodes].sort((left, right) => comparePaths(left.path, right.path));
   return { ...document, nodes: sorted };
 }
+
+const NODE_IDS = new WeakMap<TreeNode, number>();
+
+/** 32-bit identifier of a node, `hashString(path)`; remembered for each node object. */
+export function nodeId(node: TreeNode): number {
+  const known = NODE_IDS.get(node);
+  if (known !== undefined) return known;
+  const id = hashString(node.path);
+  NODE_IDS.set(node, id);
+  return id;
+}
--- a/src/settings/validate.ts
+++ b/src/settings/validate.ts
@@ -1,31 +1,17 @@
 /** Validation of a whole tree: every fault at once. */
-import { hashString } from '../common/hash.js';
 import type { SettingsFault } from './errors.js';
-import { inheritanceChain, inheritedValue } from './inherit.js';
+import { Inheritance } from './inherit.js';
 import { checkNode, checkNodeShape, fault, isRecord } from './node-checks.js';
-import {
-  NODE_KINDS,
-  parentPath,
-  pathAbove,
-  type EditRecord,
-  type TreeDocument,
-  type TreeNode,
-} from './tree.js';
-
-type NodeIndex = ReadonlyMap<string, TreeNode>;
-
-function indexWithDuplicates(nodes: readonly TreeNode[]): { index: NodeIndex; faults: SettingsFault[] } {
-  const index = new Map<string, TreeNode>();
-  const faults: SettingsFault[] = [];
-  for (const node of nodes) {
-    if (index.has(node.path)) {
-      const place = { path: node.path, value: node.path };
-      faults.push(fault('settings.duplicate-node', place, 'appears more than once', 'Keep one node a path'));
-    } else {
-      index.set(node.path, node);
-    }
-  }
-  return { index, faults };
+import { NODE_KINDS, nodeId, pathAbove, type EditRecord, type TreeDocument, type TreeNode } from './tree.js';
+
+const NO_FAULTS: readonly SettingsFault[] = [];
+
+function checkDuplicates(inheritance: Inheritance, nodes: readonly TreeNode[]): SettingsFault[] {
+  const duplicates = nodes.filter((node) => inheritance.nodes.get(node.path) !== node);
+  return duplicates.map((node) => {
+    const place = { path: node.path, value: node.path };
+    return fault('settings.duplicate-node', place, 'appears more than once', 'Keep one node a path');
+  });
 }
 
 function missingParent(node: TreeNode, field: string, above: string): SettingsFault {
@@ -34,13 +20,13 @@
   return fault('settings.dangling-parent', place, 'names a node that does not exist', remedy);
 }
 
-function checkParents(index: NodeIndex, node: TreeNode): SettingsFault[] {
+function checkParents(nodes: ReadonlyMap<string, TreeNode>, node: TreeNode): SettingsFault[] {
   const above = pathAbove(node.path);
   const faults: SettingsFault[] = [];
-  if (above !== undefined && above !== '' && !index.has(above))
+  if (above !== undefined && above !== '' && !nodes.has(above))
     faults.push(missingParent(node, 'path', above));
   if (node.parent === undefined) return faults;
-  const parent = index.get(node.parent);
+  const parent = nodes.get(node.parent);
   if (!parent) return [...faults, missingParent(node, 'parent', node.parent)];
   if (NODE_KINDS.indexOf(parent.kind) <= NODE_KINDS.indexOf(node.kind)) return faults;
   const place = { path: node.path, field: 'parent', value: node.parent };
@@ -51,27 +37,30 @@
   return faults;
 }
 
-function checkCycles(index: NodeIndex): SettingsFault[] {
-  const settled = new Set<string>();
+/** Only a chain through an explicit parent can close a cycle, since the parent by path has a shorter path. */
+function checkCycles(inheritance: Inheritance, nodes: readonly TreeNode[]): SettingsFault[] {
+  const settled = new Set<TreeNode>();
   const faults: SettingsFault[] = [];
-  for (const start of index.values()) {
-    const walked = new Set<string>();
+  for (const start of nodes.filter((node) => node.parent !== undefined)) {
+    const walked: TreeNode[] = [];
+    const seen = new Set<TreeNode>();
     let node: TreeNode | undefined = start;
-    while (node && !settled.has(node.path) && !walked.has(node.path)) {
-      walked.add(node.path);
-      const above = parentPath(node);
-      node = above === undefined ? undefined : index.get(above);
+    while (node && !settled.has(node) && !seen.has(node)) {
+      walked.push(node);
+      seen.add(node);
+      node = inheritance.parentOf(node);
     }
-    if (node && walked.has(node.path)) faults.push(cycleFault(index, node));
-    for (const path of walked) settled.add(path);
+    if (node && seen.has(node)) faults.push(cycleFault(walked.slice(walked.indexOf(node))));
+    for (const done of walked) settled.add(done);
   }
   return faults;
 }
 
-function cycleFault(index: NodeIndex, start: TreeNode): SettingsFault {
-  const members = inheritanceChain(index, start).map((node) => node.path);
-  const place = { path: start.path, field: 'parent', value: start.parent };
-  const message = `closes a cycle of inheritance: ${[...members, start.path].join(' -> ')}`;
+function cycleFault(members: readonly TreeNode[]): SettingsFault {
+  const first = members.find((node) => node.parent !== undefined) ?? members[0];
+  const paths = [...members, members[0]].map((node) => (node?.path === '' ? 'defaults' : node?.path));
+  const place = { path: first?.path ?? '', field: 'parent', value: first?.parent };
+  const message = `closes a cycle of inheritance: ${paths.join(' -> ')}`;
   return fault('settings.cycle', place, message, 'Remove or change the parent of one of these nodes');
 }
 
@@ -119,12 +108,12 @@
   return book.faults;
 }
 
-function checkIds(index: NodeIndex): SettingsFault[] {
+function checkIds(nodes: readonly TreeNode[]): SettingsFault[] {
   const owners = new Map<number, string>();
   const faults: SettingsFault[] = [];
-  for (const node of index.values()) {
+  for (const node of nodes) {
     if (node.kind !== 'service' && node.kind !== 'backend') continue;
-    const id = hashString(node.path);
+    const id = nodeId(node);
     const owner = owners.get(id);
     if (owner === undefined) {
       owners.set(id, node.path);
@@ -137,21 +126,20 @@
   return faults;
 }
 
-function checkZone(index: NodeIndex, node: TreeNode): SettingsFault[] {
-  if (node.kind !== 'backend') return [];
-  if (inheritedValue(inheritanceChain(index, node), 'zone').value !== undefined) return [];
+function checkZone(inheritance: Inheritance, node: TreeNode): readonly SettingsFault[] {
+  if (node.kind !== 'backend') return NO_FAULTS;
+  if (inheritance.value(node, 'zone').value !== undefined) return NO_FAULTS;
   const place = { path: node.path, field: 'zone' };
   return [
     fault('settings.missing-zone', place, 'is not set', 'Set the zone on the back end or on a node above it'),
   ];
 }
 
-function checkProbeTimes(index: NodeIndex, node: TreeNode): SettingsFault[] {
-  if (node.kind !== 'service') return [];
-  const chain = inheritanceChain(index, node);
-  const interval = inheritedValue(chain, 'health.probeIntervalMs').value;
-  const timeout = inheritedValue(chain, 'health.probeTimeoutMs').value;
-  if (typeof interval !== 'number' || typeof timeout !== 'number' || timeout <= interval) return [];
+function checkProbeTimes(inheritance: Inheritance, node: TreeNode): readonly SettingsFault[] {
+  if (node.kind !== 'service') return NO_FAULTS;
+  const interval = inheritance.value(node, 'health.probeIntervalMs').value;
+  const timeout = inheritance.value(node, 'health.probeTimeoutMs').value;
+  if (typeof interval !== 'number' || typeof timeout !== 'number' || timeout <= interval) return NO_FAULTS;
   const place = { path: node.path, field: 'health.probeTimeoutMs', value: timeout };
   const remedy = 'Shorten health.probeTimeoutMs or lengthen health.probeIntervalMs';
   return [
@@ -160,29 +148,41 @@
 }
 
 /** Every fault of a list of well-shaped nodes; empty when the tree may be applied. */
-export function validateNodes(nodes: readonly TreeNode[]): SettingsFault[] {
-  const { index, faults } = indexWithDuplicates(nodes);
-  const unique = [...index.values()];
+export function validateNodes(
+  nodes: readonly TreeNode[],
+  inheritance = new Inheritance(nodes),
+): SettingsFault[] {
+  const unique = [...inheritance.nodes.values()];
   return [
-    ...faults,
-    ...unique.flatMap((node) => [...checkNode(node), ...checkParents(index, node)]),
-    ...checkCycles(index),
+    ...checkDuplicates(inheritance, nodes),
+    ...unique.flatMap(checkNode),
+    ...unique.flatMap((node) => checkParents(inheritance.nodes, node)),
+    ...checkCycles(inheritance, unique),
     ...checkAddresses(unique),
-    ...checkIds(index),
-    ...unique.flatMap((node) => [...checkZone(index, node), ...checkProbeTimes(index, node)]),
+    ...checkIds(unique),
+    ...unique.flatMap((node) => checkZone(inheritance, node)),
+    ...unique.flatMap((node) => checkProbeTimes(inheritance, node)),
   ];
 }
 
-/** Every fault of a document, which may be any JSON value. */
+/** Faults of the shape of a document, which may be any JSON value; none: it has a list of nodes. */
+export function checkShape(document: unknown): SettingsFault[] {
+  if (isRecord(document) && Array.isArray(document['nodes']))
+    return document['nodes'].flatMap(checkNodeShape);
+  const remedy = 'Store a document with a list of nodes';
+  return [fault('settings.malformed', { path: '', field: 'nodes' }, 'is not a settings tree', remedy)];
+}
+
+/** Every fault of a document, which may be any JSON value. Nodes without the shape of a node are judged no further. */
 export function validateDocument(document: unknown): SettingsFault[] {
-  if (!isRecord(document) || !Array.isArray(document['nodes'])) {
-    const remedy = 'Store a document with a list of nodes';
-    return [fault('settings.malformed', { path: '', field: 'nodes' }, 'is not a settings tree', remedy)];
-  }
-  const nodes: readonly unknown[] = document['nodes'];
-  const faults = nodes.flatMap(checkNodeShape);
-  const wellShaped = nodes.filter((node, position) => checkNodeShape(node, position).length === 0);
-  return [...faults, ...validateNodes(wellShaped as TreeNode[])];
+  const malformed = checkShape(document);
+  const list = isRecord(document) && Array.isArray(document['nodes']) ? document['nodes'] : [];
+  const nodes: readonly unknown[] = list;
+  const wellShaped =
+    malformed.length === 0
+      ? nodes
+      : nodes.filter((node, position) => checkNodeShape(node, position).length === 0);
+  return [...malformed, ...validateNodes(wellShaped as TreeNode[])];
 }
 
 function isEditRecord(value: unknown): value is EditRecord {
@@ -194,9 +194,7 @@
 
 /** Reads any JSON value as a document, without judging its fields; undefined when it is not one. */
 export function asTreeDocument(value: unknown): TreeDocument | undefined {
-  if (!isRecord(value) || !Array.isArray(value['nodes'])) return undefined;
-  const nodes = value['nodes'] as readonly unknown[];
-  if (nodes.some((node, position) => checkNodeShape(node, position).length > 0)) return undefined;
+  if (!isRecord(value) || checkShape(value).length > 0) return undefined;
   const edits: readonly unknown[] = Array.isArray(value['edits']) ? value['edits'] : [];
-  return { nodes: nodes as TreeNode[], edits: edits.filter(isEditRecord) };
+  return { nodes: value['nodes'] as TreeNode[], edits: edits.filter(isEditRecord) };
 }
