--- a/src/flow/flow-context.ts
+++ b/src/flow/flow-context.ts
@@ -24,6 +24,8 @@
   readonly replicas = new Map<number, ReplicaShard>();
   view: MembershipView;
   map: ShardMap;
+  /** Rises with each view. */
+  ownersSequence = 1;
   /** Set by a planned leave: this balancer owns no shards any more, whatever the view says. */
   leaving = false;
   /** Flows kept here that are not closed. */
@@ -55,6 +57,7 @@
   /** Takes over a view; false when the owners are the same as before. */
   setView(view: MembershipView): boolean {
     this.view = view;
+    this.ownersSequence += 1;
     this.indexMembers();
     const owners = listOwners(view).filter((member) => !this.leaving || member.id !== this.selfId);
     const changed = !sameOwners(this.map.owners, owners);
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -73,7 +73,7 @@
       receiver: this.receiver,
     });
     this.rebaser = new Rebaser(context);
-    this.reports = new PlacementReports(context);
+    this.reports = new PlacementReports(context, this.openings);
     this.expiry = new FlowExpiry(context);
     this.handOvers = new HandOver(context, this.ownership);
   }
--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -65,6 +65,7 @@
     if (opening && (flags & FlowFlag.CLOSED) !== 0 && kept.role === 'serving') {
       return this.openings.open(kept, fingerprint, packet, port);
     }
+    if (opening && (flags & FlowFlag.ANSWERED) === 0) this.openings.countSyn(fingerprint);
     this.context.components.edge.sendToBackend(packet, entry.endpoint);
     if ((flags & FlowFlag.CLOSED) === 0) this.follow(kept, slot, fingerprint, packet, entry);
   }
@@ -126,6 +127,11 @@
     packet: PacketView,
     port: ServicePort | undefined,
   ): void {
+    if (!this.isSurelyKeeper(kept)) {
+      // Another balancer may have taken the shard over and know the flow.
+      this.context.counters.unknownDropped += 1;
+      return;
+    }
     const entry = this.reconstruct(kept, fingerprint, port);
     if (!entry) return this.answerUnknown(packet, port);
     this.context.counters.reconstructed += 1;
@@ -140,7 +146,7 @@
     port: ServicePort | undefined,
   ): BackendEntry | undefined {
     const { context } = this;
-    if (kept.complete || !port || port.serviceIds.size !== 1 || !this.mayReconstruct(kept)) return undefined;
+    if (kept.complete || !port || port.serviceIds.size !== 1) return undefined;
     const [serviceId] = port.serviceIds;
     const entry = context.firstChoice(fingerprint, kept.baseVersion, serviceId!);
     const oldest = context.firstChoice(fingerprint, kept.oldestBaseVersion, serviceId!);
@@ -149,7 +155,7 @@
     return kept.rebase && next !== entry ? undefined : entry;
   }
 
-  private mayReconstruct(kept: KeptShard): boolean {
+  private isSurelyKeeper(kept: KeptShard): boolean {
     if (!this.context.view.quorate) return false;
     if (kept.backup) return kept.backup.leaseHeld;
     return this.context.now() >= this.context.cautiousUntilMs;
--- a/src/flow/openings.ts
+++ b/src/flow/openings.ts
@@ -25,6 +25,8 @@
   packet: PacketView | undefined;
   retainedAtMs: number;
   startedAtMs: number;
+  /** SYNs sent to the present back end; after a second one a reset says nothing about the first. */
+  sentSyns: number;
   /** Ids of back ends that have reset this opening. */
   readonly tried: Set<number>;
 }
@@ -81,6 +83,12 @@
     opening.retainedAtMs = this.context.now();
   }
 
+  /** One more SYN of the flow went to its back end, from here or from the acting backup. */
+  countSyn(fingerprint: FlowFingerprint): void {
+    const opening = this.unanswered.get(fingerprintKey(fingerprint.high, fingerprint.low));
+    if (opening) opening.sentSyns += 1;
+  }
+
   /** The back end answered, or the caller went on: the opening is over. */
   answered(fingerprint: FlowFingerprint, entry: BackendEntry): void {
     if (!this.unanswered.delete(fingerprintKey(fingerprint.high, fingerprint.low))) return;
@@ -95,13 +103,14 @@
   /** The back end reset the opening. True: it is tried on another one, and the caller must not see the reset. */
   retryAfterReset(fingerprint: FlowFingerprint, entry: BackendEntry): boolean {
     const opening = this.unanswered.get(fingerprintKey(fingerprint.high, fingerprint.low));
-    if (!opening?.packet || !this.mayOpen(opening.kept)) return false;
+    if (!opening?.packet || opening.sentSyns !== 1 || !this.mayOpen(opening.kept)) return false;
     opening.tried.add(entry.id);
     const decision = this.decide(opening.kept, opening.fingerprint, opening.service, opening.tried);
     if (decision === 'deferred' || decision.outcome === 'refuse') return false;
     if (!this.retryBudget(opening.service).tryRetry()) return false;
     this.context.counters.retried += 1;
     opening.retainedAtMs = this.context.now();
+    opening.sentSyns = 0;
     this.place(opening, this.context.catalogue.entry(opening.service, decision.backend));
     return true;
   }
@@ -201,6 +210,7 @@
       packet: this.context.components.edge.retain(packet),
       retainedAtMs: nowMs,
       startedAtMs: nowMs,
+      sentSyns: 0,
       tried: new Set(),
     };
     this.unanswered.set(fingerprintKey(fingerprint.high, fingerprint.low), opening);
@@ -276,7 +286,10 @@
     opening.startedAtMs = Math.max(opening.startedAtMs, opening.retainedAtMs);
     components.health.recordPassive(entry.id, 'opened');
     const stale = this.context.now() - opening.retainedAtMs > RETAIN_PACKET_MS;
-    if (packet && !stale) components.edge.sendToBackend(packet, entry.endpoint);
+    if (packet && !stale) {
+      opening.sentSyns += 1;
+      components.edge.sendToBackend(packet, entry.endpoint);
+    }
     if (service.limits.retryBudgetShare <= 0) opening.packet = undefined;
   }
 
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -61,6 +61,7 @@
     for (const targetId of this.parts.sender.targets()) {
       if (!this.context.member(targetId)) this.parts.sender.failTarget(targetId);
     }
+    this.acquireOwnShards();
     this.reconcile();
   }
 
@@ -81,6 +82,7 @@
     const outcome = this.installer.install(target, header, incoming.records);
     if (outcome === 'superseded') return 'done';
     this.dropBackup(target);
+    target.settledFor = 0;
     target.owed.push({ senderId: incoming.from.senderId, transferId: incoming.transferId });
     this.reconcileKept(target);
     return 'later';
@@ -112,7 +114,9 @@
     for (const shard of shards) {
       const kept = this.context.kept.get(shard);
       peer.shards.delete(shard);
-      if (kept?.backup === peer) kept.backup = undefined;
+      if (kept?.backup !== peer) continue;
+      kept.backup = undefined;
+      kept.settledFor = 0;
     }
   }
 
@@ -120,9 +124,7 @@
   onPeerClosed(peer: ReplicaPeer): void {
     for (const kept of this.context.kept.values()) {
       if (kept.backup !== peer) continue;
-      kept.backup = undefined;
-      peer.release(kept.shard);
-      kept.formerBackup = peer;
+      this.dropBackup(kept);
     }
   }
 
@@ -138,9 +140,10 @@
   }
 
   private reconcile(): void {
-    this.acquireOwnShards();
-    for (const kept of [...this.context.kept.values()]) this.reconcileKept(kept);
-    for (const replica of [...this.context.replicas.values()]) this.reconcileReplica(replica);
+    for (const kept of this.context.kept.values()) {
+      if (kept.settledFor !== this.context.ownersSequence) this.reconcileKept(kept);
+    }
+    for (const replica of this.context.replicas.values()) this.reconcileReplica(replica);
   }
 
   private acquireOwnShards(): void {
@@ -259,13 +262,9 @@
     const desired = this.context.map.backup(kept.shard, self);
     if (!desired) {
       this.dropBackup(kept);
-      kept.syncingTo = undefined;
-      return this.acknowledgeOwed(kept);
-    }
-    if (kept.backup?.memberId === desired.id) {
-      kept.syncingTo = undefined;
-      return this.acknowledgeOwed(kept);
+      return this.settle(kept);
     }
+    if (kept.backup?.memberId === desired.id) return this.settle(kept);
     if (kept.syncingTo !== desired.id) {
       kept.syncingTo = desired.id;
       kept.syncStarted = false;
@@ -273,6 +272,13 @@
     if (!kept.syncStarted && kept.unacknowledgedRecords === 0) this.startSync(kept, desired.id);
   }
 
+  /** Nothing is left to do until the view changes or the backup is lost. */
+  private settle(kept: KeptShard): void {
+    kept.syncingTo = undefined;
+    kept.settledFor = this.context.ownersSequence;
+    this.acknowledgeOwed(kept);
+  }
+
   private startSync(kept: KeptShard, targetId: string): void {
     kept.syncStarted = true;
     this.parts.sender.enqueue({
@@ -292,9 +298,13 @@
   }
 
   private onSynced(kept: KeptShard, targetId: string, boot: number, snapshot: ShardSnapshot): void {
-    if (!this.isSyncing(kept, targetId)) return;
-    const former = kept.backup;
     const peer = this.parts.peers.open(targetId, boot);
+    if (!this.isSyncing(kept, targetId)) {
+      // Another backup was chosen meanwhile, or the shard was given away: this replica is not kept up to date.
+      if (kept.backup !== peer) peer.disown(kept.shard);
+      return;
+    }
+    const former = kept.backup;
     kept.backup = peer;
     kept.syncingTo = undefined;
     peer.assign(kept.shard);
@@ -321,6 +331,7 @@
     kept.backup.release(kept.shard);
     kept.formerBackup = kept.backup;
     kept.backup = undefined;
+    kept.settledFor = 0;
   }
 
   /** Lets go of a shard that others hold now. */
--- a/src/flow/placement-reports.ts
+++ b/src/flow/placement-reports.ts
@@ -3,6 +3,7 @@
 import type { FlowContext } from './flow-context.js';
 import { shardOf } from './flow-key.js';
 import { FlowFlag } from './flow-table.js';
+import type { Openings } from './openings.js';
 import { sailquay } from './pb/flow.js';
 import { unpackBatch, type BatchRecord } from './record-codec.js';
 
@@ -10,7 +11,10 @@
 
 /** Takes reported flows into the kept shards. */
 export class PlacementReports {
-  constructor(private readonly context: FlowContext) {}
+  constructor(
+    private readonly context: FlowContext,
+    private readonly openings: Openings,
+  ) {}
 
   /** Takes in a report and acknowledges the flows that are known here now. */
   onReport(report: sailquay.flow.RecordBatch.$Properties, from: InboundControlMessage): void {
@@ -29,7 +33,10 @@
     if (!kept || kept.role !== 'serving' || !entry) return false;
     const slot = kept.table.find(record.high, record.low);
     // A pending opening learns the backup's placement with its own acknowledgement.
-    if (slot >= 0) return !kept.table.hasFlag(slot, FlowFlag.PENDING);
+    if (slot >= 0) {
+      this.openings.countSyn(record);
+      return !kept.table.hasFlag(slot, FlowFlag.PENDING);
+    }
     const first = this.context.firstChoice(record, kept.baseVersion, entry.serviceId);
     this.context.insertKept(kept.table, record, entry, first === entry ? 0 : FlowFlag.EXCEPTION);
     return true;
--- a/src/flow/replica-peer.ts
+++ b/src/flow/replica-peer.ts
@@ -108,6 +108,13 @@
     this.releasing.add(shard);
   }
 
+  /** Has a replica removed that is not replicated to. */
+  disown(shard: number): void {
+    if (this.shards.has(shard)) return;
+    this.releasing.add(shard);
+    this.sendReleases();
+  }
+
   /** Sends what is due: a heartbeat and the shards to let go of. */
   sendHeartbeat(): void {
     this.digestAtLastHeartbeat = this.shards.digest;
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -51,6 +51,8 @@
   formerBackup: ReplicaPeer | undefined;
   rebase: RebaseProgress | undefined;
   readonly owed: OwedAcknowledgement[] = [];
+  /** Sequence of the owners for which nothing is left to do; see `FlowContext.ownersSequence`. */
+  settledFor = 0;
   /** Since when the transfer's target has been missing from the view, monotonic ms. */
   targetGoneSinceMs: number | undefined;
 
--- a/src/flow/shard-map.ts
+++ b/src/flow/shard-map.ts
@@ -14,6 +14,11 @@
   return view.members.filter((member) => member.state === 'active' || member.state === 'suspect');
 }
 
+interface RankedBackup {
+  readonly member: Member;
+  readonly hash: number;
+}
+
 function compareIds(left: Member, right: Member): number {
   return left.id < right.id ? -1 : left.id > right.id ? 1 : 0;
 }
@@ -23,7 +28,7 @@
   private readonly hashes: Uint32Array;
   private readonly keepers = new Int16Array(SHARD_COUNT).fill(NO_OWNER);
   private readonly scores = new Uint32Array(SHARD_COUNT);
-  private readonly backupLists = new Map<string, readonly Member[]>();
+  private readonly backupLists = new Map<string, readonly RankedBackup[]>();
 
   private constructor(readonly owners: readonly Member[]) {
     this.hashes = Uint32Array.from(owners, (member) => hashString(member.id));
@@ -63,13 +68,12 @@
 
   /** Backup for a shard kept by `keeper`; undefined when the keeper is the only owner. */
   backup(shard: number, keeper: Member): Member | undefined {
-    const candidates = this.backups(keeper);
     let best: Member | undefined;
     let bestScore = -1;
-    for (const candidate of candidates) {
-      const score = combine32(hashString(candidate.id) ^ BACKUP_SALT, shard);
+    for (const candidate of this.rankedBackups(keeper)) {
+      const score = combine32(candidate.hash, shard);
       if (score <= bestScore) continue;
-      best = candidate;
+      best = candidate.member;
       bestScore = score;
     }
     return best;
@@ -77,16 +81,19 @@
 
   /** The replica peers of a keeper, best first. */
   backups(keeper: Member): readonly Member[] {
-    const cacheKey = `${keeper.id} ${keeper.zone}`;
-    let list = this.backupLists.get(cacheKey);
+    return this.rankedBackups(keeper).map((backup) => backup.member);
+  }
+
+  private rankedBackups(keeper: Member): readonly RankedBackup[] {
+    let list = this.backupLists.get(keeper.id);
     if (!list) {
       list = this.rankBackups(keeper);
-      this.backupLists.set(cacheKey, list);
+      this.backupLists.set(keeper.id, list);
     }
     return list;
   }
 
-  private rankBackups(keeper: Member): readonly Member[] {
+  private rankBackups(keeper: Member): readonly RankedBackup[] {
     const others = this.owners.filter((member) => member.id !== keeper.id);
     const otherZones = others.filter((member) => member.zone !== keeper.zone);
     const keeperHash = hashString(keeper.id);
@@ -95,7 +102,10 @@
       score: combine32(keeperHash, hashString(member.id)),
     }));
     ranked.sort((left, right) => right.score - left.score || compareIds(left.member, right.member));
-    return ranked.slice(0, MAX_BACKUPS_PER_KEEPER).map((entry) => entry.member);
+    return ranked.slice(0, MAX_BACKUPS_PER_KEEPER).map(({ member }) => ({
+      member,
+      hash: hashString(member.id) ^ BACKUP_SALT,
+    }));
   }
 
   private assign(shard: number): void {
--- a/src/flow/shard-sender.ts
+++ b/src/flow/shard-sender.ts
@@ -52,10 +52,19 @@
   attempts: number;
 }
 
-/** Transfers to one member. */
-interface TransferLane {
-  readonly queued: OutgoingShard[];
-  readonly active: Map<number, ActiveTransfer>;
+/**
+ * Transfers to one member, either snapshots for a backup or shards for a keeper. The two have windows of their own,
+ * because a shard is only acknowledged once its receiver has replicated it, perhaps to this balancer and in turn.
+ */
+class TransferLane {
+  readonly queued: OutgoingShard[] = [];
+  readonly active = new Map<number, ActiveTransfer>();
+
+  constructor(readonly targetId: string) {}
+
+  all(): OutgoingShard[] {
+    return [...[...this.active.values()].map((transfer) => transfer.outgoing), ...this.queued];
+  }
 }
 
 /** Every transfer of this balancer. */
@@ -70,42 +79,44 @@
 
   /** Queues a shard; the lane of its target starts it when the window has room. */
   enqueue(outgoing: OutgoingShard): void {
-    this.lane(outgoing.targetId).queued.push(outgoing);
+    this.lane(outgoing).queued.push(outgoing);
   }
 
   /** Starts and repeats what is due. */
   tick(): void {
     this.sendOffersWhenDue();
-    for (const [targetId, lane] of this.lanes) this.pump(targetId, lane);
+    for (const lane of this.lanes.values()) this.pump(lane);
   }
 
   /** Ends every transfer to a member that is gone. */
   failTarget(targetId: string): void {
-    const lane = this.lanes.get(targetId);
-    if (!lane) return;
-    this.lanes.delete(targetId);
-    const outgoing = [...[...lane.active.values()].map((transfer) => transfer.outgoing), ...lane.queued];
-    for (const entry of outgoing) entry.onFailed();
+    const lanes = this.lanesOf(targetId);
+    for (const [key] of lanes) this.lanes.delete(key);
+    for (const [, lane] of lanes) for (const outgoing of lane.all()) outgoing.onFailed();
   }
 
   /** Members that something is queued for or on its way to. */
   targets(): string[] {
-    return [...this.lanes.keys()];
+    return [...new Set([...this.lanes.values()].map((lane) => lane.targetId))];
   }
 
   /** Takes in the receiver's acknowledgements. */
   onAcks(acks: readonly sailquay.flow.ShardAck.$Properties[], from: InboundControlMessage): void {
-    const lane = this.lanes.get(from.senderId);
-    if (!lane) return;
-    for (const ack of acks) this.onAck(lane, ack, from.senderIncarnation);
-    this.pump(from.senderId, lane);
+    const lanes = this.lanesOf(from.senderId);
+    for (const ack of acks) for (const [, lane] of lanes) this.onAck(lane, ack, from.senderIncarnation);
+    for (const [, lane] of lanes) this.pump(lane);
+  }
+
+  private lanesOf(targetId: string): [string, TransferLane][] {
+    return [...this.lanes].filter(([, lane]) => lane.targetId === targetId);
   }
 
-  private lane(targetId: string): TransferLane {
-    let lane = this.lanes.get(targetId);
+  private lane(outgoing: OutgoingShard): TransferLane {
+    const key = `${outgoing.targetId} ${outgoing.purpose === ShardPurpose.REPLICA ? 'replicas' : 'shards'}`;
+    let lane = this.lanes.get(key);
     if (!lane) {
-      lane = { queued: [], active: new Map() };
-      this.lanes.set(targetId, lane);
+      lane = new TransferLane(outgoing.targetId);
+      this.lanes.set(key, lane);
     }
     return lane;
   }
@@ -121,15 +132,11 @@
     else transfer.outgoing.onFailed();
   }
 
-  private pump(targetId: string, lane: TransferLane): void {
+  private pump(lane: TransferLane): void {
     while (lane.active.size < TRANSFER_WINDOW_SHARDS && lane.queued.length > 0) {
       this.begin(lane, lane.queued.shift()!);
     }
-    if (lane.active.size === 0) {
-      if (lane.queued.length === 0) this.lanes.delete(targetId);
-      return;
-    }
-    this.sendDue(targetId, lane);
+    if (lane.active.size > 0) this.sendDue(lane);
   }
 
   private begin(lane: TransferLane, outgoing: OutgoingShard): void {
@@ -150,9 +157,9 @@
     });
   }
 
-  private sendDue(targetId: string, lane: TransferLane): void {
+  private sendDue(lane: TransferLane): void {
     const nowMs = this.context.now();
-    const batch = new PartBatch((parts) => this.send(targetId, parts));
+    const batch = new PartBatch((parts) => this.send(lane.targetId, parts));
     for (const transfer of lane.active.values()) {
       if (transfer.nextSendMs > nowMs) continue;
       if (!this.sendTransfer(transfer, batch)) return;
@@ -181,12 +188,12 @@
     const nowMs = this.context.now();
     if (nowMs < this.nextOfferMs) return;
     this.nextOfferMs = nowMs + HEARTBEAT_MS;
-    for (const [targetId, lane] of this.lanes) {
-      const all = [...[...lane.active.values()].map((transfer) => transfer.outgoing), ...lane.queued];
-      const shards = all
+    for (const lane of this.lanes.values()) {
+      const shards = lane
+        .all()
         .filter((outgoing) => outgoing.purpose !== ShardPurpose.REPLICA)
         .map((outgoing) => outgoing.shard);
-      const member = this.context.member(targetId);
+      const member = this.context.member(lane.targetId);
       if (shards.length === 0 || !member) continue;
       const payload = HandoverMessage.encode({ offer: { shards: toBitmap(shards) } }).finish();
       this.context.components.control.send(member.control, 'handover', payload);
