Split the daemon into wiring, life and planned stop

Cause: daemon.ts mixed the start order with the life of the process; limits and keys named as reloadable were only partly so; a lone balancer waited 30 s for a hand-over that nobody could take. Change: wiring.ts, planned-stop.ts; flow limits follow a reread; changed fields are named within their groups; a stop without another owner skips the hand-over with an event.

--- a/src/daemon/config.test.ts
+++ b/src/daemon/config.test.ts
@@ -88,5 +88,6 @@
 test('changed fields are named', (t) => {
   const before = parseDaemonConfig(VALID);
   const after = parseDaemonConfig({ ...VALID, zone: 'halle-sued', limits: { maxFlows: 7 } });
-  t.deepEqual(changedFields(before, after), ['zone', 'limits']);
+  t.deepEqual(changedFields(before, after), ['zone', 'limits.maxFlows']);
+  t.deepEqual(changedFields(before, { ...before, platform: 'http://127.0.0.1:1' }), ['platform']);
 });
--- a/src/daemon/config.ts
+++ b/src/daemon/config.ts
@@ -82,6 +82,9 @@
   drain: drain.prefault({}),
 });
 
+/** Fields that hold a group of fields. */
+const GROUPS: ReadonlySet<string> = new Set(['limits', 'log', 'drain']);
+
 /** A checked configuration. */
 export type DaemonConfig = z.output<typeof daemonConfigSchema>;
 
@@ -112,10 +115,21 @@
   );
 }
 
-/** Top-level fields whose values differ. */
-export function changedFields(before: DaemonConfig, after: DaemonConfig): (keyof DaemonConfig)[] {
-  const fields = Object.keys(daemonConfigSchema.shape) as (keyof DaemonConfig)[];
-  return fields.filter((field) => JSON.stringify(before[field]) !== JSON.stringify(after[field]));
+/** Fields whose values differ, with groups written as `group.field`. */
+export function changedFields(before: DaemonConfig, after: DaemonConfig): string[] {
+  const old = leaves(before);
+  const next = leaves(after);
+  return [...new Set([...old.keys(), ...next.keys()])].filter((field) => old.get(field) !== next.get(field));
+}
+
+/** Each field as text; groups are taken apart, addresses and lists are not. */
+function leaves(config: DaemonConfig): Map<string, string> {
+  const fields = Object.entries(config).flatMap(([field, value]): [string, unknown][] =>
+    GROUPS.has(field)
+      ? Object.entries(value as object).map(([name, part]) => [`${field}.${name}`, part])
+      : [[field, value]],
+  );
+  return new Map(fields.map(([field, value]) => [field, JSON.stringify(value)]));
 }
 
 function readYaml(path: string): Record<string, unknown> {
--- a/src/daemon/constants.ts
+++ b/src/daemon/constants.ts
@@ -30,11 +30,5 @@
 /** How often a starting daemon looks whether it may become active. */
 export const ACTIVATION_POLL_INTERVAL_MS = 100;
 
-/** How often the machine list of the platform is read for seeds while no other member is known. */
-export const SEED_REFRESH_INTERVAL_MS = 2_000;
-
-/** How often it is read once other members are known. */
-export const SEED_REFRESH_SETTLED_MS = 60_000;
-
 /** Longest time a SIGTERM waits for the hand-over itself before it is given up with an event. */
 export const HANDOVER_TIMEOUT_MS = 30_000;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,18 +1,15 @@
-/** The life of one balancer: binds its sockets, joins, becomes active, rereads, hands over and stops. */
-import { delay, waitUntilQuiet } from './drain.js';
+/** The life of one balancer: it joins, becomes active, rereads its configuration, hands over and stops. */
 import { formatEndpoint } from '../common/types.js';
-import { UdpControlChannel } from '../control/index.js';
-import { AdminServer, DaemonMetrics, type AdminSource, type Readiness } from '../observability/index.js';
-import { createPlatformClient, type ConnectedPlatformClient } from '../platform/index.js';
-import type { Components, DaemonEnvironment, DaemonSockets } from './components.js';
+import { DaemonMetrics, type AdminSource, type Readiness } from '../observability/index.js';
+import type { Components, DaemonEnvironment } from './components.js';
 import { changedFields, type DaemonConfig } from './config.js';
-import { ACTIVATION_POLL_INTERVAL_MS, HANDOVER_TIMEOUT_MS } from './constants.js';
-import { createControlPlane, type BalancerIdentity } from './control-plane.js';
-import { bindEdge, EdgeGate, KnownSources, startDataPlane } from './data-plane.js';
+import { ACTIVATION_POLL_INTERVAL_MS } from './constants.js';
+import { delay } from './drain.js';
 import { DAEMON_EVENTS } from './events.js';
-import { MemoryGuard } from './memory-guard.js';
+import { leaveAndHandOver } from './planned-stop.js';
 import type { DaemonPhase, DaemonStatus } from './status.js';
-import { describeDaemon, processStatus, snapshotMetrics } from './status-source.js';
+import { describeDaemon, snapshotMetrics } from './status-source.js';
+import { wireDaemon } from './wiring.js';
 
 /** The line that a daemon prints once its sockets are bound. */
 export interface ReadyLine {
@@ -26,12 +23,13 @@
 }
 
 /** Fields that a reread puts in force at once; the others need a restart. */
-const RELOADABLE: ReadonlySet<keyof DaemonConfig> = new Set(['log', 'limits', 'drain', 'clusterKeyFile']);
+const RELOADABLE = /^(limits|drain)\.|^log\.level$/;
+
+const STARTING: Readiness = { ready: false, reasons: ['starting'] };
 
 /** One running balancer. */
 export class Daemon {
   private phase: DaemonPhase = 'starting';
-  private readonly stopping = new AbortController();
   private stopped: Promise<void> | undefined;
   private lastReady: boolean | undefined;
   /**
@@ -39,28 +37,41 @@
    * to the previous holder, and all balancers that take over at once would leave the fabric with none.
    */
   private hasServed = false;
-  private components!: Components;
+  readonly metrics = new DaemonMetrics(() => snapshotMetrics(this.components, this.readiness()));
 
   private constructor(
-    private config: DaemonConfig,
-    private readonly environment: DaemonEnvironment,
+    private readonly components: Components,
+    /** The configuration in force; read anew by the components after a reread. */
+    private readonly current: { config: DaemonConfig },
+    private readonly dataPath: AbortController,
   ) {}
 
   /** Binds the sockets, wires the components and starts joining. Throws a `SailquayError` when a socket or key fails. */
   static async start(config: DaemonConfig, environment: DaemonEnvironment): Promise<Daemon> {
-    const daemon = new Daemon(config, environment);
-    await daemon.open();
+    const current = { config };
+    const dataPath = new AbortController();
+    const started: { daemon?: Daemon } = {};
+    const components = await wireDaemon(config, {
+      environment,
+      adminSource: adminSourceOf(() => started.daemon, environment),
+      limits: () => current.config.limits,
+      signal: dataPath.signal,
+    });
+    const daemon = new Daemon(components, current, dataPath);
+    started.daemon = daemon;
+    environment.events.emit(DAEMON_EVENTS.started, { ...daemon.readyLine() });
+    void daemon.follow();
     return daemon;
   }
 
   readyLine(): ReadyLine {
-    const { identity } = this.components;
+    const { id, control, data, admin } = this.components.identity;
     return {
       ready: true,
-      id: identity.id,
-      control: formatEndpoint(identity.control),
-      data: formatEndpoint(identity.data),
-      admin: formatEndpoint(identity.admin),
+      id,
+      control: formatEndpoint(control),
+      data: formatEndpoint(data),
+      admin: formatEndpoint(admin),
       pid: process.pid,
     };
   }
@@ -71,7 +82,6 @@
 
   /** Whether new flows may come here, with every reason why not. */
   readiness(): Readiness {
-    if (this.phase === 'starting' && !this.components) return { ready: false, reasons: ['starting'] };
     const { controlPlane, dataPlane } = this.components;
     const reasons: string[] = [];
     if (this.phase !== 'active') reasons.push(this.phase);
@@ -83,15 +93,13 @@
 
   /** Puts a new configuration in force as far as possible and reads the cluster keys again. */
   reload(config: DaemonConfig): void {
-    const changed = changedFields(this.config, config);
-    const needsRestart = changed.filter((field) => !RELOADABLE.has(field));
-    const { control, events } = this.components;
-    const { limits, log, drain } = config;
-    this.config = { ...this.config, limits, log, drain };
-    control.reloadKeys();
-    events.emit(DAEMON_EVENTS.configReread, {
+    const changed = changedFields(this.current.config, config);
+    const { limits, drain } = config;
+    this.current.config = { ...this.current.config, limits, drain };
+    this.components.control.reloadKeys();
+    this.components.events.emit(DAEMON_EVENTS.configReread, {
       changed: changed.join(',') || 'nothing',
-      needsRestart: needsRestart.join(',') || 'nothing',
+      needsRestart: changed.filter((field) => !RELOADABLE.test(field)).join(',') || 'nothing',
     });
   }
 
@@ -102,127 +110,21 @@
   }
 
   /** Stops at once, without a hand-over. */
-  async abort(): Promise<void> {
+  abort(): Promise<void> {
     this.stopped ??= this.close();
-    await this.stopped;
-  }
-
-  private async open(): Promise<void> {
-    const { config, environment } = this;
-    const { clock, random, events } = environment;
-    const sources = new KnownSources(config.id);
-    const incarnation = clock.wall();
-    const sockets = await this.bindSockets(sources, incarnation);
-    const { admin, gate } = sockets;
-    const control = environment.faults?.wrapControl(sockets.control) ?? sockets.control;
-    const edge = environment.faults?.wrapEdge(sockets.edge) ?? sockets.edge;
-    const identity: BalancerIdentity = {
-      id: config.id,
-      region: config.region,
-      zone: config.zone,
-      control: sockets.control.endpoint,
-      data: sockets.edge.endpoint,
-      admin: admin.endpoint,
-      incarnation,
-    };
-    const platform = this.connectPlatform();
-    const load = { openFlows: (id: number): number => gate.forwarder?.openFlows(id) ?? 0 };
-    const controlPlane = createControlPlane({
-      identity,
-      clock,
-      random,
-      events,
-      control,
-      platform,
-      seeds: config.seeds,
-      load,
-    });
-    const memory = this.createMemoryGuard();
-    const { membership, settings, health } = controlPlane;
-    const memoryExceeded = (): boolean => memory.exceeded();
-    const dataPlane = startDataPlane(
-      {
-        config,
-        ...{ clock, random, events, control, edge, gate, sources, membership, settings, health },
-        memoryExceeded,
-      },
-      this.stopping.signal,
-    );
-    this.components = { ...environment, ...sockets, identity, platform, controlPlane, dataPlane, memory };
-    memory.start();
-    controlPlane.start();
-    events.emit(DAEMON_EVENTS.started, { ...this.readyLine() });
-    void this.activateWhenPossible();
-  }
-
-  private async bindSockets(sources: KnownSources, incarnation: number): Promise<DaemonSockets> {
-    const { config } = this;
-    const { clock, events } = this.environment;
-    const gate = new EdgeGate();
-    const admin = await AdminServer.listen(config.admin, this.adminSource());
-    const opened = await UdpControlChannel.open({
-      bind: config.control,
-      memberId: config.id,
-      incarnation,
-      keyFile: config.clusterKeyFile,
-      clock,
-      events,
-      budgetBytesPerSecond: config.controlBudgetBytesPerSecond,
-    });
-    if (opened.isErr) {
-      await admin.close();
-      throw opened.error;
-    }
-    const control = opened.value;
-    try {
-      return { admin, control, edge: await bindEdge(config, sources, gate, events, clock), gate };
-    } catch (error) {
-      await Promise.all([admin.close(), control.close()]);
-      throw error;
-    }
-  }
-
-  private connectPlatform(): ConnectedPlatformClient | undefined {
-    const { platform, id } = this.config;
-    if (platform === undefined) return undefined;
-    const { clock, random, events } = this.environment;
-    return createPlatformClient({ baseUrl: platform, clock, random, events, caller: id });
-  }
-
-  private createMemoryGuard(): MemoryGuard {
-    const { clock, events } = this.environment;
-    return new MemoryGuard({
-      clock,
-      events,
-      limitMegabytes: () => this.config.limits.maxMemoryMegabytes,
-      residentBytes: () => processStatus().residentBytes,
-    });
-  }
-
-  private adminSource(): AdminSource {
-    const { faults } = this.environment;
-    const metrics = new DaemonMetrics(() => snapshotMetrics(this.components, this.readiness()));
-    return {
-      readiness: () => this.readiness(),
-      status: () => this.status(),
-      metrics: async () => ({ contentType: metrics.contentType, text: await metrics.render() }),
-      setFaults: faults && ((body) => faults.set(body)),
-    };
+    return this.stopped;
   }
 
-  private async activateWhenPossible(): Promise<void> {
-    const { clock, controlPlane, events } = this.components;
-    while (this.phase === 'starting') {
-      if (controlPlane.mayActivate()) {
+  /** Becomes active once that is possible, then reports each change of readiness. */
+  private async follow(): Promise<void> {
+    const { clock, controlPlane, dataPlane, events } = this.components;
+    while (this.phase === 'starting' || this.phase === 'active') {
+      if (this.phase === 'starting' && controlPlane.mayActivate()) {
         controlPlane.membership.activate();
         this.phase = 'active';
         events.emit(DAEMON_EVENTS.activated, { settingsVersion: controlPlane.settings.status().version });
-      } else {
-        await delay(clock, ACTIVATION_POLL_INTERVAL_MS);
       }
-    }
-    while (this.phase === 'active') {
-      this.hasServed ||= this.components.dataPlane.forwarder.isServing();
+      this.hasServed ||= dataPlane.forwarder.isServing();
       this.reportReadiness();
       await delay(clock, ACTIVATION_POLL_INTERVAL_MS);
     }
@@ -231,47 +133,27 @@
   private reportReadiness(): void {
     const { ready, reasons } = this.readiness();
     if (ready === this.lastReady) return;
+    const { events } = this.components;
+    if (ready) events.emit(DAEMON_EVENTS.ready);
+    else if (this.lastReady) events.emit(DAEMON_EVENTS.notReady, { reasons: reasons.join(', ') });
     this.lastReady = ready;
-    const event = ready ? DAEMON_EVENTS.ready : DAEMON_EVENTS.notReady;
-    this.components.events.emit(event, ready ? {} : { reasons: reasons.join(', ') });
   }
 
   private async drainAndClose(): Promise<void> {
-    const { clock, events, gate, controlPlane } = this.components;
+    const { events, dataPlane } = this.components;
     const wasActive = this.phase === 'active';
     this.phase = 'draining';
-    events.emit(DAEMON_EVENTS.stopping, { openFlows: this.components.dataPlane.forwarder.statistics().open });
-    if (wasActive) {
-      controlPlane.membership.leave();
-      await this.handOver();
-      const { quietMs, maxMs } = this.config.drain;
-      const quiet = await waitUntilQuiet({
-        clock,
-        quietMs,
-        maxMs,
-        packetsReceived: () => gate.packetsReceived,
-      });
-      if (!quiet) events.emit(DAEMON_EVENTS.drainTimedOut, { maxMs });
-    }
+    events.emit(DAEMON_EVENTS.stopping, { openFlows: dataPlane.forwarder.statistics().open });
+    if (wasActive) await leaveAndHandOver(this.components, this.current.config.drain);
     await this.close();
   }
 
-  private async handOver(): Promise<void> {
-    const { clock, events, dataPlane } = this.components;
-    const timeout = new AbortController();
-    const timer = clock.schedule(HANDOVER_TIMEOUT_MS, () => timeout.abort());
-    const report = await dataPlane.forwarder.handOver(timeout.signal);
-    timer.cancel();
-    const event =
-      report.left + report.replicasLeft > 0 ? DAEMON_EVENTS.handoverIncomplete : DAEMON_EVENTS.handedOver;
-    events.emit(event, { ...report });
-  }
-
   private async close(): Promise<void> {
     const { memory, controlPlane, control, edge, admin, platform, events } = this.components;
+    this.phase = 'draining';
     memory.stop();
     await controlPlane.stop();
-    this.stopping.abort();
+    this.dataPath.abort();
     await platform?.close();
     await edge.close();
     await control.close();
@@ -280,3 +162,16 @@
     events.emit(DAEMON_EVENTS.stopped);
   }
 }
+
+/** What the admin address shows; `starting` until the daemon exists. */
+function adminSourceOf(daemon: () => Daemon | undefined, { faults }: DaemonEnvironment): AdminSource {
+  return {
+    readiness: () => daemon()?.readiness() ?? STARTING,
+    status: () => daemon()?.status() ?? STARTING,
+    metrics: async () => {
+      const metrics = daemon()?.metrics;
+      return { contentType: metrics?.contentType ?? 'text/plain', text: (await metrics?.render()) ?? '' };
+    },
+    setFaults: faults && ((body) => faults.set(body)),
+  };
+}
--- a/src/daemon/data-plane.ts
+++ b/src/daemon/data-plane.ts
@@ -6,7 +6,7 @@
 import type { SettingsFeed } from '../dissemination/types.js';
 import { createEdgePort, type BoundEdgePort, type EdgeHandler } from '../fabric/index.js';
 import type { EdgePort } from '../fabric/types.js';
-import { createForwarder, type PacketForwarder } from '../flow/index.js';
+import { createForwarder, type FlowLimits, type PacketForwarder } from '../flow/index.js';
 import type { HealthFeed } from '../health/types.js';
 import type { MembershipFeed, MembershipView } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
@@ -76,6 +76,8 @@
   readonly membership: MembershipFeed;
   readonly settings: SettingsFeed;
   readonly health: HealthFeed;
+  /** Limits in force now. */
+  readonly limits: () => DaemonConfig['limits'];
   readonly memoryExceeded: () => boolean;
 }
 
@@ -119,7 +121,7 @@
     settings,
     limiter: admission,
     events,
-    limits: config.limits,
+    limits: liveLimits(options.limits),
   });
   followSources(options, signal);
   forwarder.start(signal);
@@ -127,6 +129,18 @@
   return { forwarder, policy, admission };
 }
 
+/** Limits that follow a reread of the configuration. */
+function liveLimits(limits: DataPlaneOptions['limits']): FlowLimits {
+  return {
+    get maxFlows() {
+      return limits().maxFlows;
+    },
+    get maxPendingOpenings() {
+      return limits().maxPendingOpenings;
+    },
+  };
+}
+
 function followSources({ sources, membership, settings }: DataPlaneOptions, signal: AbortSignal): void {
   sources.setView(membership.view());
   const current = settings.current();
--- a/src/daemon/events.ts
+++ b/src/daemon/events.ts
@@ -68,10 +68,10 @@
     action: 'See the reasons; readiness returns by itself once they are gone',
   },
   ready: { number: 1014, level: 'info', message: 'The daemon is ready for new flows', action: 'none' },
-  machineListUnavailable: {
+  noHeir: {
     number: 1015,
     level: 'warn',
-    message: 'The platform gave no machine list; configured seeds are used',
-    action: 'Check the platform; nothing else depends on it once members are known',
+    message: 'No other balancer of the region can take the flows over',
+    action: 'Start another balancer before this one is stopped; its open flows break',
   },
 });
--- /dev/null
+++ b/src/daemon/wiring.ts
@@ -0,0 +1,138 @@
+/** Binds the sockets of a daemon and wires its components; the order of start stands here. */
+import type { EventLog } from '../observability/event.js';
+import { UdpControlChannel } from '../control/index.js';
+import { AdminServer, type AdminSource } from '../observability/index.js';
+import { createPlatformClient, type ConnectedPlatformClient } from '../platform/index.js';
+import type { Components, DaemonEnvironment, DaemonSockets } from './components.js';
+import type { DaemonConfig } from './config.js';
+import { createControlPlane, type BalancerIdentity } from './control-plane.js';
+import { bindEdge, EdgeGate, KnownSources, startDataPlane } from './data-plane.js';
+import { MemoryGuard } from './memory-guard.js';
+import { processStatus } from './status-source.js';
+
+/** What the wiring needs besides the configuration. */
+export interface WiringOptions {
+  readonly environment: DaemonEnvironment;
+  /** What the admin address shows; asked only once the components exist. */
+  readonly adminSource: AdminSource;
+  /** Limits in force, which a reread of the configuration may change. */
+  readonly limits: () => DaemonConfig['limits'];
+  /** Ends the data path. */
+  readonly signal: AbortSignal;
+}
+
+/** Binds admin, control and data sockets, wires everything, starts the data path and joins the region. */
+export async function wireDaemon(config: DaemonConfig, options: WiringOptions): Promise<Components> {
+  const { environment, limits, signal } = options;
+  const { clock, random, events, faults } = environment;
+  const sources = new KnownSources(config.id);
+  const incarnation = clock.wall();
+  const sockets = await bindSockets(config, options, sources, incarnation);
+  const { gate } = sockets;
+  const control = faults?.wrapControl(sockets.control) ?? sockets.control;
+  const edge = faults?.wrapEdge(sockets.edge) ?? sockets.edge;
+  const identity = identify(config, sockets, incarnation);
+  const platform = connectPlatform(config, environment);
+  const load = { openFlows: (id: number): number => gate.forwarder?.openFlows(id) ?? 0 };
+  const { seeds } = config;
+  const parts = { identity, clock, random, events, control, platform, seeds, load };
+  const controlPlane = createControlPlane(parts);
+  const memory = createMemoryGuard(environment, limits);
+  const { membership, settings, health } = controlPlane;
+  const dataPlane = startDataPlane(
+    {
+      ...{
+        config,
+        clock,
+        random,
+        events,
+        control,
+        edge,
+        gate,
+        sources,
+        membership,
+        settings,
+        health,
+        limits,
+      },
+      memoryExceeded: () => memory.exceeded(),
+    },
+    signal,
+  );
+  memory.start();
+  controlPlane.start();
+  return { ...environment, ...sockets, identity, platform, controlPlane, dataPlane, memory };
+}
+
+async function bindSockets(
+  config: DaemonConfig,
+  { environment, adminSource }: WiringOptions,
+  sources: KnownSources,
+  incarnation: number,
+): Promise<DaemonSockets> {
+  const { clock, events } = environment;
+  const gate = new EdgeGate();
+  const admin = await AdminServer.listen(config.admin, adminSource);
+  try {
+    const control = await openControl(config, environment, events, incarnation);
+    try {
+      return { admin, control, edge: await bindEdge(config, sources, gate, events, clock), gate };
+    } catch (error) {
+      await control.close();
+      throw error;
+    }
+  } catch (error) {
+    await admin.close();
+    throw error;
+  }
+}
+
+async function openControl(
+  config: DaemonConfig,
+  { clock }: DaemonEnvironment,
+  events: EventLog,
+  incarnation: number,
+): Promise<UdpControlChannel> {
+  const opened = await UdpControlChannel.open({
+    bind: config.control,
+    memberId: config.id,
+    incarnation,
+    keyFile: config.clusterKeyFile,
+    clock,
+    events,
+    budgetBytesPerSecond: config.controlBudgetBytesPerSecond,
+  });
+  if (opened.isErr) throw opened.error;
+  return opened.value;
+}
+
+function identify(config: DaemonConfig, sockets: DaemonSockets, incarnation: number): BalancerIdentity {
+  const { id, region, zone } = config;
+  const { control, edge, admin } = sockets;
+  return {
+    ...{ id, region, zone, incarnation },
+    control: control.endpoint,
+    data: edge.endpoint,
+    admin: admin.endpoint,
+  };
+}
+
+function connectPlatform(
+  { platform, id }: DaemonConfig,
+  { clock, random, events }: DaemonEnvironment,
+): ConnectedPlatformClient | undefined {
+  if (platform === undefined) return undefined;
+  return createPlatformClient({ baseUrl: platform, clock, random, events, caller: id });
+}
+
+function createMemoryGuard(
+  { clock, events }: DaemonEnvironment,
+  limits: WiringOptions['limits'],
+): MemoryGuard {
+  return new MemoryGuard({
+    clock,
+    events,
+    limitMegabytes: () => limits().maxMemoryMegabytes,
+    residentBytes: () => processStatus().residentBytes,
+  });
+}
