--- a/src/control/envelope.ts
+++ b/src/control/envelope.ts
@@ -69,7 +69,7 @@
   const incarnationBytes = 9;
   const sequenceBytes = 4;
   const wallBytes = 5;
-  const payloadHeaderBytes = payloadBytes < 128 ? 2 : 3;
+  const payloadHeaderBytes = payloadBytes === 0 ? 0 : payloadBytes < 128 ? 2 : 3;
   const envelopeBytes =
     versionsKeyAndKind + idBytes + incarnationBytes + sequenceBytes + wallBytes + payloadHeaderBytes;
   return IP_UDP_HEADER_BYTES + envelopeBytes + payloadBytes + MAC_BYTES;
--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -56,6 +56,9 @@
 /** Members that get each gossip round. */
 export const GOSSIP_FANOUT = 3;
 
+/** With less of the byte budget free than this, gossip goes to one member a round. */
+export const GOSSIP_RESERVE_BYTES_PER_SECOND = 12_000;
+
 /** Each update is sent RETRANSMIT_FACTOR * ceil(log10(members + 1)) times by each member. */
 export const RETRANSMIT_FACTOR = 4;
 
--- a/src/membership/gossip-queue.ts
+++ b/src/membership/gossip-queue.ts
@@ -7,7 +7,6 @@
   readonly bytes: Uint8Array;
   /** The entry carries id, zone and endpoints. */
   readonly introduce: boolean;
-  sent: number;
 }
 
 /** Bytes that a repeated protobuf field adds to an entry of less than 128 bytes. */
@@ -20,36 +19,62 @@
 
 /** At most one piece of news for each member; later news takes the place of earlier. */
 export class GossipQueue {
-  private readonly queue = new Map<number, QueuedNews>();
+  /** Level k holds the news sent k times, oldest first, by id hash. */
+  private readonly levels: Map<number, QueuedNews>[] = [new Map()];
+  private count = 0;
 
   /** `memberCount` is asked at each selection. */
   constructor(private readonly memberCount: () => number) {}
 
   get size(): number {
-    return this.queue.size;
+    return this.count;
   }
 
   /** Queues what is known of a member; an introduction not yet spread stays an introduction. */
   add(record: MemberRecord, introduce: boolean, accuserHash: number): void {
-    const withIdentity = introduce || (this.queue.get(record.idHash)?.introduce ?? false);
+    const replaced = this.remove(record.idHash);
+    const withIdentity = introduce || (replaced?.introduce ?? false);
     const bytes = encodeEntry(record, withIdentity, accuserHash);
-    this.queue.set(record.idHash, { bytes, introduce: withIdentity, sent: 0 });
+    this.levels[0]!.set(record.idHash, { bytes, introduce: withIdentity });
+    this.count += 1;
   }
 
   /** Takes entries of at most `maxBytes` in all and counts them as sent once. */
   take(maxBytes: number): Uint8Array[] {
+    if (this.count === 0) return [];
     const limit = retransmitLimit(this.memberCount());
-    const candidates = [...this.queue].sort(([, left], [, right]) => left.sent - right.sent);
-    const taken: Uint8Array[] = [];
+    const taken: { readonly idHash: number; readonly news: QueuedNews; readonly level: number }[] = [];
     let bytes = 0;
-    for (const [idHash, news] of candidates) {
-      const size = news.bytes.length + ENTRY_HEADER_BYTES;
-      if (bytes + size > maxBytes) continue;
-      bytes += size;
-      taken.push(news.bytes);
-      news.sent += 1;
-      if (news.sent >= limit) this.queue.delete(idHash);
+    for (let level = 0; level < this.levels.length; level += 1) {
+      for (const [idHash, news] of this.levels[level]!) {
+        const size = news.bytes.length + ENTRY_HEADER_BYTES;
+        if (bytes + size > maxBytes) break;
+        bytes += size;
+        taken.push({ idHash, news, level });
+      }
     }
-    return taken;
+    for (const { idHash, news, level } of taken) this.promote(idHash, news, level, limit);
+    return taken.map(({ news }) => news.bytes);
+  }
+
+  private promote(idHash: number, news: QueuedNews, level: number, limit: number): void {
+    this.levels[level]!.delete(idHash);
+    if (level + 1 >= limit) {
+      this.count -= 1;
+      return;
+    }
+    this.levels[level + 1] ??= new Map();
+    this.levels[level + 1]!.set(idHash, news);
+  }
+
+  private remove(idHash: number): QueuedNews | undefined {
+    for (const level of this.levels) {
+      const news = level.get(idHash);
+      if (!news) continue;
+      level.delete(idHash);
+      this.count -= 1;
+      return news;
+    }
+    return undefined;
   }
 }
--- a/src/membership/gossiper.ts
+++ b/src/membership/gossiper.ts
@@ -1,7 +1,12 @@
 /** Gossip rounds: while there is news, a few random members get some of it in each round. */
 import type { RandomSource } from '../common/random.js';
 import type { TimerHandle } from '../common/clock.js';
-import { GOSSIP_BYTES, GOSSIP_FANOUT, type MembershipTiming } from './constants.js';
+import {
+  GOSSIP_BYTES,
+  GOSSIP_FANOUT,
+  GOSSIP_RESERVE_BYTES_PER_SECOND,
+  type MembershipTiming,
+} from './constants.js';
 import type { GossipQueue } from './gossip-queue.js';
 import type { GuardedTimers } from './guarded-timers.js';
 import type { MemberTable } from './member-table.js';
@@ -17,6 +22,7 @@
   readonly random: RandomSource;
   readonly timing: MembershipTiming;
   readonly messenger: Messenger;
+  readonly availableBytesPerSecond: () => number;
 }
 
 /** Runs only while the queue holds something. */
@@ -32,7 +38,7 @@
     const { timers, timing } = this.context;
     this.timer = timers.schedule(timing.gossipIntervalMs, () => {
       this.timer = undefined;
-      this.spread(GOSSIP_FANOUT);
+      this.spread(this.affordableFanout());
       if (this.context.queue.size > 0) this.wake();
     });
   }
@@ -47,6 +53,11 @@
     }
   }
 
+  /** One member instead of several while the byte budget is nearly used up. */
+  private affordableFanout(): number {
+    return this.context.availableBytesPerSecond() < GOSSIP_RESERVE_BYTES_PER_SECOND ? 1 : GOSSIP_FANOUT;
+  }
+
   stop(): void {
     this.stopped = true;
     this.timer?.cancel();
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -36,6 +36,7 @@
   private readonly records = new Map<number, MemberRecord>();
   private readonly versions = new Map<number, number>();
   private readonly digests = new Uint32Array(DIGEST_BUCKETS);
+  private readonly liveByHash = new Map<number, MemberRecord>();
   private liveRecords: readonly MemberRecord[] | undefined;
   private livePeers: readonly MemberRecord[] | undefined;
   private selfRecord: MemberRecord;
@@ -48,6 +49,7 @@
   ) {
     this.selfRecord = newRecord(identity, { incarnation, refutation: 0 }, 'joining', clock.now());
     this.records.set(this.selfRecord.idHash, this.selfRecord);
+    this.liveByHash.set(this.selfRecord.idHash, this.selfRecord);
     this.toggleDigest(this.selfRecord);
   }
 
@@ -66,10 +68,15 @@
 
   /** Members that are neither failed nor left, self included. */
   live(): readonly MemberRecord[] {
-    this.liveRecords ??= [...this.records.values()].filter((record) => !isRemoved(record));
+    this.liveRecords ??= [...this.liveByHash.values()];
     return this.liveRecords;
   }
 
+  /** Number of live members, self included. */
+  get liveCount(): number {
+    return this.liveByHash.size;
+  }
+
   /** Live members other than this one. */
   peers(): readonly MemberRecord[] {
     this.livePeers ??= this.live().filter((record) => record !== this.selfRecord);
@@ -203,6 +210,8 @@
     if (previous) this.toggleDigest(previous);
     this.toggleDigest(record);
     this.records.set(record.idHash, record);
+    if (isRemoved(record)) this.liveByHash.delete(record.idHash);
+    else this.liveByHash.set(record.idHash, record);
     if (previous === this.selfRecord) this.selfRecord = record;
     this.liveRecords = undefined;
     this.livePeers = undefined;
--- a/src/membership/simulated-cluster.ts
+++ b/src/membership/simulated-cluster.ts
@@ -35,7 +35,7 @@
 const DEFAULT_ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const DEFAULT_DELAY_MS: readonly [number, number] = [1, 3];
 const REGION = 'simulated';
-const JOIN_SPACING_MS = 10;
+const JOIN_SPACING_MS = 40;
 const CONTROL_PORT = 7_000;
 
 /** The cluster; nothing runs until `start`. */
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -101,7 +101,7 @@
     this.events = options.events ?? SILENT_EVENT_LOG;
     this.regionHash = hashString(region);
     const { timing } = this;
-    const memberCount = (): number => this.table.live().length;
+    const memberCount = (): number => this.table.liveCount;
     this.timers = new GuardedTimers(clock, timing.pauseThresholdMs, (lostMs) => this.onPause(lostMs));
     this.table = new MemberTable(clock, identity, incarnation, (change) => this.onChange(change));
     this.queue = new GossipQueue(memberCount);
@@ -112,7 +112,10 @@
       isBootstrapped: () => this.quorum.isBootstrapped,
     });
     const { messenger } = this;
-    this.gossiper = new Gossiper({ table, queue, timers, random, timing, messenger });
+    this.gossiper = new Gossiper({
+      ...{ table, queue, timers, random, timing, messenger },
+      availableBytesPerSecond: () => channel.availableBytesPerSecond(),
+    });
     this.sync = new StateSync({ table, timers, random, timing, messenger });
     this.prober = new Prober({
       ...{ table, timers, random, timing, messenger, health: this.health },
@@ -130,6 +133,7 @@
     this.publisher = new ViewPublisher({
       ...{ table, clock, region },
       isQuorate: () => this.quorum.isQuorate,
+      beforePublish: () => this.updateQuorum(),
       batchMs: () => (this.zones.anySilent ? ZONE_VIEW_BATCH_MS : timing.viewBatchMs),
     });
     this.joiner = new Joiner({
@@ -326,7 +330,6 @@
       this.table.live().filter((member) => member.identity.zone === zone).length;
     this.zones.note(record, liveInZone, this.timers.now());
     this.report(change);
-    this.updateQuorum();
     this.publisher.publishSoon();
   }
 
@@ -343,10 +346,11 @@
     }
   }
 
+  /** Publishes at once when the quorum was lost or regained. */
   private updateQuorum(): void {
     if (this.stopped || !this.quorum.update()) return;
     const event = this.quorum.isQuorate ? MEMBERSHIP_EVENTS.quorumRegained : MEMBERSHIP_EVENTS.quorumLost;
-    this.events.emit(event, { members: this.table.live().length });
+    this.events.emit(event, { members: this.table.liveCount });
     this.publisher.publishNow();
   }
 
@@ -358,7 +362,7 @@
     this.prober.discard();
     this.suspicions.restart();
     this.health.worsen();
-    this.quorum.notePause(this.table.peers().length > 0);
+    this.quorum.notePause(this.table.liveCount > 1);
     this.updateQuorum();
     for (const peer of sampleMembers(this.table.peers(), GOSSIP_FANOUT, this.options.random)) {
       this.prober.greet(peer);
--- a/src/membership/view-publisher.ts
+++ b/src/membership/view-publisher.ts
@@ -4,7 +4,7 @@
 import { combine32 } from '../common/hash.js';
 import { ownsShards, toMember, type MemberRecord } from './member-record.js';
 import type { MemberTable } from './member-table.js';
-import type { MembershipView } from './types.js';
+import type { Member, MembershipView } from './types.js';
 
 /** What the publisher reads. */
 export interface ViewSources {
@@ -12,6 +12,8 @@
   readonly clock: Clock;
   readonly region: string;
   readonly isQuorate: () => boolean;
+  /** Brings the quorum up to date; may publish by itself. */
+  readonly beforePublish: () => void;
   /** Time that changes are gathered, ms. */
   readonly batchMs: () => number;
 }
@@ -19,6 +21,7 @@
 /** Holds the current view; a change of the quorum is published at once, other changes after the batch time. */
 export class ViewPublisher {
   private readonly views = new Subject<MembershipView>();
+  private readonly built = new WeakMap<MemberRecord, Member>();
   private currentView: MembershipView;
   private timer: TimerHandle | undefined;
   private settingsStale = false;
@@ -52,7 +55,10 @@
   /** Publishes after the batch time. */
   publishSoon(): void {
     if (this.timer) return;
-    this.timer = this.sources.clock.schedule(this.sources.batchMs(), () => this.publishNow());
+    this.timer = this.sources.clock.schedule(this.sources.batchMs(), () => {
+      this.sources.beforePublish();
+      if (this.timer) this.publishNow();
+    });
   }
 
   /** Publishes what has changed up to now. */
@@ -69,15 +75,26 @@
   }
 
   private build(sequence: number): MembershipView {
-    const { table, region, isQuorate } = this.sources;
+    const { table, isQuorate } = this.sources;
     const records = [...table.live()].sort(compareIds);
     return {
       sequence,
-      members: records.map((record) => toMember(record, region, table.settingsVersion(record.idHash))),
+      members: records.map((record) => this.memberOf(record)),
       digest: ownershipDigest(records),
       quorate: isQuorate(),
     };
   }
+
+  /** The member of a record; the same object again while nothing about it changed. */
+  private memberOf(record: MemberRecord): Member {
+    const { table, region } = this.sources;
+    const settingsVersion = table.settingsVersion(record.idHash);
+    const built = this.built.get(record);
+    if (built?.settingsVersion === settingsVersion) return built;
+    const member = toMember(record, region, settingsVersion);
+    this.built.set(record, member);
+    return member;
+  }
 }
 
 /** Digest over ids and incarnations of the members that own shards, in the order of their ids. */
--- a/src/membership/wire.ts
+++ b/src/membership/wire.ts
@@ -14,11 +14,13 @@
 /** Message types by their number on the wire. */
 export const MessageType = sailquay.membership.MessageType;
 export type WireMessage = sailquay.membership.MembershipMessage;
+type EntryFields = sailquay.membership.MemberEntry.$Properties;
 export type WireMessageFields = sailquay.membership.MembershipMessage.$Properties;
 
 const LIFECYCLE_MASK = 7;
 const SUSPECTED_BIT = 8;
 const ENDPOINT_BYTES = 6;
+const HOST_BYTES = 4;
 const SHARED_HOST_BYTES = 10;
 
 /** News about one member as it arrives; `identity` is absent in the short form. */
@@ -45,14 +47,24 @@
   }
 }
 
+/** Introductions already encoded; a state exchange sends each record to many members. */
+const encodedIntroductions = new WeakMap<MemberRecord, Uint8Array>();
+
 /** Encodes what is known of a member; `introduce` adds id, zone and endpoints. */
 export function encodeEntry(record: MemberRecord, introduce: boolean, accuserHash = 0): Uint8Array {
+  if (!introduce) return encodeFields(record, { idHash: record.idHash }, accuserHash);
+  const encoded = encodedIntroductions.get(record);
+  if (encoded && !record.suspected) return encoded;
   const { identity } = record;
+  const introduction = { id: identity.id, zone: identity.zone, endpoints: encodeEndpoints(identity) };
+  const bytes = encodeFields(record, introduction, accuserHash);
+  encodedIntroductions.set(record, bytes);
+  return bytes;
+}
+
+function encodeFields(record: MemberRecord, name: EntryFields, accuserHash: number): Uint8Array {
   return MemberEntry.encode({
-    id: introduce ? identity.id : undefined,
-    idHash: introduce ? undefined : record.idHash,
-    zone: introduce ? identity.zone : undefined,
-    endpoints: introduce ? encodeEndpoints(identity) : undefined,
+    ...name,
     incarnation: record.incarnation,
     refutation: record.refutation || undefined,
     state: LIFECYCLES.indexOf(record.lifecycle) | (record.suspected ? SUSPECTED_BIT : 0) || undefined,
@@ -84,28 +96,29 @@
 }
 
 function decodeIdentity(entry: sailquay.membership.MemberEntry): MemberIdentity | undefined {
-  const bytes = Buffer.from(entry.endpoints);
+  const bytes = entry.endpoints;
   if (bytes.length !== SHARED_HOST_BYTES && bytes.length !== 3 * ENDPOINT_BYTES) return undefined;
   const shared = bytes.length === SHARED_HOST_BYTES;
-  const endpointAt = (index: number): Endpoint => {
-    const hostAt = shared ? 0 : index * ENDPOINT_BYTES;
-    const portAt = shared ? 4 + index * 2 : hostAt + 4;
-    return { host: bytes.subarray(hostAt, hostAt + 4).join('.'), port: bytes.readUInt16BE(portAt) };
-  };
   return {
     id: entry.id,
     zone: entry.zone,
-    control: endpointAt(0),
-    admin: endpointAt(1),
-    data: endpointAt(2),
+    control: decodeEndpoint(bytes, 0, HOST_BYTES),
+    admin: shared ? decodeEndpoint(bytes, 0, 6) : decodeEndpoint(bytes, 6, 10),
+    data: shared ? decodeEndpoint(bytes, 0, 8) : decodeEndpoint(bytes, 12, 16),
   };
 }
 
-function encodeEndpoints({ control, admin, data }: MemberIdentity): Buffer {
+function decodeEndpoint(bytes: Uint8Array, hostAt: number, portAt: number): Endpoint {
+  const host = `${bytes[hostAt]}.${bytes[hostAt + 1]}.${bytes[hostAt + 2]}.${bytes[hostAt + 3]}`;
+  return { host, port: (bytes[portAt]! << 8) | bytes[portAt + 1]! };
+}
+
+function encodeEndpoints({ control, admin, data }: MemberIdentity): Uint8Array {
   const shared = control.host === admin.host && control.host === data.host;
-  const parts = [control, admin, data].flatMap((endpoint, index) => {
-    const host = shared && index > 0 ? [] : endpoint.host.split('.').map(Number);
-    return [...host, endpoint.port >>> 8, endpoint.port & 0xff];
-  });
-  return Buffer.from(parts);
+  const bytes: number[] = [];
+  for (const endpoint of [control, admin, data]) {
+    if (!shared || endpoint === control) bytes.push(...endpoint.host.split('.').map(Number));
+    bytes.push(endpoint.port >>> 8, endpoint.port & 0xff);
+  }
+  return Uint8Array.from(bytes);
 }
