--- a/src/health/backend-belief.ts
+++ b/src/health/backend-belief.ts
@@ -58,8 +58,8 @@
 
   /** True while the belief changes with time alone. */
   isMoving(nowMs: number): boolean {
-    const warming = nowMs - this.warmStartedAtMs < this.policy.slowStartMs;
-    const failing = this.passive.failures > 0;
+    const warming = this.warmup < 1;
+    const failing = this.passive.isPending(nowMs);
     return warming || failing || this.conflictSinceMs !== undefined || this.condition === 'ejected';
   }
 
@@ -91,7 +91,7 @@
   }
 
   private isFailing(input: BeliefInput): boolean {
-    const own = this.passive.failures;
+    const own = this.passive.failures(input.nowMs);
     if (own >= PASSIVE_FAILURE_THRESHOLD) return true;
     const answersHere = input.nowMs - this.passive.lastAnsweredAtMs <= CONFLICT_FRESH_MS;
     return !answersHere && own + input.remoteFailures >= PASSIVE_FAILURE_THRESHOLD;
--- a/src/health/constants.ts
+++ b/src/health/constants.ts
@@ -40,10 +40,15 @@
 export const PASSIVE_FAILURE_THRESHOLD = 3;
 /** Largest count of one other member, so that a member with a broken path cannot eject a back end alone. */
 export const REMOTE_FAILURE_CAP = 2;
+/**
+ * An opening without an answer for this long counts as failed although its timeout has not ended; longer than the first repeat of
+ * a lost SYN (1 s).
+ */
+export const OPENING_SILENCE_MS = 1_500;
 /** A failure is forgotten after this time without another one. */
 export const PASSIVE_WINDOW_MS = 10_000;
 /** First ejection, longer than the passive window so that old failures do not renew it; each further one doubles it up to the largest. */
-export const BASE_EJECTION_MS = 15_000;
+export const BASE_EJECTION_MS = 20_000;
 export const MAX_EJECTION_MS = 60_000;
 export const EJECTION_JITTER = 0.1;
 /** Time without an ejection after which one step of growth is forgotten. */
--- a/src/health/evidence.ts
+++ b/src/health/evidence.ts
@@ -54,8 +54,10 @@
       atMs: belief.ejectedSinceMs,
     });
   }
-  if (passive.failures > 0) {
-    const text = `${passive.failures} openings in a row without an answer (${passive.lastFailureKind})`;
+  const failures = passive.failures(nowMs);
+  if (failures > 0) {
+    const kind = passive.lastFailureKind ?? 'silent';
+    const text = `${failures} openings in a row without an answer (${kind})`;
     evidence.push({ source: 'passive', text, atMs: passive.lastFailedAtMs });
   }
   if (belief.warmup < 1 && belief.conflictSinceMs === undefined) {
--- a/src/health/health-monitor.ts
+++ b/src/health/health-monitor.ts
@@ -55,6 +55,7 @@
   private readonly prober: Prober;
   private candidates: ProberCandidate[] = [];
   private candidateKey = '';
+  private witnesses: ReadonlySet<number> = new Set();
   private readonly memberNames = new Map<number, string>();
   private readonly assigned = new Map<number, readonly number[]>();
   private configured = false;
@@ -146,7 +147,7 @@
       events,
       load,
       table: this.table,
-      selfHash: this.selfHash,
+      isWitness: (hash) => hash !== this.selfHash && this.witnesses.has(hash),
       probers: (backendId) => this.assigned.get(backendId) ?? [],
       memberName: (hash) => this.memberNames.get(hash) ?? `member ${hash.toString(16)}`,
     });
@@ -164,6 +165,7 @@
     if (key === this.candidateKey && sameNames) return;
     this.candidateKey = key;
     this.candidates = candidates;
+    this.witnesses = new Set(candidates.map(({ hash }) => hash));
     this.memberNames.clear();
     for (const id of names) this.memberNames.set(hashString(id), id);
     this.assign();
@@ -221,9 +223,10 @@
  * beyond the threshold the exact count tells nothing more.
  */
 function sharedFailures(passive: PassiveTracker, nowMs: number): number {
+  const failures = passive.failures(nowMs);
   const answersHere = nowMs - passive.lastAnsweredAtMs <= CONFLICT_FRESH_MS;
-  if (answersHere && passive.failures < PASSIVE_FAILURE_THRESHOLD) return 0;
-  return Math.min(PASSIVE_FAILURE_THRESHOLD, passive.failures);
+  if (answersHere && failures < PASSIVE_FAILURE_THRESHOLD) return 0;
+  return Math.min(PASSIVE_FAILURE_THRESHOLD, failures);
 }
 
 /** Belief about a back end of which nothing is known: eligible until something speaks against it. */
--- a/src/health/service-health.ts
+++ b/src/health/service-health.ts
@@ -10,7 +10,7 @@
 import { HEALTH_EVENTS } from './events.js';
 import { countingVotes } from './probe-verdict.js';
 import { judgeLoads, newestLoad, type LoadTrust } from './reported-load.js';
-import type { BackendHealth } from './types.js';
+import type { BackendHealth, HealthEvidence } from './types.js';
 import type { ReportedLoad, VoteTable } from './votes.js';
 
 /** What a service's health is made with. */
@@ -19,7 +19,8 @@
   readonly events: EventLog;
   readonly load: LoadView;
   readonly table: VoteTable;
-  readonly selfHash: number;
+  /** True for another member whose passive evidence counts: one that keeps flows and is not leaving. */
+  readonly isWitness: (memberHash: number) => boolean;
   /** Hashes of the assigned probers of a back end. */
   readonly probers: (backendId: number) => readonly number[];
   /** Name of a member by its hash, for evidence. */
@@ -94,7 +95,7 @@
     this.dirty = false;
     for (const [id, belief] of this.beliefs) {
       const votes = countingVotes(this.options.table.votesOn(id), this.options.probers(id));
-      const remoteFailures = this.options.table.remoteFailures(id, this.options.selfHash);
+      const remoteFailures = this.options.table.remoteFailures(id, this.options.isWitness);
       belief.evaluate({ votes, remoteFailures, nowMs });
     }
     this.updateCap();
@@ -149,7 +150,8 @@
       const report = newestLoad(this.options.table.votesOn(backendId));
       reports.set(backendId, report);
       const ownFlows = this.options.load.openFlows(backendId);
-      const failing = belief.passive.failures >= PASSIVE_FAILURE_THRESHOLD || belief.condition === 'ejected';
+      const failing =
+        belief.passive.failures(nowMs) >= PASSIVE_FAILURE_THRESHOLD || belief.condition === 'ejected';
       return { backendId, report, ownFlows, failing };
     });
     for (const [id, trust] of judgeLoads(observations, nowMs)) {
@@ -165,15 +167,8 @@
     const trust = this.trust.get(id) ?? 'missing';
     const capped = this.capped.has(id);
     const usable = this.isUsable(id, belief);
-    const next: BackendHealth = {
-      backendId: id,
-      condition: belief.condition,
-      eligible: usable || rescued,
-      warmup: rescued && !usable ? 1 : belief.warmup,
-      reportedLoad:
-        report && trust === 'trusted' ? loadShare(report, belief.backend.maxConnections) : undefined,
-      ...(report && trust === 'trusted' ? { reportedAtMs: report.sampledAtMs } : {}),
-      evidence: describeBelief({
+    const describe = (): readonly HealthEvidence[] =>
+      describeBelief({
         belief,
         votes: [...this.options.table.votesOn(id)],
         memberName: this.options.memberName,
@@ -183,7 +178,19 @@
         capped,
         panic: rescued,
         nowMs,
-      }),
+      });
+    const trusted = report && trust === 'trusted' ? report : undefined;
+    const next: BackendHealth = {
+      backendId: id,
+      condition: belief.condition,
+      eligible: usable || rescued,
+      warmup: rescued && !usable ? 1 : belief.warmup,
+      reportedLoad: trusted && loadShare(trusted, belief.backend.maxConnections),
+      ...(trusted ? { reportedAtMs: trusted.sampledAtMs } : {}),
+      // Read by operators only, so it is written down when it is asked for.
+      get evidence() {
+        return describe();
+      },
     };
     this.published.set(id, next);
     if (before) this.emitTransition(id, before, next, belief);
--- a/src/health/votes.ts
+++ b/src/health/votes.ts
@@ -75,11 +75,12 @@
     }
   }
 
-  /** Openings without an answer that other members saw, each member's count capped. */
-  remoteFailures(backendId: number, selfHash: number): number {
+  /** Openings without an answer that members for which `counts` is true saw, each member's count capped. */
+  remoteFailures(backendId: number, counts: (memberHash: number) => boolean): number {
     let total = 0;
     for (const vote of this.votesOn(backendId)) {
-      if (vote.memberHash !== selfHash) total += Math.min(REMOTE_FAILURE_CAP, vote.passiveFailures);
+      if (vote.passiveFailures > 0 && counts(vote.memberHash))
+        total += Math.min(REMOTE_FAILURE_CAP, vote.passiveFailures);
     }
     return total;
   }
--- a/src/placement/balance-simulation.ts
+++ b/src/placement/balance-simulation.ts
@@ -102,7 +102,7 @@
   private backends: EffectiveBackend[];
   private baseBackends: readonly EffectiveBackend[];
   private joiner: EffectiveBackend | undefined;
-  private joinerOpenings: number[] = [];
+  private readonly joinerOpenings = new Map<number, number>();
   private millisecondsToEven: number | null = null;
   private openings = 0;
   private measured = { openings: 0, exceptions: 0, sameZone: 0 };
@@ -215,7 +215,7 @@
 
   private countJoinerOpening(): void {
     const second = Math.floor(this.clock.now() / MS_PER_SECOND);
-    this.joinerOpenings[second] = (this.joinerOpenings[second] ?? 0) + 1;
+    add(this.joinerOpenings, second, 1);
   }
 
   private scheduleReport(backend: EffectiveBackend, delayMs: number): void {
@@ -276,7 +276,7 @@
       ...this.recorder.result(),
       exceptionShare: exceptions / openings,
       sameZoneShare: sameZone / openings,
-      peakOpeningsOfJoiner: join ? Math.max(0, ...this.joinerOpenings.map((count) => count ?? 0)) : null,
+      peakOpeningsOfJoiner: join ? Math.max(0, ...this.joinerOpenings.values()) : null,
       millisecondsToEven: this.millisecondsToEven,
     };
   }
