Add the scale run of hollow daemons

Change: hollow daemons (real control plane and flow keeper, stub edge) many to a process; steps one dimension at a time; crash, zone loss, replacement and platform cut-off on a settled fleet.

--- /dev/null
+++ b/src/experiment/scale/types.ts
@@ -0,0 +1,135 @@
+/** Messages between the scale run and the processes that host hollow daemons, and the run's report. */
+import type { ControlKind } from '../../control/types.js';
+
+/** One hollow daemon to start. */
+export interface HollowSpecification {
+  readonly id: string;
+  readonly region: string;
+  readonly zone: string;
+}
+
+/** What a host process is started with (a JSON file). */
+export interface HostConfiguration {
+  readonly keyFile: string;
+  readonly platformUrl: string;
+  readonly seed: number;
+}
+
+/** Load that every hollow daemon of a host makes for itself. */
+export interface HollowLoad {
+  /** Openings a second for each daemon. */
+  readonly openingsPerSecond: number;
+  /** Flows each daemon opens before the steady load starts. */
+  readonly preloadedFlows: number;
+  /** Lifetime of a flow in ms; 0: flows never close. */
+  readonly lifetimeMs: number;
+}
+
+/** Totals of one control kind since the daemon started; bytes include envelope, IP and UDP headers. */
+export interface KindTotals {
+  readonly bytesOut: number;
+  readonly bytesIn: number;
+  readonly messagesOut: number;
+}
+
+/** A change of a member's state as one daemon saw it. */
+export interface ObservedChange {
+  readonly memberId: string;
+  readonly state: string;
+  readonly atWallMs: number;
+}
+
+/** State of one hollow daemon. */
+export interface HollowSample {
+  readonly id: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly version: number;
+  readonly members: number;
+  readonly quorate: boolean;
+  readonly storeReader: boolean;
+  readonly kinds: Readonly<Record<ControlKind, KindTotals>>;
+  readonly openFlows: number;
+  readonly replicatedFlows: number;
+  readonly flowTableBytes: number;
+  readonly openings: number;
+  readonly exceptions: number;
+  readonly shardsKept: number;
+  readonly shardsAcquiring: number;
+  readonly probes: number;
+  /** Versions put in force since the last mark, with the wall time. */
+  readonly applied: readonly { readonly version: number; readonly atWallMs: number }[];
+  /** Changes of other members seen since the last mark. */
+  readonly changes: readonly ObservedChange[];
+}
+
+/** State of one host process. */
+export interface HostSample {
+  readonly atWallMs: number;
+  /** Processor time of the process since its start, ms. */
+  readonly cpuMs: number;
+  readonly residentBytes: number;
+  readonly daemons: readonly HollowSample[];
+}
+
+/** Figures of one step of a scale run; rates are for one daemon. */
+export interface StepFigures {
+  readonly members: number;
+  readonly regions: number;
+  readonly backends: number;
+  readonly services: number;
+  readonly flowsPerDaemon: number;
+  readonly openingsPerSecond: number;
+  readonly changesPerSecond: number;
+  readonly seconds: number;
+  /** Median over daemons, bytes a second sent. */
+  readonly bytesOutPerSecond: number;
+  readonly bytesOutPerSecondMax: number;
+  readonly bytesInPerSecond: number;
+  /** Mean over daemons, bytes a second sent by kind. */
+  readonly bytesOutByKind: Readonly<Record<string, number>>;
+  /** Processor time for one daemon, share of a core. */
+  readonly cpuFraction: number;
+  /** Resident memory of a host divided by its daemons, MB (1,000,000 bytes), the empty process taken off. */
+  readonly residentMegabytes: number;
+  /** Seconds from an accepted edit until the last daemon had it in force: worst and median edit. */
+  readonly secondsToEverywhereMax: number | null;
+  readonly secondsToEverywhereMedian: number | null;
+  readonly storeReaders: number;
+  readonly storeRequestsPerSecond: number;
+  readonly falseSuspicions: number;
+  readonly exceptionsShare: number | null;
+  readonly flowTableBytesPerFlow: number | null;
+  readonly probesPerSecond: number;
+}
+
+/** What a fault did. */
+export interface FaultFigures {
+  readonly fault: string;
+  readonly members: number;
+  readonly failed: number;
+  /** Seconds from the fault until half of, and all, survivors saw every failed member gone; null: not all did. */
+  readonly secondsToHalfDetected: number | null;
+  readonly secondsToAllDetected: number | null;
+  /** Members seen suspect or gone although they ran. */
+  readonly falselySuspected: number;
+  /** Seconds until no daemon was still taking shards over; null: not within the time given. */
+  readonly secondsToRecovered: number | null;
+  /** Bytes of hand-over messages for each failed or replaced daemon. */
+  readonly handoverBytesPerFailed: number;
+  /** Seconds until the versions written meanwhile were everywhere; null where none was written. */
+  readonly secondsToCatchUp: number | null;
+}
+
+/** The run's report. */
+export interface ScaleReport {
+  readonly scenario: 'scale';
+  readonly seed: number;
+  readonly machine: { readonly cores: number; readonly memoryMegabytes: number; readonly node: string };
+  readonly emptyHostMegabytes: number;
+  readonly steps: readonly (StepFigures & { readonly dimension: string })[];
+  readonly faults: readonly FaultFigures[];
+  readonly peakProcesses: number;
+  readonly peakResidentMegabytes: number;
+  readonly notRun: readonly string[];
+}
