--- a/src/experiment/backend-sampler.ts
+++ b/src/experiment/backend-sampler.ts
@@ -37,6 +37,11 @@
     private readonly extras: () => SeriesExtras,
   ) {}
 
+  /** Share of the samples due that were missed, 0–1. */
+  get missedShare(): number {
+    return this.missed / Math.max(1, this.missed + this.samples.length);
+  }
+
   start(): void {
     this.timer = setInterval(() => void this.sample(), SAMPLE_INTERVAL_MS);
   }
--- a/src/experiment/figures.ts
+++ b/src/experiment/figures.ts
@@ -1,9 +1,10 @@
 /** The figures of a document as named rows, for tables of one run, of a run beside baselines, and of comparisons. */
+import { CONTROL_KINDS } from '../control/types.js';
 import type { ExperimentDocument } from './document.js';
 import { figureAt } from './goals.js';
 
 /** Paths of the figures in the order they are printed; per-service tables are printed by service. */
-const FIGURE_PATHS = [
+const FIGURE_PATHS: readonly string[] = [
   'flows.opened',
   'flows.refused',
   'flows.openTimeouts',
@@ -19,6 +20,7 @@
   'imbalance.peakToMean',
   'imbalance.coefficientOfVariation',
   'imbalance.busySlots.peakToMean',
+  'imbalance.busySlots.peakToMeanOfAverages',
   'exceptionsShare',
   'drain.secondsToLastNewFlow',
   'health.secondsToIneligibleEverywhere',
@@ -26,11 +28,14 @@
   'config.reverts',
   'control.bytesPerSecondPerDaemon.max',
   'control.bytesPerSecondPerDaemon.median',
+  'control.bytesSentPerSecondPerDaemon.max',
+  'control.bytesSentPerSecondPerDaemon.median',
+  ...CONTROL_KINDS.map((kind) => `control.bytesPerSecondByKind.${kind}.median`),
   'control.cpuFraction.max',
   'control.cpuFraction.median',
   'control.residentMegabytes.max',
   'control.residentMegabytes.median',
-] as const;
+];
 
 /** Every printed figure path of a set of documents; tables by service become one path a service. */
 export function figurePaths(documents: readonly ExperimentDocument[]): readonly string[] {
--- a/src/experiment/fleet-monitor.ts
+++ b/src/experiment/fleet-monitor.ts
@@ -1,5 +1,6 @@
 /** Polls the daemons' status pages during a run and keeps what the report needs. */
 import type { Endpoint } from '../common/types.js';
+import { CONTROL_KINDS, type ControlKind } from '../control/types.js';
 import type { DaemonStatus } from '../daemon/status.js';
 import { DAEMON_POLL_INTERVAL_MS } from './constants.js';
 import type { ControlClient } from './http-control.js';
@@ -18,11 +19,13 @@
 }
 
 /** One poll of one daemon. */
-interface UsageSample {
+export interface UsageSample {
   readonly atMs: number;
   readonly cpuSeconds: number;
   readonly residentBytes: number;
-  readonly controlBytes: number;
+  /** Sent and received since start, by kind. */
+  readonly controlBytes: Readonly<Record<ControlKind, number>>;
+  readonly controlBytesSent: number;
   readonly opened: number;
   readonly exceptions: number;
 }
@@ -73,7 +76,7 @@
     return [...this.histories.values()].flatMap((history) => {
       const [before, last] = history.usage.slice(-2);
       if (!before || !last || last.atMs < Date.now() - 4 * DAEMON_POLL_INTERVAL_MS) return [];
-      return [((last.controlBytes - before.controlBytes) * 1_000) / (last.atMs - before.atMs)];
+      return [((totalBytes(last) - totalBytes(before)) * 1_000) / (last.atMs - before.atMs)];
     });
   }
 
@@ -123,17 +126,26 @@
   }
 }
 
+/** Control bytes of all kinds. */
+export function totalBytes(sample: UsageSample): number {
+  return CONTROL_KINDS.reduce((sum, kind) => sum + sample.controlBytes[kind], 0);
+}
+
 function emptyHistory(name: string): DaemonHistory {
   return { name, versions: [], usage: [], reverts: 0, lastSeenMs: 0, lastStatus: undefined };
 }
 
 function usageOf(status: DaemonStatus, atMs: number): UsageSample {
-  const kinds = Object.values(status.control.byKind);
+  const bytes = CONTROL_KINDS.map((kind) => {
+    const meter = status.control.byKind[kind];
+    return [kind, meter.bytesIn + meter.bytesOut];
+  });
   return {
     atMs,
     cpuSeconds: status.process.cpuSeconds,
     residentBytes: status.process.residentBytes,
-    controlBytes: kinds.reduce((sum, kind) => sum + kind.bytesOut + kind.bytesIn, 0),
+    controlBytes: Object.fromEntries(bytes) as Record<ControlKind, number>,
+    controlBytesSent: CONTROL_KINDS.reduce((sum, kind) => sum + status.control.byKind[kind].bytesOut, 0),
     opened: status.flow.opened,
     exceptions: status.flow.exceptions,
   };
