Close gaps in the settings tests that mutations survived

Change: tests for a lost write overtaken by a newer version, a node removed and added again, and fields that are not inherited through an explicit parent.

--- a/src/settings/diff.test.ts
+++ b/src/settings/diff.test.ts
@@ -93,6 +93,19 @@
   );
 });
 
+test('a removal drops every field, so that a node added again has only its new ones', (t) => {
+  const before: TreeDocument = {
+    nodes: [{ path: 'a', kind: 'site', parent: 'b', fields: { slots: 1 } }],
+    edits: [],
+  };
+  const changes = [
+    { path: 'a', field: '$kind' },
+    { path: 'a', field: '$kind', after: 'site' },
+    { path: 'a', field: 'weight', after: 2 },
+  ];
+  t.deepEqual(applyChanges(before, changes).nodes, [{ path: 'a', kind: 'site', fields: { weight: 2 } }]);
+});
+
 test('a node survives the wire', (t) => {
   fc.assert(
     fc.property(node, (sent) => {
--- a/src/settings/node-checks.ts
+++ b/src/settings/node-checks.ts
@@ -36,7 +36,7 @@
       'settings.malformed',
       { path, field, value: part },
       message,
-      'Write the node as docs/SETTINGS.md shows',
+      'Write a node as a map with path, kind and fields',
     );
   if (!isRecord(value)) return [malformed('', `nodes[${position}]`, value, 'is not a node')];
   const { path, kind, parent, fields } = value;
--- a/src/settings/resolve.test.ts
+++ b/src/settings/resolve.test.ts
@@ -34,7 +34,7 @@
         address: 10.0.0.2:7000
         parent: north/scan
         backends:
-          one: {endpoint: "127.0.0.1:4"}
+          one: {endpoint: "127.0.0.1:4", parent: north/scan/two}
 `;
 
 function tree(text = TEXT): TreeDocument {
@@ -92,7 +92,12 @@
 test('an explicit parent gives its inheritable fields, not its address', (t) => {
   const print = named(resolve(tree()), 'north/print');
   t.like(print, { unknownFlow: 'drop', address: { host: '10.0.0.2', port: 7000 } });
-  t.is(print.backends[0]?.maxConnections, 50);
+  t.like(print.backends[0], {
+    maxConnections: 50,
+    slots: 9,
+    zone: 'z2',
+    health: { host: '127.0.0.1', port: 4 },
+  });
 });
 
 test('services and back ends are sorted by identifier', (t) => {
--- a/src/settings/testing/fake-platform.ts
+++ b/src/settings/testing/fake-platform.ts
@@ -4,10 +4,10 @@
 import type { PlatformClient, StoredObject } from '../../platform/types.js';
 
 /**
- * Fate of one write. `lost-answer`: takes effect, the answer is lost. `lost-request`: has no effect and no answer.
+ * Fate of one write. `none`: as it should be. `lost-answer`: takes effect, the answer is lost. `lost-request`: has no effect and no answer.
  * `late`: the answer is lost and the write takes effect just before the next write. `unreachable`: is not sent.
  */
-export type WriteFault = 'lost-answer' | 'lost-request' | 'late' | 'unreachable';
+export type WriteFault = 'none' | 'lost-answer' | 'lost-request' | 'late' | 'unreachable';
 
 type PutResult<T> = Result<StoredObject<T>, PlatformError>;
 
--- a/src/settings/tree-editor.test.ts
+++ b/src/settings/tree-editor.test.ts
@@ -312,6 +312,17 @@
   t.is(bench.platform.writes, 16);
 });
 
+test('a lost write that a newer version has overtaken leaves no doubt', async (t) => {
+  const bench = new Bench();
+  bench.race(...Array.from({ length: 20 }, (_, index) => setFields('a/s/y', { weight: index + 1 })));
+  // The rival writes first each time, so the second entry is the editor's own first write.
+  bench.platform.writeFaults.push('lost-request');
+  bench.platform.writeFaults.unshift('none');
+  const result = await bench.edit(WEIGHT, bench.request('ana', { deadlineMs: PATIENCE_MS }));
+  t.is(errorOf(result)?.kind, 'settings.too-many-races');
+  t.is(await bench.field('a/s/x', 'weight'), undefined);
+});
+
 const REFUSED: readonly (readonly [title: string, edit: TreeEdit, kind: TreeErrorKind | 'none'])[] = [
   ['a faulty value', setFields('a/s/x', { slots: 0 }), 'settings.invalid'],
   ['a parent that goes', removeNode('a'), 'none'],
