--- a/src/cli/config-command.ts
+++ b/src/cli/config-command.ts
@@ -34,6 +34,7 @@
 /** Adds `config` to the program. */
 export function registerConfigCommand(program: Command, output: CommandOutput = PROCESS_OUTPUT): void {
   const config = program.command('config').description('check settings files, print their schema');
+  config.addHelpText('after', '\nExample:\n  $ sailquay config check examples/isartal.yaml\n');
   config
     .command('check')
     .argument('<file>', 'settings tree in YAML or JSON')
--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -41,6 +41,7 @@
 /** Adds `daemon` to the program. */
 export function registerDaemonCommand(program: Command): void {
   const daemon = program.command('daemon').description('run a balancer');
+  daemon.addHelpText('after', '\nExample:\n  $ sailquay daemon run --config balancer-1.yaml\n');
   const run = daemon.command('run').description('run one balancer until SIGTERM');
   run
     .option('--config <file>', 'YAML configuration file')
