Choose probers in one pass; let loads share gossip messages

Cause: assigning 6,300 back ends over 1,100 members held the event loop, and each load report went out in its own message. Change: salts computed once for a membership and one pass over the members for each back end; loads are sent every third round.

--- a/src/health/constants.ts
+++ b/src/health/constants.ts
@@ -11,6 +11,8 @@
 
 /** Time between two rounds of gossip. */
 export const GOSSIP_INTERVAL_MS = 100;
+/** Rounds that carry loads are rarer: every so many rounds, so that loads share messages. */
+export const LOAD_ROUNDS = 3;
 /** Members that a round of gossip goes to. */
 export const GOSSIP_FANOUT = 3;
 /** Sends of a changed verdict or passive count by each member that learned it. */
--- a/src/health/gossip.ts
+++ b/src/health/gossip.ts
@@ -14,6 +14,7 @@
   DIGEST_BUCKETS,
   GOSSIP_FANOUT,
   GOSSIP_INTERVAL_MS,
+  LOAD_ROUNDS,
   LOAD_SENDS,
   VERDICT_SENDS,
 } from './constants.js';
@@ -57,6 +58,7 @@
 export class HealthGossip {
   /** By back end and member; the newest vote replaces an older one that still waits. */
   private readonly pending = new Map<string, PendingVote>();
+  private round = 0;
   private messagesSent = 0;
   private messagesReceived = 0;
   private payloadBytesSent = 0;
@@ -90,13 +92,15 @@
   }
 
   private sendPending(): void {
-    if (this.pending.size === 0) return;
+    this.round += 1;
+    const urgentOnly = this.round % LOAD_ROUNDS !== 0;
+    const entries = [...this.pending.values()].filter(({ urgent }) => urgent || !urgentOnly);
+    if (entries.length === 0) return;
     const peers = this.randomPeers(GOSSIP_FANOUT);
     if (peers.length === 0) {
       this.pending.clear();
       return;
     }
-    const entries = [...this.pending.values()];
     entries.sort((left, right) => Number(right.urgent) - Number(left.urgent));
     for (const part of pages(entries.map(({ vote }) => vote))) this.sendPart(part, peers);
   }
--- a/src/health/health-monitor.ts
+++ b/src/health/health-monitor.ts
@@ -15,7 +15,7 @@
 import type { Probe } from './probe.js';
 import type { PassiveTracker } from './passive-tracker.js';
 import { Prober, type ProberStatistics, type ProbeTarget } from './prober.js';
-import { proberCandidates, probersOf, type ProberCandidate } from './prober-assignment.js';
+import { proberCandidates, ProberRanking } from './prober-assignment.js';
 import { ServiceHealth } from './service-health.js';
 import type { BackendHealth, HealthFeed, PassiveEvidence } from './types.js';
 import { VoteTable, type Vote } from './votes.js';
@@ -53,7 +53,7 @@
   private readonly ownVotes: OwnVotes;
   private readonly gossip: HealthGossip;
   private readonly prober: Prober;
-  private candidates: ProberCandidate[] = [];
+  private ranking = new ProberRanking([]);
   private candidateKey = '';
   private witnesses: ReadonlySet<number> = new Set();
   private readonly memberNames = new Map<number, string>();
@@ -164,7 +164,7 @@
       names.size === this.memberNames.size && [...this.memberNames.values()].every((id) => names.has(id));
     if (key === this.candidateKey && sameNames) return;
     this.candidateKey = key;
-    this.candidates = candidates;
+    this.ranking = new ProberRanking(candidates);
     this.witnesses = new Set(candidates.map(({ hash }) => hash));
     this.memberNames.clear();
     for (const id of names) this.memberNames.set(hashString(id), id);
@@ -177,7 +177,7 @@
     this.assigned.clear();
     for (const service of this.options.settings.current()?.services ?? []) {
       for (const backend of service.backends) {
-        const probers = probersOf(backend.id, this.candidates);
+        const probers = this.ranking.probersOf(backend.id);
         this.assigned.set(backend.id, probers);
         if (!probers.includes(this.selfHash)) continue;
         targets.push({ backend, policy: service.healthPolicy, readsLoad: probers[0] === this.selfHash });
--- a/src/health/index.ts
+++ b/src/health/index.ts
@@ -13,6 +13,6 @@
 export { httpProbe, type LoadSample, type Probe, type ProbeResponse } from './probe.js';
 export type { ProberStatistics } from './prober.js';
 export type { GossipStatistics } from './gossip.js';
-export { proberCandidates, probersOf, type ProberCandidate } from './prober-assignment.js';
+export { proberCandidates, ProberRanking, type ProberCandidate } from './prober-assignment.js';
 export { HealthMessageError, ProbeError } from './errors.js';
 export { HEALTH_EVENTS } from './events.js';
--- a/src/health/prober-assignment.ts
+++ b/src/health/prober-assignment.ts
@@ -2,7 +2,7 @@
  * Which members probe which back end: the best by rendezvous hash, one of each zone first. A pure function of the membership, so
  * that all balancers agree without talking; a change of one member moves only that member's probes.
  */
-import { combine32, hashString } from '../common/hash.js';
+import { hashString, mix32 } from '../common/hash.js';
 import type { Member, MembershipView } from '../membership/types.js';
 import { PROBERS_PER_BACKEND } from './constants.js';
 
@@ -25,38 +25,43 @@
   return member.state === 'active' || member.state === 'suspect';
 }
 
-/** Hashes of the members that probe a back end, best first; fewer when there are fewer members. */
-export function probersOf(
-  backendId: number,
-  candidates: readonly ProberCandidate[],
-  count = PROBERS_PER_BACKEND,
-): number[] {
-  const scores = candidates.map((candidate) => combine32(candidate.hash, backendId));
-  const chosen: number[] = [];
-  const usedZones = new Set<string>();
-  while (chosen.length < Math.min(count, candidates.length)) {
-    let best = bestIndex(candidates, scores, chosen, usedZones);
-    if (best < 0) {
-      usedZones.clear();
-      best = bestIndex(candidates, scores, chosen, usedZones);
+/** The candidates with what the ranking needs of them, computed once for a membership. */
+export class ProberRanking {
+  private readonly salts: Uint32Array;
+  private readonly zones: Uint32Array;
+  private readonly zoneCount: number;
+
+  constructor(private readonly candidates: readonly ProberCandidate[]) {
+    const zoneNames = [...new Set(candidates.map(({ zone }) => zone))];
+    this.zoneCount = zoneNames.length;
+    this.salts = Uint32Array.from(candidates, ({ hash }) => mix32(hash));
+    this.zones = Uint32Array.from(candidates, ({ zone }) => zoneNames.indexOf(zone));
+  }
+
+  /** Hashes of the members that probe a back end, best first; fewer when there are fewer members. */
+  probersOf(backendId: number, count = PROBERS_PER_BACKEND): number[] {
+    const chosen: number[] = [];
+    const wanted = Math.min(count, this.candidates.length);
+    while (chosen.length < wanted) {
+      const ofEachZone = this.bestOfEachZone(backendId, chosen);
+      chosen.push(...ofEachZone.slice(0, wanted - chosen.length));
     }
-    chosen.push(best);
-    usedZones.add(candidates[best]!.zone);
+    return chosen.map((index) => this.candidates[index]!.hash);
   }
-  return chosen.map((index) => candidates[index]!.hash);
-}
 
-function bestIndex(
-  candidates: readonly ProberCandidate[],
-  scores: readonly number[],
-  chosen: readonly number[],
-  usedZones: ReadonlySet<string>,
-): number {
-  let best = -1;
-  for (let index = 0; index < candidates.length; index += 1) {
-    if (best >= 0 && scores[index]! <= scores[best]!) continue;
-    if (usedZones.has(candidates[index]!.zone) || chosen.includes(index)) continue;
-    best = index;
+  /** Indexes of the best candidate of each zone that is not in `without`, best first. */
+  private bestOfEachZone(backendId: number, without: readonly number[]): number[] {
+    const best = new Int32Array(this.zoneCount).fill(-1);
+    const scores = new Float64Array(this.zoneCount).fill(-1);
+    for (let index = 0; index < this.salts.length; index += 1) {
+      const score = mix32(this.salts[index]! ^ backendId);
+      const zone = this.zones[index]!;
+      if (score <= scores[zone]! || without.includes(index)) continue;
+      scores[zone] = score;
+      best[zone] = index;
+    }
+    const found = Array.from(best.keys()).filter((zone) => best[zone]! >= 0);
+    found.sort((left, right) => scores[right]! - scores[left]!);
+    return found.map((zone) => best[zone]!);
   }
-  return best;
 }
