Check the platform client's contract and faults

Cause: the client's behaviour under faults was untested; a command that waited between two attempts ended early, a release was refused for its content type, and a stalled watch lost a write in the stand-in. Change: contract table against both stand-ins and a fault table; calls keep the process alive; no content type without a body; the stand-in sends what fell into a stall. Conclusion: the client keeps its contract under each fault of the stand-in.

--- /dev/null
+++ b/src/platform/client.test.ts
@@ -0,0 +1,357 @@
+/** Contract of the platform client, against the HTTP stand-in and the in-memory one, and its fault cases. */
+import test, { type ExecutionContext } from 'ava';
+import Fastify from 'fastify';
+import { SystemClock, VirtualClock, type Clock } from '../common/clock.js';
+import { seededRandom } from '../common/random.js';
+import { SILENT_EVENT_LOG } from '../observability/event.js';
+import { InMemoryPlatform, startPlatformStandin, type PlatformStandin } from '../standin/platform/index.js';
+import { createPlatformClient, type ConnectedPlatformClient, type PlatformClientOptions } from './client.js';
+import type { PlatformClient, StoredObject } from './types.js';
+
+const KEY = 'settings/tree';
+const LEASE = 'readers/region-1/0';
+const POLL_LIMIT = 2_000;
+
+function connect(baseUrl: string, more: Partial<PlatformClientOptions> = {}): ConnectedPlatformClient {
+  const defaults = {
+    clock: new SystemClock(),
+    random: seededRandom(1),
+    events: SILENT_EVENT_LOG,
+    caller: 'member-1',
+  };
+  return createPlatformClient({ baseUrl, ...defaults, ...more });
+}
+
+async function withStandin(
+  run: (standin: PlatformStandin, client: ConnectedPlatformClient) => Promise<void>,
+  more: Partial<PlatformClientOptions> = {},
+  clock?: Clock,
+): Promise<void> {
+  const standin = await startPlatformStandin({ port: 0, heartbeatMs: 20, clock });
+  const client = connect(standin.url, { ...more, ...(clock ? { clock } : {}) });
+  try {
+    await run(standin, client);
+  } finally {
+    await client.close();
+    await standin.close();
+  }
+}
+
+async function eventually(t: ExecutionContext, condition: () => boolean | Promise<boolean>): Promise<void> {
+  for (let poll = 0; poll < POLL_LIMIT; poll += 1) {
+    if (await condition()) return;
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.fail('the condition did not come true');
+}
+
+type Outcome = { readonly isErr: boolean; readonly error?: { readonly kind: string } };
+
+function kindOf(outcome: unknown): string {
+  const result = outcome as Outcome;
+  return result.isErr ? (result.error?.kind ?? '') : 'ok';
+}
+
+interface Contract {
+  readonly name: string;
+  readonly run: (
+    t: ExecutionContext,
+    first: PlatformClient,
+    second: PlatformClient,
+    clock: VirtualClock,
+  ) => Promise<void>;
+}
+
+const CONTRACT: readonly Contract[] = [
+  {
+    name: 'an absent object reads as undefined',
+    run: async (t, first) => {
+      t.is((await first.get(KEY)).unwrapOr({} as never), undefined);
+    },
+  },
+  {
+    name: 'a write needs the version in the store, and versions rise across objects',
+    run: async (t, first, second) => {
+      const created = (await first.putIfVersion(KEY, { weight: 1 }, 0)).unwrapOr(undefined);
+      t.is(kindOf(await second.putIfVersion(KEY, { weight: 2 }, 0)), 'platform.version-conflict');
+      const other = (await second.putIfVersion('other', 1, 0)).unwrapOr(undefined);
+      const changed = (await second.putIfVersion(KEY, { weight: 3 }, created?.version ?? 0)).unwrapOr(
+        undefined,
+      );
+      t.true((created?.version ?? 0) < (other?.version ?? 0));
+      t.true((other?.version ?? 0) < (changed?.version ?? 0));
+      t.deepEqual((await first.get(KEY)).unwrapOr(undefined), changed);
+    },
+  },
+  {
+    name: 'a lease has one holder; renewal keeps the token, expiry and release give a higher one',
+    run: async (t, first, second, clock) => {
+      const granted = (await first.acquireLease(LEASE, 'first', 5_000)).unwrapOr(undefined);
+      t.is(kindOf(await second.acquireLease(LEASE, 'second', 5_000)), 'platform.lease-held');
+      clock.advance(1_000);
+      const renewed = (await first.acquireLease(LEASE, 'first', 5_000)).unwrapOr(undefined);
+      t.is(renewed?.fencingToken, granted?.fencingToken);
+      clock.advance(4_999);
+      t.is(kindOf(await second.acquireLease(LEASE, 'second', 5_000)), 'platform.lease-held');
+      t.true((renewed?.trustedUntilMs ?? Infinity) < clock.now());
+      clock.advance(1);
+      const taken = (await second.acquireLease(LEASE, 'second', 5_000)).unwrapOr(undefined);
+      t.true((taken?.fencingToken ?? 0) > (renewed?.fencingToken ?? 0));
+      if (renewed) t.is(kindOf(await first.releaseLease(renewed)), 'ok');
+      t.is(kindOf(await first.acquireLease(LEASE, 'first', 5_000)), 'platform.lease-held');
+      if (taken) t.is(kindOf(await second.releaseLease(taken)), 'ok');
+      const again = (await first.acquireLease(LEASE, 'first', 5_000)).unwrapOr(undefined);
+      t.true((again?.fencingToken ?? 0) > (taken?.fencingToken ?? 0));
+    },
+  },
+  {
+    name: 'a watch yields what is newer than its start, in order',
+    run: async (t, first, second) => {
+      const before = (await first.putIfVersion(KEY, 'a', 0)).unwrapOr(undefined)?.version ?? 0;
+      const ending = new AbortController();
+      const seen: StoredObject<string>[] = [];
+      const watching = (async () => {
+        for await (const object of first.watch<string>(KEY, before, ending.signal)) seen.push(object);
+      })();
+      let version = before;
+      for (const value of ['b', 'c']) {
+        version = (await second.putIfVersion(KEY, value, version)).unwrapOr(undefined)?.version ?? 0;
+        await eventually(t, () => seen.at(-1)?.value === value);
+      }
+      ending.abort();
+      await watching;
+      t.deepEqual(
+        seen.map((object) => object.value),
+        ['b', 'c'],
+      );
+    },
+  },
+];
+
+for (const { name, run } of CONTRACT) {
+  test(`HTTP: ${name}`, async (t) => {
+    const clock = new VirtualClock();
+    await withStandin((_standin, client) => run(t, client, client, clock), {}, clock);
+  });
+
+  test(`in memory: ${name}`, async (t) => {
+    const clock = new VirtualClock();
+    const platform = new InMemoryPlatform(clock);
+    await run(t, platform.client('first'), platform.client('second'), clock);
+  });
+}
+
+interface FaultCase {
+  readonly name: string;
+  readonly faults: Parameters<PlatformStandin['setFaults']>[0];
+  readonly get: string;
+  readonly put: string;
+  readonly lease: string;
+  /** Whether the write must, may or must not have taken effect. */
+  readonly written: boolean;
+}
+
+const SHORT_DEADLINES = { callDeadlineMs: 1_500, attemptDeadlineMs: 700 };
+const LONG_DEADLINES = { callDeadlineMs: 20_000, attemptDeadlineMs: 10_000 };
+
+const FAULT_CASES: readonly FaultCase[] = [
+  { name: 'no fault', faults: {}, get: 'ok', put: 'ok', lease: 'ok', written: true },
+  {
+    name: 'down',
+    faults: { down: true },
+    get: 'platform.unreachable',
+    put: 'platform.unknown-outcome',
+    lease: 'platform.unreachable',
+    written: false,
+  },
+  {
+    name: 'slow beyond the deadline',
+    faults: { slowMs: 3_000 },
+    get: 'platform.deadline',
+    put: 'platform.unknown-outcome',
+    lease: 'platform.deadline',
+    written: true,
+  },
+  {
+    name: 'answers lost after the write',
+    faults: { lostAnswerAfterWrite: { probability: 1 } },
+    get: 'ok',
+    put: 'platform.unknown-outcome',
+    lease: 'platform.unreachable',
+    written: true,
+  },
+  {
+    name: 'one answer lost after the write',
+    faults: { lostAnswerAfterWrite: { count: 1 } },
+    get: 'ok',
+    put: 'platform.unknown-outcome',
+    lease: 'ok',
+    written: true,
+  },
+];
+
+for (const fault of FAULT_CASES) {
+  test(`fault: ${fault.name}`, async (t) => {
+    const deadlines = fault.faults.slowMs ? SHORT_DEADLINES : LONG_DEADLINES;
+    await withStandin(async (standin) => {
+      // One client for each call: the circuit of one must not answer for the next.
+      const reader = connect(standin.url, deadlines);
+      const writer = connect(standin.url, deadlines);
+      const holder = connect(standin.url, deadlines);
+      standin.setFaults(fault.faults);
+      t.is(kindOf(await reader.get(KEY)), fault.get);
+      t.is(kindOf(await writer.putIfVersion(KEY, 'value', 0)), fault.put);
+      t.is(kindOf(await holder.acquireLease(LEASE, 'member-1', 5_000)), fault.lease);
+      if (fault.written) await eventually(t, () => standin.store.get(KEY)?.value === 'value');
+      else t.is(standin.store.get(KEY), undefined);
+      t.is(standin.counters().byKind['put'], 1, 'a write is sent once');
+      await Promise.all([reader.close(), writer.close(), holder.close()]);
+    });
+  });
+}
+
+test('a write that was never sent is unreachable, not unknown', async (t) => {
+  const standin = await startPlatformStandin({ port: 0 });
+  await standin.close();
+  const client = connect(standin.url);
+  t.is(kindOf(await client.putIfVersion(KEY, 'value', 0)), 'platform.unreachable');
+  await client.close();
+});
+
+const ODD_ANSWERS = [
+  {
+    name: 'not JSON',
+    status: 200,
+    body: '<html>',
+    get: 'platform.bad-answer',
+    put: 'platform.unknown-outcome',
+  },
+  {
+    name: 'wrong shape',
+    status: 200,
+    body: '{"a":1}',
+    get: 'platform.bad-answer',
+    put: 'platform.bad-answer',
+  },
+  { name: 'wrong path', status: 403, body: '{}', get: 'platform.bad-answer', put: 'platform.bad-answer' },
+  {
+    name: 'server error',
+    status: 503,
+    body: '{}',
+    get: 'platform.unreachable',
+    put: 'platform.unknown-outcome',
+  },
+];
+
+for (const odd of ODD_ANSWERS) {
+  test(`odd answer: ${odd.name}`, async (t) => {
+    const server = Fastify();
+    server.all('/*', (_request, reply) => reply.code(odd.status).type('application/json').send(odd.body));
+    t.teardown(() => server.close());
+    const url = await server.listen({ host: '127.0.0.1', port: 0 });
+    // One client for each call: the circuit of one must not answer for the next.
+    const reader = connect(url, LONG_DEADLINES);
+    const writer = connect(url, LONG_DEADLINES);
+    t.teardown(() => Promise.all([reader.close(), writer.close()]));
+    t.is(kindOf(await reader.get(KEY)), odd.get);
+    t.is(kindOf(await writer.putIfVersion(KEY, 'value', 0)), odd.put);
+  });
+}
+
+test('a store that is down is not hammered, and a trial finds it again', async (t) => {
+  const clock = new VirtualClock();
+  await withStandin(
+    async (standin, client) => {
+      standin.setFaults({ down: true });
+      let settled = false;
+      const first = client.get(KEY).finally(() => (settled = true));
+      await eventually(t, () => {
+        clock.advance(20);
+        return settled;
+      });
+      t.is(kindOf(await first), 'platform.unreachable');
+      for (let call = 0; call < 100; call += 1) t.is(kindOf(await client.get(KEY)), 'platform.unreachable');
+      t.is(client.circuitState(), 'open');
+      t.true((standin.counters().byKind['get'] ?? 0) <= 5, `${standin.counters().byKind['get']} requests`);
+      standin.setFaults({});
+      clock.advance(20_000);
+      t.is(kindOf(await client.get(KEY)), 'ok');
+      t.is(client.circuitState(), 'closed');
+    },
+    { callDeadlineMs: 3_600_000, attemptDeadlineMs: 3_600_000 },
+    clock,
+  );
+});
+
+const WATCH_FAULTS = [
+  { name: 'the store goes down and comes back', faults: { down: true } },
+  { name: 'the watch falls silent', faults: { watchStall: true } },
+];
+
+for (const { name, faults } of WATCH_FAULTS) {
+  test(`a watch goes on from the last version: ${name}`, async (t) => {
+    await withStandin(
+      async (standin, client) => {
+        const ending = new AbortController();
+        const seen: number[] = [];
+        const watching = (async () => {
+          for await (const object of client.watch(KEY, 0, ending.signal)) seen.push(object.version);
+        })();
+        standin.store.put(KEY, 'a', 0);
+        await eventually(t, () => seen.length === 1);
+        standin.setFaults(faults);
+        standin.store.put(KEY, 'b', 1);
+        await eventually(t, () => (standin.counters().byKind['watch'] ?? 0) >= 2);
+        standin.setFaults({});
+        await eventually(t, () => seen.length === 2);
+        t.deepEqual(seen, [1, 2]);
+        ending.abort();
+        await watching;
+        await eventually(t, () => standin.counters().watchers === 0);
+        t.deepEqual(standin.counters().watchingCallers, []);
+      },
+      { watchSilenceMs: 100 },
+    );
+  });
+}
+
+test('a lease is trusted from the moment its request was sent, not from its answer', async (t) => {
+  const clock = new VirtualClock();
+  await withStandin(
+    async (standin, client) => {
+      standin.setFaults({ slowMs: 3_000 });
+      const grant = client.acquireLease(LEASE, 'member-1', 5_000);
+      await eventually(t, () => standin.counters().byKind['lease'] === 1);
+      clock.advance(3_000);
+      const lease = (await grant).unwrapOr(undefined);
+      t.is(lease?.trustedUntilMs, 5_000 * 0.99 - 500);
+    },
+    { callDeadlineMs: 60_000, attemptDeadlineMs: 60_000 },
+    clock,
+  );
+});
+
+test('the machine list lags', async (t) => {
+  const clock = new VirtualClock();
+  await withStandin(
+    async (standin, client) => {
+      const machine = {
+        name: 'member-1',
+        zone: 'a',
+        control: { host: '127.0.0.1', port: 7_946 },
+        state: 'live',
+      };
+      const body = JSON.stringify({ machines: [machine] });
+      await fetch(`${standin.url}/machines`, {
+        method: 'PUT',
+        body,
+        headers: { 'content-type': 'application/json' },
+      });
+      t.deepEqual((await client.listMachines()).unwrapOr([]), []);
+      clock.advance(2_000);
+      t.deepEqual((await client.listMachines()).unwrapOr([]), [machine] as never);
+    },
+    {},
+    clock,
+  );
+});
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -158,10 +158,18 @@
   }
 
   /** Sends until an answer comes or the deadline passes; only for requests that may be processed twice. */
-  private async repeat(
+  private repeat(
     action: string,
     exchange: Exchange,
     beforeAttempt: () => void = () => undefined,
+  ): Promise<Result<Answer, PlatformError>> {
+    return keepingProcessAlive(() => this.repeatUntilDeadline(action, exchange, beforeAttempt));
+  }
+
+  private async repeatUntilDeadline(
+    action: string,
+    exchange: Exchange,
+    beforeAttempt: () => void,
   ): Promise<Result<Answer, PlatformError>> {
     const deadlineAtMs = this.clock.now() + this.callDeadlineMs;
     for (let attempt = 0; ; attempt += 1) {
@@ -180,7 +188,14 @@
   }
 
   /** Sends a write; repeats it only while no connection could be made. */
-  private async sendOnce(action: string, exchange: Exchange): Promise<Result<Answer, PlatformError>> {
+  private sendOnce(action: string, exchange: Exchange): Promise<Result<Answer, PlatformError>> {
+    return keepingProcessAlive(() => this.sendUntilConnected(action, exchange));
+  }
+
+  private async sendUntilConnected(
+    action: string,
+    exchange: Exchange,
+  ): Promise<Result<Answer, PlatformError>> {
     const deadlineAtMs = this.clock.now() + this.callDeadlineMs;
     for (let attempt = 0; ; attempt += 1) {
       if (!this.circuit.tryPass()) return Result.err(errors.unreachable(action));
@@ -235,6 +250,19 @@
   }
 }
 
+/** Longest delay that a Node.js timer takes. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Runs a call; a command that only waits between two attempts must not end, which timers of a `Clock` would let it. */
+async function keepingProcessAlive<T>(call: () => Promise<T>): Promise<T> {
+  const hold = setTimeout(() => undefined, MAX_TIMER_MS);
+  try {
+    return await call();
+  } finally {
+    clearTimeout(hold);
+  }
+}
+
 /** How long a granted lease is trusted, counted from the moment its request was sent. */
 export function trustedDurationMs(grantedMs: number): number {
   return Math.max(0, grantedMs * (1 - limits.LEASE_DRIFT_SHARE) - limits.LEASE_MARGIN_MS);
--- a/src/platform/transport.ts
+++ b/src/platform/transport.ts
@@ -85,11 +85,12 @@
 
   /** Opens a request and returns once the head of the answer is there; throws what undici throws. */
   open(exchange: Exchange, signal: AbortSignal): ReturnType<typeof request> {
+    const hasBody = exchange.body !== undefined;
     return request(this.baseUrl + exchange.path, {
       dispatcher: this.agent,
       method: exchange.method,
-      headers: { [CALLER_HEADER]: this.caller, 'content-type': 'application/json' },
-      body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
+      headers: { [CALLER_HEADER]: this.caller, ...(hasBody ? { 'content-type': 'application/json' } : {}) },
+      body: hasBody ? JSON.stringify(exchange.body) : null,
       signal,
     });
   }
--- a/src/platform/watch.ts
+++ b/src/platform/watch.ts
@@ -44,13 +44,14 @@
   let attempt = 0;
   while (!signal.aborted) {
     if (context.circuit.tryPass()) {
+      const openedAtMs = context.clock.now();
       for await (const object of watchOnce(context, key, lastVersion, signal)) {
-        attempt = 0;
         if (object.version <= lastVersion) continue;
         lastVersion = object.version;
         yield object as StoredObject<T>;
       }
       if (signal.aborted) return;
+      if (context.clock.now() - openedAtMs > context.silenceMs) attempt = 0;
       context.events.emit(PLATFORM_EVENTS.watchReopened, { key, version: lastVersion });
     }
     const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** attempt);
--- a/src/standin/platform/server.ts
+++ b/src/standin/platform/server.ts
@@ -164,7 +164,8 @@
     };
     const unsubscribe = this.store.subscribe(key, sendNewest);
     sendNewest(this.store.get(key));
-    const stopHeartbeat = this.startHeartbeat(reply);
+    // A write that fell into a stall is sent with the first heartbeat after it.
+    const stopHeartbeat = this.startHeartbeat(reply, () => sendNewest(this.store.get(key)));
     reply.raw.on('close', () => {
       stopHeartbeat();
       unsubscribe();
@@ -173,10 +174,11 @@
     });
   }
 
-  private startHeartbeat(reply: FastifyReply): () => void {
+  private startHeartbeat(reply: FastifyReply, beforeBeat: () => void): () => void {
     let stopped = false;
     const beat = (): void => {
       if (stopped) return;
+      beforeBeat();
       if (!this.faults.settings.watchStall) reply.raw.write('\n');
       this.clock.schedule(this.options.heartbeatMs ?? WATCH_HEARTBEAT_MS, beat);
     };
