--- a/src/health/constants.ts
+++ b/src/health/constants.ts
@@ -67,3 +67,5 @@
 export const EVALUATION_INTERVAL_MS = 100;
 /** Pieces of evidence kept for each back end. */
 export const MAX_EVIDENCE = 8;
+/** An evaluation that comes this late means that the process was paused: silence meanwhile says nothing about back ends. */
+export const PAUSE_DETECTION_MS = 750;
--- a/src/health/gossip.ts
+++ b/src/health/gossip.ts
@@ -23,8 +23,8 @@
 import { decodeUpdate, encodeUpdate, pages, type HealthUpdate } from './message.js';
 import type { Vote, VoteTable } from './votes.js';
 
-/** Buckets answered to one digest at most, so that a newcomer does not cause a burst. */
-const MAX_BUCKETS_PER_ANSWER = 4;
+/** Votes answered to one digest at most, so that a newcomer of a large fleet does not cause a burst; it asks again. */
+const MAX_VOTES_PER_ANSWER = 320;
 
 /** What the gossip is made with. */
 export interface HealthGossipOptions {
@@ -75,6 +75,9 @@
     new Ticker(clock, () => GOSSIP_INTERVAL_MS).run(signal, () => this.sendPending());
     const antiEntropyDelay = (): number => jitter(ANTI_ENTROPY_INTERVAL_MS, ANTI_ENTROPY_JITTER, random);
     new Ticker(clock, antiEntropyDelay).run(signal, () => this.sendDigest());
+    clock.schedule(GOSSIP_INTERVAL_MS, () => {
+      if (!signal.aborted) this.sendDigest();
+    });
   }
 
   /** Queues a changed vote. */
@@ -156,11 +159,10 @@
     const peer = this.peers().find((member) => member.id === message.senderId);
     if (!peer) return;
     const start = Math.floor(this.options.random() * differing.length);
-    const rotated = [...differing.slice(start), ...differing.slice(0, start)].slice(
-      0,
-      MAX_BUCKETS_PER_ANSWER,
-    );
-    const votes = rotated.flatMap((bucket) => this.options.table.votesInBucket(bucket));
+    const rotated = [...differing.slice(start), ...differing.slice(0, start)];
+    const votes = rotated
+      .flatMap((bucket) => this.options.table.votesInBucket(bucket))
+      .slice(0, MAX_VOTES_PER_ANSWER);
     for (const part of pages(votes)) this.send(peer, { votes: part, digest: [], answer: true });
     if (!update.answer) this.send(peer, { votes: [], digest: own, answer: true });
   }
--- a/src/health/health-monitor.test.ts
+++ b/src/health/health-monitor.test.ts
@@ -222,11 +222,26 @@
   simulation.backend(0).probe = () => 'bad';
   await simulation.advance(20_000);
   cutOff.connected = true;
-  await simulation.advance(15_000);
+  await simulation.advance(8_000);
   t.deepEqual(conditions(simulation.beliefs(0)), ['unhealthy']);
   t.deepEqual(conditions(simulation.beliefs(1)), ['healthy']);
 });
 
+test('a balancer that was paused does not hold its own silence against the back ends', async (t) => {
+  const simulation = await started({ members: 3 });
+  const [member] = simulation.members;
+  for (const id of simulation.backendIds) {
+    for (let opening = 0; opening < 3; opening += 1) member!.monitor.recordPassive(id, 'opened');
+  }
+  member!.paused = true;
+  await simulation.advance(4_000);
+  member!.paused = false;
+  await simulation.advance(2_000);
+  const eligible = simulation.backendIds.filter((id) => member!.monitor.health(id).eligible);
+  t.is(eligible.length, 10);
+  t.deepEqual(member!.events, []);
+});
+
 const LOADS = [
   { name: 'says idle', reported: 0, trusted: false },
   { name: 'says double', reported: 600, trusted: false },
--- a/src/health/health-monitor.ts
+++ b/src/health/health-monitor.ts
@@ -9,7 +9,12 @@
 import type { EventLog } from '../observability/event.js';
 import type { LoadView } from '../placement/types.js';
 import type { EffectiveSettings } from '../settings/types.js';
-import { CONFLICT_FRESH_MS, EVALUATION_INTERVAL_MS, PASSIVE_FAILURE_THRESHOLD } from './constants.js';
+import {
+  CONFLICT_FRESH_MS,
+  EVALUATION_INTERVAL_MS,
+  PASSIVE_FAILURE_THRESHOLD,
+  PAUSE_DETECTION_MS,
+} from './constants.js';
 import { HealthGossip, type GossipStatistics } from './gossip.js';
 import { OwnVotes } from './own-votes.js';
 import type { Probe } from './probe.js';
@@ -59,6 +64,7 @@
   private readonly memberNames = new Map<number, string>();
   private readonly assigned = new Map<number, readonly number[]>();
   private configured = false;
+  private evaluatedAtMs = -Infinity;
 
   constructor(private readonly options: HealthMonitorOptions) {
     const { clock, random, probe } = options;
@@ -203,6 +209,9 @@
   }
 
   private evaluateMoving(nowMs: number): void {
+    const paused = nowMs - this.evaluatedAtMs > PAUSE_DETECTION_MS;
+    this.evaluatedAtMs = nowMs;
+    if (paused) this.forgiveSilence();
     for (const service of this.services.values()) {
       if (!service.needsEvaluation(nowMs)) continue;
       this.expirePassive(service, nowMs);
@@ -210,6 +219,12 @@
     }
   }
 
+  private forgiveSilence(): void {
+    for (const service of this.services.values()) {
+      for (const belief of service.beliefs.values()) belief.passive.forgiveSilence();
+    }
+  }
+
   private expirePassive(service: ServiceHealth, nowMs: number): void {
     for (const [id, belief] of service.beliefs) {
       belief.passive.expire(nowMs);
--- a/src/health/health-simulation.ts
+++ b/src/health/health-simulation.ts
@@ -2,7 +2,7 @@
  * Deterministic simulation of a fleet's health monitors: the real monitors on one virtual clock, joined by a simulated control
  * channel, in front of simulated back ends. For tests and for measuring what probing and gossip cost; no sockets.
  */
-import { VirtualClock } from '../common/clock.js';
+import { VirtualClock, type Clock, type TimerHandle } from '../common/clock.js';
 import { hashString } from '../common/hash.js';
 import { seededRandom, type RandomSource } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
@@ -64,6 +64,8 @@
   connected: boolean;
   state: MemberState;
   sentBytes: number;
+  /** True while the process is stopped: its timers fire when it goes on. */
+  paused: boolean;
 }
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
@@ -71,6 +73,7 @@
 const PROBE_DELAY_MS = 2;
 const FIRST_PORT = 1_000;
 const CAPACITY = 2_000;
+const PAUSE_POLL_MS = 10;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -187,8 +190,9 @@
       connected: true,
       state: 'active',
       sentBytes: 0,
+      paused: false,
       monitor: new HealthMonitor({
-        clock: this.clock,
+        clock: this.clockOf(() => member.paused),
         random: seededRandom(this.options.seed * 10_000 + index),
         events: log,
         settings: {
@@ -208,6 +212,21 @@
     return member;
   }
 
+  /** The common clock, with timers that wait while the member is paused. */
+  private clockOf(paused: () => boolean): Clock {
+    const { clock } = this;
+    const schedule = (delayMs: number, callback: () => void): TimerHandle => {
+      let timer: TimerHandle;
+      const fire = (): void => {
+        if (paused()) timer = clock.schedule(PAUSE_POLL_MS, fire);
+        else callback();
+      };
+      timer = clock.schedule(delayMs, fire);
+      return { cancel: () => timer.cancel() };
+    };
+    return { now: () => clock.now(), wall: () => clock.wall(), schedule };
+  }
+
   private control(index: number): ControlChannel {
     return {
       send: (to, _kind, payload) => this.send(index, to, payload),
@@ -222,7 +241,7 @@
     sender.sentBytes += payload.length;
     if (this.random() < (this.options.lossShare ?? 0)) return true;
     this.clock.schedule(CONTROL_DELAY_MS, () => {
-      if (!receiver || receiver.state === 'gone' || !receiver.connected || !sender.connected) return;
+      if (!receiver?.connected || receiver.state === 'gone' || receiver.paused || !sender.connected) return;
       this.handlers.get(receiver.index)?.(this.inbound(sender, payload));
     });
     return true;
--- a/src/health/passive-tracker.ts
+++ b/src/health/passive-tracker.ts
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Forgets openings that wait for an answer: after a pause of this process the answers may be there, still unread. */
+  forgiveSilence(): void {
+    this.waitingSinceMs = [];
+  }
+
   /** Forgets all failures. */
   reset(): void {
     this.reportedFailures = 0;
