Keep logs of a run's processes and name the first broken flows

Cause: a broken flow could not be traced to its cause, and a process that ended by itself went unseen.

--- a/src/experiment/balancer-fleet.ts
+++ b/src/experiment/balancer-fleet.ts
@@ -168,7 +168,7 @@
       seeds: this.all.map((balancer) => formatEndpoint(balancer.control)),
       clusterKeyFile: directory.keyFile,
       placement: mode,
-      log: { format: 'json', level: 'warn' },
+      log: { format: 'json', level: 'info' },
     };
   }
 
--- a/src/experiment/build-document.ts
+++ b/src/experiment/build-document.ts
@@ -5,7 +5,8 @@
 import type { ActionRunner } from './action-runner.js';
 import type { BackendSampler } from './backend-sampler.js';
 import type { BalancerFleet } from './balancer-fleet.js';
-import type { EditRecord, ExperimentDocument, RunSeries } from './document.js';
+import { BROKEN_FLOWS_KEPT } from './constants.js';
+import type { BrokenFlowRecord, EditRecord, ExperimentDocument, RunSeries } from './document.js';
 import type { FleetMonitor } from './fleet-monitor.js';
 import { judgeAll } from './goals.js';
 import { flowFigures, requestFigures, type Executions } from './join-reports.js';
@@ -58,6 +59,7 @@
     durationSeconds: (endedAtMs - startedAtMs) / 1_000,
     flows: flowFigures(record.callers, record.backends, causes),
     requests: requestFigures(record.callers, record.backends, record.executions),
+    brokenFlows: brokenFlowRecords(record),
     imbalance: measure.imbalance(secondHalf, inServiceOf(record)),
     drain: { secondsToLastNewFlow: measure.secondsToLastNewFlow(sampler.samples, actions.withdrawals) },
     health: { secondsToIneligibleEverywhere: ineligibleSeconds(record) },
@@ -74,6 +76,20 @@
   };
 }
 
+function brokenFlowRecords({ callers, startedAtMs }: RunRecord): BrokenFlowRecord[] {
+  return callers
+    .flatMap((report) => report.brokenFlows)
+    .sort((left, right) => left.brokenAtMs - right.brokenAtMs)
+    .slice(0, BROKEN_FLOWS_KEPT)
+    .map((flow) => ({
+      atSeconds: (flow.brokenAtMs - startedAtMs) / 1_000,
+      reason: flow.reason,
+      service: flow.service,
+      backend: flow.backend ?? null,
+      openSeconds: (flow.brokenAtMs - flow.openedAtMs) / 1_000,
+    }));
+}
+
 function editRecord(edit: OperatorEdit, record: RunRecord): EditRecord {
   const { acceptedAtMs, operator, version, outcome } = edit;
   const spread = outcome === 'accepted' ? spreadOf(edit, record) : undefined;
--- a/src/experiment/constants.ts
+++ b/src/experiment/constants.ts
@@ -24,3 +24,5 @@
 export const FAULT_ATTRIBUTION_MS = 30_000;
 /** Lines of a process's standard error kept for the report of a failure. */
 export const KEPT_ERROR_LINES = 40;
+/** Broken flows listed in a result document. */
+export const BROKEN_FLOWS_KEPT = 50;
--- a/src/experiment/document.ts
+++ b/src/experiment/document.ts
@@ -20,6 +20,15 @@
   readonly misdelivered: number | null;
 }
 
+/** One flow that broke, as its caller saw it. */
+export interface BrokenFlowRecord {
+  readonly atSeconds: number;
+  readonly reason: string;
+  readonly service: string;
+  readonly backend: string | null;
+  readonly openSeconds: number;
+}
+
 export interface RequestFigures {
   readonly sent: number | null;
   readonly answered: number | null;
@@ -102,6 +111,8 @@
   readonly durationSeconds: number;
   readonly flows: FlowFigures;
   readonly requests: RequestFigures;
+  /** The first broken flows, by time. */
+  readonly brokenFlows: readonly BrokenFlowRecord[];
   readonly imbalance: ImbalanceFigures;
   readonly drain: { readonly secondsToLastNewFlow: number | null };
   /** From a back end's fault until every balancer held it ineligible; the longest of the run. */
--- a/src/experiment/experiment-command.ts
+++ b/src/experiment/experiment-command.ts
@@ -29,6 +29,7 @@
   readonly tree?: Scenario['tree'];
   readonly baseline?: PlacementMode[];
   readonly withBaselines?: boolean;
+  readonly logDir?: string;
 }
 
 interface CompareFlags {
@@ -90,6 +91,7 @@
     .option('--seed <number>', 'seed of every random choice', parseSeed, DEFAULT_SEED)
     .option('--json', 'print the JSON document')
     .option('--out <file>', 'save the JSON document')
+    .option('--log-dir <directory>', 'keep the standard error of each process there')
     .addOption(new Option('--mode <mode>', 'placement mode').choices(MODES).default('bounded-load'))
     .addOption(treeOption())
     .addOption(new Option('--baseline <mode...>', 'run it in this mode too, side by side').choices(BASELINES))
@@ -138,7 +140,7 @@
 
 async function run(nameOrFile: string, flags: RunFlags): Promise<void> {
   const scenario = withTree(scenarioOf(nameOrFile), flags.tree);
-  const result: ExperimentDocument = await runOnce(scenario, flags.seed, flags.mode);
+  const result: ExperimentDocument = await runOnce(scenario, flags.seed, flags.mode, flags.logDir);
   const baselineModes = flags.withBaselines ? BASELINES : (flags.baseline ?? []);
   const baselines: ExperimentDocument[] = [];
   for (const mode of baselineModes) baselines.push(await runOnce(scenario, flags.seed, mode));
@@ -172,7 +174,12 @@
   write(`wrote ${flags.output}`);
 }
 
-async function runOnce(scenario: Scenario, seed: number, mode: PlacementMode): Promise<ExperimentDocument> {
+async function runOnce(
+  scenario: Scenario,
+  seed: number,
+  mode: PlacementMode,
+  logDirectory?: string,
+): Promise<ExperimentDocument> {
   const interrupt = new AbortController();
   const abort = (): void => interrupt.abort();
   process.on('SIGINT', abort);
@@ -180,7 +187,7 @@
   try {
     const progress = (text: string): void =>
       void process.stderr.write(`${scenario.name} (${mode}): ${text}\n`);
-    return await runScenario({ scenario, seed, mode, signal: interrupt.signal, progress });
+    return await runScenario({ scenario, seed, mode, signal: interrupt.signal, progress, logDirectory });
   } finally {
     process.off('SIGINT', abort);
     process.off('SIGTERM', abort);
--- a/src/experiment/experiment-run.ts
+++ b/src/experiment/experiment-run.ts
@@ -1,4 +1,5 @@
 /** One run of a scenario: starts every process, carries the plan out under load, measures, and stops everything. */
+import { mkdirSync } from 'node:fs';
 import type { PlacementMode } from '../placement/types.js';
 import { ActionRunner, sleepUntil } from './action-runner.js';
 import { BackendProcesses } from './backend-processes.js';
@@ -34,6 +35,8 @@
   readonly mode: PlacementMode;
   /** Aborts the run (Ctrl-C): everything is stopped and the run rejects. */
   readonly signal: AbortSignal;
+  /** Where the standard error of each process is kept; absent: nowhere. */
+  readonly logDirectory?: string;
   /** Told what happens, for a person who waits. */
   readonly progress: (text: string) => void;
 }
@@ -63,7 +66,7 @@
 }
 
 class ExperimentRun {
-  private readonly launcher = new ProcessLauncher();
+  private readonly launcher: ProcessLauncher;
   private readonly client = new ControlClient();
   private readonly directory = new RunDirectory();
   private readonly stop = new AbortController();
@@ -74,6 +77,8 @@
   private timers: NodeJS.Timeout[] = [];
 
   constructor(private readonly options: RunOptions) {
+    if (options.logDirectory) mkdirSync(options.logDirectory, { recursive: true });
+    this.launcher = new ProcessLauncher(options.logDirectory);
     this.site = SiteTemplate.load(options.scenario.tree);
     this.scenario = resolveNames(options.scenario, this.site);
   }
@@ -123,7 +128,7 @@
       backends,
       executions: await this.executions(stage),
       lostEdits: await this.lostEdits(stage.operators),
-      problems: this.problems,
+      problems: [...this.problems, ...this.launcher.unexpectedEnds],
     });
   }
 
--- a/src/experiment/process-launcher.ts
+++ b/src/experiment/process-launcher.ts
@@ -3,7 +3,10 @@
  * itself when that pipe closes (parent-watch.ts), so that nothing outlives the tool even if the tool is killed.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { join } from 'node:path';
 import { createInterface } from 'node:readline';
+import type { Writable } from 'node:stream';
 import { fileURLToPath } from 'node:url';
 import { KEPT_ERROR_LINES, READY_TIMEOUT_MS, STOP_TIMEOUT_MS } from './constants.js';
 import { ExperimentError } from './errors.js';
@@ -28,11 +31,15 @@
   readonly ended: Promise<ProcessEnd>;
   private readonly errorLines: string[] = [];
   private end: ProcessEnd | undefined;
+  private ending = false;
 
+  /** `log` gets standard error as it comes. */
   constructor(
     readonly name: string,
     private readonly child: ChildProcess,
+    log?: Writable,
   ) {
+    if (log) child.stderr?.pipe(log);
     this.ended = new Promise((resolve) => {
       const finish = (end: ProcessEnd): void => {
         this.end ??= end;
@@ -79,8 +86,14 @@
     }
   }
 
+  /** True once the process was sent SIGTERM or SIGKILL. */
+  get askedToEnd(): boolean {
+    return this.ending;
+  }
+
   /** Sends a signal; no effect once the process has ended. */
   signal(signal: NodeJS.Signals): void {
+    if (signal === 'SIGTERM' || signal === 'SIGKILL') this.ending = true;
     if (this.running) this.child.kill(signal);
   }
 
@@ -111,21 +124,37 @@
 /** Starts processes of this program and remembers them until they are stopped. */
 export class ProcessLauncher {
   private readonly processes = new Set<ManagedProcess>();
+  private closed = false;
+  /** Processes that ended without being asked to, with their last error output. */
+  readonly unexpectedEnds: string[] = [];
+
+  /** With a directory, the standard error of each process is written to NAME.log in it. */
+  constructor(private readonly logDirectory?: string) {}
 
   /** Starts `sailquay ARGUMENTS` as a process of its own. */
   start(name: string, argumentList: readonly string[]): ManagedProcess {
+    if (this.closed) {
+      const remedy = 'Start the run again';
+      throw new ExperimentError(
+        'experiment.interrupted',
+        `${name} was not started: the run has ended`,
+        remedy,
+      );
+    }
     const nodeArguments = [...process.execArgv, '--import', PARENT_WATCH_URL];
     const child = spawn(process.execPath, [...nodeArguments, ENTRY_FILE, ...argumentList], {
       stdio: ['pipe', 'pipe', 'pipe'],
     });
-    const managed = new ManagedProcess(name, child);
+    const log = this.logDirectory ? createWriteStream(join(this.logDirectory, `${name}.log`)) : undefined;
+    const managed = new ManagedProcess(name, child, log);
     this.processes.add(managed);
-    void managed.ended.then(() => this.processes.delete(managed));
+    void managed.ended.then((end) => this.noteEnd(managed, end));
     return managed;
   }
 
-  /** Stops every process that still runs. */
+  /** Stops every process that still runs; none can be started after this. */
   async stopAll(): Promise<void> {
+    this.closed = true;
     await Promise.all([...this.processes].map((managed) => managed.stop()));
   }
 
@@ -133,6 +162,14 @@
   killAll(): void {
     for (const managed of this.processes) managed.signal('SIGKILL');
   }
+
+  private noteEnd(managed: ManagedProcess, end: ProcessEnd): void {
+    this.processes.delete(managed);
+    if (managed.askedToEnd) return;
+    this.unexpectedEnds.push(
+      `${managed.name} ended by itself (${describeEnd(end)}): ${managed.recentErrors}`,
+    );
+  }
 }
 
 function parseReadyLine(line: string): ReadyLine | undefined {
--- a/src/experiment/text-report.ts
+++ b/src/experiment/text-report.ts
@@ -10,6 +10,7 @@
     eventLines(result),
     formatTable(['figure', ...documents.map((document) => document.mode)], figureRows(documents)),
     goalLines(result),
+    brokenLines(result),
     ...documents.flatMap(problemLines),
   ];
   return sections.filter(Boolean).join('\n\n') + '\n';
@@ -41,6 +42,18 @@
   return formatTable(['goal', 'wanted', 'measured', 'verdict'], rows);
 }
 
+/** Broken flows counted by second and reason, so that their cause can be looked for. */
+function brokenLines(result: ExperimentDocument): string {
+  const counts = new Map<string, number>();
+  for (const flow of result.brokenFlows) {
+    const key = `${Math.floor(flow.atSeconds)} s: ${flow.reason}, ${flow.service}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  if (counts.size === 0) return '';
+  const lines = [...counts].map(([key, count]) => `  ${key}: ${count}`);
+  return `First broken flows (${result.brokenFlows.length} of ${result.flows.broken}):\n${lines.join('\n')}`;
+}
+
 function problemLines(document: ExperimentDocument): string[] {
   if (document.problems.length === 0) return [];
   return [
