--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -8,7 +8,7 @@
 import type { BalancerIdentity, ControlPlane } from './control-plane.js';
 import type { DataPlane, EdgeGate } from './data-plane.js';
 import type { FaultInjection } from './fault-injection.js';
-import type { MemoryGuard } from './memory-guard.js';
+import type { LimitGuard } from './limit-guard.js';
 
 /** What a daemon needs from its surroundings; tests give their own. */
 export interface DaemonEnvironment {
@@ -34,5 +34,6 @@
   readonly platform: ConnectedPlatformClient | undefined;
   readonly controlPlane: ControlPlane;
   readonly dataPlane: DataPlane;
-  readonly memory: MemoryGuard;
+  /** Guards of resident memory and of open flows. */
+  readonly guards: readonly LimitGuard[];
 }
--- a/src/daemon/constants.ts
+++ b/src/daemon/constants.ts
@@ -12,11 +12,11 @@
 /** Resident memory in MB above which openings are refused by default. */
 export const DEFAULT_MAX_MEMORY_MEGABYTES = 1_024;
 
-/** Openings are accepted again below this share of the memory limit. */
-export const MEMORY_RECOVERY_SHARE = 0.9;
+/** A limit that was reached counts as exceeded until the measure is below this share of it. */
+export const LIMIT_RECOVERY_SHARE = 0.9;
 
-/** How often resident memory is compared with its limit. */
-export const MEMORY_CHECK_INTERVAL_MS = 1_000;
+/** How often resident memory and open flows are compared with their limits. */
+export const LIMIT_CHECK_INTERVAL_MS = 1_000;
 
 /** A stopping daemon that has seen no data packet for this long is done. */
 export const DEFAULT_DRAIN_QUIET_MS = 3_000;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -149,9 +149,9 @@
   }
 
   private async close(): Promise<void> {
-    const { memory, controlPlane, control, edge, admin, platform, events } = this.components;
+    const { guards, controlPlane, control, edge, admin, platform, events } = this.components;
     this.phase = 'draining';
-    memory.stop();
+    guards.forEach((guard) => guard.stop());
     await controlPlane.stop();
     this.dataPath.abort();
     await platform?.close();
--- a/src/daemon/events.ts
+++ b/src/daemon/events.ts
@@ -61,6 +61,18 @@
     message: 'Resident memory is below its limit again: openings are accepted',
     action: 'none',
   },
+  flowLimit: {
+    number: 1016,
+    level: 'error',
+    message: 'Open flows have reached their limit: openings are refused, open flows stay',
+    action: 'Raise limits.maxFlows or add balancers',
+  },
+  flowsRecovered: {
+    number: 1017,
+    level: 'info',
+    message: 'Open flows are below 90% of their limit again',
+    action: 'none',
+  },
   notReady: {
     number: 1013,
     level: 'warn',
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -7,9 +7,12 @@
 import type { DaemonConfig } from './config.js';
 import { createControlPlane, type BalancerIdentity } from './control-plane.js';
 import { bindEdge, EdgeGate, KnownSources, startDataPlane } from './data-plane.js';
-import { MemoryGuard } from './memory-guard.js';
+import { DAEMON_EVENTS } from './events.js';
+import { LimitGuard } from './limit-guard.js';
 import { processStatus } from './status-source.js';
 
+const BYTES_PER_MEGABYTE = 1_048_576;
+
 /** What the wiring needs besides the configuration. */
 export interface WiringOptions {
   readonly environment: DaemonEnvironment;
@@ -59,9 +62,11 @@
     },
     signal,
   );
-  memory.start();
+  const flows = createFlowGuard(environment, limits, () => dataPlane.forwarder.statistics().open);
+  const guards = [memory, flows];
+  guards.forEach((guard) => guard.start());
   controlPlane.start();
-  return { ...environment, ...sockets, identity, platform, controlPlane, dataPlane, memory };
+  return { ...environment, ...sockets, identity, platform, controlPlane, dataPlane, guards };
 }
 
 async function bindSockets(
@@ -128,11 +133,29 @@
 function createMemoryGuard(
   { clock, events }: DaemonEnvironment,
   limits: WiringOptions['limits'],
-): MemoryGuard {
-  return new MemoryGuard({
+): LimitGuard {
+  return new LimitGuard({
+    clock,
+    events,
+    measure: () => processStatus().residentBytes / BYTES_PER_MEGABYTE,
+    limit: () => limits().maxMemoryMegabytes,
+    reached: DAEMON_EVENTS.memoryLimit,
+    recovered: DAEMON_EVENTS.memoryRecovered,
+  });
+}
+
+/** Only reports: the flow keeper itself refuses openings at the limit. */
+function createFlowGuard(
+  { clock, events }: DaemonEnvironment,
+  limits: WiringOptions['limits'],
+  openFlows: () => number,
+): LimitGuard {
+  return new LimitGuard({
     clock,
     events,
-    limitMegabytes: () => limits().maxMemoryMegabytes,
-    residentBytes: () => processStatus().residentBytes,
+    measure: openFlows,
+    limit: () => limits().maxFlows,
+    reached: DAEMON_EVENTS.flowLimit,
+    recovered: DAEMON_EVENTS.flowsRecovered,
   });
 }
