Check dissemination under faults

Change: a simulated region with fault cases and random interleavings; chunks are decoded where bad messages are counted; a digest mismatch checks the tree in memory at once.

--- a/src/dissemination/messenger.ts
+++ b/src/dissemination/messenger.ts
@@ -63,23 +63,32 @@
     this.channel.handle('dissemination', (message) => {
       this.counters.messagesIn += 1;
       this.counters.bytesIn += message.payload.length;
-      try {
-        handler(Message.decode(message.payload), { id: message.senderId, endpoint: message.from });
-      } catch (error) {
-        this.dropBadMessage(message, error);
-      }
+      this.dispatch(message, handler);
     });
   }
 
-  private dropBadMessage(message: InboundControlMessage, error: unknown): void {
-    const undecodable = error instanceof DisseminationError || error instanceof RangeError;
-    if (!undecodable && !(error instanceof Error && isDecodeError(error))) throw error;
-    this.counters.badMessages += 1;
-    this.events.emit(DISSEMINATION_EVENTS.badMessage, { from: message.senderId, detail: error.message });
+  private dispatch(message: InboundControlMessage, handler: BodyHandler): void {
+    const body = this.decode(message);
+    if (!body) return;
+    try {
+      handler(body, { id: message.senderId, endpoint: message.from });
+    } catch (error) {
+      if (!(error instanceof DisseminationError)) throw error;
+      this.dropBadMessage(message.senderId, error.message);
+    }
+  }
+
+  private decode(message: InboundControlMessage): sailquay.dissemination.Message | undefined {
+    try {
+      return Message.decode(message.payload);
+    } catch (error) {
+      this.dropBadMessage(message.senderId, String(error));
+      return undefined;
+    }
   }
-}
 
-/** protobufjs throws plain errors on malformed input. */
-function isDecodeError(error: Error): boolean {
-  return error.constructor === Error || error.name === 'ProtocolError';
+  private dropBadMessage(from: string, detail: string): void {
+    this.counters.badMessages += 1;
+    this.events.emit(DISSEMINATION_EVENTS.badMessage, { from, detail });
+  }
 }
--- a/src/dissemination/puller.ts
+++ b/src/dissemination/puller.ts
@@ -9,7 +9,14 @@
 import type { DisseminationCounters } from './statistics.js';
 import type { TreeHolder } from './tree-holder.js';
 
-type Chunk = sailquay.dissemination.IPullChunk;
+/** A part of a transfer as it arrived. */
+interface Chunk {
+  readonly base: TreeStamp;
+  readonly target: TreeStamp;
+  readonly offset: number;
+  readonly totalBytes: number;
+  readonly data: Uint8Array;
+}
 
 /** A peer that has a tree that this member wants. */
 interface Source extends Sender {
@@ -72,9 +79,10 @@
     if (!this.running) void this.run();
   }
 
-  /** Takes a chunk from the network. */
-  receive(chunk: Chunk): void {
-    if (this.awaited && chunk.requestId === this.awaited.requestId) this.awaited.resolve(chunk);
+  /** Takes a chunk from the network; throws `dissemination.bad-message`. */
+  receive(wire: sailquay.dissemination.IPullChunk): void {
+    const chunk = decodeChunk(wire);
+    if (this.awaited && wire.requestId === this.awaited.requestId) this.awaited.resolve(chunk);
   }
 
   private usableSources(): Source[] {
@@ -121,13 +129,13 @@
       if (!chunk) return undefined;
       progress = advance(progress, chunk, have);
       if (!progress) return undefined;
-      if (progress.received >= (chunk.totalBytes ?? 0)) {
+      if (progress.received >= chunk.totalBytes) {
         const { base, target } = progress;
         return { base, target, bytes: Buffer.concat(progress.parts), from: source };
       }
       // An announcement may have brought this member further than the transfer would.
       if (!this.holder.wants(progress.target)) return undefined;
-      await this.pace(chunk.data?.length ?? 0);
+      await this.pace(chunk.data.length);
     }
     return undefined;
   }
@@ -174,18 +182,24 @@
   }
 }
 
+function decodeChunk(wire: sailquay.dissemination.IPullChunk): Chunk {
+  return {
+    base: decodeStamp(wire.base),
+    target: decodeStamp(wire.target),
+    offset: wire.offset ?? 0,
+    totalBytes: wire.totalBytes ?? 0,
+    data: wire.data ?? new Uint8Array(),
+  };
+}
+
 /** Adds a chunk to a transfer, or starts one; undefined when the chunk cannot be used. */
 function advance(progress: Progress | undefined, chunk: Chunk, have: TreeStamp): Progress | undefined {
-  const base = decodeStamp(chunk.base);
-  const target = decodeStamp(chunk.target);
-  const data = chunk.data ?? new Uint8Array();
-  const offset = chunk.offset ?? 0;
+  const { base, target, data } = chunk;
   const usableBase = base.version === 0 || sameTree(base, have);
-  const totalBytes = chunk.totalBytes ?? 0;
-  if (!usableBase || data.length === 0 || totalBytes > limits.MAX_TRANSFER_BYTES) return undefined;
+  if (!usableBase || data.length === 0 || chunk.totalBytes > limits.MAX_TRANSFER_BYTES) return undefined;
   const continues = progress && sameTree(progress.target, target) && sameTree(progress.base, base);
   const current = continues ? progress : { base, target, parts: [], received: 0 };
-  if (offset !== current.received) return undefined;
+  if (chunk.offset !== current.received) return undefined;
   current.parts.push(data);
   current.received += data.length;
   return current;
--- a/src/dissemination/simulated-cluster.ts
+++ b/src/dissemination/simulated-cluster.ts
@@ -68,11 +68,18 @@
       lossRate: options.lossRate,
       duplicateRate: options.duplicateRate,
     });
-    for (let index = 0; index < options.members; index += 1) this.addMember();
+    for (let index = 0; index < options.members; index += 1) this.createMember();
+    for (const { distributor } of this.members) distributor.start();
   }
 
   /** Adds and starts a member; it is in everyone's view at once. */
   addMember(): ClusterMember {
+    const member = this.createMember();
+    member.distributor.start();
+    return member;
+  }
+
+  private createMember(): ClusterMember {
     const index = this.members.length;
     const id = `balancer-${index}`;
     const endpoint = { host: `10.0.${index >> 8}.${index & 0xff}`, port: CONTROL_PORT };
@@ -92,7 +99,6 @@
     });
     const versions: number[] = [];
     distributor.subscribe((settings: EffectiveSettings) => versions.push(settings.version));
-    distributor.start();
     const member = { id, distributor, channel, clock, versions };
     this.members.push(member);
     return member;
@@ -115,6 +121,17 @@
     return outcome.entry.version;
   }
 
+  /** Stops or resumes a member's process: its timers, its datagrams and what it reads from the store. */
+  setPaused(id: string, paused: boolean): void {
+    const member = this.members.find((candidate) => candidate.id === id);
+    if (!member) throw new RangeError(`no member ${id}`);
+    this.platform.holdReads(id, paused);
+    for (const part of [member.clock, member.channel]) {
+      if (paused) part.pause();
+      else part.resume();
+    }
+  }
+
   /** Moves time on for everyone. */
   run(milliseconds: number): Promise<void> {
     return this.clock.advanceAsync(milliseconds);
@@ -128,7 +145,7 @@
   /** Stops every member. */
   async close(): Promise<void> {
     const closing = this.members.map((member) => member.distributor.close());
-    for (const member of this.members) member.clock.resume();
+    for (const member of this.members) this.setPaused(member.id, false);
     await this.run(20);
     await Promise.all(closing);
   }
--- a/src/dissemination/tree-holder.ts
+++ b/src/dissemination/tree-holder.ts
@@ -91,6 +91,8 @@
     if (error.kind !== 'dissemination.invalid-tree') {
       this.counters.rejectedDigest += 1;
       this.events.emit(DISSEMINATION_EVENTS.digestMismatch, { version: stamp.version, from });
+      // The fault may be in the tree that the changes were applied to.
+      this.checkIntegrity();
       return;
     }
     const key = `${stamp.version}/${stamp.digest}`;
--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -13,7 +13,7 @@
 import type { Lease, MachineEntry, PlatformClient, StoredObject } from '../../platform/types.js';
 import { LeaseTable } from './lease-table.js';
 import { MachineList } from './machine-list.js';
-import { ObjectStore } from './object-store.js';
+import { ObjectStore, type StoreEntry } from './object-store.js';
 import { RequestCounters, type CounterReport, type RequestKind } from './request-counters.js';
 
 /** How often a client whose watch was cut tries to open it again. */
@@ -29,6 +29,7 @@
   lostAnswers = 0;
   private readonly faultChanged = new Subject<void>();
   private down = false;
+  private readonly heldCallers = new Set<string>();
 
   constructor(readonly clock: Clock) {
     this.leases = new LeaseTable(clock, () => this.store.nextRevision());
@@ -45,6 +46,20 @@
     return this.down;
   }
 
+  /**
+   * Holds back what a caller reads from its watches, as when its process does not run: it then first reads the
+   * oldest write it missed, which lay in its socket, and after that the newest.
+   */
+  holdReads(caller: string, held: boolean): void {
+    if (held) this.heldCallers.add(caller);
+    else this.heldCallers.delete(caller);
+    this.faultChanged.push();
+  }
+
+  holdsReads(caller: string): boolean {
+    return this.heldCallers.has(caller);
+  }
+
   counters(): CounterReport {
     return this.requests.report(this.leases.holders());
   }
@@ -54,7 +69,7 @@
     return new InMemoryClient(this, caller, clock);
   }
 
-  /** Calls `listener` when the store goes down or comes back. */
+  /** Calls `listener` when a fault is switched on or off. */
   onFaultChange(listener: () => void): () => void {
     return this.faultChanged.subscribe(listener);
   }
@@ -140,15 +155,21 @@
     signal: AbortSignal,
   ): AsyncGenerator<StoredObject> {
     const changes = new Subject<void>();
+    let missed: StoreEntry | undefined;
     const unsubscribe = [
-      this.platform.store.subscribe(key, () => changes.push()),
+      this.platform.store.subscribe(key, (entry) => {
+        if (this.platform.holdsReads(this.caller)) missed ??= entry;
+        changes.push();
+      }),
       this.platform.onFaultChange(() => changes.push()),
     ];
     this.platform.requests.watchOpened(this.caller);
     let lastVersion = afterVersion;
     try {
       while (!signal.aborted && !this.platform.isDown()) {
-        const entry = this.platform.store.get(key);
+        const held = this.platform.holdsReads(this.caller);
+        const entry = held ? undefined : (missed ?? this.platform.store.get(key));
+        if (!held) missed = undefined;
         if (entry && entry.version > lastVersion) {
           lastVersion = entry.version;
           yield entry;
