--- a/src/flow/acting-backup.ts
+++ b/src/flow/acting-backup.ts
@@ -20,7 +20,7 @@
 
   /** True when this balancer answers for the shard now. */
   actsFor(replica: ReplicaShard): boolean {
-    if (!replica.trusted || !this.context.view.quorate) return false;
+    if (!replica.trusted || !this.context.view.quorate || !this.context.isFresh()) return false;
     const state = this.context.member(replica.keeperId)?.state;
     return state === undefined || state === 'suspect' || state === 'gone';
   }
--- a/src/flow/constants.ts
+++ b/src/flow/constants.ts
@@ -19,6 +19,10 @@
 export const ORPHAN_SILENCE_MS = 3_200;
 /** A new keeper that is offered nothing for this long starts the shard without records; longer than a lease. */
 export const ORPHAN_WAIT_MS = 6_000;
+/** Offers postpone the start without records for this long at most. */
+export const ORPHAN_WAIT_LIMIT_MS = 60_000;
+/** Members that are asked for shards at a time. */
+export const MAX_CLAIM_TARGETS = 12;
 /** A gap of this length between two ticks means that the process was paused. */
 export const PAUSE_DETECTION_MS = 1_500;
 
--- a/src/flow/flow-context.ts
+++ b/src/flow/flow-context.ts
@@ -4,6 +4,7 @@
 import { firstChoice } from '../placement/weighted-rendezvous.js';
 import type { EffectiveBackend } from '../settings/types.js';
 import { BackendCatalogue, type BackendEntry } from './backend-catalogue.js';
+import { PAUSE_DETECTION_MS } from './constants.js';
 import { BaseCatalogue } from './base-catalogue.js';
 import { FlowCounters } from './flow-counters.js';
 import { FlowFlag, type FlowTable } from './flow-table.js';
@@ -13,6 +14,8 @@
 import { listOwners, ShardMap } from './shard-map.js';
 
 const MS_PER_SECOND = 1_000;
+/** Members remembered before the gone ones are forgotten. */
+const MAX_FORMER_MEMBERS = 2_000;
 
 /** Shared by the parts of one flow keeper. */
 export class FlowContext {
@@ -32,9 +35,14 @@
   openFlows = 0;
   /** No new backup is chosen before this time, because this process may have been replaced unknowingly. */
   cautiousUntilMs = 0;
+  /** Time of the last tick; a long gap means that the process was paused and nothing it believes is fresh. */
+  lastTickMs: number;
   private membersById = new Map<string, Member>();
+  /** Members by id as they were last seen, gone ones included. */
+  private readonly formerMembers = new Map<string, Member>();
 
   constructor(readonly components: FlowComponents) {
+    this.lastTickMs = components.clock.now();
     this.view = components.membership.view();
     this.map = ShardMap.build(listOwners(this.view));
     this.indexMembers();
@@ -70,6 +78,16 @@
     return this.membersById.get(id);
   }
 
+  /** A member as it was last seen, also when it is gone in the view. */
+  formerMember(id: string): Member | undefined {
+    return this.formerMembers.get(id);
+  }
+
+  /** True unless this process was paused and has not taken notice of it yet. */
+  isFresh(): boolean {
+    return this.now() - this.lastTickMs <= PAUSE_DETECTION_MS;
+  }
+
   /** First choice of a flow in a base version, as a catalogue entry. */
   firstChoice(
     fingerprint: FlowFingerprint,
@@ -82,6 +100,21 @@
     return backend && this.catalogue.entry(service, backend);
   }
 
+  /**
+   * True when the back end of a flow needs no record: it is the first choice of the base and, while the table may lack
+   * flows, of the oldest base under which they may have been opened.
+   */
+  isReconstructible(
+    fingerprint: FlowFingerprint,
+    entry: BackendEntry,
+    baseVersion: number,
+    oldestBaseVersion: number,
+  ): boolean {
+    if (this.firstChoice(fingerprint, baseVersion, entry.serviceId) !== entry) return false;
+    if (oldestBaseVersion === baseVersion) return true;
+    return this.firstChoice(fingerprint, oldestBaseVersion, entry.serviceId) === entry;
+  }
+
   /** Counts a flow that became open at a back end. */
   countOpen(entry: BackendEntry): void {
     this.openFlows += 1;
@@ -110,6 +143,9 @@
 
   private indexMembers(): void {
     this.membersById = new Map(this.view.members.map((member) => [member.id, member]));
+    for (const member of this.view.members) this.formerMembers.set(member.id, member);
+    if (this.formerMembers.size <= MAX_FORMER_MEMBERS) return;
+    for (const id of this.formerMembers.keys()) if (!this.membersById.has(id)) this.formerMembers.delete(id);
   }
 }
 
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -22,6 +22,7 @@
 import { Rebaser } from './rebase.js';
 import { ReplicaHolder } from './replica-holder.js';
 import { ReplicaPeers } from './replica-peers.js';
+import { ShardClaims } from './shard-claims.js';
 import { ShardReceiver } from './shard-receiver.js';
 import { ShardSender } from './shard-sender.js';
 import type { FlowStatistics } from './types.js';
@@ -41,6 +42,7 @@
   private readonly sender: ShardSender;
   private readonly receiver: ShardReceiver;
   private readonly ownership: Ownership;
+  private readonly claims: ShardClaims;
   private readonly rebaser: Rebaser;
   private readonly reports: PlacementReports;
   private readonly expiry: FlowExpiry;
@@ -72,6 +74,7 @@
       sender: this.sender,
       receiver: this.receiver,
     });
+    this.claims = new ShardClaims(context);
     this.rebaser = new Rebaser(context);
     this.reports = new PlacementReports(context, this.openings);
     this.expiry = new FlowExpiry(context);
@@ -194,6 +197,7 @@
     this.holder.tick();
     this.sender.tick();
     this.receiver.tick();
+    this.claims.tick();
     this.openings.tick();
     this.rebaser.tick();
     this.expiry.tick();
@@ -212,6 +216,7 @@
     if (decoded.parts) this.receiver.onParts(decoded.parts.parts ?? [], message);
     else if (decoded.acks) this.sender.onAcks(decoded.acks.acks ?? [], message);
     else if (decoded.offer) this.ownership.onOffer(decoded.offer);
+    else if (decoded.claim) this.claims.onClaim(decoded.claim, message);
     else if (decoded.release) this.holder.onRelease(decoded.release, message);
     else if (decoded.releaseAck) this.peers.onReleaseAck(decoded.releaseAck, message);
     else this.knowledge.handle(decoded, message);
--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -156,7 +156,7 @@
   }
 
   private isSurelyKeeper(kept: KeptShard): boolean {
-    if (!this.context.view.quorate) return false;
+    if (!this.context.view.quorate || !this.context.isFresh()) return false;
     if (kept.backup) return kept.backup.leaseHeld;
     return this.context.now() >= this.context.cautiousUntilMs;
   }
--- a/src/flow/model/model-cluster.ts
+++ b/src/flow/model/model-cluster.ts
@@ -20,6 +20,8 @@
   readonly spreadMs: number;
   /** Share (0–1) of openings that a back end resets. */
   readonly resetRate: number;
+  /** Share (0–1) of SYNs that reach two balancers. */
+  readonly sprayRate: number;
 }
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
--- a/src/flow/model/model-flow.ts
+++ b/src/flow/model/model-flow.ts
@@ -6,6 +6,8 @@
 import { serviceAddress } from './settings-script.js';
 
 const SYN_RETRY_MS = 1_000;
+/** Every established flow shows itself at least this often, well within the learning time of a new keeper. */
+const KEEPALIVE_MS = 2_500;
 const MAX_SYN_ATTEMPTS = 12;
 
 type PacketKind = 'syn' | 'data' | 'fin';
@@ -34,7 +36,7 @@
     if (this.established || this.ended || this.synAttempts >= MAX_SYN_ATTEMPTS) return;
     this.synAttempts += 1;
     this.cluster.spray(this.packet('syn'));
-    if (this.cluster.random() < 0.2) this.cluster.spray(this.packet('syn'));
+    if (this.cluster.random() < this.cluster.options.sprayRate) this.cluster.spray(this.packet('syn'));
     this.cluster.later(SYN_RETRY_MS, () => this.open());
   }
 
@@ -63,6 +65,18 @@
     }
   }
 
+  private establish(): void {
+    if (this.established) return;
+    this.established = true;
+    this.keepAlive();
+  }
+
+  private keepAlive(): void {
+    if (this.ended) return;
+    this.sendData();
+    this.cluster.later(KEEPALIVE_MS * (0.5 + 0.5 * this.cluster.random()), () => this.keepAlive());
+  }
+
   private sendFin(): void {
     this.cluster.spray(this.packet('fin'));
   }
@@ -111,7 +125,7 @@
   private onAnswer(node: ModelNode, reply: PacketView, backend: Endpoint): void {
     const suppressed = node.alive && !node.paused && node.keeper.handleReturn(reply, backend);
     if (!node.alive || node.paused || suppressed) return;
-    if (!reply.rst) this.established = true;
+    if (!reply.rst) this.establish();
     else if (!this.established) this.ended = true;
   }
 
--- a/src/flow/model/model-node.ts
+++ b/src/flow/model/model-node.ts
@@ -12,6 +12,9 @@
 import type { EffectiveSettings } from '../../settings/types.js';
 import { FlowKeeper } from '../flow-keeper.js';
 
+/** Short, so that rebases happen while flows are still unknown to their keeper. */
+const LEARNING_MS = 12_000;
+
 /** Where the node's packets go. */
 export interface ModelWire {
   toBackend(node: ModelNode, packet: PacketView, backend: Endpoint): void;
@@ -69,7 +72,7 @@
         subscribe: (listener) => this.settingsChanges.subscribe(listener),
       },
       events: SILENT_EVENT_LOG,
-      limits: { maxFlows: 100_000, maxPendingOpenings: 10_000 },
+      limits: { maxFlows: 100_000, maxPendingOpenings: 10_000, rebaseLearningMs: LEARNING_MS },
     });
   }
 
--- a/src/flow/model/schedule.ts
+++ b/src/flow/model/schedule.ts
@@ -1,6 +1,7 @@
 /** Random schedules for the model check, their run, and the search for a shorter one that still fails. */
 import { pick, seededRandom, type RandomSource } from '../../common/random.js';
 import { ModelCluster, type ModelOptions } from './model-cluster.js';
+import type { ModelNode } from './model-node.js';
 
 /** What happens at one time; `choice` selects its node and details. */
 export interface ScheduledAction {
@@ -40,6 +41,8 @@
 export interface ScheduleOptions extends ModelOptions {
   readonly durationMs: number;
   readonly openings: number;
+  /** Edits of the settings; changes of health are twice as many. */
+  readonly edits: number;
   /** Kinds of rare events with the least time between two of them. */
   readonly rareKinds: readonly ActionKind[];
   readonly rareIntervalMs: number;
@@ -62,8 +65,8 @@
   for (let index = 0; index < options.openings; index += 1) add('open');
   for (let index = 0; index < options.openings * 6; index += 1) add('data');
   for (let index = 0; index < options.openings / 5; index += 1) add('close');
-  for (let index = 0; index < 4; index += 1) add('settings');
-  for (let index = 0; index < 4; index += 1) add('health');
+  for (let index = 0; index < options.edits; index += 1) add('settings');
+  for (let index = 0; index < options.edits * 2; index += 1) add('health');
   for (let atMs = random() * options.rareIntervalMs; atMs < options.durationMs;) {
     actions.push({ kind: pick(options.rareKinds, random), atMs: START_MS + atMs, choice: random() });
     atMs += options.rareIntervalMs * (0.7 + 0.6 * random());
@@ -117,13 +120,16 @@
   const open = cluster.flows.filter((flow) => flow.established && !flow.ended);
   const mayLose = cluster.liveNodes().length > 2 && settled.length > 2;
   if (action.kind === 'open') cluster.openFlow();
-  else if (action.kind === 'data') open.length > 0 && pick(open, choose).sendData();
-  else if (action.kind === 'close') open.length > 0 && pick(open, choose).close();
+  else if (action.kind === 'data' && open.length > 0) pick(open, choose).sendData();
+  else if (action.kind === 'close' && open.length > 0) pick(open, choose).close();
   else if (action.kind === 'settings') cluster.editSettings();
   else if (action.kind === 'join') cluster.join();
   else if (action.kind === 'restart') restart(cluster);
-  else if (!node) return;
-  else if (action.kind === 'health') cluster.toggleHealth(node);
+  else if (node) performOn(cluster, node, action, mayLose);
+}
+
+function performOn(cluster: ModelCluster, node: ModelNode, action: ScheduledAction, mayLose: boolean): void {
+  if (action.kind === 'health') cluster.toggleHealth(node);
   else if (action.kind === 'suspect') cluster.suspect(node);
   else if (action.kind === 'pause-short') cluster.pause(node, between(SHORT_PAUSE_MS, action.choice));
   else if (!mayLose) return;
@@ -159,7 +165,8 @@
   const flows = Array.from({ length: 12 }, () => cluster.openFlow());
   await cluster.runAsync(6_000);
   for (const flow of flows) {
-    if (!flow.established && !flow.ended) cluster.violate(`flow ${flow.index} could not be opened at the end`);
+    if (!flow.established && !flow.ended)
+      cluster.violate(`flow ${flow.index} could not be opened at the end`);
   }
 }
 
--- a/src/flow/openings.ts
+++ b/src/flow/openings.ts
@@ -131,7 +131,7 @@
 
   private isAlone(kept: KeptShard): boolean {
     const self = this.context.member(this.context.selfId);
-    if (!self || this.context.now() < this.context.cautiousUntilMs) return false;
+    if (!self || !this.context.isFresh() || this.context.now() < this.context.cautiousUntilMs) return false;
     return this.context.map.backup(kept.shard, self) === undefined;
   }
 
@@ -236,11 +236,13 @@
     else this.send(opening, entry);
   }
 
-  /** During a rebase a first choice has to be first in both versions. */
+  /** During a rebase a first choice needs no record only when it needs none before and after. */
   private isFirstChoice(kept: KeptShard, fingerprint: FlowFingerprint, entry: BackendEntry): boolean {
-    if (this.context.firstChoice(fingerprint, kept.baseVersion, entry.serviceId) !== entry) return false;
-    if (!kept.rebase) return true;
-    return this.context.firstChoice(fingerprint, kept.rebase.toVersion, entry.serviceId) === entry;
+    const { context } = this;
+    const { rebase, baseVersion, oldestBaseVersion } = kept;
+    if (!context.isReconstructible(fingerprint, entry, baseVersion, oldestBaseVersion)) return false;
+    if (!rebase) return true;
+    return context.isReconstructible(fingerprint, entry, rebase.toVersion, rebase.toOldestVersion);
   }
 
   private replicate(opening: Opening, entry: BackendEntry): void {
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -3,7 +3,7 @@
  * is held until its next holder has acknowledged it; the view alone gives nobody a shard.
  */
 import type { Member, MembershipView } from '../membership/types.js';
-import { ORPHAN_WAIT_MS, PAUSE_DETECTION_MS, SHARD_COUNT } from './constants.js';
+import { ORPHAN_WAIT_LIMIT_MS, ORPHAN_WAIT_MS, PAUSE_DETECTION_MS, SHARD_COUNT } from './constants.js';
 import { FLOW_EVENTS } from './events.js';
 import type { FlowContext } from './flow-context.js';
 import { FlowFlag } from './flow-table.js';
@@ -14,6 +14,7 @@
 import type { ReplicaPeers } from './replica-peers.js';
 import { fromBitmap } from './shard-set.js';
 import { KeptShard, ReplicaShard } from './shard-holding.js';
+import { finishRebase } from './rebase.js';
 import { ShardInstaller } from './shard-installer.js';
 import type { IncomingShard, InstallOutcome, ShardReceiver } from './shard-receiver.js';
 import type { ShardSender, ShardSnapshot } from './shard-sender.js';
@@ -38,14 +39,12 @@
   /** Shards given to another keeper since start. */
   givenShards = 0;
   private readonly installer: ShardInstaller;
-  private lastTickMs: number;
 
   constructor(
     private readonly context: FlowContext,
     private readonly parts: OwnershipParts,
   ) {
     this.installer = new ShardInstaller(context);
-    this.lastTickMs = context.now();
   }
 
   /** Takes over a membership view. */
@@ -93,7 +92,8 @@
     const nowMs = this.context.now();
     for (const shard of fromBitmap(offer.shards ?? new Uint8Array())) {
       const kept = this.context.kept.get(shard);
-      if (kept?.role === 'acquiring') kept.awaitedSinceMs = nowMs;
+      if (kept?.role !== 'acquiring') continue;
+      if (nowMs - kept.acquiringSinceMs < ORPHAN_WAIT_LIMIT_MS) kept.awaitedSinceMs = nowMs;
     }
   }
 
@@ -130,8 +130,8 @@
 
   private detectPause(): void {
     const nowMs = this.context.now();
-    const gapMs = nowMs - this.lastTickMs;
-    this.lastTickMs = nowMs;
+    const gapMs = nowMs - this.context.lastTickMs;
+    this.context.lastTickMs = nowMs;
     const paused = gapMs > PAUSE_DETECTION_MS;
     if (paused) this.context.components.events.emit(FLOW_EVENTS.pauseDetected, { gapMs: Math.round(gapMs) });
     if (!paused && this.context.view.quorate) return;
@@ -313,11 +313,8 @@
       former.sendReleases();
       kept.formerBackup = former;
     }
-    if (snapshot.baseVersion > kept.baseVersion) {
-      kept.baseVersion = snapshot.baseVersion;
-      kept.oldestBaseVersion = snapshot.oldestBaseVersion;
-      kept.rebase = undefined;
-    }
+    if (kept.rebase?.phase === 'advancing' && snapshot.baseVersion === kept.rebase.toVersion)
+      finishRebase(kept);
     this.acknowledgeOwed(kept);
   }
 
--- a/src/flow/packet-forwarder.ts
+++ b/src/flow/packet-forwarder.ts
@@ -27,6 +27,8 @@
   readonly maxFlows: number;
   /** Openings without an answer at most; openings beyond are dropped and repeated by the caller. */
   readonly maxPendingOpenings: number;
+  /** Time that a keeper without all records learns its flows before it may rebase; REBASE_LEARNING_MS when left out. */
+  readonly rebaseLearningMs?: number;
 }
 
 /** What a forwarder is built from. */
--- a/src/flow/pb/flow.d.ts
+++ b/src/flow/pb/flow.d.ts
@@ -630,6 +630,9 @@
             /** BaseAdvance shards. */
             shards: Uint8Array;
 
+            /** BaseAdvance oldestBaseVersion. */
+            oldestBaseVersion: number;
+
             /**
              * Encodes the specified BaseAdvance message. Does not implicitly {@link sailquay.flow.BaseAdvance.verify|verify} messages.
              * @param message BaseAdvance message or plain object to encode
@@ -667,6 +670,9 @@
                 /** BaseAdvance shards */
                 shards?: (Uint8Array|null);
 
+                /** BaseAdvance oldestBaseVersion */
+                oldestBaseVersion?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -791,8 +797,11 @@
             /** HandoverMessage offer. */
             offer?: (sailquay.flow.Offer.$Properties|null);
 
+            /** HandoverMessage claim. */
+            claim?: (sailquay.flow.Claim.$Properties|null);
+
             /** HandoverMessage body. */
-            body?: ("parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer");
+            body?: ("parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"|"claim");
 
             /**
              * Encodes the specified HandoverMessage message. Does not implicitly {@link sailquay.flow.HandoverMessage.verify|verify} messages.
@@ -852,8 +861,11 @@
                 /** HandoverMessage offer */
                 offer?: (sailquay.flow.Offer.$Properties|null);
 
+                /** HandoverMessage claim */
+                claim?: (sailquay.flow.Claim.$Properties|null);
+
                 /** HandoverMessage body */
-                body?: ("parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer");
+                body?: ("parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"|"claim");
 
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
@@ -870,9 +882,10 @@
               release?: sailquay.flow.Release.$Shape|null;
               releaseAck?: sailquay.flow.ReleaseAck.$Shape|null;
               offer?: sailquay.flow.Offer.$Shape|null;
+              claim?: sailquay.flow.Claim.$Shape|null;
               $unknowns?: Uint8Array[];
             } & (
-              ({ body?: undefined; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "parts"; parts: sailquay.flow.ShardParts.$Shape; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "acks"; parts?: null; acks: sailquay.flow.ShardAcks.$Shape; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "catalogueRequest"; parts?: null; acks?: null; catalogueRequest: sailquay.flow.CatalogueRequest.$Shape; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "catalogueReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply: sailquay.flow.CatalogueReply.$Shape; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "baseRequest"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest: sailquay.flow.BaseRequest.$Shape; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "baseReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply: sailquay.flow.BaseReply.$Shape; release?: null; releaseAck?: null; offer?: null }|{ body?: "release"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release: sailquay.flow.Release.$Shape; releaseAck?: null; offer?: null }|{ body?: "releaseAck"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck: sailquay.flow.ReleaseAck.$Shape; offer?: null }|{ body?: "offer"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer: sailquay.flow.Offer.$Shape })
+              ({ body?: undefined; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "parts"; parts: sailquay.flow.ShardParts.$Shape; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "acks"; parts?: null; acks: sailquay.flow.ShardAcks.$Shape; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "catalogueRequest"; parts?: null; acks?: null; catalogueRequest: sailquay.flow.CatalogueRequest.$Shape; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "catalogueReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply: sailquay.flow.CatalogueReply.$Shape; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "baseRequest"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest: sailquay.flow.BaseRequest.$Shape; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "baseReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply: sailquay.flow.BaseReply.$Shape; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "release"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release: sailquay.flow.Release.$Shape; releaseAck?: null; offer?: null; claim?: null }|{ body?: "releaseAck"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck: sailquay.flow.ReleaseAck.$Shape; offer?: null; claim?: null }|{ body?: "offer"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer: sailquay.flow.Offer.$Shape; claim?: null }|{ body?: "claim"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim: sailquay.flow.Claim.$Shape })
             );
         }
 
@@ -1983,5 +1996,69 @@
             /** Shape of an Offer. */
             type $Shape = sailquay.flow.Offer.$Properties;
         }
+
+        /**
+         * Properties of a Claim.
+         * @deprecated Use sailquay.flow.Claim.$Properties instead.
+         */
+        interface IClaim extends sailquay.flow.Claim.$Properties {
+        }
+
+        /** Represents a Claim. */
+        class Claim {
+
+            /**
+             * Constructs a new Claim.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.flow.Claim.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** Claim shards. */
+            shards: Uint8Array;
+
+            /**
+             * Encodes the specified Claim message. Does not implicitly {@link sailquay.flow.Claim.verify|verify} messages.
+             * @param message Claim message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.flow.Claim.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes a Claim message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.flow.Claim & sailquay.flow.Claim.$Shape} Claim
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.flow.Claim & sailquay.flow.Claim.$Shape;
+
+            /**
+             * Gets the type url for Claim
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace Claim {
+
+            /** Properties of a Claim. */
+            interface $Properties {
+
+                /** Claim shards */
+                shards?: (Uint8Array|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of a Claim. */
+            type $Shape = sailquay.flow.Claim.$Properties;
+        }
     }
 }
--- a/src/flow/pb/flow.js
+++ b/src/flow/pb/flow.js
@@ -1546,6 +1546,7 @@
              * @typedef {Object} sailquay.flow.BaseAdvance.$Properties
              * @property {number|null} [baseVersion] BaseAdvance baseVersion
              * @property {Uint8Array|null} [shards] BaseAdvance shards
+             * @property {number|null} [oldestBaseVersion] BaseAdvance oldestBaseVersion
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1593,6 +1594,14 @@
              */
             BaseAdvance.prototype.shards = $util.newBuffer([]);
 
+            /**
+             * BaseAdvance oldestBaseVersion.
+             * @member {number} oldestBaseVersion
+             * @memberof sailquay.flow.BaseAdvance
+             * @instance
+             */
+            BaseAdvance.prototype.oldestBaseVersion = 0;
+
             /**
              * Encodes the specified BaseAdvance message. Does not implicitly {@link sailquay.flow.BaseAdvance.verify|verify} messages.
              * @function encode
@@ -1613,6 +1622,8 @@
                     writer.uint32(/* id 1, wireType 1 =*/9).double(message.baseVersion);
                 if (message.shards != null && $Object.hasOwnProperty.call(message, "shards") && message.shards.length)
                     writer.uint32(/* id 2, wireType 2 =*/18).bytes(message.shards);
+                if (message.oldestBaseVersion != null && $Object.hasOwnProperty.call(message, "oldestBaseVersion") && !$Object.is(message.oldestBaseVersion, 0))
+                    writer.uint32(/* id 3, wireType 1 =*/25).double(message.oldestBaseVersion);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1675,6 +1686,15 @@
                                 delete message.shards;
                             continue;
                         }
+                    case 3: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.oldestBaseVersion = value;
+                            else
+                                delete message.oldestBaseVersion;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -1893,7 +1913,8 @@
              * @property {sailquay.flow.Release.$Properties|null} [release] HandoverMessage release
              * @property {sailquay.flow.ReleaseAck.$Properties|null} [releaseAck] HandoverMessage releaseAck
              * @property {sailquay.flow.Offer.$Properties|null} [offer] HandoverMessage offer
-             * @property {"parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"} [body] HandoverMessage body
+             * @property {sailquay.flow.Claim.$Properties|null} [claim] HandoverMessage claim
+             * @property {"parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"|"claim"} [body] HandoverMessage body
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1917,9 +1938,10 @@
              *   release?: sailquay.flow.Release.$Shape|null;
              *   releaseAck?: sailquay.flow.ReleaseAck.$Shape|null;
              *   offer?: sailquay.flow.Offer.$Shape|null;
+             *   claim?: sailquay.flow.Claim.$Shape|null;
              *   $unknowns?: Array.<Uint8Array>;
              * } & (
-             *   ({ body?: undefined; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "parts"; parts: sailquay.flow.ShardParts.$Shape; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "acks"; parts?: null; acks: sailquay.flow.ShardAcks.$Shape; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "catalogueRequest"; parts?: null; acks?: null; catalogueRequest: sailquay.flow.CatalogueRequest.$Shape; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "catalogueReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply: sailquay.flow.CatalogueReply.$Shape; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "baseRequest"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest: sailquay.flow.BaseRequest.$Shape; baseReply?: null; release?: null; releaseAck?: null; offer?: null }|{ body?: "baseReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply: sailquay.flow.BaseReply.$Shape; release?: null; releaseAck?: null; offer?: null }|{ body?: "release"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release: sailquay.flow.Release.$Shape; releaseAck?: null; offer?: null }|{ body?: "releaseAck"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck: sailquay.flow.ReleaseAck.$Shape; offer?: null }|{ body?: "offer"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer: sailquay.flow.Offer.$Shape })
+             *   ({ body?: undefined; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "parts"; parts: sailquay.flow.ShardParts.$Shape; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "acks"; parts?: null; acks: sailquay.flow.ShardAcks.$Shape; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "catalogueRequest"; parts?: null; acks?: null; catalogueRequest: sailquay.flow.CatalogueRequest.$Shape; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "catalogueReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply: sailquay.flow.CatalogueReply.$Shape; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "baseRequest"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest: sailquay.flow.BaseRequest.$Shape; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "baseReply"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply: sailquay.flow.BaseReply.$Shape; release?: null; releaseAck?: null; offer?: null; claim?: null }|{ body?: "release"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release: sailquay.flow.Release.$Shape; releaseAck?: null; offer?: null; claim?: null }|{ body?: "releaseAck"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck: sailquay.flow.ReleaseAck.$Shape; offer?: null; claim?: null }|{ body?: "offer"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer: sailquay.flow.Offer.$Shape; claim?: null }|{ body?: "claim"; parts?: null; acks?: null; catalogueRequest?: null; catalogueReply?: null; baseRequest?: null; baseReply?: null; release?: null; releaseAck?: null; offer?: null; claim: sailquay.flow.Claim.$Shape })
              * )} sailquay.flow.HandoverMessage.$Shape
              */
 
@@ -2010,17 +2032,25 @@
              */
             HandoverMessage.prototype.offer = null;
 
+            /**
+             * HandoverMessage claim.
+             * @member {sailquay.flow.Claim.$Properties|null|undefined} claim
+             * @memberof sailquay.flow.HandoverMessage
+             * @instance
+             */
+            HandoverMessage.prototype.claim = null;
+
             // OneOf field names bound to virtual getters and setters
             let $oneOfFields;
 
             /**
              * HandoverMessage body.
-             * @member {"parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"|undefined} body
+             * @member {"parts"|"acks"|"catalogueRequest"|"catalogueReply"|"baseRequest"|"baseReply"|"release"|"releaseAck"|"offer"|"claim"|undefined} body
              * @memberof sailquay.flow.HandoverMessage
              * @instance
              */
             $Object.defineProperty(HandoverMessage.prototype, "body", {
-                get: $util.oneOfGetter($oneOfFields = ["parts", "acks", "catalogueRequest", "catalogueReply", "baseRequest", "baseReply", "release", "releaseAck", "offer"]),
+                get: $util.oneOfGetter($oneOfFields = ["parts", "acks", "catalogueRequest", "catalogueReply", "baseRequest", "baseReply", "release", "releaseAck", "offer", "claim"]),
                 set: $util.oneOfSetter($oneOfFields)
             });
 
@@ -2058,6 +2088,8 @@
                     $root.sailquay.flow.ReleaseAck.encode(message.releaseAck, writer.uint32(/* id 8, wireType 2 =*/66).fork(), _depth + 1).ldelim();
                 if (message.offer != null && $Object.hasOwnProperty.call(message, "offer"))
                     $root.sailquay.flow.Offer.encode(message.offer, writer.uint32(/* id 9, wireType 2 =*/74).fork(), _depth + 1).ldelim();
+                if (message.claim != null && $Object.hasOwnProperty.call(message, "claim"))
+                    $root.sailquay.flow.Claim.encode(message.claim, writer.uint32(/* id 10, wireType 2 =*/82).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2165,6 +2197,13 @@
                             message.body = "offer";
                             continue;
                         }
+                    case 10: {
+                            if (wireType !== 2)
+                                break;
+                            message.claim = $root.sailquay.flow.Claim.decode(reader, reader.size(), $undefined, _depth + 1, message.claim);
+                            message.body = "claim";
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -4992,6 +5031,156 @@
             return Offer;
         })();
 
+        flow.Claim = (function() {
+
+            /**
+             * Properties of a Claim.
+             * @typedef {Object} sailquay.flow.Claim.$Properties
+             * @property {Uint8Array|null} [shards] Claim shards
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Claim.
+             * @memberof sailquay.flow
+             * @interface IClaim
+             * @augments sailquay.flow.Claim.$Properties
+             * @deprecated Use sailquay.flow.Claim.$Properties instead.
+             */
+
+            /**
+             * Shape of a Claim.
+             * @typedef {sailquay.flow.Claim.$Properties} sailquay.flow.Claim.$Shape
+             */
+
+            /**
+             * Constructs a new Claim.
+             * @memberof sailquay.flow
+             * @classdesc Represents a Claim.
+             * @constructor
+             * @param {sailquay.flow.Claim.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Claim = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Claim shards.
+             * @member {Uint8Array} shards
+             * @memberof sailquay.flow.Claim
+             * @instance
+             */
+            Claim.prototype.shards = $util.newBuffer([]);
+
+            /**
+             * Encodes the specified Claim message. Does not implicitly {@link sailquay.flow.Claim.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.flow.Claim
+             * @static
+             * @param {sailquay.flow.Claim.$Properties} message Claim message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Claim.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.shards != null && $Object.hasOwnProperty.call(message, "shards") && message.shards.length)
+                    writer.uint32(/* id 1, wireType 2 =*/10).bytes(message.shards);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Claim message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.flow.Claim
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.flow.Claim & sailquay.flow.Claim.$Shape} Claim
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Claim.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.flow.Claim();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.shards = value;
+                            else
+                                delete message.shards;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Claim
+             * @function getTypeUrl
+             * @memberof sailquay.flow.Claim
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Claim.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.flow.Claim";
+            };
+
+            return Claim;
+        })();
+
         return flow;
     })();
 
--- a/src/flow/placement-reports.ts
+++ b/src/flow/placement-reports.ts
@@ -37,8 +37,9 @@
       this.openings.countSyn(record);
       return !kept.table.hasFlag(slot, FlowFlag.PENDING);
     }
-    const first = this.context.firstChoice(record, kept.baseVersion, entry.serviceId);
-    this.context.insertKept(kept.table, record, entry, first === entry ? 0 : FlowFlag.EXCEPTION);
+    const { baseVersion, oldestBaseVersion } = kept;
+    const plain = this.context.isReconstructible(record, entry, baseVersion, oldestBaseVersion);
+    this.context.insertKept(kept.table, record, entry, plain ? 0 : FlowFlag.EXCEPTION);
     return true;
   }
 }
--- a/src/flow/rebase.ts
+++ b/src/flow/rebase.ts
@@ -21,14 +21,16 @@
 /** Starts and finishes rebases. */
 export class Rebaser {
   private nextAdvanceMs = 0;
+  private longestIdleMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly context: FlowContext) {}
 
   /** Does what is due. */
   tick(): void {
-    const version = this.context.components.settings.current()?.version;
-    if (version === undefined) return;
-    this.startDue(version);
+    const settings = this.context.components.settings.current();
+    if (!settings) return;
+    this.longestIdleMs = Math.max(0, ...settings.services.map((service) => service.idleTimeoutMs));
+    this.startDue(settings.version);
     const nowMs = this.context.now();
     if (nowMs < this.nextAdvanceMs) return;
     this.nextAdvanceMs = nowMs + ADVANCE_RESEND_MS;
@@ -42,14 +44,14 @@
       const fromBackup =
         kept?.backup?.memberId === from.senderId && kept.backup.boot === from.senderIncarnation;
       const matches = kept?.rebase?.phase === 'advancing' && kept.rebase.toVersion === ack.baseVersion;
-      if (kept && fromBackup && matches) this.finish(kept);
+      if (kept && fromBackup && matches) finishRebase(kept);
     }
   }
 
   private startDue(version: number): void {
     let room = REBASE_SHARDS_PER_TICK;
     for (const kept of this.context.kept.values()) {
-      if (kept.baseVersion >= version || !this.mayStart(kept)) continue;
+      if (!this.isDue(kept, version) || !this.mayStart(kept)) continue;
       if (this.context.components.control.availableBytesPerSecond() < REBASE_RESERVE_BYTES_PER_SECOND) return;
       this.start(kept, version);
       room -= 1;
@@ -57,17 +59,44 @@
     }
   }
 
+  /** A newer base is in force, or a table without all flows has by now seen every flow that can still be open. */
+  private isDue(kept: KeptShard, version: number): boolean {
+    if (kept.role === 'acquiring') return false;
+    return kept.baseVersion < version || (!kept.complete && this.hasSeenAllFlows(kept));
+  }
+
+  private learnedMs(kept: KeptShard): number {
+    return this.context.now() - kept.learningSinceMs;
+  }
+
+  private learningMs(): number {
+    return this.context.components.limits.rebaseLearningMs ?? REBASE_LEARNING_MS;
+  }
+
+  /** A flow that has not shown itself for its idle timeout is forgotten anyway. */
+  private hasSeenAllFlows(kept: KeptShard): boolean {
+    return this.learnedMs(kept) >= Math.max(this.learningMs(), this.longestIdleMs);
+  }
+
   private mayStart(kept: KeptShard): boolean {
     if (kept.role !== 'serving' || kept.rebase || kept.syncingTo !== undefined) return false;
     if (kept.transferTarget !== undefined) return false;
-    const learned = kept.complete || this.context.now() - kept.learningSinceMs >= REBASE_LEARNING_MS;
-    if (!learned || !(kept.formerBackup?.hasLetGo(kept.shard) ?? true)) return false;
+    if (!kept.complete && this.learnedMs(kept) < this.learningMs()) return false;
+    if (!(kept.formerBackup?.hasLetGo(kept.shard) ?? true)) return false;
     const self = this.context.member(this.context.selfId);
     return kept.backup?.leaseHeld ?? (self !== undefined && !this.context.map.backup(kept.shard, self));
   }
 
   private start(kept: KeptShard, toVersion: number): void {
-    const rebase: RebaseProgress = { toVersion, phase: 'replicating', outstanding: 0 };
+    const all = kept.complete || this.hasSeenAllFlows(kept);
+    const toOldestVersion = all ? toVersion : kept.oldestBaseVersion;
+    const rebase: RebaseProgress = {
+      toVersion,
+      toOldestVersion,
+      coversAllFlows: all,
+      phase: 'replicating',
+      outstanding: 0,
+    };
     kept.rebase = rebase;
     const changed = changedServices(this.context.bases, kept.baseVersion, toVersion);
     if (changed.size > 0) this.replicateMoved(kept, rebase, changed);
@@ -81,7 +110,8 @@
       const entry = this.context.catalogue.at(table.backendIndex(slot));
       if (!changed.has(entry.serviceId)) continue;
       const fingerprint = { high: table.high(slot), low: table.low(slot) };
-      if (this.context.firstChoice(fingerprint, rebase.toVersion, entry.serviceId) === entry) continue;
+      const { toVersion, toOldestVersion } = rebase;
+      if (this.context.isReconstructible(fingerprint, entry, toVersion, toOldestVersion)) continue;
       table.setFlags(slot, table.flags(slot) | FlowFlag.EXCEPTION);
       if (!backup) continue;
       rebase.outstanding += 1;
@@ -99,32 +129,42 @@
   private advanceWhenReplicated(kept: KeptShard, rebase: RebaseProgress): void {
     if (kept.rebase !== rebase || rebase.outstanding > 0 || kept.unacknowledgedRecords > 0) return;
     rebase.phase = 'advancing';
-    if (!kept.backup) this.finish(kept);
-  }
-
-  private finish(kept: KeptShard): void {
-    kept.baseVersion = kept.rebase!.toVersion;
-    if (kept.complete) kept.oldestBaseVersion = kept.baseVersion;
-    kept.rebase = undefined;
+    if (!kept.backup) finishRebase(kept);
   }
 
   private sendAdvances(): void {
-    const groups = new Map<ReplicaPeer, Map<number, number[]>>();
+    const groups = new Map<string, AdvanceGroup>();
     for (const kept of this.context.kept.values()) {
       if (!kept.rebase || kept.role !== 'serving') continue;
       if (kept.rebase.phase === 'replicating') this.advanceWhenReplicated(kept, kept.rebase);
       if (kept.rebase?.phase !== 'advancing' || !kept.backup || kept.syncingTo !== undefined) continue;
-      const byVersion = groups.get(kept.backup) ?? new Map<number, number[]>();
-      groups.set(kept.backup, byVersion);
-      const shards = byVersion.get(kept.rebase.toVersion) ?? [];
-      byVersion.set(kept.rebase.toVersion, shards);
-      shards.push(kept.shard);
+      const { toVersion, toOldestVersion } = kept.rebase;
+      const key = `${kept.backup.memberId} ${toVersion} ${toOldestVersion}`;
+      const group = groups.get(key) ?? { peer: kept.backup, toVersion, toOldestVersion, shards: [] };
+      groups.set(key, group);
+      group.shards.push(kept.shard);
     }
-    for (const [peer, byVersion] of groups) {
-      for (const [baseVersion, shards] of byVersion) {
-        const packed = packShards(shards.slice(0, MAX_ADVANCE_SHARDS));
-        peer.sendReplication({ baseAdvance: { baseVersion, shards: packed } });
-      }
+    for (const { peer, toVersion, toOldestVersion, shards } of groups.values()) {
+      const packed = packShards(shards.slice(0, MAX_ADVANCE_SHARDS));
+      const baseAdvance = { baseVersion: toVersion, oldestBaseVersion: toOldestVersion, shards: packed };
+      peer.sendReplication({ baseAdvance });
     }
   }
 }
+
+/** Shards that move to the same base at the same backup. */
+interface AdvanceGroup {
+  readonly peer: ReplicaPeer;
+  readonly toVersion: number;
+  readonly toOldestVersion: number;
+  readonly shards: number[];
+}
+
+/** The backup has the new base, so the keeper takes it as well. */
+export function finishRebase(kept: KeptShard): void {
+  const rebase = kept.rebase!;
+  kept.baseVersion = rebase.toVersion;
+  kept.oldestBaseVersion = rebase.toOldestVersion;
+  kept.complete ||= rebase.toOldestVersion === rebase.toVersion && rebase.coversAllFlows;
+  kept.rebase = undefined;
+}
--- a/src/flow/replica-holder.ts
+++ b/src/flow/replica-holder.ts
@@ -258,11 +258,14 @@
 
   private onBaseAdvance(advance: sailquay.flow.BaseAdvance.$Properties, from: InboundControlMessage): void {
     const baseVersion = advance.baseVersion ?? 0;
-    if (!this.knowledge.requireBases([baseVersion], from)) return;
+    const oldestBaseVersion = advance.oldestBaseVersion ?? baseVersion;
+    if (!this.knowledge.requireBases([baseVersion, oldestBaseVersion], from)) return;
     const advanced = unpackShards(advance.shards ?? new Uint8Array()).filter((shard) => {
       const replica = this.held(shard, from);
       if (!replica || replica.recovering || hasUnreported(replica)) return false;
-      replica.baseVersion = Math.max(replica.baseVersion, baseVersion);
+      if (replica.baseVersion > baseVersion) return false;
+      replica.baseVersion = baseVersion;
+      replica.oldestBaseVersion = oldestBaseVersion;
       return true;
     });
     if (advanced.length < (advance.shards?.length ?? 0) / 2) this.reportOwnPlacements();
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -18,6 +18,10 @@
 /** A move of a shard to a newer base version. While it lasts, a first choice must be first in both versions. */
 export interface RebaseProgress {
   readonly toVersion: number;
+  /** Oldest base afterwards: the new version when every open flow is in the table. */
+  readonly toOldestVersion: number;
+  /** Every open flow is in the table. */
+  readonly coversAllFlows: boolean;
   phase: 'replicating' | 'advancing';
   /** Records of moved flows that the backup has not acknowledged. */
   outstanding: number;
--- a/src/flow/shard-installer.ts
+++ b/src/flow/shard-installer.ts
@@ -1,5 +1,4 @@
 /** Puts received flows into kept shards. */
-import type { BackendEntry } from './backend-catalogue.js';
 import type { FlowContext } from './flow-context.js';
 import { FlowFlag } from './flow-table.js';
 import { sailquay } from './pb/flow.js';
@@ -92,17 +91,9 @@
       if (!table.isOccupied(slot)) continue;
       const entry = this.context.catalogue.at(table.backendIndex(slot));
       const fingerprint = { high: table.high(slot), low: table.low(slot) };
-      if (this.isReconstructible(kept, fingerprint, entry)) continue;
+      const { baseVersion, oldestBaseVersion } = kept;
+      if (this.context.isReconstructible(fingerprint, entry, baseVersion, oldestBaseVersion)) continue;
       table.setFlags(slot, table.flags(slot) | FlowFlag.EXCEPTION);
     }
   }
-
-  private isReconstructible(
-    kept: KeptShard,
-    fingerprint: { high: number; low: number },
-    entry: BackendEntry,
-  ): boolean {
-    if (this.context.firstChoice(fingerprint, kept.baseVersion, entry.serviceId) !== entry) return false;
-    return this.context.firstChoice(fingerprint, kept.oldestBaseVersion, entry.serviceId) === entry;
-  }
 }
--- a/src/flow/shard-snapshot.ts
+++ b/src/flow/shard-snapshot.ts
@@ -10,12 +10,11 @@
  * announced the backup may have either base; the snapshot then has the new one, whose exceptions are all recorded.
  */
 export function snapshotKept(context: FlowContext, kept: KeptShard, allFlows: boolean): ShardSnapshot {
-  const advancing = kept.rebase?.phase === 'advancing' ? kept.rebase.toVersion : undefined;
-  const newOldest = kept.complete ? advancing : undefined;
+  const advancing = kept.rebase?.phase === 'advancing' ? kept.rebase : undefined;
   return {
     epoch: kept.epoch,
-    baseVersion: advancing ?? kept.baseVersion,
-    oldestBaseVersion: newOldest ?? kept.oldestBaseVersion,
+    baseVersion: advancing?.toVersion ?? kept.baseVersion,
+    oldestBaseVersion: advancing?.toOldestVersion ?? kept.oldestBaseVersion,
     complete: kept.complete,
     trusted: true,
     learningMs: kept.complete ? 0 : context.now() - kept.learningSinceMs,
