Test shared passive evidence and the limit of zone preference

Change: a case in which no member alone sees enough, and one in which the zone's back ends are above their share. Conclusion: each rule has a test that fails without it.

--- a/src/health/health-monitor.test.ts
+++ b/src/health/health-monitor.test.ts
@@ -45,13 +45,14 @@
 const LIARS = [
   { name: 'silent, busy members', members: 3, perSecond: 10, opening: 'silent' },
   { name: 'silent, an opening a second', members: 12, perSecond: 1, opening: 'silent' },
+  { name: 'silent, no member alone sees enough', members: 12, perSecond: 0.3, opening: 'silent' },
   { name: 'resets', members: 3, perSecond: 2, opening: 'reset' },
 ] as const;
 for (const { name, members, perSecond, opening } of LIARS) {
   test(`a back end that answers probes but no opening is ejected within 5 s: ${name}`, async (t) => {
     const simulation = await started({ members });
     simulation.backend(2).opening = opening;
-    await simulation.advanceWithOpenings(5_000, perSecond);
+    await simulation.advanceWithOpenings(perSecond < 1 ? 3_000 : 5_000, perSecond);
     t.deepEqual(conditions(simulation.beliefs(2)), ['ejected']);
     t.true(simulation.beliefs(2).every(({ eligible }) => !eligible));
     t.regex(
--- a/src/placement/policies.test.ts
+++ b/src/placement/policies.test.ts
@@ -248,6 +248,17 @@
   t.true(on.same > off.same, JSON.stringify({ off, on }));
 });
 
+test('a zone is not preferred when its back ends are above their share', (t) => {
+  const flows = [30, 32, 25];
+  const own = new Map(ids(BACKENDS).map((id, index) => [id, flows[index % 3]!]));
+  for (let seed = 1; seed <= 500; seed += 1) {
+    const asked = request(seed, { own });
+    const policy = createPlacementPolicy('bounded-load', options());
+    const decision = policy.choose({ ...asked, service: { ...asked.service, zonePreference: 1 } });
+    t.true(decision.outcome === 'place' && decision.firstChoice);
+  }
+});
+
 const MODES: readonly { mode: PlacementMode; expected: number | 'any' }[] = [
   { mode: 'rendezvous', expected: FIRST.id },
   { mode: 'local-table', expected: BACKENDS[4]!.id },
