Measure an empty host with a launcher of its own

Cause: a launcher that stopped once starts nothing again, and the scale run reused one; the progress line hid the kinds. Change: a launcher for the empty host; bytes by kind in the progress line.

--- a/src/experiment/scale/scale-run.ts
+++ b/src/experiment/scale/scale-run.ts
@@ -122,7 +122,8 @@
       const figures = await this.measure(cluster, each);
       this.options.progress(
         `  ${figures.bytesOutPerSecond} B/s out, ${figures.cpuFraction} of a core, ${figures.residentMegabytes} MB a daemon, ` +
-          `in force ${figures.secondsToEverywhereMax ?? 'not everywhere'} s, ${figures.falseSuspicions} false suspicions`,
+          `in force ${figures.secondsToEverywhereMax ?? 'not everywhere'} s, ${figures.falseSuspicions} false suspicions; ` +
+          `B/s by kind ${JSON.stringify(figures.bytesOutByKind)}`,
       );
       return figures;
     });
@@ -204,7 +205,7 @@
     const tree = generateTree({ services: size.services, backends: size.backends, zones });
     let cluster: ScaleCluster | undefined;
     try {
-      if (this.emptyHostBytes === 0) this.emptyHostBytes = await measureEmptyHost(launcher, directory, tree);
+      if (this.emptyHostBytes === 0) this.emptyHostBytes = await measureEmptyHost(directory, tree);
       cluster = await ScaleCluster.start({ daemons, tree, seed: this.options.seed }, launcher, directory);
       return await use(cluster);
     } finally {
@@ -224,11 +225,10 @@
 type TreeSizeAndMembers = Omit<TreeSize, 'zones'> & { readonly members: number; readonly regions: number };
 
 async function measureEmptyHost(
-  launcher: ProcessLauncher,
   directory: RunDirectory,
   tree: Parameters<typeof ScaleCluster.start>[0]['tree'],
 ): Promise<number> {
-  const cluster = await ScaleCluster.start({ daemons: [], tree, seed: 1 }, launcher, directory);
+  const cluster = await ScaleCluster.start({ daemons: [], tree, seed: 1 }, new ProcessLauncher(), directory);
   const [sample] = await cluster.sample();
   await cluster.close();
   return sample!.residentBytes;
