Test membership and keep healing partitions and silent zones quiet

Cause: a healed partition let old reports of failure remove live members; a member cut off took long to notice; two sides of a partition that removed each other never met again.

--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -24,6 +24,8 @@
   readonly quorumLeaseMs: number;
   /** A timer this late means that the process was paused. */
   readonly pauseThresholdMs: number;
+  /** Interval at which a member may contact one that failed; the probability is the share of members that failed. */
+  readonly reconnectIntervalMs: number;
   /** Interval of reads of the platform's machine list by the one member that reads it. */
   readonly machineListIntervalMs: number;
 }
@@ -34,13 +36,14 @@
   gossipIntervalMs: 200,
   syncIntervalMs: 15_000,
   suspicionMinMs: 1_500,
-  suspicionPerDecadeMs: 800,
+  suspicionPerDecadeMs: 700,
   viewBatchMs: 100,
   quorumGraceMs: 1_000,
   settleMs: 10_000,
   witnessWaitMs: 6_000,
   quorumLeaseMs: 4_000,
   pauseThresholdMs: 1_000,
+  reconnectIntervalMs: 5_000,
   machineListIntervalMs: 30_000,
 };
 
@@ -78,8 +81,17 @@
 /** Highest local health score: 0 is well; probe times are stretched by score + 1. */
 export const MAX_HEALTH_SCORE = 8;
 
-/** Removed members are remembered this long, so that late news cannot revive them. */
-export const REMOVED_RETENTION_MS = 300_000;
+/** Highest score that unanswered probes alone lead to. */
+export const MAX_BLIND_HEALTH_SCORE = 1;
+
+/** A probe round that starts this late is a sign that the process is slow. */
+export const LATE_ROUND_MS = 100;
+
+/** Members that left are remembered this long, so that late news cannot revive them. */
+export const LEFT_RETENTION_MS = 300_000;
+
+/** Members that failed are remembered, and now and then contacted, this long: a partition may last hours. */
+export const FAILED_RETENTION_MS = 24 * 3_600_000;
 
 /** A zone is silent when more than this share of it fails within ZONE_WINDOW_MS, and at least ZONE_MIN_MEMBERS. */
 export const ZONE_SILENT_SHARE = 0.5;
@@ -97,4 +109,4 @@
 export const BLIND_PROBES = 3;
 
 /** Changes are gathered this long while a zone is silent, so that its loss is one change of the view or a few. */
-export const ZONE_VIEW_BATCH_MS = 1_500;
+export const ZONE_VIEW_BATCH_MS = 1_000;
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -1,7 +1,7 @@
 /** All known members and the rules by which news about them is merged. */
 import type { Clock } from '../common/clock.js';
 import { hashString } from '../common/hash.js';
-import { DIGEST_BUCKETS, REMOVED_RETENTION_MS } from './constants.js';
+import { DIGEST_BUCKETS, FAILED_RETENTION_MS, LEFT_RETENTION_MS } from './constants.js';
 import {
   compareVersions,
   isRemoved,
@@ -28,8 +28,10 @@
 /**
  * What became of a piece of news. `unknown`: it names a member or an incarnation that was never introduced.
  * `accused`: it holds this member for suspected or removed. `collision`: another member has the same id hash.
+ * `reported-failed`: it says that a member that is live here has failed; the member is now suspected here, because the
+ * report may come from the other side of a healed partition and the member must get the time to refute it.
  */
-export type MergeOutcome = 'changed' | 'known' | 'unknown' | 'accused' | 'collision';
+export type MergeOutcome = 'changed' | 'known' | 'unknown' | 'accused' | 'collision' | 'reported-failed';
 
 /** Mutable table; every change is reported to `onChange` after it took effect. */
 export class MemberTable {
@@ -113,7 +115,10 @@
     if (!known) return this.admit(news);
     if (known === this.selfRecord) return this.judgeAccusation(news);
     if (news.incarnation > known.incarnation) return this.replace(known, news);
-    return this.mergeSameIncarnation(known, news);
+    const reportedFailed = news.lifecycle === 'failed' && !isRemoved(known);
+    if (!reportedFailed || compareVersions(news, known) < 0) return this.mergeSameIncarnation(known, news);
+    this.mergeSameIncarnation(known, { ...news, lifecycle: known.lifecycle, suspected: true });
+    return 'reported-failed';
   }
 
   /** Marks a live member as suspected by `accuserHash`; false when it already is, or is no longer live. */
@@ -149,11 +154,20 @@
     this.store({ ...selfRecord, ...next, suspected: false }, false);
   }
 
+  /** Members that failed and may only have been cut off. */
+  failed(): MemberRecord[] {
+    if (this.liveByHash.size === this.records.size) return [];
+    return [...this.records.values()].filter((record) => record.lifecycle === 'failed');
+  }
+
   /** Forgets members removed long ago. */
   prune(): void {
-    const limitMs = this.clock.now() - REMOVED_RETENTION_MS;
+    if (this.liveByHash.size === this.records.size) return;
+    const nowMs = this.clock.now();
     for (const [idHash, record] of this.records) {
-      if (record === this.selfRecord || !isRemoved(record) || record.changedAtMs > limitMs) continue;
+      if (record === this.selfRecord || !isRemoved(record)) continue;
+      const retentionMs = record.lifecycle === 'failed' ? FAILED_RETENTION_MS : LEFT_RETENTION_MS;
+      if (nowMs - record.changedAtMs <= retentionMs) continue;
       this.records.delete(idHash);
       this.versions.delete(idHash);
     }
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -2,7 +2,13 @@
 import type { TimerHandle } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
-import { BLIND_PROBES, INDIRECT_PROBES, PIGGYBACK_BYTES, type MembershipTiming } from './constants.js';
+import {
+  BLIND_PROBES,
+  INDIRECT_PROBES,
+  LATE_ROUND_MS,
+  PIGGYBACK_BYTES,
+  type MembershipTiming,
+} from './constants.js';
 import type { GuardedTimers } from './guarded-timers.js';
 import type { LocalHealth } from './local-health.js';
 import { isRemoved, type MemberRecord } from './member-record.js';
@@ -77,6 +83,11 @@
     this.open = undefined;
   }
 
+  /** Probes these members next, for instance the rest of a zone that fell silent. */
+  probeSoon(idHashes: readonly number[]): void {
+    this.order.push(...shuffle(idHashes, this.context.random));
+  }
+
   /** Probes a member outside the order, only to hear from it. */
   greet(member: MemberRecord): void {
     this.sendPing(member, this.nextSequence());
@@ -135,8 +146,10 @@
   }
 
   private scheduleRound(delayMs: number): void {
-    this.roundTimer = this.context.timers.schedule(delayMs, () => {
-      const { timing, health } = this.context;
+    const { timers, timing, health } = this.context;
+    const dueMs = timers.now() + delayMs;
+    this.roundTimer = timers.schedule(delayMs, () => {
+      if (timers.now() - dueMs >= LATE_ROUND_MS) health.worsen();
       this.scheduleRound(timing.probeIntervalMs * health.stretch);
       this.judgeOpenProbe();
       this.context.onRound();
@@ -148,9 +161,10 @@
     const { open, context } = this;
     if (!open) return;
     this.discard();
-    const missing = open.helpersAsked - open.negativeAnswers;
-    if (missing > 0) context.health.worsen();
-    if (open.helpersAsked > 0 && open.negativeAnswers === 0) this.blindProbes += 1;
+    if (open.helpersAsked > 0 && open.negativeAnswers === 0) {
+      this.blindProbes += 1;
+      context.health.worsenBlind();
+    }
     const current = context.table.get(open.target.idHash);
     if (current && !isRemoved(current) && current.incarnation === open.target.incarnation) {
       context.onUnanswered(current);
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -15,6 +15,8 @@
   readonly region: string;
   readonly platform: LeasePlatform | undefined;
   readonly suspicions: Suspicions;
+  /** True while most of a zone is silent. */
+  readonly isZoneSilent: (zone: string) => boolean;
   /** True while probes get no sign of life from anyone. */
   readonly isCutOff: () => boolean;
   /** Called when the decision may have changed outside `update`. */
@@ -129,10 +131,11 @@
     return this.base.standing(this.context.table.live(), (record) => this.isReachable(record));
   }
 
-  /** A suspect counts as reachable for the grace time only. */
+  /** A suspect counts as reachable for the grace time only, and not at all when most of its zone is silent. */
   private isReachable(record: MemberRecord): boolean {
     if (!record.suspected) return true;
-    const { clock, suspicions, timing } = this.context;
+    const { clock, suspicions, timing, isZoneSilent } = this.context;
+    if (isZoneSilent(record.identity.zone)) return false;
     const sinceMs = suspicions.startedMs(record.idHash);
     return sinceMs !== undefined && clock.now() - sinceMs < timing.quorumGraceMs;
   }
--- a/src/membership/simulated-cluster.ts
+++ b/src/membership/simulated-cluster.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import type { MembershipTiming } from './constants.js';
+import type { MemberIdentity } from './member-record.js';
 import { SwimMembership, type MembershipPlatform } from './swim-membership.js';
 
 /** Shape of the region. */
@@ -20,6 +21,7 @@
   readonly timing?: Partial<MembershipTiming>;
   readonly platform?: (memberId: string, clock: VirtualClock) => MembershipPlatform;
   readonly events?: (memberId: string) => EventLog;
+  readonly settingsVersion?: (memberId: string) => number;
 }
 
 /** One member with its channel and clock. */
@@ -63,10 +65,31 @@
     this.clock.advance(settleMs);
   }
 
+  /** Starts all members at once, knowing each other, and runs for `settleMs`: for large regions. */
+  startWarm(settleMs = 5_000): void {
+    const created = Array.from({ length: this.options.size }, (_, index) => this.create(index));
+    const known = created.map(({ id, zone, endpoint, channel }) => ({
+      identity: identityOf(id, zone, endpoint),
+      incarnation: channel.incarnation,
+    }));
+    for (const { membership } of created) {
+      membership.preload(known);
+      membership.activate();
+    }
+    for (const { membership } of created) void membership.join();
+    this.clock.advance(settleMs);
+  }
+
   /** Starts member `index`, or starts it again after a crash. */
   boot(index: number): SimulatedMember {
+    const member = this.create(index);
+    void member.membership.join();
+    return member;
+  }
+
+  private create(index: number): SimulatedMember {
     this.boots += 1;
-    const { seed = 1, timing, platform, events } = this.options;
+    const { seed = 1, timing, platform, events, settingsVersion } = this.options;
     const id = this.idOf(index);
     const zone = this.zones[index % this.zones.length]!;
     const endpoint = this.endpointOf(index);
@@ -75,15 +98,15 @@
     const channel = this.network.channel(endpoint, id, incarnation);
     const membership = new SwimMembership({
       ...{ region: REGION, incarnation, channel, clock, timing },
-      identity: { id, zone, control: endpoint, admin: endpoint, data: endpoint },
+      identity: identityOf(id, zone, endpoint),
       random: seededRandom(seed * 100_003 + this.boots),
       seeds: this.seedsFor(index),
       platform: platform?.(id, this.clock),
       events: events?.(id),
+      settingsVersion: settingsVersion && (() => settingsVersion(id)),
     });
     const member = { id, zone, endpoint, channel, clock, membership };
     this.members.set(id, member);
-    void membership.join();
     return member;
   }
 
@@ -131,3 +154,7 @@
     );
   }
 }
+
+function identityOf(id: string, zone: string, endpoint: Endpoint): MemberIdentity {
+  return { id, zone, control: endpoint, admin: endpoint, data: endpoint };
+}
--- a/src/membership/state-sync.ts
+++ b/src/membership/state-sync.ts
@@ -107,12 +107,15 @@
     this.sendNextChunk();
   }
 
-  /** Entries of the buckets, in lists of at most GOSSIP_BYTES; one empty list when there are none. */
+  /**
+   * Entries of the buckets, in lists of at most GOSSIP_BYTES; one empty list when there are none. Failures are left out:
+   * after a partition both sides hold the other for failed, and each member finds a real failure by itself.
+   */
   private chunksOf(buckets: number): Uint8Array[][] {
     const chunks: Uint8Array[][] = [[]];
     let bytes = 0;
     for (const record of this.context.table.all()) {
-      if ((buckets & (1 << bucketOf(record.idHash))) === 0) continue;
+      if ((buckets & (1 << bucketOf(record.idHash))) === 0 || record.lifecycle === 'failed') continue;
       const entry = encodeEntry(record, !isRemoved(record));
       if (bytes + entry.length > GOSSIP_BYTES) {
         chunks.push([]);
--- a/src/membership/suspicion.ts
+++ b/src/membership/suspicion.ts
@@ -6,9 +6,12 @@
 interface Suspicion {
   startedMs: number;
   readonly accusers: Set<number>;
+  fullyConfirmed: boolean;
   timer: TimerHandle;
 }
 
+const NO_TIMER: TimerHandle = { cancel: () => undefined };
+
 /** Shortest and longest time between suspicion and removal in a region of `members`. */
 export function suspicionBounds(members: number, timing: MembershipTiming): { minMs: number; maxMs: number } {
   const scaledMs = timing.suspicionPerDecadeMs * Math.log10(Math.max(1, members));
@@ -52,6 +55,15 @@
     return true;
   }
 
+  /** A member that watched the suspicion to its end says so: only the shortest time is left to refute it. */
+  confirmFully(idHash: number): void {
+    const suspicion = this.running.get(idHash);
+    if (!suspicion || suspicion.fullyConfirmed) return;
+    suspicion.fullyConfirmed = true;
+    suspicion.timer.cancel();
+    suspicion.timer = this.arm(idHash, suspicion);
+  }
+
   /** Ends a suspicion without removal. */
   clear(idHash: number): void {
     this.running.get(idHash)?.timer.cancel();
@@ -79,13 +91,19 @@
 
   private start(idHash: number, accuserHash: number): Suspicion {
     const startedMs = this.timers.now();
-    const suspicion = { startedMs, accusers: new Set([accuserHash]), timer: { cancel: () => undefined } };
-    suspicion.timer = this.arm(idHash, suspicion) as typeof suspicion.timer;
+    const suspicion: Suspicion = {
+      startedMs,
+      accusers: new Set([accuserHash]),
+      fullyConfirmed: false,
+      timer: NO_TIMER,
+    };
+    suspicion.timer = this.arm(idHash, suspicion);
     return suspicion;
   }
 
   private arm(idHash: number, suspicion: Suspicion): TimerHandle {
-    const timeoutMs = suspicionTimeoutMs(suspicion.accusers.size, this.memberCount(), this.timing);
+    const accusers = suspicion.fullyConfirmed ? Infinity : suspicion.accusers.size;
+    const timeoutMs = suspicionTimeoutMs(accusers, this.memberCount(), this.timing);
     const remainingMs = Math.max(0, suspicion.startedMs + timeoutMs - this.timers.now());
     return this.timers.schedule(remainingMs, () => {
       this.running.delete(idHash);
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -1,7 +1,7 @@
 /** Membership of one balancer: failure detection, gossip, anti-entropy and quorum put together. */
 import type { Clock } from '../common/clock.js';
 import { hashString } from '../common/hash.js';
-import type { RandomSource } from '../common/random.js';
+import { jitter, pick, type RandomSource } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
 import type { ControlChannel, InboundControlMessage } from '../control/types.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../observability/event.js';
@@ -9,6 +9,7 @@
 import {
   DEFAULT_MEMBERSHIP_TIMING,
   GOSSIP_FANOUT,
+  GOSSIP_RESERVE_BYTES_PER_SECOND,
   ZONE_VIEW_BATCH_MS,
   type MembershipTiming,
 } from './constants.js';
@@ -61,6 +62,12 @@
   readonly events?: EventLog;
 }
 
+/** A member known beforehand. */
+export interface KnownMember {
+  readonly identity: MemberIdentity;
+  readonly incarnation: number;
+}
+
 /** Counters since start. */
 export interface MembershipStatistics {
   readonly suspicionsRaised: number;
@@ -91,6 +98,7 @@
   private readonly quorum: Quorum;
   private readonly publisher: ViewPublisher;
   private readonly counts = { suspicionsRaised: 0, refutations: 0, failures: 0, pauses: 0 };
+  private reconnectDueMs = 0;
   private running = false;
   private stopped = false;
 
@@ -122,12 +130,11 @@
       onUnanswered: (target) => this.onUnanswered(target),
       onRound: () => this.onRound(),
     });
-    this.zones = new ZoneSilence((zone, members) => {
-      this.events.emit(MEMBERSHIP_EVENTS.zoneSilent, { zone, members });
-    });
+    this.zones = new ZoneSilence((zone, members) => this.onZoneSilent(zone, members));
     this.quorum = new Quorum({
       ...{ clock, table, timing, region, platform: options.platform, suspicions: this.suspicions },
       isCutOff: () => this.prober.isCutOff,
+      isZoneSilent: (zone) => this.zones.isSilent(zone),
       onChange: () => this.updateQuorum(),
     });
     this.publisher = new ViewPublisher({
@@ -157,6 +164,16 @@
     return { ...this.counts, zoneEvents: this.zones.events, healthScore: this.health.score };
   }
 
+  /** Takes in active members known from elsewhere, before `join`; nothing is spread about them. For simulations. */
+  preload(members: readonly KnownMember[]): void {
+    for (const { identity, incarnation } of members) {
+      if (identity.id === this.selfId) continue;
+      const idHash = hashString(identity.id);
+      const news = { idHash, identity, incarnation, refutation: 0, suspected: false, accuserHash: 0 };
+      this.table.merge({ ...news, lifecycle: 'active' });
+    }
+  }
+
   /** Starts: looks for other members, answers and probes them. Resolves when one has answered or there is none to ask. */
   async join(): Promise<void> {
     if (this.running) throw stateError('join was called twice');
@@ -166,6 +183,7 @@
     this.quorum.start(this.options.seeds.length > 0 || this.options.platform !== undefined);
     this.prober.start();
     this.sync.start();
+    this.publisher.publishNow();
     this.updateQuorum();
     await this.joiner.join();
   }
@@ -213,12 +231,13 @@
     }
     if (message.regionHash !== this.regionHash) return;
     const senderHash = hashString(inbound.senderId);
+    const { refutations } = this.counts;
     for (const bytes of message.entries) {
       const news = decodeEntry(bytes, hashString);
       if (news) this.receiveNews(news, inbound.from);
     }
     this.noteSender(senderHash, inbound, message);
-    this.dispatch(senderHash, inbound.from, message);
+    this.dispatch(senderHash, inbound.from, message, this.counts.refutations > refutations);
   }
 
   /** What any message tells about its sender. */
@@ -231,10 +250,10 @@
     }
   }
 
-  private dispatch(senderHash: number, from: Endpoint, message: WireMessage): void {
+  private dispatch(senderHash: number, from: Endpoint, message: WireMessage, refuted: boolean): void {
     switch (message.type) {
       case MessageType.PING:
-        return this.prober.onPing(from, message, this.accusationOf(senderHash));
+        return this.prober.onPing(from, message, this.firstEntriesFor(senderHash, refuted));
       case MessageType.ACK:
         return this.prober.onAck(senderHash, message);
       case MessageType.INDIRECT_PING:
@@ -251,16 +270,19 @@
     }
   }
 
-  /** Tells a sender that is held for suspected or removed, so that it can refute. */
-  private accusationOf(senderHash: number): Uint8Array[] {
+  /** Tells a sender that is held for suspected or removed, and of a suspicion its message made this member refute. */
+  private firstEntriesFor(senderHash: number, refuted: boolean): Uint8Array[] {
     const known = this.table.get(senderHash);
-    return known && (known.suspected || isRemoved(known)) ? [encodeEntry(known, false)] : [];
+    const entries = refuted ? [encodeEntry(this.table.self, false)] : [];
+    if (known && (known.suspected || isRemoved(known))) entries.push(encodeEntry(known, false));
+    return entries;
   }
 
   private receiveNews(news: MemberNews, from: Endpoint): void {
     const outcome = this.table.merge(news);
     if (outcome === 'unknown') this.sync.requestSoon(from);
     else if (outcome === 'accused') this.onAccused(news);
+    else if (outcome === 'reported-failed') this.onReportedFailed(news);
     else if (outcome === 'collision') {
       this.events.emit(MEMBERSHIP_EVENTS.collision, { member: news.identity?.id });
     } else if (outcome === 'known' && news.suspected) this.confirmSuspicion(news);
@@ -273,6 +295,14 @@
     if (known?.suspected && sameVersion) this.accuse(known, news.accuserHash);
   }
 
+  /** The member itself is asked at once: the report may be left over from a partition. */
+  private onReportedFailed(news: MemberNews): void {
+    this.suspicions.confirmFully(news.idHash);
+    const record = this.table.get(news.idHash);
+    const affordable = this.options.channel.availableBytesPerSecond() >= GOSSIP_RESERVE_BYTES_PER_SECOND;
+    if (record && affordable) this.prober.greet(record);
+  }
+
   private onAccused(news: MemberNews): void {
     const { self } = this.table;
     if (news.incarnation > self.incarnation && !this.isPredecessor(news)) return this.withdraw();
@@ -311,25 +341,49 @@
     this.gossiper.wake();
   }
 
+  /** The silence of one member confirms that of the others: the rest is probed next and all are removed soon. */
+  private onZoneSilent(zone: string, members: number): void {
+    this.events.emit(MEMBERSHIP_EVENTS.zoneSilent, { zone, members });
+    const inZone = this.table.peers().filter((peer) => peer.identity.zone === zone);
+    this.prober.probeSoon(inZone.filter((peer) => !peer.suspected).map((peer) => peer.idHash));
+    for (const peer of inZone) this.suspicions.confirmFully(peer.idHash);
+  }
+
   private onRound(): void {
     this.table.prune();
+    this.reconnect();
     this.zones.refresh(this.timers.now());
     this.updateQuorum();
   }
 
+  /** Now and then greets a member that failed: it may only have been cut off. */
+  private reconnect(): void {
+    const nowMs = this.timers.now();
+    if (nowMs < this.reconnectDueMs) return;
+    const { random } = this.options;
+    this.reconnectDueMs = nowMs + jitter(this.timing.reconnectIntervalMs, 0.5, random);
+    const failed = this.table.failed();
+    if (failed.length === 0 || random() * (failed.length + this.table.liveCount) >= failed.length) return;
+    this.prober.greet(pick(failed, random));
+  }
+
   private onChange(change: RecordChange): void {
     const { record, previous, accuserHash } = change;
     const isNewProcess = !previous || previous.incarnation !== record.incarnation;
-    if (record.suspected) this.suspicions.accuse(record.idHash, accuserHash);
-    else this.suspicions.clear(record.idHash);
+    if (record.suspected) {
+      this.suspicions.accuse(record.idHash, accuserHash);
+      if (this.zones.isSilent(record.identity.zone)) this.suspicions.confirmFully(record.idHash);
+    } else this.suspicions.clear(record.idHash);
+    this.quorum.note(change);
+    if (!this.running) return;
     this.queue.add(record, isNewProcess && !isRemoved(record), accuserHash);
     this.gossiper.wake();
-    this.quorum.note(change);
     const { zone } = record.identity;
     const liveInZone = (): number =>
       this.table.live().filter((member) => member.identity.zone === zone).length;
     this.zones.note(record, liveInZone, this.timers.now());
     this.report(change);
+    if (record.suspected || record.lifecycle === 'failed') this.updateQuorum();
     this.publisher.publishSoon();
   }
 
