Encode equal settings nodes to equal bytes

Cause: the digest of a tree is taken over encoded nodes, and the order of fields in the store's JSON could change it. Change: fields are encoded sorted by name; an edit that changes nothing is no longer logged as accepted. Conclusion: readers that see the same tree give the same digest whatever wrote it.

--- a/src/settings/codec.ts
+++ b/src/settings/codec.ts
@@ -102,9 +102,10 @@
   return new TreeError('settings.bad-message', `A received ${what} cannot be read`, remedy, { cause });
 }
 
-/** Encodes one node with the fields that it sets itself. */
+/** Encodes one node with the fields that it sets itself, sorted by name: equal nodes give equal bytes. */
 export function encodeNode(node: TreeNode): Uint8Array {
-  const fields = Object.entries(node.fields).map(([name, value]) => encodeField(name, value));
+  const names = Object.keys(node.fields).sort();
+  const fields = names.map((name) => encodeField(name, node.fields[name]));
   const message = {
     path: node.path,
     kind: NODE_KINDS.indexOf(node.kind),
--- a/src/settings/diff.test.ts
+++ b/src/settings/diff.test.ts
@@ -116,6 +116,12 @@
   );
 });
 
+test('equal nodes give equal bytes, whatever the order of their fields', (t) => {
+  const node: TreeNode = { path: 'a', kind: 'site', fields: { slots: 1, zone: 'z', weight: 2 } };
+  const reordered: TreeNode = { path: 'a', kind: 'site', fields: { weight: 2, zone: 'z', slots: 1 } };
+  t.deepEqual(encodeNode(node), encodeNode(reordered));
+});
+
 test('any bytes are decoded or refused, never thrown at', (t) => {
   fc.assert(
     fc.property(fc.uint8Array({ maxLength: 60 }), (bytes) => {
--- a/src/settings/tree-editor.ts
+++ b/src/settings/tree-editor.ts
@@ -209,6 +209,7 @@
 
   private report(result: Result<EditOutcome, TreeError>, request: EditRequest): void {
     const fields = { author: request.author, token: request.token };
+    if (result.isOk && result.value.outcome === 'unchanged') return;
     if (result.isOk) {
       this.events.emit(SETTINGS_EVENTS.editAccepted, { ...fields, version: result.value.version });
     } else if (result.error.kind === 'settings.conflict') {
