Let tree edits give up after a chosen time

Cause: with the platform down an edit repeats for 15 s before it tells so, which is long for a script. Conclusion: the default stays at 15 s.

--- a/src/cli/tree-command.test.ts
+++ b/src/cli/tree-command.test.ts
@@ -196,6 +196,14 @@
   t.notRegex(result.error, /\n\s+at /);
 });
 
+test('exit code: an edit gives up after its timeout', async (t) => {
+  const bench = await isartalBench();
+  bench.platform.failingReads = Infinity;
+  const result = await bench.edit('set', 'isartal', 'slots=4', '--timeout', '0.05');
+  t.is(result.code, ExitCode.PlatformUnreachable);
+  t.is(bench.platform.writes, 1);
+});
+
 test('exit code: no platform named', async (t) => {
   delete process.env['SAILQUAY_PLATFORM'];
   const result = await new Bench().run('tree', 'get');
--- a/src/cli/tree-command.ts
+++ b/src/cli/tree-command.ts
@@ -39,6 +39,8 @@
 /** Wakes the event loop now and then so that the process outlives waits whose timers do not keep it alive. */
 const KEEP_ALIVE_MS = 1_000;
 
+const MS_PER_SECOND = 1_000;
+
 const MAX_SEED = 0x7fff_ffff;
 
 /** What the commands use of their surroundings; tests pass their own. */
@@ -68,6 +70,8 @@
 interface EditOptions extends TreeOptions {
   readonly author: string;
   readonly token?: string;
+  /** Seconds. */
+  readonly timeout?: number;
 }
 
 const TREE_HELP = `
@@ -139,7 +143,8 @@
 function editCommand(tree: Command, name: string, description: string, example: string): Command {
   return subcommand(tree, name, description, example)
     .option('--author <name>', 'who makes the edit', userInfo().username)
-    .option('--token <token>', 'idempotency token; a new one when absent');
+    .option('--token <token>', 'idempotency token; a new one when absent')
+    .option('--timeout <seconds>', 'give up after this long, retries included (default: 15)', parseSeconds);
 }
 
 function registerEditing(tree: Command, environment: TreeCommandEnvironment): void {
@@ -190,6 +195,13 @@
     });
 }
 
+function parseSeconds(text: string): number {
+  const seconds = Number(text);
+  if (!Number.isFinite(seconds) || seconds <= 0)
+    throw new InvalidArgumentError('Give a number of seconds above 0.');
+  return seconds;
+}
+
 /** `defaults` names the top node; slashes around a path are ignored. */
 function parsePath(text: string): string {
   const path = text.replace(/^\/+|\/+$/g, '');
@@ -269,8 +281,9 @@
   edit: TreeEdit,
 ): Promise<void> {
   const token = options.token ?? randomUUID();
+  const deadlineMs = options.timeout === undefined ? undefined : options.timeout * MS_PER_SECOND;
   await withEditor(environment, options, async (editor) => {
-    const result = await editor.edit(edit, { author: options.author, token, summary });
+    const result = await editor.edit(edit, { author: options.author, token, summary, deadlineMs });
     if (result.isOk) printOutcome(result.value, token, options, environment.output);
     else reportError(result.error, options.json ?? false, environment.output);
   });
