Give the quorum base an epoch that members adopt before they are quorate

Cause: after a partition whose sides changed without healing, two groups could each be quorate on different bases. Change: only a quorate member changes the base; dropping failed members raises its epoch; a member that meets a higher epoch fetches and adopts that base first. The first base of a region needs the lease.

--- a/src/membership/messenger.ts
+++ b/src/membership/messenger.ts
@@ -8,8 +8,8 @@
 export interface SenderFacts {
   /** Tree version in force here; 0 when none. */
   readonly settingsVersion: () => number;
-  /** This member belongs to a region that has been quorate. */
-  readonly isBootstrapped: () => boolean;
+  /** Epoch of the quorum base; 0 when there is none. */
+  readonly baseEpoch: () => number;
 }
 
 /** The sending half of membership. */
@@ -26,7 +26,7 @@
     const payload = encodeMessage({
       ...fields,
       regionHash: this.regionHash,
-      bootstrapped: this.self.isBootstrapped() || undefined,
+      baseEpoch: this.self.baseEpoch(),
     });
     return this.channel.send(to, 'membership', payload);
   }
--- a/src/membership/pb/membership.d.ts
+++ b/src/membership/pb/membership.d.ts
@@ -138,7 +138,13 @@
             SYNC_REQUEST = 6,
 
             /** SYNC_STATE value */
-            SYNC_STATE = 7
+            SYNC_STATE = 7,
+
+            /** QUORUM_BASE_REQUEST value */
+            QUORUM_BASE_REQUEST = 8,
+
+            /** QUORUM_BASE value */
+            QUORUM_BASE = 9
         }
 
         /**
@@ -184,8 +190,17 @@
             /** MembershipMessage wantedBuckets. */
             wantedBuckets: number;
 
-            /** MembershipMessage bootstrapped. */
-            bootstrapped: boolean;
+            /** MembershipMessage baseEpoch. */
+            baseEpoch: number;
+
+            /** MembershipMessage baseMembers. */
+            baseMembers: number[];
+
+            /** MembershipMessage part. */
+            part: number;
+
+            /** MembershipMessage parts. */
+            parts: number;
 
             /**
              * Encodes the specified MembershipMessage message. Does not implicitly {@link sailquay.membership.MembershipMessage.verify|verify} messages.
@@ -242,8 +257,17 @@
                 /** MembershipMessage wantedBuckets */
                 wantedBuckets?: (number|null);
 
-                /** MembershipMessage bootstrapped */
-                bootstrapped?: (boolean|null);
+                /** MembershipMessage baseEpoch */
+                baseEpoch?: (number|null);
+
+                /** MembershipMessage baseMembers */
+                baseMembers?: (number[]|null);
+
+                /** MembershipMessage part */
+                part?: (number|null);
+
+                /** MembershipMessage parts */
+                parts?: (number|null);
 
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
--- a/src/membership/pb/membership.js
+++ b/src/membership/pb/membership.js
@@ -328,6 +328,8 @@
          * @property {number} GOSSIP=5 GOSSIP value
          * @property {number} SYNC_REQUEST=6 SYNC_REQUEST value
          * @property {number} SYNC_STATE=7 SYNC_STATE value
+         * @property {number} QUORUM_BASE_REQUEST=8 QUORUM_BASE_REQUEST value
+         * @property {number} QUORUM_BASE=9 QUORUM_BASE value
          */
         membership.MessageType = (function() {
             const valuesById = $Object.create(null), values = $Object.create(valuesById);
@@ -339,6 +341,8 @@
             values[valuesById[5] = "GOSSIP"] = 5;
             values[valuesById[6] = "SYNC_REQUEST"] = 6;
             values[valuesById[7] = "SYNC_STATE"] = 7;
+            values[valuesById[8] = "QUORUM_BASE_REQUEST"] = 8;
+            values[valuesById[9] = "QUORUM_BASE"] = 9;
             return values;
         })();
 
@@ -355,7 +359,10 @@
              * @property {Array.<Uint8Array>|null} [entries] MembershipMessage entries
              * @property {Array.<number>|null} [bucketDigests] MembershipMessage bucketDigests
              * @property {number|null} [wantedBuckets] MembershipMessage wantedBuckets
-             * @property {boolean|null} [bootstrapped] MembershipMessage bootstrapped
+             * @property {number|null} [baseEpoch] MembershipMessage baseEpoch
+             * @property {Array.<number>|null} [baseMembers] MembershipMessage baseMembers
+             * @property {number|null} [part] MembershipMessage part
+             * @property {number|null} [parts] MembershipMessage parts
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -383,6 +390,7 @@
             const MembershipMessage = function (properties) {
                 this.entries = [];
                 this.bucketDigests = [];
+                this.baseMembers = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -454,12 +462,36 @@
             MembershipMessage.prototype.wantedBuckets = 0;
 
             /**
-             * MembershipMessage bootstrapped.
-             * @member {boolean} bootstrapped
+             * MembershipMessage baseEpoch.
+             * @member {number} baseEpoch
              * @memberof sailquay.membership.MembershipMessage
              * @instance
              */
-            MembershipMessage.prototype.bootstrapped = false;
+            MembershipMessage.prototype.baseEpoch = 0;
+
+            /**
+             * MembershipMessage baseMembers.
+             * @member {Array.<number>} baseMembers
+             * @memberof sailquay.membership.MembershipMessage
+             * @instance
+             */
+            MembershipMessage.prototype.baseMembers = $util.emptyArray;
+
+            /**
+             * MembershipMessage part.
+             * @member {number} part
+             * @memberof sailquay.membership.MembershipMessage
+             * @instance
+             */
+            MembershipMessage.prototype.part = 0;
+
+            /**
+             * MembershipMessage parts.
+             * @member {number} parts
+             * @memberof sailquay.membership.MembershipMessage
+             * @instance
+             */
+            MembershipMessage.prototype.parts = 0;
 
             /**
              * Encodes the specified MembershipMessage message. Does not implicitly {@link sailquay.membership.MembershipMessage.verify|verify} messages.
@@ -494,8 +526,14 @@
                     writer.uint32(/* id 7, wireType 2 =*/58).fixed32s(message.bucketDigests);
                 if (message.wantedBuckets != null && $Object.hasOwnProperty.call(message, "wantedBuckets") && message.wantedBuckets !== 0)
                     writer.uint32(/* id 8, wireType 5 =*/69).fixed32(message.wantedBuckets);
-                if (message.bootstrapped != null && $Object.hasOwnProperty.call(message, "bootstrapped") && message.bootstrapped !== false)
-                    writer.uint32(/* id 9, wireType 0 =*/72).bool(message.bootstrapped);
+                if (message.baseEpoch != null && $Object.hasOwnProperty.call(message, "baseEpoch") && message.baseEpoch !== 0)
+                    writer.uint32(/* id 9, wireType 0 =*/72).uint32(message.baseEpoch);
+                if (message.baseMembers != null && message.baseMembers.length)
+                    writer.uint32(/* id 10, wireType 2 =*/82).fixed32s(message.baseMembers);
+                if (message.part != null && $Object.hasOwnProperty.call(message, "part") && message.part !== 0)
+                    writer.uint32(/* id 11, wireType 0 =*/88).uint32(message.part);
+                if (message.parts != null && $Object.hasOwnProperty.call(message, "parts") && message.parts !== 0)
+                    writer.uint32(/* id 12, wireType 0 =*/96).uint32(message.parts);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -619,10 +657,42 @@
                     case 9: {
                             if (wireType !== 0)
                                 break;
-                            if (value = reader.bool())
-                                message.bootstrapped = value;
+                            if (value = reader.uint32())
+                                message.baseEpoch = value;
+                            else
+                                delete message.baseEpoch;
+                            continue;
+                        }
+                    case 10: {
+                            if (wireType === 2) {
+                                if (!(message.baseMembers && message.baseMembers.length))
+                                    message.baseMembers = [];
+                                reader.fixed32s(message.baseMembers);
+                                continue;
+                            }
+                            if (wireType !== 5)
+                                break;
+                            if (!(message.baseMembers && message.baseMembers.length))
+                                message.baseMembers = [];
+                            message.baseMembers.push(reader.fixed32());
+                            continue;
+                        }
+                    case 11: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.part = value;
+                            else
+                                delete message.part;
+                            continue;
+                        }
+                    case 12: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.parts = value;
                             else
-                                delete message.bootstrapped;
+                                delete message.parts;
                             continue;
                         }
                     }
--- a/src/membership/quorum-base.ts
+++ b/src/membership/quorum-base.ts
@@ -1,48 +1,93 @@
 /**
- * The members last known together in a settled view, against which reachability is measured.
+ * The members last known together in a settled view, against which reachability is measured (dynamic voting).
  *
- * Members are added when they become active and taken out when they leave as planned. A failed member stays in until
- * a quorate view has gone settleMs without a failure; then the view becomes the new base. A view without quorum
- * never becomes the base, so of two sides of a partition at most one can shrink it.
+ * Only a quorate member changes its base: it adds members that become active, takes out those that leave as planned, and
+ * drops failed ones when the view has gone settleMs without a failure. Dropping raises the epoch; a member that meets a
+ * higher epoch adopts that base before it can become quorate, so two sides of successive partitions never rest on different bases.
  */
 import { isRemoved, ownsShards, type MemberRecord } from './member-record.js';
-import type { RecordChange } from './member-table.js';
 
 /** Standing of the reachable members against the base. `tie`: exactly half, the lowest id among them. */
 export type QuorumStanding = 'majority' | 'tie' | 'minority';
 
-/** Base of the quorum, by id hash and id. */
+/** Base of the quorum: id hashes of members. */
 export class QuorumBase {
-  private readonly members = new Map<number, string>();
+  private currentEpoch = 0;
+  private members = new Set<number>();
   private lastFailureMs = -Infinity;
 
-  get size(): number {
-    return this.members.size;
+  /** 0 while there is no base. */
+  get epoch(): number {
+    return this.currentEpoch;
   }
 
-  /** Takes in one change of the member table. */
-  note({ record, previous }: RecordChange, nowMs: number): void {
-    if (record.lifecycle === 'active') this.members.set(record.idHash, record.identity.id);
-    if (record.lifecycle === 'leaving' || record.lifecycle === 'left') this.members.delete(record.idHash);
-    const wasLive = previous !== undefined && !isRemoved(previous);
-    if (record.lifecycle === 'failed' && wasLive) this.lastFailureMs = nowMs;
+  /** Id hashes of the members in the base. */
+  get idHashes(): number[] {
+    return [...this.members];
   }
 
-  /** Measures the base against the members that `isReachable` accepts. */
-  standing(records: readonly MemberRecord[], isReachable: (record: MemberRecord) => boolean): QuorumStanding {
-    const reached = records.filter((record) => this.members.has(record.idHash) && isReachable(record));
-    if (reached.length * 2 > this.size) return 'majority';
-    if (reached.length * 2 < this.size || this.size === 0) return 'minority';
-    const lowest = [...this.members.values()].reduce((left, right) => (left < right ? left : right));
-    return reached.some((record) => record.identity.id === lowest) ? 'tie' : 'minority';
+  /** A member failed; the view is not settled. */
+  noteFailure(nowMs: number): void {
+    this.lastFailureMs = nowMs;
   }
 
-  /** Makes the live owners the base when the last failure is at least `settleMs` ago. */
-  settle(records: readonly MemberRecord[], nowMs: number, settleMs: number): void {
-    if (nowMs - this.lastFailureMs < settleMs) return;
-    const owners = records.filter(ownsShards);
-    if (owners.length === this.size || owners.length === 0) return;
-    this.members.clear();
-    for (const { idHash, identity } of owners) this.members.set(idHash, identity.id);
+  /** Makes the first base of a region from the live owners; without any nothing happens. */
+  create(live: readonly MemberRecord[]): void {
+    const owners = live.filter(ownsShards);
+    if (owners.length === 0) return;
+    this.adopt(
+      1,
+      owners.map((record) => record.idHash),
+    );
   }
+
+  /** Takes over a base of a higher epoch. */
+  adopt(epoch: number, idHashes: Iterable<number>): void {
+    this.currentEpoch = epoch;
+    this.members = new Set(idHashes);
+  }
+
+  /** Measures the base, without planned leavers, against the members that `isReachable` accepts. */
+  standing(
+    find: (idHash: number) => MemberRecord | undefined,
+    isReachable: (record: MemberRecord) => boolean,
+  ): QuorumStanding {
+    const counted = [...this.members].map(find).filter((record) => !record || !isLeaver(record));
+    const reached = counted.filter((record) => record && !isRemoved(record) && isReachable(record));
+    if (reached.length * 2 > counted.length) return 'majority';
+    if (counted.length === 0) return this.currentEpoch > 0 ? 'majority' : 'minority';
+    if (reached.length * 2 < counted.length) return 'minority';
+    return hasLowestId(counted, reached) ? 'tie' : 'minority';
+  }
+
+  /** Brings the base up to date; call it only while quorate. With `maySettle` failed members are dropped in time. */
+  evolve(live: readonly MemberRecord[], nowMs: number, settleMs: number, maySettle: boolean): void {
+    const owners = new Set(live.filter(ownsShards).map((record) => record.idHash));
+    for (const record of live) if (isLeaver(record)) this.members.delete(record.idHash);
+    for (const idHash of owners) this.members.add(idHash);
+    if (!maySettle || nowMs - this.lastFailureMs < settleMs || owners.size === 0) return;
+    if (this.members.size === owners.size) return;
+    this.adopt(this.currentEpoch + 1, owners);
+  }
+
+  /** Takes out a planned leaver; call it only while quorate. */
+  remove(idHash: number): void {
+    this.members.delete(idHash);
+  }
+}
+
+function isLeaver(record: MemberRecord): boolean {
+  return record.lifecycle === 'leaving' || record.lifecycle === 'left';
+}
+
+function hasLowestId(
+  counted: readonly (MemberRecord | undefined)[],
+  reached: readonly (MemberRecord | undefined)[],
+): boolean {
+  let lowest: MemberRecord | undefined;
+  for (const record of counted) {
+    if (!record) return false;
+    if (!lowest || record.identity.id < lowest.identity.id) lowest = record;
+  }
+  return reached.includes(lowest);
 }
--- a/src/membership/quorum.test.ts
+++ b/src/membership/quorum.test.ts
@@ -202,3 +202,31 @@
   }
   t.true(divided >= 5);
 });
+
+test('a partition that changes sides without healing leaves one side quorate: the one of the latest base', async (t) => {
+  const [cluster] = await startCluster(5);
+  const cut = async (left: readonly number[], right: readonly number[]): Promise<void> => {
+    cluster.network.heal();
+    cluster.network.partition(
+      left.map((index) => cluster.idOf(index)),
+      right.map((index) => cluster.idOf(index)),
+    );
+    await cluster.clock.advanceAsync(30_000, 50);
+  };
+  const all = (): boolean[] => [0, 1, 2, 3, 4].map((index) => quorate(cluster, index));
+  await cut([0, 1, 2], [3, 4]);
+  t.deepEqual(all(), [true, true, true, false, false]);
+  cluster.network.heal();
+  cluster.network.partition(
+    [0, 3, 4].map((index) => cluster.idOf(index)),
+    [1, 2].map((index) => cluster.idOf(index)),
+  );
+  await cluster.clock.advanceAsync(5_000, 50);
+  for (let sample = 0; sample < 250; sample += 1) {
+    await cluster.clock.advanceAsync(100, 50);
+    t.deepEqual(all(), [false, true, true, false, false], `sample ${sample}`);
+  }
+  cluster.network.heal();
+  await cluster.clock.advanceAsync(30_000, 50);
+  t.deepEqual(all(), [true, true, true, true, true]);
+});
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -1,6 +1,9 @@
 /** Decides whether this member may open flows: see docs/DESIGN.md, "Quorum". */
 import type { MembershipTiming } from './constants.js';
-import type { MemberRecord } from './member-record.js';
+import type { GuardedTimers } from './guarded-timers.js';
+import { isRemoved, type MemberRecord } from './member-record.js';
+import type { Messenger } from './messenger.js';
+import { QuorumExchange } from './quorum-exchange.js';
 import type { MemberTable, RecordChange } from './member-table.js';
 import { QuorumBase, type QuorumStanding } from './quorum-base.js';
 import { QuorumLease, type LeasePlatform } from './quorum-lease.js';
@@ -10,6 +13,8 @@
 /** What the decision rests on. */
 export interface QuorumContext {
   readonly clock: Clock;
+  readonly timers: GuardedTimers;
+  readonly messenger: Messenger;
   readonly table: MemberTable;
   readonly timing: MembershipTiming;
   readonly region: string;
@@ -25,13 +30,11 @@
 
 /** Quorum of one member. */
 export class Quorum {
-  private readonly base = new QuorumBase();
+  readonly base = new QuorumBase();
+  readonly exchange: QuorumExchange;
   private readonly lease: QuorumLease;
-  /**
-   * True once a member of a region that has been quorate was met, the lease was held, or there is nobody to meet. Two
-   * groups that start while they are cut off from each other can thus not both become quorate.
-   */
-  private bootstrapped = false;
+  /** Another member was met. */
+  private met = false;
   /** No seeds and nobody met: a site of one. */
   private sole = false;
   /** False from a pause until another member has answered. */
@@ -41,7 +44,12 @@
   private withdrawn = false;
 
   constructor(private readonly context: QuorumContext) {
-    const { clock, platform, region, table, timing, onChange } = context;
+    const { clock, platform, region, table, timing, timers, messenger, onChange } = context;
+    this.exchange = new QuorumExchange({
+      ...{ timers, messenger, base: this.base },
+      isQuorate: () => this.decision,
+      onAdopted: onChange,
+    });
     this.lease = new QuorumLease(
       clock,
       platform,
@@ -59,7 +67,6 @@
 
   start(hasSeeds: boolean): void {
     this.sole = !hasSeeds;
-    this.bootstrapped = !hasSeeds;
     this.lease.start();
   }
 
@@ -68,18 +75,15 @@
   }
 
   /** Takes in one change of the member table. */
-  note(change: RecordChange): void {
-    this.base.note(change, this.context.clock.now());
-  }
-
-  /** True when this member is part of a region that has been quorate; peers that meet it become part of it too. */
-  get isBootstrapped(): boolean {
-    return this.bootstrapped;
+  note({ record, previous }: RecordChange): void {
+    const failed = record.lifecycle === 'failed' && previous !== undefined && !isRemoved(previous);
+    if (failed) this.base.noteFailure(this.context.clock.now());
+    if (record.lifecycle === 'left' && this.decision) this.base.remove(record.idHash);
   }
 
-  /** Another member was heard; `peerBootstrapped` is its own `isBootstrapped`. */
-  noteContact(peerBootstrapped: boolean): void {
-    if (peerBootstrapped || !this.context.platform) this.bootstrapped = true;
+  /** Another member was heard. */
+  noteContact(): void {
+    this.met = true;
     this.sole = false;
     this.validated = true;
   }
@@ -101,25 +105,40 @@
     const alone = this.isAlone();
     if (!alone) this.aloneSinceMs = undefined;
     else this.aloneSinceMs ??= nowMs;
-    if (this.lease.standing() === 'held') this.bootstrapped = true;
     const before = this.decision;
+    this.bootstrap();
     this.decision = this.decide(alone);
-    if (this.decision && !alone) {
-      this.base.settle(this.context.table.live(), nowMs, this.context.timing.settleMs);
+    if (this.decision && this.isBootstrapped) {
+      this.base.evolve(this.context.table.live(), nowMs, this.context.timing.settleMs, !alone);
     }
     if (alone && this.standing() === 'minority' && !this.waitedLongEnough()) this.lease.drop();
     if (before && !this.decision) void this.lease.refresh();
     return before !== this.decision;
   }
 
+  /**
+   * Makes the first base of a region. It takes the lease, so that two groups that start while cut off from each other
+   * cannot both become quorate; without a platform, or in a site of one, it takes an active member.
+   */
+  private bootstrap(): void {
+    if (this.isBootstrapped || this.exchange.seenEpoch > 0) return;
+    const mayCreate = this.context.platform ? this.lease.standing() === 'held' : this.met;
+    if (mayCreate || this.sole) this.base.create(this.context.table.live());
+  }
+
+  private get isBootstrapped(): boolean {
+    return this.base.epoch > 0;
+  }
+
   private decide(alone: boolean): boolean {
     if (this.withdrawn) return false;
     if (this.sole) return true;
-    if (!this.validated || this.context.isCutOff()) return false;
-    if (!alone) return this.bootstrapped && this.standing() !== 'minority';
+    if (!this.validated || !this.isBootstrapped || this.context.isCutOff()) return false;
+    if (!this.decision && this.exchange.isBehind) return false;
+    if (!alone) return this.standing() !== 'minority';
     const lease = this.lease.standing();
     if (lease === 'held') return true;
-    return lease === 'unavailable' && this.bootstrapped && this.standing() !== 'minority';
+    return lease === 'unavailable' && this.standing() !== 'minority';
   }
 
   /** No other live member is reachable. */
@@ -128,7 +147,10 @@
   }
 
   private standing(): QuorumStanding {
-    return this.base.standing(this.context.table.live(), (record) => this.isReachable(record));
+    return this.base.standing(
+      (idHash) => this.context.table.get(idHash),
+      (record) => this.isReachable(record),
+    );
   }
 
   /** A suspect counts as reachable for the grace time only, and not at all when most of its zone is silent. */
@@ -143,9 +165,9 @@
   private wantsLease(): boolean {
     if (this.sole || this.withdrawn || !this.validated) return false;
     if (this.isAlone()) {
-      return (this.bootstrapped && this.standing() !== 'minority') || this.waitedLongEnough();
+      return (this.isBootstrapped && this.standing() !== 'minority') || this.waitedLongEnough();
     }
-    return (this.decision || !this.bootstrapped) && this.isLowestReachable();
+    return (this.decision || !this.isBootstrapped) && this.isLowestReachable();
   }
 
   private waitedLongEnough(): boolean {
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -117,7 +117,7 @@
     const { table, timers, queue } = this;
     this.messenger = new Messenger(channel, this.regionHash, queue, {
       settingsVersion: options.settingsVersion ?? (() => 0),
-      isBootstrapped: () => this.quorum.isBootstrapped,
+      baseEpoch: () => this.quorum.base.epoch,
     });
     const { messenger } = this;
     this.gossiper = new Gossiper({
@@ -132,7 +132,16 @@
     });
     this.zones = new ZoneSilence((zone, members) => this.onZoneSilent(zone, members));
     this.quorum = new Quorum({
-      ...{ clock, table, timing, region, platform: options.platform, suspicions: this.suspicions },
+      ...{
+        clock,
+        timers,
+        messenger,
+        table,
+        timing,
+        region,
+        platform: options.platform,
+        suspicions: this.suspicions,
+      },
       isCutOff: () => this.prober.isCutOff,
       isZoneSilent: (zone) => this.zones.isSilent(zone),
       onChange: () => this.updateQuorum(),
@@ -244,7 +253,8 @@
   private noteSender(senderHash: number, inbound: InboundControlMessage, message: WireMessage): void {
     const known = this.table.get(senderHash);
     if (!known || known.incarnation < inbound.senderIncarnation) this.sync.requestSoon(inbound.from);
-    this.quorum.noteContact(message.bootstrapped);
+    this.quorum.noteContact();
+    this.quorum.exchange.onMessage(inbound.from, message);
     if (message.settingsVersion && this.table.noteSettingsVersion(senderHash, message.settingsVersion)) {
       this.publisher.noteSettingsVersion();
     }
@@ -265,6 +275,10 @@
       case MessageType.SYNC_STATE:
         this.sync.onState(from, message);
         return this.joiner.onContact();
+      case MessageType.QUORUM_BASE_REQUEST:
+        return this.quorum.exchange.onRequest(from);
+      case MessageType.QUORUM_BASE:
+        return this.quorum.exchange.onPart(message);
       default:
         return undefined;
     }
