--- a/src/dissemination/constants.ts
+++ b/src/dissemination/constants.ts
@@ -6,8 +6,10 @@
 export const CANDIDATES_PER_LEASE = 2;
 export const READER_LEASE_MS = 9_000;
 export const READER_RENEW_MS = 3_000;
-/** Pause of a candidate after the lease was refused, the store failed, or it is no candidate. */
+/** Pause of a candidate after the lease was refused, and of a member that is no candidate. */
 export const CANDIDATE_PAUSE_MS = 2_500;
+/** Pause of a candidate that could not reach the store; the client's circuit bounds what the store sees of it. */
+export const UNREACHABLE_PAUSE_MS = 700;
 export const PAUSE_SPREAD = 0.3;
 
 /** Peers that are told of a new version in each round of pushes. */
--- a/src/dissemination/store-reader.ts
+++ b/src/dissemination/store-reader.ts
@@ -7,7 +7,13 @@
 import type { MembershipFeed } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
 import { pause, type Lease, type PlatformClient, type StoredObject } from '../platform/index.js';
-import { CANDIDATE_PAUSE_MS, PAUSE_SPREAD, READER_LEASE_MS, READER_RENEW_MS } from './constants.js';
+import {
+  CANDIDATE_PAUSE_MS,
+  PAUSE_SPREAD,
+  READER_LEASE_MS,
+  READER_RENEW_MS,
+  UNREACHABLE_PAUSE_MS,
+} from './constants.js';
 import { DISSEMINATION_EVENTS } from './events.js';
 import { readerLeaseName, slotsOf } from './reader-candidates.js';
 import type { DisseminationCounters } from './statistics.js';
@@ -30,6 +36,8 @@
 
 export class StoreReader {
   private lease: Lease | undefined;
+  /** The last lease request was not answered. */
+  private storeFailed = false;
 
   constructor(private readonly options: StoreReaderOptions) {}
 
@@ -45,8 +53,10 @@
       const slots = this.slots();
       const slot = slots[attempt % Math.max(1, slots.length)];
       attempt += 1;
+      this.storeFailed = false;
       if (slot !== undefined && (await this.acquire(slot))) await this.serve(slot, signal);
-      if (!signal.aborted) await this.pause(CANDIDATE_PAUSE_MS, signal);
+      if (!signal.aborted)
+        await this.pause(this.storeFailed ? UNREACHABLE_PAUSE_MS : CANDIDATE_PAUSE_MS, signal);
     }
   }
 
@@ -68,8 +78,9 @@
     const { platform, membership, region } = this.options;
     const name = readerLeaseName(region, slot);
     const granted = await platform.acquireLease(name, membership.selfId, READER_LEASE_MS);
+    this.storeFailed = granted.isErr && granted.error.kind !== 'platform.lease-held';
     if (granted.isOk) this.lease = granted.value;
-    else if (granted.error.kind === 'platform.lease-held') this.lease = undefined;
+    else if (!this.storeFailed) this.lease = undefined;
     return this.isTrusted();
   }
 
--- a/src/platform/constants.ts
+++ b/src/platform/constants.ts
@@ -7,15 +7,15 @@
 /** First pause between two attempts; doubles with each failure. */
 export const BACKOFF_BASE_MS = 50;
 /** Longest pause between two attempts. */
-export const BACKOFF_MAX_MS = 5_000;
+export const BACKOFF_MAX_MS = 2_000;
 /** Share of a pause that is random, either way. */
 export const BACKOFF_SPREAD = 0.5;
 /** Consecutive failed attempts after which the circuit opens. */
 export const CIRCUIT_FAILURE_THRESHOLD = 4;
 /** First time an open circuit lets nothing through; doubles with each failed trial. */
 export const CIRCUIT_OPEN_BASE_MS = 500;
-/** Longest time an open circuit lets nothing through. */
-export const CIRCUIT_OPEN_MAX_MS = 8_000;
+/** Longest time an open circuit lets nothing through; bounds how late a recovered store is noticed. */
+export const CIRCUIT_OPEN_MAX_MS = 2_000;
 /** The platform writes an empty line at least this often on a watch that has nothing to say. */
 export const WATCH_HEARTBEAT_MS = 1_000;
 /** A watch that is silent for this long is given up and opened again. */
