--- a/src/cli/fleet-output.ts
+++ b/src/cli/fleet-output.ts
@@ -1,13 +1,13 @@
 /** Writes a fleet report as text. */
-import type { BackendStatus, DaemonStatus } from '../daemon/status.js';
+import type { BackendStatus, DaemonSummary } from '../daemon/status.js';
 import type { BalancerReport, FleetReport } from './fleet-status.js';
 
 const MS_PER_SECOND = 1_000;
+const NO_BACKEND = { name: '', zone: '', id: 0 };
 
 /** The whole report, one line each. */
 export function describeFleet(report: FleetReport): string[] {
   const rows = report.balancers.map(balancerRow);
-  const statuses = report.balancers.flatMap(({ status }) => (status ? [status] : []));
   return [
     `region ${report.region}, as ${report.askedFirst} sees it: ${report.balancers.length} balancers`,
     '',
@@ -15,7 +15,7 @@
     '',
     ...table([
       ['BACK END', 'ZONE', 'CONDITION', 'NEW FLOWS', 'FLOWS', 'SEEN BY', 'REASON'],
-      ...backendRows(statuses),
+      ...backendRows(report),
     ]),
   ];
 }
@@ -28,37 +28,35 @@
   return [id, zone, state, ready, `v${settings.version}`, `${flow.open}`, shards, status.reasons.join(', ')];
 }
 
-/** One row a back end: flows are summed over the balancers, the condition is the one most of them believe. */
-function backendRows(statuses: readonly DaemonStatus[]): string[][] {
+/** One row a back end: flows are summed over all balancers, the condition is the one most witnesses believe. */
+function backendRows(report: FleetReport): string[][] {
   const byName = new Map<string, BackendStatus[]>();
-  for (const backend of statuses.flatMap(({ backends }) => backends)) {
+  for (const backend of report.balancers.flatMap(({ backends }) => backends ?? [])) {
     byName.set(backend.name, [...(byName.get(backend.name) ?? []), backend]);
   }
-  return [...byName.entries()]
-    .sort(([left], [right]) => left.localeCompare(right))
-    .map(([name, views]) => backendRow(name, views));
+  const summaries = report.balancers.flatMap(({ status }) => (status ? [status] : []));
+  return [...byName.values()]
+    .sort(([left], [right]) => (left?.name ?? '').localeCompare(right?.name ?? ''))
+    .map((views) => backendRow(views, summaries));
 }
 
-function backendRow(name: string, views: readonly BackendStatus[]): string[] {
-  const conditions = new Map<string, BackendStatus[]>();
-  for (const view of views) conditions.set(view.condition, [...(conditions.get(view.condition) ?? []), view]);
-  const [condition, believers] = [...conditions.entries()].reduce((most, next) =>
-    next[1].length > most[1].length ? next : most,
-  );
+function backendRow(views: readonly BackendStatus[], summaries: readonly DaemonSummary[]): string[] {
+  const [{ name, zone, id } = NO_BACKEND] = views;
+  const believers = majority(views);
   const eligible = views.filter((view) => view.eligible).length;
-  const flows = views.reduce((sum, view) => sum + (view.openFlows ?? 0), 0);
+  const flows = summaries.reduce((sum, { flowsByBackend }) => sum + (flowsByBackend[id] ?? 0), 0);
   const [reason] = [...(believers[0]?.evidence ?? [])].sort((left, right) => left.ageMs - right.ageMs);
   const because = reason ? `${reason.source}: ${reason.text} (${seconds(reason.ageMs)} ago)` : '';
-  const zone = views[0]?.zone ?? '';
-  return [
-    name,
-    zone,
-    condition,
-    `${eligible}/${views.length}`,
-    `${flows}`,
-    `${believers.length}/${views.length}`,
-    because,
-  ];
+  const condition = believers[0]?.condition ?? 'unknown';
+  const seenBy = `${believers.length}/${views.length}`;
+  return [name, zone, condition, `${eligible}/${views.length}`, `${flows}`, seenBy, because];
+}
+
+/** The views that agree on the most frequent condition. */
+function majority(views: readonly BackendStatus[]): readonly BackendStatus[] {
+  const groups = new Map<string, BackendStatus[]>();
+  for (const view of views) groups.set(view.condition, [...(groups.get(view.condition) ?? []), view]);
+  return [...groups.values()].reduce((most, next) => (next.length > most.length ? next : most), []);
 }
 
 function seconds(milliseconds: number): string {
--- a/src/cli/fleet-status.ts
+++ b/src/cli/fleet-status.ts
@@ -1,11 +1,15 @@
 /** Reads the status of every balancer of a region over their admin addresses. */
 import { request } from 'undici';
 import { formatEndpoint, SailquayError, type Endpoint } from '../common/types.js';
-import type { DaemonStatus, MemberStatus } from '../daemon/status.js';
+import type { BackendStatus, DaemonStatus, DaemonSummary, MemberStatus } from '../daemon/status.js';
+import type { StatusView } from '../observability/index.js';
 
 /** Longest wait for one daemon's answer. */
 const STATUS_TIMEOUT_MS = 3_000;
 
+/** Balancers that are asked for what they believe of each back end; the others give counts only. */
+const BACKEND_WITNESSES = 5;
+
 /** Daemons asked at the same time. */
 const PARALLEL_REQUESTS = 32;
 
@@ -28,7 +32,9 @@
   readonly zone: string;
   /** State as the daemon that was asked first sees it. */
   readonly state: MemberStatus['state'];
-  readonly status?: DaemonStatus;
+  readonly status?: DaemonSummary;
+  /** What it believes of each back end; only some balancers are asked. */
+  readonly backends?: readonly BackendStatus[];
   readonly error?: string;
 }
 
@@ -42,7 +48,9 @@
 /** Asks the first of `admins` that answers for its members, then every member. Throws `FleetUnreachableError`. */
 export async function readFleet(admins: readonly Endpoint[]): Promise<FleetReport> {
   const first = await firstAnswer(admins);
-  const balancers = await inBatches(first.membership.members, (member) => readBalancer(member, first));
+  const { members } = first.membership;
+  const witnesses = new Set(members.slice(0, BACKEND_WITNESSES - 1).map(({ id }) => id)).add(first.id);
+  const balancers = await inBatches(members, (member) => readBalancer(member, witnesses.has(member.id)));
   return { region: first.region, askedFirst: first.id, balancers };
 }
 
@@ -50,7 +58,7 @@
   const reasons: string[] = [];
   for (const admin of admins) {
     try {
-      return await readStatus(formatEndpoint(admin));
+      return await readStatus<DaemonStatus>(formatEndpoint(admin), 'full');
     } catch (error) {
       reasons.push(describe(error));
     }
@@ -58,23 +66,26 @@
   throw new FleetUnreachableError(admins.map(formatEndpoint), reasons);
 }
 
-async function readBalancer(member: MemberStatus, first: DaemonStatus): Promise<BalancerReport> {
+async function readBalancer(member: MemberStatus, isWitness: boolean): Promise<BalancerReport> {
   const { id, admin, zone, state } = member;
-  if (id === first.id) return { id, admin, zone, state, status: first };
   try {
-    return { id, admin, zone, state, status: await readStatus(admin) };
+    if (!isWitness)
+      return { id, admin, zone, state, status: await readStatus<DaemonSummary>(admin, 'summary') };
+    const { backends, ...status } = await readStatus<DaemonStatus>(admin, 'full');
+    return { id, admin, zone, state, status, backends };
   } catch (error) {
     return { id, admin, zone, state, error: describe(error) };
   }
 }
 
-async function readStatus(admin: string): Promise<DaemonStatus> {
-  const answer = await request(`http://${admin}/status`, { signal: AbortSignal.timeout(STATUS_TIMEOUT_MS) });
+async function readStatus<T>(admin: string, view: StatusView): Promise<T> {
+  const signal = AbortSignal.timeout(STATUS_TIMEOUT_MS);
+  const answer = await request(`http://${admin}/status?view=${view}`, { signal });
   if (answer.statusCode !== 200) {
     await answer.body.dump();
     throw new Error(`status ${answer.statusCode}`);
   }
-  return (await answer.body.json()) as DaemonStatus;
+  return (await answer.body.json()) as T;
 }
 
 async function inBatches<T, R>(items: readonly T[], read: (item: T) => Promise<R>): Promise<R[]> {
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -10,7 +10,8 @@
 
 const HELP = `
 One daemon is asked for its members, then each member for its own status; a member that does not answer is shown
-as unreachable. SHARDS shows those kept + those backed up. Instead of flags, SAILQUAY_ADMIN and SAILQUAY_PLATFORM
+as unreachable. SHARDS shows those kept + those backed up. What is believed of back ends comes from up to five balancers
+(SEEN BY: how many of them agree), their flows from all. Instead of flags, SAILQUAY_ADMIN and SAILQUAY_PLATFORM
 may name where to ask.
 Exit codes: 0 shown (also when single balancers are unreachable), 2 wrong usage, 5 no daemon answered
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,8 +7,8 @@
 import { delay } from './drain.js';
 import { DAEMON_EVENTS } from './events.js';
 import { leaveAndHandOver } from './planned-stop.js';
-import type { DaemonPhase, DaemonStatus } from './status.js';
-import { describeDaemon, snapshotMetrics } from './status-source.js';
+import type { DaemonPhase, DaemonStatus, DaemonSummary } from './status.js';
+import { describeDaemon, snapshotMetrics, summarizeDaemon } from './status-source.js';
 import { wireDaemon } from './wiring.js';
 
 /** The line that a daemon prints once its sockets are bound. */
@@ -80,6 +80,11 @@
     return describeDaemon(this.components, this.phase, this.readiness());
   }
 
+  /** The status without the back ends one by one. */
+  summary(): DaemonSummary {
+    return summarizeDaemon(this.components, this.phase, this.readiness());
+  }
+
   /** Whether new flows may come here, with every reason why not. */
   readiness(): Readiness {
     const { controlPlane, dataPlane } = this.components;
@@ -167,7 +172,7 @@
 function adminSourceOf(daemon: () => Daemon | undefined, { faults }: DaemonEnvironment): AdminSource {
   return {
     readiness: () => daemon()?.readiness() ?? STARTING,
-    status: () => daemon()?.status() ?? STARTING,
+    status: (view) => (view === 'summary' ? daemon()?.summary() : daemon()?.status()) ?? STARTING,
     metrics: async () => {
       const metrics = daemon()?.metrics;
       return { contentType: metrics?.contentType ?? 'text/plain', text: (await metrics?.render()) ?? '' };
--- a/src/daemon/status-source.ts
+++ b/src/daemon/status-source.ts
@@ -5,7 +5,14 @@
 import type { CountsByLabel, MetricsSnapshot, Readiness } from '../observability/index.js';
 import type { EffectiveBackend, EffectiveService } from '../settings/types.js';
 import type { Components } from './components.js';
-import type { BackendStatus, DaemonPhase, DaemonStatus, MemberStatus, ProcessStatus } from './status.js';
+import type {
+  BackendStatus,
+  DaemonPhase,
+  DaemonStatus,
+  DaemonSummary,
+  MemberStatus,
+  ProcessStatus,
+} from './status.js';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
 const MS_PER_SECOND = 1_000;
@@ -17,6 +24,15 @@
   phase: DaemonPhase,
   readiness: Readiness,
 ): DaemonStatus {
+  return { ...summarizeDaemon(components, phase, readiness), backends: describeBackends(components) };
+}
+
+/** The status document without the back ends one by one. */
+export function summarizeDaemon(
+  components: Components,
+  phase: DaemonPhase,
+  readiness: Readiness,
+): DaemonSummary {
   const { identity, control, controlPlane, dataPlane, gate } = components;
   const view = controlPlane.membership.view();
   const settings = controlPlane.settings.status();
@@ -48,7 +64,7 @@
     placement: dataPlane.policy.statistics(),
     refusals: refusalsOf(components),
     edgeDrops: gate.drops(),
-    backends: describeBackends(components),
+    flowsByBackend: flowsByBackend(components),
     health: controlPlane.health.statistics(),
     control: control.meter(),
     controlDrops: Object.fromEntries(control.drops()),
@@ -94,6 +110,14 @@
   }));
 }
 
+function flowsByBackend({ controlPlane, dataPlane }: Components): CountsByLabel {
+  const services = controlPlane.settings.current()?.services ?? [];
+  const counts = services
+    .flatMap(({ backends }) => backends)
+    .map(({ id }): [string, number] => [String(id), dataPlane.forwarder.openFlows(id)]);
+  return Object.fromEntries(counts.filter(([, flows]) => flows > 0));
+}
+
 function describeBackends(components: Components): BackendStatus[] {
   const services = components.controlPlane.settings.current()?.services ?? [];
   return services.flatMap((service) =>
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -49,8 +49,11 @@
   readonly ageMs: number;
 }
 
-/** The whole document. */
-export interface DaemonStatus {
+/**
+ * What `/status?view=summary` shows: everything but the back ends one by one, so that reading a large fleet stays
+ * cheap.
+ */
+export interface DaemonSummary {
   readonly id: string;
   readonly region: string;
   readonly zone: string;
@@ -70,7 +73,8 @@
   readonly refusals: Readonly<Record<string, number>>;
   /** Packets dropped at the edge by reason, since start. */
   readonly edgeDrops: Readonly<Record<string, number>>;
-  readonly backends: readonly BackendStatus[];
+  /** Flows kept here by back end id; back ends without any are left out. */
+  readonly flowsByBackend: Readonly<Record<string, number>>;
   readonly health: HealthStatistics;
   readonly control: MeterSnapshot;
   /** Control messages dropped by reason, since start. */
@@ -78,6 +82,11 @@
   readonly process: ProcessStatus;
 }
 
+/** The whole document. */
+export interface DaemonStatus extends DaemonSummary {
+  readonly backends: readonly BackendStatus[];
+}
+
 /** Settings in force. */
 export interface SettingsStatus extends DisseminationStatus {
   /** Milliseconds since the epoch when the version came into force here; undefined before the first. */
--- a/src/observability/admin-server.ts
+++ b/src/observability/admin-server.ts
@@ -15,11 +15,14 @@
   readonly reasons: readonly string[];
 }
 
+/** `/status` shows everything, `/status?view=summary` a shorter view. */
+export type StatusView = 'full' | 'summary';
+
 /** What the admin server shows; asked anew at each request. */
 export interface AdminSource {
   readiness(): Readiness;
-  /** A JSON value. */
-  status(): unknown;
+  /** A JSON value; `summary` is the shorter view. */
+  status(view: StatusView): unknown;
   metrics(): Promise<{ readonly contentType: string; readonly text: string }>;
   /** Takes the JSON body of `PUT /faults`; throws when it is malformed. Absent: there is no such page. */
   setFaults?: (body: unknown) => void;
@@ -82,7 +85,7 @@
 }
 
 async function route(source: AdminSource, request: IncomingMessage): Promise<Answer> {
-  const path = (request.url ?? '/').split('?', 1)[0];
+  const [path, query] = (request.url ?? '/').split('?', 2);
   if (path === '/faults' && source.setFaults) return setFaults(source.setFaults, request);
   if (request.method !== 'GET' && request.method !== 'HEAD') return json(405, { error: 'use GET or HEAD' });
   switch (path) {
@@ -93,7 +96,7 @@
       return json(readiness.ready ? 200 : 503, readiness);
     }
     case '/status':
-      return json(200, source.status());
+      return json(200, source.status(query === 'view=summary' ? 'summary' : 'full'));
     case '/metrics': {
       const { contentType, text } = await source.metrics();
       return { code: 200, contentType, body: text };
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -7,7 +7,7 @@
  * const admin = await AdminServer.listen({ host: '127.0.0.1', port: 0 }, source);
  * ```
  */
-export { AdminServer, type AdminSource, type Readiness } from './admin-server.js';
+export { AdminServer, type AdminSource, type Readiness, type StatusView } from './admin-server.js';
 export { ObservabilityError, type ObservabilityErrorKind } from './errors.js';
 export {
   defineEvents,
--- a/src/observability/observability.test.ts
+++ b/src/observability/observability.test.ts
@@ -134,7 +134,7 @@
     { host: '127.0.0.1', port: 0 },
     {
       readiness: () => readiness,
-      status: () => ({ id: 'balancer-1' }),
+      status: (view) => ({ id: 'balancer-1', view }),
       metrics: () => Promise.reject(new Error('no metrics')),
     },
   );
@@ -147,7 +147,9 @@
   t.deepEqual(await ask('/readyz'), [503, { ready: false, reasons: ['no settings'] }]);
   readiness = { ready: true, reasons: [] };
   t.deepEqual(await ask('/readyz?verbose'), [200, { ready: true, reasons: [] }]);
-  t.deepEqual(await ask('/status'), [200, { id: 'balancer-1' }]);
+  t.deepEqual(await ask('/status'), [200, { id: 'balancer-1', view: 'full' }]);
+  t.deepEqual(await ask('/status?view=summary'), [200, { id: 'balancer-1', view: 'summary' }]);
+  t.is((await ask('//'))[0], 404);
   t.deepEqual(await ask('/metrics'), [500, { error: 'no metrics' }]);
   t.is((await ask('/status', 'POST'))[0], 405);
   t.is((await ask('/other'))[0], 404);
