Give each process its own lease holder name

Cause: a paused balancer and its replacement of the same name renewed one lease together, so both read the store. Change: the holder name has a random suffix; the stand-in reports the caller behind each lease. Conclusion: one process per lease; a replacement waits until the old lease has expired, which the other reader covers.

--- a/src/dissemination/store-reader.ts
+++ b/src/dissemination/store-reader.ts
@@ -18,6 +18,9 @@
 import { readerLeaseName, slotsOf } from './reader-candidates.js';
 import type { DisseminationCounters } from './statistics.js';
 
+/** Number of different suffixes of lease holder names. */
+const HOLDER_SUFFIX_RANGE = 2 ** 32;
+
 /** What a reader needs. */
 export interface StoreReaderOptions {
   readonly platform: PlatformClient;
@@ -39,7 +42,13 @@
   /** The last lease request was not answered. */
   private storeFailed = false;
 
-  constructor(private readonly options: StoreReaderOptions) {}
+  /** Unique to this process: a restarted balancer must not share the lease of the one it replaces. */
+  private readonly holder: string;
+
+  constructor(private readonly options: StoreReaderOptions) {
+    const suffix = Math.floor(options.random() * HOLDER_SUFFIX_RANGE).toString(16);
+    this.holder = `${options.membership.selfId}#${suffix}`;
+  }
 
   /** Name of the lease held; undefined when this member is no reader. */
   leaseName(): string | undefined {
@@ -75,9 +84,9 @@
 
   /** Takes or renews the lease; false when another member has it. Keeps a lease that could not be renewed. */
   private async acquire(slot: number): Promise<boolean> {
-    const { platform, membership, region } = this.options;
+    const { platform, region } = this.options;
     const name = readerLeaseName(region, slot);
-    const granted = await platform.acquireLease(name, membership.selfId, READER_LEASE_MS);
+    const granted = await platform.acquireLease(name, this.holder, READER_LEASE_MS);
     this.storeFailed = granted.isErr && granted.error.kind !== 'platform.lease-held';
     if (granted.isOk) this.lease = granted.value;
     else if (!this.storeFailed) this.lease = undefined;
--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -61,7 +61,7 @@
   }
 
   counters(): CounterReport {
-    return this.requests.report(this.leases.holders());
+    return this.requests.report(this.leases.holdingCallers());
   }
 
   /** A client for one caller; `clock` is the caller's own, which may be paused. */
@@ -119,7 +119,7 @@
   ): Promise<Result<Lease, PlatformError>> {
     const requestedAtMs = this.clock.now();
     if (!this.admit('lease')) return Result.err(unreachable(`take lease ${name}`));
-    const outcome = this.platform.leases.acquire(name, holder, durationMs);
+    const outcome = this.platform.leases.acquire(name, holder, durationMs, this.caller);
     if (!outcome.granted) return Result.err(leaseHeld(name, outcome.holder));
     if (this.losesAnswer()) return Result.err(unreachable(`take lease ${name}`));
     const trustedUntilMs = requestedAtMs + trustedDurationMs(durationMs);
--- a/src/standin/platform/lease-table.ts
+++ b/src/standin/platform/lease-table.ts
@@ -3,6 +3,7 @@
 
 interface HeldLease {
   readonly holder: string;
+  readonly caller: string;
   readonly fencingToken: number;
   readonly expiresAtMs: number;
 }
@@ -20,7 +21,7 @@
   ) {}
 
   /** Grants a free or expired lease with a new token; renews the holder's own with its old one. */
-  acquire(name: string, holder: string, durationMs: number): LeaseOutcome {
+  acquire(name: string, holder: string, durationMs: number, caller = holder): LeaseOutcome {
     const nowMs = this.clock.now();
     const held = this.leases.get(name);
     const live = held !== undefined && held.expiresAtMs > nowMs;
@@ -28,7 +29,7 @@
       return { granted: false, holder: held.holder, remainingMs: held.expiresAtMs - nowMs };
     }
     const fencingToken = live ? held.fencingToken : this.nextToken();
-    this.leases.set(name, { holder, fencingToken, expiresAtMs: nowMs + durationMs });
+    this.leases.set(name, { holder, caller, fencingToken, expiresAtMs: nowMs + durationMs });
     return { granted: true, fencingToken };
   }
 
@@ -39,10 +40,10 @@
     return true;
   }
 
-  /** Holders of the leases that have not expired, by lease name. */
-  holders(): Record<string, string> {
+  /** Callers that hold the leases that have not expired, by lease name. */
+  holdingCallers(): Record<string, string> {
     const nowMs = this.clock.now();
     const live = [...this.leases].filter(([, lease]) => lease.expiresAtMs > nowMs);
-    return Object.fromEntries(live.map(([name, lease]) => [name, lease.holder]));
+    return Object.fromEntries(live.map(([name, lease]) => [name, lease.caller]));
   }
 }
--- a/src/standin/platform/request-counters.ts
+++ b/src/standin/platform/request-counters.ts
@@ -13,7 +13,7 @@
   readonly watchersMax: number;
   /** Callers with an open watch now. */
   readonly watchingCallers: readonly string[];
-  /** Holder of each live lease. */
+  /** Caller that holds each live lease, by lease name. */
   readonly leases: Readonly<Record<string, string>>;
 }
 
--- a/src/standin/platform/server.ts
+++ b/src/standin/platform/server.ts
@@ -100,7 +100,7 @@
   }
 
   counters(): CounterReport {
-    return this.requests.report(this.leases.holders());
+    return this.requests.report(this.leases.holdingCallers());
   }
 
   async close(): Promise<void> {
@@ -193,7 +193,7 @@
       if (!(await this.admit('lease', request, reply))) return reply;
       const name = nameOf(request);
       const { holder, durationMs } = LEASE_BODY.parse(request.body);
-      const outcome = this.leases.acquire(name, holder, durationMs);
+      const outcome = this.leases.acquire(name, holder, durationMs, callerOf(request));
       if (!outcome.granted) {
         return reply.code(409).send({ holder: outcome.holder, remainingMs: outcome.remainingMs });
       }
