--- a/src/experiment/experiment-run.ts
+++ b/src/experiment/experiment-run.ts
@@ -18,7 +18,7 @@
 import { ProcessLauncher } from './process-launcher.js';
 import { RunDirectory } from './run-directory.js';
 import { planActions, type PlainAction } from './run-plan.js';
-import type { Scenario } from './scenario.js';
+import type { LoadSettings, Scenario } from './scenario.js';
 import { resolveNames, ScenarioNames } from './scenario-names.js';
 import { shortName, SiteTemplate } from './site-template.js';
 import { median } from './statistics.js';
@@ -91,7 +91,8 @@
       broken: stage.loads.reports().reduce((sum, report) => sum + report.flows.broken, 0),
       controlBytesPerSecond: median(monitor.controlRates()),
     }));
-    this.options.progress(`load starts: ${this.scenario.durationSeconds} s`);
+    await this.startLoads(stage, (load) => load.from === 0);
+    this.options.progress(`load runs: ${this.scenario.durationSeconds} s`);
     const startedAtMs = Date.now();
     const actions = new ActionRunner({ ...stage, site: this.site }, startedAtMs);
     monitor.start();
@@ -211,12 +212,18 @@
     return planActions(this.scenario, targets, this.options.seed);
   }
 
-  private async runLoads(stage: Stage, startedAtMs: number): Promise<void> {
+  private async startLoads(stage: Stage, which: (load: LoadSettings) => boolean): Promise<void> {
     const names = new ScenarioNames(this.site);
+    const due = this.scenario.load.filter(which);
+    await Promise.all(due.map((load) => stage.loads.start(load, names.service(load.service))));
+  }
+
+  /** Starts the loads that begin later and stops those that end before the run. */
+  private async runLoads(stage: Stage, startedAtMs: number): Promise<void> {
     await Promise.all(
       this.scenario.load.map(async (load) => {
         await sleepUntil(startedAtMs + load.from * 1_000, this.stop.signal);
-        await stage.loads.start(load, names.service(load.service));
+        if (load.from > 0) await this.startLoads(stage, (candidate) => candidate === load);
         if (load.until === undefined) return;
         await sleepUntil(startedAtMs + load.until * 1_000, this.stop.signal);
         await stage.loads.stop(load);
--- a/src/experiment/plots.ts
+++ b/src/experiment/plots.ts
@@ -15,6 +15,8 @@
   '#a08a1f',
   '#2aa1a8',
   '#b05a3c',
+  '#7a8699',
+  '#5f9e1f',
 ];
 /** Stand-in for the page's text colour inside a plot; replaced by `currentColor` in the SVG. */
 const TEXT_COLOUR = '#010203';
--- a/src/experiment/process-launcher.ts
+++ b/src/experiment/process-launcher.ts
@@ -33,11 +33,11 @@
   private end: ProcessEnd | undefined;
   private ending = false;
 
-  /** `log` gets standard error as it comes. */
+  /** `log` gets the ready line and standard error as it comes. */
   constructor(
     readonly name: string,
     private readonly child: ChildProcess,
-    log?: Writable,
+    private readonly log?: Writable,
   ) {
     if (log) child.stderr?.pipe(log);
     this.ended = new Promise((resolve) => {
@@ -80,7 +80,9 @@
       void this.ended.then((end) => reject(this.startFailure(`ended at once (${describeEnd(end)})`)));
     });
     try {
-      return await Promise.race([firstLine, failure]);
+      const line = await Promise.race([firstLine, failure]);
+      this.log?.write(`${JSON.stringify(line)}\n`);
+      return line;
     } finally {
       clearTimeout(timer);
     }
