--- a/src/flow/acting-backup.ts
+++ b/src/flow/acting-backup.ts
@@ -2,11 +2,13 @@
  * Packets of shards whose keeper is suspect or gone, at their backup: it serves the records it holds and first choices,
  * and opens only on first choices. The keeper, if it still runs, chooses the same or asks for an exception first.
  */
+import { sameEndpoint } from '../common/types.js';
 import type { PacketView } from '../fabric/types.js';
 import type { FlowFingerprint } from '../placement/types.js';
 import type { BackendEntry } from './backend-catalogue.js';
 import type { FlowContext } from './flow-context.js';
 import { FlowFlag } from './flow-table.js';
+import { answerUnknownFlow } from './kept-flows.js';
 import type { PacketRelay } from './packet-relay.js';
 import type { ServicePort } from './service-index.js';
 import type { ReplicaShard } from './shard-holding.js';
@@ -37,6 +39,21 @@
     else this.relay.relay(packet, replica.shard, undefined);
   }
 
+  /** True when the keeper asks about a packet of a flow that it does not know. */
+  isAskedBy(replica: ReplicaShard, packet: PacketView): boolean {
+    const keeper = this.context.member(replica.keeperId);
+    if (!keeper || !packet.relayedFrom || replica.lapsed || !replica.trusted) return false;
+    return sameEndpoint(keeper.data, packet.relayedFrom) && !packet.syn;
+  }
+
+  /** The keeper does not know the flow: it may have been placed here while the keeper seemed to have failed. */
+  answerKeeper(replica: ReplicaShard, fingerprint: FlowFingerprint, packet: PacketView): void {
+    const port = this.context.services.find(packet.destinationAddress, packet.destinationPort);
+    const slot = replica.table.find(fingerprint.high, fingerprint.low);
+    if (slot < 0) return answerUnknownFlow(this.context, packet, port);
+    this.forward(this.context.catalogue.at(replica.table.backendIndex(slot)), packet, port);
+  }
+
   private forward(entry: BackendEntry, packet: PacketView, port: ServicePort | undefined): void {
     if (port?.serviceIds.has(entry.serviceId)) {
       this.context.components.edge.sendToBackend(packet, entry.endpoint);
@@ -52,8 +69,7 @@
     port: ServicePort | undefined,
   ): void {
     const { counters, components } = this.context;
-    const entry =
-      port?.service && !replica.recovering ? this.chooseFirst(replica, fingerprint, port) : undefined;
+    const entry = port?.service && !replica.lapsed ? this.chooseFirst(replica, fingerprint, port) : undefined;
     if (!entry) {
       counters.deferred += 1;
       return;
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -108,6 +108,9 @@
     if (replica && this.actingBackup.actsFor(replica)) {
       return this.actingBackup.handle(replica, fingerprint, packet);
     }
+    if (replica && this.actingBackup.isAskedBy(replica, packet)) {
+      return this.actingBackup.answerKeeper(replica, fingerprint, packet);
+    }
     this.relay.relay(packet, shard, kept);
   }
 
--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -133,7 +133,8 @@
       return;
     }
     const entry = this.reconstruct(kept, fingerprint, port);
-    if (!entry) return this.answerUnknown(packet, port);
+    if (!entry && kept.backup) return this.relay.relayTo(packet, kept.backup.memberId);
+    if (!entry) return answerUnknownFlow(this.context, packet, port);
     this.context.counters.reconstructed += 1;
     this.context.insertKept(kept.table, fingerprint, entry, FlowFlag.ANSWERED);
     this.context.components.edge.sendToBackend(packet, entry.endpoint);
@@ -161,19 +162,24 @@
     return this.context.now() >= this.context.cautiousUntilMs;
   }
 
-  private answerUnknown(packet: PacketView, port: ServicePort | undefined): void {
-    const { counters, components } = this.context;
-    if (port?.service?.unknownFlow === 'reset' && !packet.rst) {
-      counters.unknownReset += 1;
-      components.edge.sendReset(packet);
-      return;
-    }
-    counters.unknownDropped += 1;
-  }
-
   private countWrongService(kept: KeptShard, entry: BackendEntry): void {
     const { counters, components } = this.context;
     counters.wrongServiceRecords += 1;
     components.events.emit(FLOW_EVENTS.wrongServiceRecord, { shard: kept.shard, backend: entry.id });
   }
 }
+
+/** Answers a packet of a flow that nobody knows, as its service says. */
+export function answerUnknownFlow(
+  context: FlowContext,
+  packet: PacketView,
+  port: ServicePort | undefined,
+): void {
+  const { counters, components } = context;
+  if (port?.service?.unknownFlow === 'reset' && !packet.rst) {
+    counters.unknownReset += 1;
+    components.edge.sendReset(packet);
+    return;
+  }
+  counters.unknownDropped += 1;
+}
--- a/src/flow/model/model-flow.ts
+++ b/src/flow/model/model-flow.ts
@@ -125,8 +125,9 @@
   private onAnswer(node: ModelNode, reply: PacketView, backend: Endpoint): void {
     const suppressed = node.alive && !node.paused && node.keeper.handleReturn(reply, backend);
     if (!node.alive || node.paused || suppressed) return;
-    if (!reply.rst) this.establish();
-    else if (!this.established) this.ended = true;
+    // A back end that resets one SYN and accepts another ends the flow itself.
+    if (reply.rst) this.ended = true;
+    else this.establish();
   }
 
   private packet(kind: PacketKind): PacketView {
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -97,12 +97,14 @@
     }
   }
 
-  /** The backup has handed this keeper's shards to others: gives them up. */
+  /** The backup has handed this keeper's shards on: steps down, and waits for what the next keeper or backup sends. */
   onLapsed(peer: ReplicaPeer): void {
     let given = 0;
+    this.parts.peers.nextGeneration(peer.memberId);
     for (const kept of [...this.context.kept.values()]) {
       if (kept.backup !== peer) continue;
-      this.giveUp(kept, [peer.memberId]);
+      kept.backup = undefined;
+      this.giveUp(kept, [peer.memberId], true);
       given += 1;
     }
     this.parts.peers.close(peer);
@@ -187,6 +189,7 @@
   private reconcileAcquiring(kept: KeptShard, keeper: Member | undefined): void {
     const nowMs = this.context.now();
     if (keeper?.id !== this.context.selfId) {
+      this.installer.forgetFlows(kept);
       this.context.kept.delete(kept.shard);
       return;
     }
@@ -242,7 +245,7 @@
   private onTransferred(kept: KeptShard, targetId: string): void {
     if (this.context.kept.get(kept.shard) !== kept) return;
     this.givenShards += 1;
-    this.giveUp(kept, [targetId]);
+    this.giveUp(kept, [targetId], false);
   }
 
   private onTransferFailed(kept: KeptShard, targetId: string): void {
@@ -285,6 +288,7 @@
       shard: kept.shard,
       purpose: ShardPurpose.REPLICA,
       targetId,
+      generation: () => this.parts.peers.generationOf(targetId),
       snapshot: () => (this.isSyncing(kept, targetId) ? snapshotKept(this.context, kept, false) : undefined),
       onDone: (boot, snapshot) => this.onSynced(kept, targetId, boot, snapshot),
       onFailed: () => {
@@ -331,16 +335,22 @@
     kept.settledFor = 0;
   }
 
-  /** Lets go of a shard that others hold now. */
-  private giveUp(kept: KeptShard, holders: readonly string[]): void {
-    this.installer.forgetFlows(kept);
+  /**
+   * Lets go of a shard that others hold now.
+   *
+   * @param keepFlows the shard is likely to come back: its flows are kept to be merged with what is sent then
+   */
+  private giveUp(kept: KeptShard, holders: readonly string[], keepFlows: boolean): void {
     this.dropBackup(kept);
     kept.formerBackup?.sendReleases();
     for (const owed of kept.owed.splice(0))
       this.parts.receiver.acknowledge(owed.senderId, owed.transferId, false);
     this.context.kept.delete(kept.shard);
-    if (this.context.map.keeper(kept.shard)?.id !== this.context.selfId) return;
-    const next = new KeptShard(kept.shard, this.context.now(), holders);
+    const stillKeeper = this.context.map.keeper(kept.shard)?.id === this.context.selfId;
+    if (stillKeeper && keepFlows) this.dropPending(kept);
+    else this.installer.forgetFlows(kept);
+    if (!stillKeeper) return;
+    const next = new KeptShard(kept.shard, this.context.now(), holders, keepFlows ? kept.table : undefined);
     this.context.kept.set(kept.shard, next);
   }
 
@@ -373,7 +383,7 @@
         this.context.nowSeconds(),
       );
     }
-    return this.parts.holder.install(replica) ? 'done' : 'refused';
+    return this.parts.holder.install(replica, header.generation ?? 0) ? 'done' : 'refused';
   }
 
   private reconcileReplica(replica: ReplicaShard): void {
--- a/src/flow/pb/flow.d.ts
+++ b/src/flow/pb/flow.d.ts
@@ -162,6 +162,9 @@
             /** Heartbeat digest. */
             digest: number;
 
+            /** Heartbeat generation. */
+            generation: number;
+
             /**
              * Encodes the specified Heartbeat message. Does not implicitly {@link sailquay.flow.Heartbeat.verify|verify} messages.
              * @param message Heartbeat message or plain object to encode
@@ -205,6 +208,9 @@
                 /** Heartbeat digest */
                 digest?: (number|null);
 
+                /** Heartbeat generation */
+                generation?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -960,6 +966,9 @@
             /** ShardPart learningMs. */
             learningMs: number;
 
+            /** ShardPart generation. */
+            generation: number;
+
             /**
              * Encodes the specified ShardPart message. Does not implicitly {@link sailquay.flow.ShardPart.verify|verify} messages.
              * @param message ShardPart message or plain object to encode
@@ -1030,6 +1039,9 @@
                 /** ShardPart learningMs */
                 learningMs?: (number|null);
 
+                /** ShardPart generation */
+                generation?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/flow/pb/flow.js
+++ b/src/flow/pb/flow.js
@@ -336,6 +336,7 @@
              * @property {number|null} [echo] Heartbeat echo
              * @property {number|null} [shards] Heartbeat shards
              * @property {number|null} [digest] Heartbeat digest
+             * @property {number|null} [generation] Heartbeat generation
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -399,6 +400,14 @@
              */
             Heartbeat.prototype.digest = 0;
 
+            /**
+             * Heartbeat generation.
+             * @member {number} generation
+             * @memberof sailquay.flow.Heartbeat
+             * @instance
+             */
+            Heartbeat.prototype.generation = 0;
+
             /**
              * Encodes the specified Heartbeat message. Does not implicitly {@link sailquay.flow.Heartbeat.verify|verify} messages.
              * @function encode
@@ -423,6 +432,8 @@
                     writer.uint32(/* id 3, wireType 0 =*/24).uint32(message.shards);
                 if (message.digest != null && $Object.hasOwnProperty.call(message, "digest") && message.digest !== 0)
                     writer.uint32(/* id 4, wireType 5 =*/37).fixed32(message.digest);
+                if (message.generation != null && $Object.hasOwnProperty.call(message, "generation") && message.generation !== 0)
+                    writer.uint32(/* id 5, wireType 0 =*/40).uint32(message.generation);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -503,6 +514,15 @@
                                 delete message.digest;
                             continue;
                         }
+                    case 5: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.generation = value;
+                            else
+                                delete message.generation;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -2272,6 +2292,7 @@
              * @property {Array.<number>|null} [backendKeys] ShardPart backendKeys
              * @property {Uint8Array|null} [records] ShardPart records
              * @property {number|null} [learningMs] ShardPart learningMs
+             * @property {number|null} [generation] ShardPart generation
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2408,6 +2429,14 @@
              */
             ShardPart.prototype.learningMs = 0;
 
+            /**
+             * ShardPart generation.
+             * @member {number} generation
+             * @memberof sailquay.flow.ShardPart
+             * @instance
+             */
+            ShardPart.prototype.generation = 0;
+
             /**
              * Encodes the specified ShardPart message. Does not implicitly {@link sailquay.flow.ShardPart.verify|verify} messages.
              * @function encode
@@ -2450,6 +2479,8 @@
                     writer.uint32(/* id 12, wireType 2 =*/98).bytes(message.records);
                 if (message.learningMs != null && $Object.hasOwnProperty.call(message, "learningMs") && !$Object.is(message.learningMs, 0))
                     writer.uint32(/* id 13, wireType 1 =*/105).double(message.learningMs);
+                if (message.generation != null && $Object.hasOwnProperty.call(message, "generation") && message.generation !== 0)
+                    writer.uint32(/* id 14, wireType 0 =*/112).uint32(message.generation);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2616,6 +2647,15 @@
                                 delete message.learningMs;
                             continue;
                         }
+                    case 14: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.generation = value;
+                            else
+                                delete message.generation;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/flow/replica-holder.ts
+++ b/src/flow/replica-holder.ts
@@ -1,4 +1,5 @@
 /** The backup's side of replication: stores exceptions, acknowledges heartbeats, and answers with its own placements. */
+import type { Endpoint } from '../common/types.js';
 import type { InboundControlMessage } from '../control/types.js';
 import { HEARTBEAT_MS, LEASE_MARGIN_MS, LEASE_MS } from './constants.js';
 import type { FlowContext } from './flow-context.js';
@@ -25,8 +26,9 @@
 class KeeperLink {
   lastAckSentAtMs = Number.NEGATIVE_INFINITY;
   lastHeardAtMs: number;
-  /** Set when this backup began to hand the keeper's shards to others. */
-  lapsed = false;
+  generation = 0;
+  /** Generation of the keeper whose shards this backup has begun to hand on; -1 when it has not. */
+  lapsedGeneration = -1;
   session = 0;
   nextSequence = 1;
   readonly acks = new Map<number, sailquay.flow.RecordBatchAck.$Properties>();
@@ -38,6 +40,11 @@
   ) {
     this.lastHeardAtMs = nowMs;
   }
+
+  /** The keeper has not yet taken notice that its shards were handed on. */
+  get lapsed(): boolean {
+    return this.generation <= this.lapsedGeneration;
+  }
 }
 
 /** Replicas of other keepers' shards. */
@@ -51,13 +58,13 @@
   ) {}
 
   /**
-   * Stores a snapshot of a keeper's exceptions in place of any earlier replica of the shard. False while shards of this
-   * keeper are being handed to others.
+   * Stores a snapshot of a keeper's exceptions in place of any earlier replica of the shard. False when the keeper's
+   * shards were handed on and it has not taken notice yet.
    */
-  install(replica: ReplicaShard): boolean {
+  install(replica: ReplicaShard, generation: number): boolean {
     const link = this.link(replica.keeperId, replica.keeperBoot);
-    if (link.boot !== replica.keeperBoot || (link.lapsed && this.isRecovering(replica))) return false;
-    link.lapsed = false;
+    link.generation = Math.max(link.generation, generation);
+    if (link.boot !== replica.keeperBoot || link.lapsed) return false;
     const earlier = this.context.replicas.get(replica.shard);
     if (earlier) {
       this.keepOwnPlacements(earlier, replica);
@@ -80,6 +87,7 @@
   keeperFailed(replica: ReplicaShard): boolean {
     const link = this.keepers.get(replica.keeperId);
     if (link && link.boot > replica.keeperBoot) return true;
+    if (replica.lapsed) return true;
     if (this.context.member(replica.keeperId)) return false;
     const silentMs = this.context.now() - (link?.lastAckSentAtMs ?? Number.NEGATIVE_INFINITY);
     return silentMs > LEASE_MS + LEASE_MARGIN_MS;
@@ -87,8 +95,14 @@
 
   /** Stops acknowledging a keeper's heartbeats, because its shards are being handed to others. */
   markLapsed(replica: ReplicaShard): void {
+    replica.lapsed = true;
     const link = this.keepers.get(replica.keeperId);
-    if (link?.boot === replica.keeperBoot) link.lapsed = true;
+    if (link?.boot !== replica.keeperBoot || link.lapsed) return;
+    link.lapsedGeneration = link.generation;
+    for (const shard of link.shards.values()) {
+      const other = this.context.replicas.get(shard);
+      if (other?.keeperId === replica.keeperId) other.lapsed = true;
+    }
   }
 
   /** Marks every replica as possibly superseded, until its keeper confirms it. */
@@ -124,7 +138,7 @@
   onRelease(release: sailquay.flow.Release.$Properties, from: InboundControlMessage): void {
     const released = unpackShards(release.shards ?? new Uint8Array()).filter((shard) => {
       const replica = this.held(shard, from);
-      if (replica && hasUnreported(replica)) return false;
+      if (replica && (replica.lapsed || hasUnreported(replica))) return false;
       if (replica) this.remove(replica);
       return true;
     });
@@ -133,13 +147,6 @@
     this.context.components.control.send(from.from, 'handover', payload);
   }
 
-  private isRecovering(replica: ReplicaShard): boolean {
-    const { keeperId, keeperBoot } = replica;
-    return [...this.context.replicas.values()].some(
-      (other) => other.recovering && other.keeperId === keeperId && other.keeperBoot === keeperBoot,
-    );
-  }
-
   private link(keeperId: string, boot: number): KeeperLink {
     const known = this.keepers.get(keeperId);
     if (known && known.boot >= boot) return known;
@@ -159,6 +166,7 @@
     if (link.boot !== from.senderIncarnation) return;
     const nowMs = this.context.now();
     link.lastHeardAtMs = nowMs;
+    link.generation = Math.max(link.generation, heartbeat.generation ?? 0);
     if (!link.lapsed) link.lastAckSentAtMs = nowMs;
     const confirmed =
       (heartbeat.digest ?? 0) === link.shards.digest && (heartbeat.echo ?? 0) > nowMs - LEASE_MS;
@@ -167,6 +175,7 @@
     this.reply(from, {
       heartbeatAck: { echo: heartbeat.sentAt, sentAt: nowMs, shards: size, digest, lapsed: link.lapsed },
     });
+    this.reportTo(from.senderId, from.from);
   }
 
   private trust(keeperId: string, link: KeeperLink): void {
@@ -215,7 +224,7 @@
     const ownKeys: number[] = [];
     records.forEach((record, index) => {
       const replica = this.held(shardOf(record.high), from);
-      if (!replica || replica.recovering) statuses[index] = RecordStatus.NOT_HELD;
+      if (!replica || replica.lapsed) statuses[index] = RecordStatus.NOT_HELD;
       else statuses[index] = this.storeOne(replica, record, ownKeys);
     });
     return { statuses, ownKeys };
@@ -262,7 +271,7 @@
     if (!this.knowledge.requireBases([baseVersion, oldestBaseVersion], from)) return;
     const advanced = unpackShards(advance.shards ?? new Uint8Array()).filter((shard) => {
       const replica = this.held(shard, from);
-      if (!replica || replica.recovering || hasUnreported(replica)) return false;
+      if (!replica || replica.lapsed || hasUnreported(replica)) return false;
       if (replica.baseVersion > baseVersion) return false;
       replica.baseVersion = baseVersion;
       replica.oldestBaseVersion = oldestBaseVersion;
@@ -275,15 +284,18 @@
   private reportOwnPlacements(): void {
     for (const keeperId of this.keepers.keys()) {
       const member = this.context.member(keeperId);
-      if (!member || member.state !== 'active') continue;
-      const records = this.unreported(keeperId).slice(0, MAX_REPORTED);
-      if (records.length === 0) continue;
-      const message = { records: { fromBackup: true, sequence: 0, ...packBatch(records) } };
-      const payload = ReplicationMessage.encode(message).finish();
-      this.context.components.control.send(member.control, 'replication', payload);
+      if (member) this.reportTo(keeperId, member.control);
     }
   }
 
+  private reportTo(keeperId: string, control: Endpoint): void {
+    const records = this.unreported(keeperId).slice(0, MAX_REPORTED);
+    if (records.length === 0) return;
+    const message = { records: { fromBackup: true, sequence: 0, ...packBatch(records) } };
+    const payload = ReplicationMessage.encode(message).finish();
+    this.context.components.control.send(control, 'replication', payload);
+  }
+
   private unreported(keeperId: string): BatchRecord[] {
     const records: BatchRecord[] = [];
     for (const replica of this.context.replicas.values()) {
--- a/src/flow/replica-peer.ts
+++ b/src/flow/replica-peer.ts
@@ -71,6 +71,8 @@
     readonly boot: number,
     /** Rises with each link of this process; batches are numbered within it. */
     private readonly session: number,
+    /** Rises with each lapse that this backup has told of. */
+    private readonly generation: number,
     private readonly listener: ReplicaPeerListener,
   ) {
     this.lastAckReceivedAtMs = context.now();
@@ -120,7 +122,13 @@
     this.digestAtLastHeartbeat = this.shards.digest;
     const { size, digest } = this.shards;
     this.sendReplication({
-      heartbeat: { sentAt: this.context.now(), echo: this.echo, shards: size, digest },
+      heartbeat: {
+        sentAt: this.context.now(),
+        echo: this.echo,
+        shards: size,
+        digest,
+        generation: this.generation,
+      },
     });
     this.sendReleases();
   }
--- a/src/flow/replica-peers.ts
+++ b/src/flow/replica-peers.ts
@@ -9,6 +9,7 @@
 /** Creates, finds and closes the links. */
 export class ReplicaPeers {
   private readonly peers = new Map<string, ReplicaPeer>();
+  private readonly generations = new Map<string, number>();
   private nextHeartbeatMs = 0;
   private nextSession = 1;
 
@@ -22,12 +23,23 @@
     const known = this.peers.get(memberId);
     if (known && known.boot === boot) return known;
     if (known) this.close(known);
-    const peer = new ReplicaPeer(this.context, memberId, boot, this.nextSession, this.listener);
+    const generation = this.generationOf(memberId);
+    const peer = new ReplicaPeer(this.context, memberId, boot, this.nextSession, generation, this.listener);
     this.nextSession += 1;
     this.peers.set(memberId, peer);
     return peer;
   }
 
+  /** Times that a member has told this keeper that it had lapsed. */
+  generationOf(memberId: string): number {
+    return this.generations.get(memberId) ?? 0;
+  }
+
+  /** Notes a lapse; what is sent to the member from now on counts as new. */
+  nextGeneration(memberId: string): void {
+    this.generations.set(memberId, this.generationOf(memberId) + 1);
+  }
+
   list(): ReplicaPeer[] {
     return [...this.peers.values()];
   }
@@ -83,7 +95,14 @@
     if (!self) return;
     for (const backup of this.context.map.backups(self)) {
       if (this.peers.has(backup.id)) continue;
-      const peer = new ReplicaPeer(this.context, backup.id, 0, 0, this.listener);
+      const peer = new ReplicaPeer(
+        this.context,
+        backup.id,
+        0,
+        0,
+        this.generationOf(backup.id),
+        this.listener,
+      );
       peer.sendHeartbeat();
     }
   }
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -30,7 +30,6 @@
 /** A shard that this balancer keeps or is about to keep. */
 export class KeptShard {
   role: KeptRole = 'acquiring';
-  readonly table = new FlowTable();
   /** Rises with each change of keeper; 0 before the shard is held. */
   epoch = 0;
   /** Settings version whose back ends give the reconstructible first choice. */
@@ -69,6 +68,8 @@
     readonly acquiringSinceMs: number,
     /** Members that probably hold the shard, to relay packets to while acquiring. */
     readonly probableHolders: readonly string[],
+    /** Flows that were known when the shard was given up to its present holder, or none. */
+    readonly table = new FlowTable(),
   ) {
     this.awaitedSinceMs = acquiringSinceMs;
   }
@@ -79,6 +80,8 @@
   readonly table = new FlowTable();
   /** False once the keeper may have chosen another backup without this balancer knowing. */
   trusted = true;
+  /** The keeper failed: the replica goes to the next keeper, whoever it is. */
+  lapsed = false;
   /** A recovery of this replica is being sent; nothing is placed meanwhile. */
   recovering = false;
   /** A refused recovery is not repeated before this time, monotonic ms. */
--- a/src/flow/shard-installer.ts
+++ b/src/flow/shard-installer.ts
@@ -29,6 +29,7 @@
     kept.oldestBaseVersion = baseVersion;
     kept.complete = false;
     kept.learningSinceMs = this.context.now();
+    this.markExceptions(kept);
   }
 
   /** Takes a shard over, or merges it into the one held here. Of two records of a flow the newer epoch's wins. */
--- a/src/flow/shard-sender.ts
+++ b/src/flow/shard-sender.ts
@@ -40,6 +40,8 @@
   readonly onDone: (boot: number, snapshot: ShardSnapshot) => void;
   /** The receiver refused the shard, or the transfer was cancelled or its target is gone. */
   readonly onFailed: () => void;
+  /** Generation of this keeper towards the backup; see `ReplicaPeers.generationOf`. */
+  readonly generation?: () => number;
 }
 
 interface ActiveTransfer {
@@ -250,6 +252,7 @@
     complete,
     trusted,
     learningMs,
+    generation: outgoing.generation?.(),
     ...packPart(records),
   }));
 }
