Split membership and test its wire form and merge rules

Change: options and change reporting in files of their own; table tests and fast-check properties; the lease is given up before the quorum is decided; Member.incarnation no longer rises with a refutation, so that a rise always means a restart.

--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -12,9 +12,10 @@
 export { MembershipError, type MembershipErrorKind } from './errors.js';
 export { MEMBERSHIP_EVENTS } from './events.js';
 export type { MemberIdentity } from './member-record.js';
-export {
-  SwimMembership,
-  type MembershipPlatform,
-  type MembershipStatistics,
-  type SwimMembershipOptions,
-} from './swim-membership.js';
+export type {
+  KnownMember,
+  MembershipPlatform,
+  MembershipStatistics,
+  SwimMembershipOptions,
+} from './membership-options.js';
+export { SwimMembership } from './swim-membership.js';
--- a/src/membership/quorum.test.ts
+++ b/src/membership/quorum.test.ts
@@ -4,7 +4,7 @@
 import { seededRandom, pick } from '../common/random.js';
 import { PlatformError } from '../platform/errors.js';
 import { SimulatedCluster } from './simulated-cluster.js';
-import type { MembershipPlatform } from './swim-membership.js';
+import type { MembershipPlatform } from './membership-options.js';
 
 /** The platform's leases; members in `unreachable` get no answer. */
 class LeaseStore {
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -107,11 +107,11 @@
     else this.aloneSinceMs ??= nowMs;
     const before = this.decision;
     this.bootstrap();
+    if (alone && this.standing() === 'minority' && !this.waitedLongEnough()) this.lease.drop();
     this.decision = this.decide(alone);
     if (this.decision && this.isBootstrapped) {
       this.base.evolve(this.context.table.live(), nowMs, this.context.timing.settleMs, !alone);
     }
-    if (alone && this.standing() === 'minority' && !this.waitedLongEnough()) this.lease.drop();
     if (before && !this.decision) void this.lease.refresh();
     return before !== this.decision;
   }
--- a/src/membership/simulated-cluster.ts
+++ b/src/membership/simulated-cluster.ts
@@ -6,7 +6,8 @@
 import type { EventLog } from '../observability/event.js';
 import type { MembershipTiming } from './constants.js';
 import type { MemberIdentity } from './member-record.js';
-import { SwimMembership, type MembershipPlatform } from './swim-membership.js';
+import type { MembershipPlatform } from './membership-options.js';
+import { SwimMembership } from './swim-membership.js';
 
 /** Shape of the region. */
 export interface SimulatedClusterOptions {
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -1,11 +1,9 @@
 /** Membership of one balancer: failure detection, gossip, anti-entropy and quorum put together. */
-import type { Clock } from '../common/clock.js';
 import { hashString } from '../common/hash.js';
-import { jitter, pick, type RandomSource } from '../common/random.js';
+import { jitter, pick } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
-import type { ControlChannel, InboundControlMessage } from '../control/types.js';
+import type { InboundControlMessage } from '../control/types.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../observability/event.js';
-import type { PlatformClient } from '../platform/types.js';
 import {
   DEFAULT_MEMBERSHIP_TIMING,
   GOSSIP_FANOUT,
@@ -13,6 +11,7 @@
   ZONE_VIEW_BATCH_MS,
   type MembershipTiming,
 } from './constants.js';
+import { ChangeReporter } from './change-reporter.js';
 import { MembershipError } from './errors.js';
 import { MEMBERSHIP_EVENTS } from './events.js';
 import { GossipQueue } from './gossip-queue.js';
@@ -20,7 +19,7 @@
 import { GuardedTimers } from './guarded-timers.js';
 import { Joiner } from './joiner.js';
 import { LocalHealth } from './local-health.js';
-import { isRemoved, type MemberIdentity, type MemberRecord } from './member-record.js';
+import { isRemoved, type MemberRecord } from './member-record.js';
 import { MemberTable, type RecordChange } from './member-table.js';
 import { Messenger } from './messenger.js';
 import { Prober } from './prober.js';
@@ -28,6 +27,7 @@
 import { sampleMembers } from './sampling.js';
 import { StateSync } from './state-sync.js';
 import { Suspicions } from './suspicion.js';
+import type { KnownMember, MembershipStatistics, SwimMembershipOptions } from './membership-options.js';
 import type { MembershipFeed, MembershipView } from './types.js';
 import { ViewPublisher } from './view-publisher.js';
 import {
@@ -40,44 +40,6 @@
 } from './wire.js';
 import { ZoneSilence } from './zone-silence.js';
 
-/** The part of the platform client that is used. */
-export type MembershipPlatform = Pick<PlatformClient, 'listMachines' | 'acquireLease' | 'releaseLease'>;
-
-/** What membership needs. */
-export interface SwimMembershipOptions {
-  readonly identity: MemberIdentity;
-  readonly region: string;
-  /** Milliseconds since the epoch at process start; the same as the channel's. */
-  readonly incarnation: number;
-  readonly channel: ControlChannel;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  /** Control addresses of other members, from the settings file. Empty and no platform: a site of one. */
-  readonly seeds: readonly Endpoint[];
-  /** Undefined: no machine list and no witness. */
-  readonly platform?: MembershipPlatform;
-  /** Tree version in force here, for probes; 0 when none. */
-  readonly settingsVersion?: () => number;
-  readonly timing?: Partial<MembershipTiming>;
-  readonly events?: EventLog;
-}
-
-/** A member known beforehand. */
-export interface KnownMember {
-  readonly identity: MemberIdentity;
-  readonly incarnation: number;
-}
-
-/** Counters since start. */
-export interface MembershipStatistics {
-  readonly suspicionsRaised: number;
-  readonly refutations: number;
-  readonly failures: number;
-  readonly zoneEvents: number;
-  readonly pauses: number;
-  readonly healthScore: number;
-}
-
 /** See `MembershipFeed`. Call `join`, then `activate` when ready; `leave` and `stop` to go. */
 export class SwimMembership implements MembershipFeed {
   readonly selfId: string;
@@ -97,7 +59,8 @@
   private readonly zones: ZoneSilence;
   private readonly quorum: Quorum;
   private readonly publisher: ViewPublisher;
-  private readonly counts = { suspicionsRaised: 0, refutations: 0, failures: 0, pauses: 0 };
+  private readonly reporter: ChangeReporter;
+  private readonly counts = { suspicionsRaised: 0, refutations: 0, pauses: 0 };
   private reconnectDueMs = 0;
   private running = false;
   private stopped = false;
@@ -107,6 +70,7 @@
     this.selfId = identity.id;
     this.timing = { ...DEFAULT_MEMBERSHIP_TIMING, ...options.timing };
     this.events = options.events ?? SILENT_EVENT_LOG;
+    this.reporter = new ChangeReporter(this.events);
     this.regionHash = hashString(region);
     const { timing } = this;
     const memberCount = (): number => this.table.liveCount;
@@ -170,7 +134,12 @@
 
   /** Counters for metrics and tests. */
   statistics(): MembershipStatistics {
-    return { ...this.counts, zoneEvents: this.zones.events, healthScore: this.health.score };
+    return {
+      ...this.counts,
+      failures: this.reporter.failures,
+      zoneEvents: this.zones.events,
+      healthScore: this.health.score,
+    };
   }
 
   /** Takes in active members known from elsewhere, before `join`; nothing is spread about them. For simulations. */
@@ -396,24 +365,11 @@
     const liveInZone = (): number =>
       this.table.live().filter((member) => member.identity.zone === zone).length;
     this.zones.note(record, liveInZone, this.timers.now());
-    this.report(change);
+    this.reporter.report(change, this.zones.isSilent(zone));
     if (record.suspected || record.lifecycle === 'failed') this.updateQuorum();
     this.publisher.publishSoon();
   }
 
-  private report({ record, previous }: RecordChange): void {
-    const fields = { member: record.identity.id, zone: record.identity.zone };
-    if (record.lifecycle === 'failed') this.counts.failures += 1;
-    if (record.lifecycle === previous?.lifecycle && record.suspected === previous.suspected) return;
-    const quiet = this.zones.isSilent(record.identity.zone);
-    if (record.lifecycle === 'failed' && !quiet) this.events.emit(MEMBERSHIP_EVENTS.memberFailed, fields);
-    else if (record.suspected && !quiet) this.events.emit(MEMBERSHIP_EVENTS.memberSuspect, fields);
-    else if (record.lifecycle === 'left') this.events.emit(MEMBERSHIP_EVENTS.memberLeft, fields);
-    else if (record.lifecycle === 'active' && previous?.lifecycle !== 'active') {
-      this.events.emit(MEMBERSHIP_EVENTS.memberActive, fields);
-    }
-  }
-
   /** Publishes at once when the quorum was lost or regained. */
   private updateQuorum(): void {
     if (this.stopped || !this.quorum.update()) return;
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -19,7 +19,10 @@
   readonly admin: Endpoint;
   /** Data packets: from the fabric, and relayed ones from other balancers. */
   readonly data: Endpoint;
-  /** Rises with each start and each refutation of a suspicion (milliseconds since the epoch at start). */
+  /**
+   * Milliseconds since the epoch at process start: a rise means that the process was restarted and holds nothing.
+   * Refuted suspicions do not change it.
+   */
   readonly incarnation: number;
   readonly state: MemberState;
   /** Tree version the member last said it has in force; 0 when unknown. */
