Write Markdown tables of saved runs

Cause: docs/MEASUREMENTS.md must carry the figures of the saved runs without copying by hand. Change: report writes Markdown when the output ends in .md; saved documents are compact. Conclusion: the page can be regenerated from docs/measurements/.

--- a/src/experiment/experiment-command.ts
+++ b/src/experiment/experiment-command.ts
@@ -76,9 +76,9 @@
   registerCompare(experiment);
   experiment
     .command('report')
-    .description('write a self-contained HTML page with plots of saved runs')
+    .description('write a self-contained HTML page with plots of saved runs, or Markdown tables')
     .argument('<files...>', 'JSON documents written by `run --out`')
-    .requiredOption('-o, --output <file>', 'HTML file to write')
+    .requiredOption('-o, --output <file>', 'page to write; .md for Markdown tables, else HTML')
     .addHelpText('after', '\nExample:\n  $ sailquay experiment report run-1.json run-2.json -o report.html')
     .action(report);
 }
@@ -145,7 +145,7 @@
   const baselines: ExperimentDocument[] = [];
   for (const mode of baselineModes) baselines.push(await runOnce(scenario, flags.seed, mode));
   const whole: ExperimentResult = baselines.length > 0 ? { ...result, baselines } : result;
-  if (flags.out) writeFileSync(flags.out, `${JSON.stringify(whole, null, 1)}\n`);
+  if (flags.out) writeFileSync(flags.out, `${JSON.stringify(whole)}\n`);
   write(flags.json ? JSON.stringify(whole, null, 2) : textReport(whole));
   const missed = result.goals.some((goal) => goal.verdict === 'fail') || result.problems.length > 0;
   process.exitCode = missed ? 1 : 0;
@@ -163,17 +163,21 @@
   const scenario = withTree(scenarioOf(flags.scenario), flags.tree);
   const documents: ExperimentDocument[] = [];
   for (const seed of flags.seeds) documents.push(await runOnce(scenario, seed, mode));
-  if (flags.out) writeFileSync(`${flags.out}.${mode}.json`, `${JSON.stringify(documents, null, 1)}\n`);
+  if (flags.out) writeFileSync(`${flags.out}.${mode}.json`, `${JSON.stringify(documents)}\n`);
   return { label, documents };
 }
 
 async function report(files: readonly string[], flags: { readonly output: string }): Promise<void> {
-  const { htmlReport } = await import('./html-report.js');
   const documents = files.flatMap(readDocuments);
-  writeFileSync(flags.output, await htmlReport(documents));
+  writeFileSync(flags.output, await pageOf(documents, flags.output));
   write(`wrote ${flags.output}`);
 }
 
+async function pageOf(documents: readonly ExperimentDocument[], file: string): Promise<string> {
+  if (file.endsWith('.md')) return (await import('./markdown-report.js')).markdownReport(documents);
+  return (await import('./html-report.js')).htmlReport(documents);
+}
+
 async function runOnce(
   scenario: Scenario,
   seed: number,
