Weigh reported load by the lifetime of flows

Change: a report loses its weight within 0.3 mean lifetimes, measured from the openings; exceptions choose among 5 candidates and aim at 14%; a distrusted load is logged after 3 s only.

--- a/src/health/constants.ts
+++ b/src/health/constants.ts
@@ -38,6 +38,9 @@
 /** A report is distrusted when the own count differs from it by more than this many standard deviations. */
 export const LOAD_CONTRADICTION_DEVIATIONS = 4;
 
+/** A contradiction that lasts this long is written to the log. */
+export const CONTRADICTION_EVENT_MS = 3_000;
+
 /** Consecutive openings without an answer that eject a back end. */
 export const PASSIVE_FAILURE_THRESHOLD = 3;
 /** Largest count of one other member, so that a member with a broken path cannot eject a back end alone. */
--- a/src/health/service-health.ts
+++ b/src/health/service-health.ts
@@ -5,7 +5,7 @@
 import type { LoadView } from '../placement/types.js';
 import type { EffectiveService } from '../settings/types.js';
 import { BackendBelief } from './backend-belief.js';
-import { PASSIVE_FAILURE_THRESHOLD } from './constants.js';
+import { CONTRADICTION_EVENT_MS, PASSIVE_FAILURE_THRESHOLD } from './constants.js';
 import { describeBelief } from './evidence.js';
 import { HEALTH_EVENTS } from './events.js';
 import { countingVotes } from './probe-verdict.js';
@@ -35,6 +35,8 @@
   readonly beliefs = new Map<number, BackendBelief>();
   private readonly published = new Map<number, BackendHealth>();
   private readonly trust = new Map<number, LoadTrust>();
+  /** Monotonic ms since when a report is contradicted; Infinity once the event is written. */
+  private readonly contradictedSince = new Map<number, number>();
   private readonly capped = new Set<number>();
   private panic = false;
   private dirty = true;
@@ -73,6 +75,9 @@
   /** True when something was learned or some belief changes with time alone. */
   needsEvaluation(nowMs: number): boolean {
     if (this.dirty) return true;
+    for (const sinceMs of this.contradictedSince.values()) {
+      if (nowMs - sinceMs >= CONTRADICTION_EVENT_MS) return true;
+    }
     for (const belief of this.beliefs.values()) {
       if (belief.isMoving(nowMs)) return true;
     }
@@ -108,6 +113,7 @@
     this.beliefs.delete(id);
     this.published.delete(id);
     this.trust.delete(id);
+    this.contradictedSince.delete(id);
     this.capped.delete(id);
   }
 
@@ -155,12 +161,26 @@
       return { backendId, report, ownFlows, failing };
     });
     for (const [id, trust] of judgeLoads(observations, nowMs)) {
-      if (trust === 'contradicted' && this.trust.get(id) !== 'contradicted') this.emit('loadDistrusted', id);
       this.trust.set(id, trust);
+      this.watchContradiction(id, trust, nowMs);
     }
     return reports;
   }
 
+  /** Writes an event once a contradiction has lasted; a sudden change of load alone causes short ones. */
+  private watchContradiction(id: number, trust: LoadTrust, nowMs: number): void {
+    if (trust !== 'contradicted') {
+      this.contradictedSince.delete(id);
+      return;
+    }
+    const sinceMs = this.contradictedSince.get(id);
+    if (sinceMs === undefined) this.contradictedSince.set(id, nowMs);
+    else if (nowMs - sinceMs >= CONTRADICTION_EVENT_MS) {
+      this.contradictedSince.set(id, Infinity);
+      this.emit('loadDistrusted', id);
+    }
+  }
+
   private publish(id: number, belief: BackendBelief, report: ReportedLoad | undefined, nowMs: number): void {
     const before = this.published.get(id);
     const rescued = this.panic && belief.condition !== 'draining';
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -1,7 +1,7 @@
 /** Fixed numbers of placement, with their units. */
 
 /** Share of openings that a policy aims to spend on exceptions; issue goal: at most 0.15. */
-export const TARGET_EXCEPTION_SHARE = 0.13;
+export const TARGET_EXCEPTION_SHARE = 0.14;
 /** Least and largest bias in flows: how far above its share a first choice may be before an exception is made. */
 export const MIN_BIAS_FLOWS = 0.1;
 export const MAX_BIAS_FLOWS = 40;
@@ -12,15 +12,19 @@
 /** Relative change of the bias for one decision above the target share. */
 export const BIAS_GAIN = 0.03;
 /** Candidates compared for an exception. */
-export const EXCEPTION_CANDIDATES = 3;
+export const EXCEPTION_CANDIDATES = 5;
 /** The load that back ends report moves an own count by at most this part of the back end's share. */
 export const REPORT_CORRECTION_SHARE = 0.4;
 /** Turnovers of the flows over which a constant error of a report is learned. */
 export const REPORT_OFFSET_TURNOVERS = 3;
 /** Part of the others' excess that a correction takes into account; all keepers react to one report, with a delay. */
 export const REPORT_GAIN = 0.5;
-/** A reported load of this age in ms has no weight any more; in between the weight falls linearly. */
-export const REPORT_MAX_AGE_MS = 30_000;
+/** A reported load of this age has no weight any more; in between the weight falls linearly. */
+export const REPORT_MAX_AGE_MS = 60_000;
+/** The same as part of a flow's mean lifetime, whichever is less. */
+export const REPORT_MAX_AGE_LIFETIMES = 0.3;
+/** Window over which the rate of openings, and from it the mean lifetime, is measured. */
+export const RATE_WINDOW_MS = 10_000;
 /** Client addresses that the opening limiter remembers; the least recently used one is forgotten first. */
 export const MAX_TRACKED_CLIENTS = 65_536;
 /** Burst that a token bucket takes, as time at its rate. */
--- /dev/null
+++ b/src/placement/decaying-rate.ts
@@ -0,0 +1,19 @@
+/** A rate of events that forgets old ones exponentially. */
+export class DecayingRate {
+  private recent = 0;
+  private countedAtMs = 0;
+
+  /** @param windowMs time over which an event's weight falls to 1/e */
+  constructor(private readonly windowMs: number) {}
+
+  /** Counts one event. */
+  count(nowMs: number): void {
+    this.recent = this.recent * Math.exp(-(nowMs - this.countedAtMs) / this.windowMs) + 1;
+    this.countedAtMs = nowMs;
+  }
+
+  /** Events a ms as of the last one; an underestimate during the first window. */
+  get perMs(): number {
+    return this.recent / this.windowMs;
+  }
+}
--- a/src/placement/service-balance.ts
+++ b/src/placement/service-balance.ts
@@ -3,6 +3,7 @@
  * is tolerated before an opening is placed beside its first choice.
  */
 import type { Candidate } from './candidates.js';
+import { DecayingRate } from './decaying-rate.js';
 import {
   BIAS_GAIN,
   EXCEPTION_AVERAGE_DECISIONS,
@@ -12,6 +13,8 @@
   MIN_BIAS_SHARE,
   REPORT_CORRECTION_SHARE,
   REPORT_GAIN,
+  RATE_WINDOW_MS,
+  REPORT_MAX_AGE_LIFETIMES,
   REPORT_MAX_AGE_MS,
   REPORT_OFFSET_TURNOVERS,
 } from './constants.js';
@@ -30,6 +33,7 @@
   private bias = INITIAL_BIAS_FLOWS;
   private averageExceptions = 0;
   private readonly reports = new Map<number, ReportSample>();
+  private readonly openings = new DecayingRate(RATE_WINDOW_MS);
 
   /** Share (0–1) of recent openings that were exceptions. */
   get exceptionShare(): number {
@@ -58,6 +62,7 @@
       candidate.share = (flows * candidate.weight) / weights;
       candidate.excess = candidate.ownFlows - candidate.share;
     }
+    this.openings.count(nowMs);
     this.applyReports(candidates, flows, nowMs);
   }
 
@@ -74,7 +79,8 @@
 
   /**
    * Corrects own counts by what the back ends report: the report minus the own count at the time is what the other
-   * keepers hold beyond the share. The correction is limited and fades with age. What the other keepers hold beyond the share
+   * keepers hold beyond the share. The correction is limited and fades with age; how fast follows
+   * from the lifetime of the flows, because an old total of short flows says little. What the other keepers hold beyond the share
    * wanders around zero, because each of them balances its own flows; so a correction that stays is an error of the report, and
    * its average over a few turnovers of the flows is taken off. A false report steers for a few lifetimes of a flow at most.
    */
@@ -89,6 +95,8 @@
     }
     if (reportedWeight === 0) return;
     const turnover = Math.max(1, ownFlows * REPORT_OFFSET_TURNOVERS);
+    const lifetimeMs = ownFlows / this.openings.perMs;
+    const maxAgeMs = Math.min(REPORT_MAX_AGE_MS, lifetimeMs * REPORT_MAX_AGE_LIFETIMES);
     for (const candidate of weighed) {
       const value = candidate.health.reportedLoad;
       if (value === undefined) continue;
@@ -99,7 +107,8 @@
       const others = (totalExcess - sample.ownExcess) * REPORT_GAIN;
       const limited = Math.min(limit, Math.max(-limit, others));
       sample.usualCorrection += (limited - sample.usualCorrection) / turnover;
-      candidate.excess += (limited - sample.usualCorrection) * freshness(nowMs - sample.learnedAtMs);
+      candidate.excess +=
+        (limited - sample.usualCorrection) * freshness(nowMs - sample.learnedAtMs, maxAgeMs);
     }
   }
 
@@ -121,6 +130,6 @@
 }
 
 /** Weight (0–1) of a report of this age. */
-function freshness(ageMs: number): number {
-  return Math.max(0, 1 - ageMs / REPORT_MAX_AGE_MS);
+function freshness(ageMs: number, maxAgeMs: number): number {
+  return Math.max(0, 1 - ageMs / maxAgeMs);
 }
