--- a/src/flow/backend-catalogue.ts
+++ b/src/flow/backend-catalogue.ts
@@ -90,8 +90,11 @@
     return entry;
   }
 
-  /** Takes over the idle timeouts of the settings in force. */
+  /** Learns every back end of the settings in force, and their idle timeouts. */
   refresh(services: readonly EffectiveService[]): void {
+    for (const service of services) {
+      for (const backend of service.backends) this.entry(service, backend);
+    }
     const timeouts = new Map(services.map((service) => [service.id, service.idleTimeoutMs]));
     for (const entry of this.entries) {
       const timeoutMs = timeouts.get(entry.serviceId);
