Show the settings' delay, the reader and flow table bytes; close a daemon whose stop fails

Cause: the registry lacked three values that operators watch; an error in the hand-over left the sockets open, so that the process did not end. Change: three metrics, left out when unknown; the sockets close in any case; index.ts of the daemon slice.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -149,8 +149,11 @@
     const wasActive = this.phase === 'active';
     this.phase = 'draining';
     events.emit(DAEMON_EVENTS.stopping, { openFlows: dataPlane.forwarder.statistics().open });
-    if (wasActive) await leaveAndHandOver(this.components, this.current.config.drain);
-    await this.close();
+    try {
+      if (wasActive) await leaveAndHandOver(this.components, this.current.config.drain);
+    } finally {
+      await this.close();
+    }
   }
 
   private async close(): Promise<void> {
--- a/src/daemon/data-plane.ts
+++ b/src/daemon/data-plane.ts
@@ -42,10 +42,13 @@
   }
 }
 
-/** The data addresses of other balancers and of back ends, kept up to date. */
+/**
+ * The data addresses of other balancers and of back ends. Balancers follow the view; back ends are remembered since
+ * start, because a back end that left the settings tree still answers on its open flows.
+ */
 export class KnownSources {
   private peers = new Set<string>();
-  private backends = new Set<string>();
+  private readonly backends = new Set<string>();
 
   constructor(private readonly selfId: string) {}
 
@@ -59,7 +62,7 @@
 
   setSettings(settings: EffectiveSettings): void {
     const backends = settings.services.flatMap((service) => service.backends);
-    this.backends = new Set(backends.map((backend) => formatEndpoint(backend.endpoint)));
+    backends.forEach((backend) => this.backends.add(formatEndpoint(backend.endpoint)));
   }
 }
 
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,33 @@
+/**
+ * The daemon: configuration, wiring and life of one balancer.
+ *
+ * ```ts
+ * const config = loadDaemonConfig('balancer-1.yaml', { zone: 'halle-nord' });
+ * const daemon = await Daemon.start(config, { clock, random, events });
+ * console.log(daemon.readyLine());
+ * await daemon.stop(); // hands every flow over first
+ * ```
+ *
+ * `createControlPlane` makes a balancer's control plane over any control channel, for hollow daemons.
+ */
+export { Daemon, type ReadyLine } from './daemon.js';
+export {
+  changedFields,
+  daemonConfigSchema,
+  loadDaemonConfig,
+  parseDaemonConfig,
+  type ConfigOverrides,
+  type DaemonConfig,
+  type DaemonConfigInput,
+} from './config.js';
+export type { Components, DaemonEnvironment } from './components.js';
+export {
+  createControlPlane,
+  type BalancerIdentity,
+  type ControlPlane,
+  type ControlPlaneOptions,
+} from './control-plane.js';
+export { DaemonError, type ConfigFault, type DaemonErrorKind } from './errors.js';
+export { DAEMON_EVENTS } from './events.js';
+export { FaultInjection } from './fault-injection.js';
+export type * from './status.js';
--- a/src/daemon/status-source.ts
+++ b/src/daemon/status-source.ts
@@ -88,6 +88,10 @@
     settingsVersion: settings.version,
     settingsInForceSeconds:
       settings.version > 0 ? Math.max(0, clock.wall() - settings.appliedAtWallMs) / MS_PER_SECOND : 0,
+    settingsDelaySeconds:
+      settings.timeToInForceMs === undefined ? undefined : settings.timeToInForceMs / MS_PER_SECOND,
+    settingsReader: settings.readerLease !== undefined,
+    flowTableBytes: dataPlane.forwarder.describeFlows().memoryBytes,
     membersByState: countMembers(components),
     backendsByCondition: countBackends(components),
     quorate: controlPlane.membership.view().quorate,
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -25,6 +25,12 @@
   readonly settingsVersion: number;
   /** Seconds since that version came into force here. */
   readonly settingsInForceSeconds: number;
+  /** Seconds from the edit to its effect here; undefined when unknown. */
+  readonly settingsDelaySeconds: number | undefined;
+  /** True while this balancer reads the settings from the platform for its region. */
+  readonly settingsReader: boolean;
+  /** Bytes of the flow tables, replicas included. */
+  readonly flowTableBytes: number;
   readonly membersByState: CountsByLabel;
   readonly backendsByCondition: CountsByLabel;
   readonly quorate: boolean;
@@ -40,7 +46,8 @@
   readonly help: string;
   readonly type: 'counter' | 'gauge';
   readonly label?: string;
-  readonly read: (snapshot: MetricsSnapshot) => number | CountsByLabel;
+  /** Undefined: the metric is left out. */
+  readonly read: (snapshot: MetricsSnapshot) => number | CountsByLabel | undefined;
 }
 
 const METRICS: readonly MetricDefinition[] = [
@@ -75,6 +82,11 @@
     'Time since that version came into force',
     (s) => s.settingsInForceSeconds,
   ),
+  gauge('settings_delay_seconds', 'From the last edit to its effect here', (s) => s.settingsDelaySeconds),
+  gauge('settings_reader', '1 while this balancer reads the settings from the platform', (s) =>
+    Number(s.settingsReader),
+  ),
+  gauge('flow_table_bytes', 'Bytes of flow tables, replicas included', (s) => s.flowTableBytes),
   gauge('members', 'Members of the region, by state', (s) => s.membersByState, 'state'),
   gauge('backends', 'Back ends, by condition', (s) => s.backendsByCondition, 'condition'),
   gauge('quorate', '1 while this balancer reaches a quorum of its region', (s) => Number(s.quorate)),
@@ -114,6 +126,10 @@
 function copy(definition: MetricDefinition, instrument: Gauge | Counter, snapshot: MetricsSnapshot): void {
   instrument.reset();
   const value = definition.read(snapshot);
+  if (value === undefined) {
+    instrument.remove();
+    return;
+  }
   if (typeof value === 'number') {
     instrument.inc(value);
     return;
--- a/src/observability/observability.test.ts
+++ b/src/observability/observability.test.ts
@@ -100,6 +100,9 @@
   controlDrops: { forged: 2 },
   settingsVersion: 7,
   settingsInForceSeconds: 1.5,
+  settingsDelaySeconds: undefined,
+  settingsReader: true,
+  flowTableBytes: 4096,
   membersByState: { active: 3 },
   backendsByCondition: { healthy: 13 },
   quorate: true,
@@ -120,12 +123,15 @@
     'sailquay_unknown_flow_packets_total{answer="drop"} 6',
     'sailquay_control_received_bytes_total{kind="membership"} 101',
     'sailquay_settings_version 7',
+    'sailquay_settings_reader 1',
+    'sailquay_flow_table_bytes 4096',
     'sailquay_members{state="active"} 3',
     'sailquay_quorate 1',
     'sailquay_ready 0',
   ]) {
     t.true(lines.includes(line), line);
   }
+  t.false(lines.some((line) => line.startsWith('sailquay_settings_delay_seconds ')));
 });
 
 test('the admin server answers each page and refuses the rest', async (t) => {
