Make the edge cheaper for each packet and test the forwarding workers

Cause: a profile of a relaying balancer showed dgram's handling of two-buffer sends, and the decoder's checksum loop and the source lookup in each packet.

--- a/src/experiment/forwarding/bare-relay.ts
+++ b/src/experiment/forwarding/bare-relay.ts
@@ -23,11 +23,21 @@
   return socket;
 }
 
-/** Starts the relay; returns the address that it receives on. */
-export async function startBareRelay(sinks: readonly Endpoint[]): Promise<Endpoint> {
+/** A running relay. */
+export interface BareRelay {
+  /** Where it receives. */
+  readonly data: Endpoint;
+  close(): void;
+}
+
+/** Starts the relay in this process. */
+export async function startBareRelay(sinks: readonly Endpoint[]): Promise<BareRelay> {
   const outgoing: Socket[] = [];
   for (const sink of sinks) outgoing.push(await connectSocket(sink));
   const incoming = await openSocket();
   incoming.on('message', (datagram) => outgoing[datagram[CHOICE_OFFSET]! % outgoing.length]!.send(datagram));
-  return { host: '127.0.0.1', port: incoming.address().port };
+  return {
+    data: { host: '127.0.0.1', port: incoming.address().port },
+    close: () => [incoming, ...outgoing].forEach((socket) => socket.close()),
+  };
 }
--- a/src/experiment/forwarding/packet-sender.ts
+++ b/src/experiment/forwarding/packet-sender.ts
@@ -79,6 +79,12 @@
     return this.sent;
   }
 
+  /** Stops and releases the socket. */
+  close(): void {
+    this.stop();
+    this.shared.close();
+  }
+
   private loop(socket: Socket, packets: Buffer[], perSecond: number, run: number, startMs: number): void {
     if (run !== this.run) {
       socket.close();
--- a/src/experiment/forwarding/worker-main.ts
+++ b/src/experiment/forwarding/worker-main.ts
@@ -32,7 +32,7 @@
       };
     }
     case 'bare-relay':
-      return { ready: { data: await startBareRelay(role.sinks) }, handlers: {} };
+      return { ready: { data: (await startBareRelay(role.sinks)).data }, handlers: {} };
   }
 }
 
--- a/src/fabric/data-sockets.ts
+++ b/src/fabric/data-sockets.ts
@@ -68,12 +68,12 @@
     return new DataSockets(socket, endpoint, listener, events);
   }
 
-  /** Sends one datagram made of `parts`; a failure is logged and the datagram lost. */
-  send(parts: Buffer | readonly Buffer[], to: Endpoint): void {
+  /** Sends one datagram; a failure is logged and the datagram lost. */
+  send(datagram: Buffer, to: Endpoint): void {
     const socket = this.connected.get(to.host)?.get(to.port) ?? this.connect(to);
     try {
-      if (socket) socket.send(parts);
-      else this.shared.send(parts, to.port, to.host);
+      if (socket) socket.send(datagram);
+      else this.shared.send(datagram, to.port, to.host);
     } catch (error) {
       this.report(error, to);
     }
--- a/src/fabric/gue-edge-port.ts
+++ b/src/fabric/gue-edge-port.ts
@@ -8,7 +8,7 @@
 import { DataSockets } from './data-sockets.js';
 import { FABRIC_EVENTS } from './events.js';
 import { decodePacket, emptyPacketView } from './packet-decoder.js';
-import { isRelayFrame, relayHeader, relayHops } from './relay-frame.js';
+import { encodeRelayFrame, isRelayFrame, relayHops } from './relay-frame.js';
 import { buildReset } from './segment-codec.js';
 import { SourceCache, type Source, type SourceRules } from './source-cache.js';
 import type { EdgeHandler, EdgePort, PacketView } from './types.js';
@@ -57,8 +57,8 @@
   }
 
   relay(packet: PacketView, balancer: Endpoint): void {
-    const header = relayHeader(packet.hops + 1);
-    if (header) this.sockets.send([header, packet.bytes], balancer);
+    const frame = encodeRelayFrame(packet.bytes, packet.hops + 1);
+    if (frame) this.sockets.send(frame, balancer);
     else this.options.handler.onDrop('hop-limit');
   }
 
--- a/src/fabric/packet-decoder.test.ts
+++ b/src/fabric/packet-decoder.test.ts
@@ -158,6 +158,20 @@
   );
 });
 
+test('IPv4 and TCP options are passed over, and the header checksum covers them', (t) => {
+  const options = Buffer.from([1, 1, 1, 0]);
+  const withOptions = Buffer.concat([VALID.subarray(0, 20), options, VALID.subarray(20)]);
+  const packet = altered((bytes) => {
+    bytes[0] = 0x46;
+    bytes.writeUInt16BE(bytes.length, 2);
+  }, withOptions);
+  const view = emptyPacketView();
+  t.is(decodePacket(packet, view), undefined);
+  t.deepEqual([view.sourcePort, view.destinationPort], [SEGMENT.sourcePort, SEGMENT.destinationPort]);
+  packet[21]! ^= 1;
+  t.is(decodePacket(packet, view), 'bad-checksum');
+});
+
 interface ResetCase {
   readonly name: string;
   readonly cause: Partial<Segment>;
--- a/src/fabric/packet-decoder.ts
+++ b/src/fabric/packet-decoder.ts
@@ -1,5 +1,5 @@
 /** Decodes a bare IPv4/TCP packet in place into a reused view, without allocation. */
-import { headerChecksum } from './checksum.js';
+import { headerChecksum, isPlainHeaderIntact } from './checksum.js';
 import { IPV4_HEADER_BYTES, MAX_PACKET_BYTES, PROTOCOL_TCP, TCP_HEADER_BYTES } from './constants.js';
 import type { EdgeDropReason, PacketView } from './types.js';
 
@@ -38,6 +38,11 @@
   return (bytes[offset]! << 8) | bytes[offset + 1]!;
 }
 
+function isHeaderIntact(bytes: Buffer, headerBytes: number): boolean {
+  if (headerBytes === IPV4_HEADER_BYTES) return isPlainHeaderIntact(bytes);
+  return headerChecksum(bytes, headerBytes) === 0;
+}
+
 function checkIpv4(bytes: Buffer): EdgeDropReason | undefined {
   const length = bytes.length;
   if (length === 0) return 'truncated';
@@ -49,7 +54,7 @@
   const totalBytes = readUint16(bytes, 2);
   if (totalBytes > length || headerBytes > totalBytes) return 'truncated';
   if (totalBytes < length) return 'oversized';
-  if (headerChecksum(bytes, headerBytes) !== 0) return 'bad-checksum';
+  if (!isHeaderIntact(bytes, headerBytes)) return 'bad-checksum';
   if (bytes[8] === 0) return 'ttl-exceeded';
   if ((readUint16(bytes, 6) & FRAGMENT_MASK) !== 0) return 'fragment';
   return bytes[9] === PROTOCOL_TCP ? undefined : 'not-tcp';
--- a/src/fabric/source-cache.ts
+++ b/src/fabric/source-cache.ts
@@ -21,15 +21,21 @@
 export class SourceCache {
   private readonly byHost = new Map<string, Map<number, Source>>();
   private entries = 0;
+  /** Most packets come from the same source as the one before. */
+  private last: Source | undefined;
 
   constructor(private readonly rules: SourceRules) {}
 
   find(host: string, port: number): Source {
-    return this.byHost.get(host)?.get(port) ?? this.add(host, port);
+    const { last } = this;
+    if (last && last.endpoint.port === port && last.endpoint.host === host) return last;
+    this.last = this.byHost.get(host)?.get(port) ?? this.add(host, port);
+    return this.last;
   }
 
   clear(): void {
     this.byHost.clear();
+    this.last = undefined;
     this.entries = 0;
   }
 
