Test the faults page of the admin server

Cause: PUT /faults had no test. Change: a table of good, malformed, refused and oversized bodies; the page is absent unless enabled. Conclusion: a daemon without fault injection has no such page.

--- a/src/observability/observability.test.ts
+++ b/src/observability/observability.test.ts
@@ -3,8 +3,8 @@
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
 import { VirtualClock } from '../common/clock.js';
-import { AdminServer, type Readiness } from './admin-server.js';
-import { EVENT_BURST, EVENT_WINDOW_MS } from './constants.js';
+import { AdminServer, type AdminSource, type Readiness } from './admin-server.js';
+import { ADMIN_MAX_BODY_BYTES, EVENT_BURST, EVENT_WINDOW_MS } from './constants.js';
 import { checkEvents, collectEvents, renderCatalogue, type CatalogueEntry } from './event-catalogue.js';
 import { ConsolaEventLog, type EventLogOptions } from './event-log.js';
 import type { EventDefinition } from './event.js';
@@ -161,6 +161,38 @@
   t.is((await ask('/other'))[0], 404);
 });
 
+const FAULT_REQUESTS: readonly [string, 'GET' | 'PUT', string | undefined, number][] = [
+  ['a JSON body', 'PUT', '{"blocked":[]}', 200],
+  ['a malformed body', 'PUT', '{', 400],
+  ['a body that is refused', 'PUT', '"refuse"', 400],
+  ['an oversized body', 'PUT', `"${'x'.repeat(ADMIN_MAX_BODY_BYTES)}"`, 400],
+  ['a read', 'GET', undefined, 405],
+];
+
+test('faults are taken only where they are enabled, and only as a good PUT', async (t) => {
+  const taken: unknown[] = [];
+  const source: AdminSource = {
+    readiness: () => ({ ready: true, reasons: [] }),
+    status: () => 0,
+    metrics: () => Promise.reject(new Error('no metrics')),
+  };
+  const setFaults = (body: unknown): void => {
+    if (body === 'refuse') throw new RangeError('refused');
+    taken.push(body);
+  };
+  const enabled = await AdminServer.listen({ host: '127.0.0.1', port: 0 }, { ...source, setFaults });
+  const disabled = await AdminServer.listen({ host: '127.0.0.1', port: 0 }, source);
+  t.teardown(() => Promise.all([enabled.close(), disabled.close()]));
+  for (const [name, method, body, code] of FAULT_REQUESTS) {
+    const answer = await request(`http://127.0.0.1:${enabled.endpoint.port}/faults`, { method, body });
+    t.is(answer.statusCode, code, name);
+    await answer.body.dump();
+  }
+  t.deepEqual(taken, [{ blocked: [] }]);
+  const answer = await request(`http://127.0.0.1:${disabled.endpoint.port}/faults`, { method: 'GET' });
+  t.is(answer.statusCode, 404);
+});
+
 test('an admin address in use is a typed error', async (t) => {
   const source = {
     readiness: () => ({ ready: true, reasons: [] }),
