Let a backup that has handed a replica on serve only its records

Cause: the model check (4 balancers, crashes and long pauses, seed 6000): while the acknowledgement of a recovery was under way, the old backup reconstructed a flow that the new keeper had placed elsewhere.

--- a/src/flow/acting-backup.ts
+++ b/src/flow/acting-backup.ts
@@ -34,7 +34,7 @@
     if (slot >= 0)
       return this.forward(this.context.catalogue.at(replica.table.backendIndex(slot)), packet, port);
     if (packet.syn && !packet.ack) return this.open(replica, fingerprint, packet, port);
-    const entry = this.reconstruct(replica, fingerprint, port);
+    const entry = replica.handedOn ? undefined : this.reconstruct(replica, fingerprint, port);
     if (entry) this.forward(entry, packet, port);
     else this.relay.relay(packet, replica.shard, undefined);
   }
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -432,6 +432,7 @@
   private beginRecovery(replica: ReplicaShard, keeperId: string): ShardSnapshot | undefined {
     if (this.context.replicas.get(replica.shard) !== replica) return undefined;
     if (this.context.map.keeper(replica.shard)?.id !== keeperId) return undefined;
+    replica.handedOn = true;
     return snapshotReplica(this.context, replica);
   }
 }
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -82,7 +82,9 @@
   trusted = true;
   /** The keeper failed: the replica goes to the next keeper, whoever it is. */
   lapsed = false;
-  /** A recovery of this replica is being sent; nothing is placed meanwhile. */
+  /** A snapshot has gone to the next keeper, which may know more by now: only records are served from here on. */
+  handedOn = false;
+  /** A recovery of this replica is queued or being sent. */
   recovering = false;
   /** A refused recovery is not repeated before this time, monotonic ms. */
   retryRecoveryAtMs = 0;
