Log socket errors of one destination once in ten seconds

Cause: a dead back end refuses every datagram, and each refusal wrote a log line. Change: SocketErrorReporter counts what it leaves out; tests for it and for the source address past the limit of connected sockets.

--- a/src/fabric/constants.ts
+++ b/src/fabric/constants.ts
@@ -34,5 +34,8 @@
 /** Most sources whose class is remembered at once. */
 export const SOURCE_CACHE_ENTRIES = 8_192;
 
+/** Least time between two logged errors of one destination. */
+export const ERROR_REPORT_INTERVAL_MS = 10_000;
+
 /** TTL of packets that the edge or a stand-in builds. */
 export const DEFAULT_TTL = 64;
--- a/src/fabric/data-sockets.ts
+++ b/src/fabric/data-sockets.ts
@@ -4,11 +4,13 @@
  * sends. The kernel hands a datagram to the socket connected to its source, else to the shared one.
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import type { Clock } from '../common/clock.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import { MAX_CONNECTED_SOCKETS, SOCKET_BUFFER_BYTES } from './constants.js';
 import { EdgeBindError } from './errors.js';
 import { FABRIC_EVENTS } from './events.js';
+import { SocketErrorReporter } from './socket-error-reporter.js';
 
 /** Receives every datagram of every socket. */
 export type DatagramListener = (datagram: Buffer, source: RemoteInfo) => void;
@@ -54,18 +56,24 @@
     readonly endpoint: Endpoint,
     private readonly listener: DatagramListener,
     private readonly events: EventLog,
+    private readonly errors: SocketErrorReporter,
   ) {
     this.adopt(shared);
   }
 
   /** Binds the shared socket (port 0: the kernel chooses). Throws `EdgeBindError`. */
-  static async bind(address: Endpoint, listener: DatagramListener, events: EventLog): Promise<DataSockets> {
+  static async bind(
+    address: Endpoint,
+    listener: DatagramListener,
+    events: EventLog,
+    clock: Clock,
+  ): Promise<DataSockets> {
     await checkAddressFree(address);
     const socket = openSocket();
     await bindSocket(socket, address);
     socket.removeAllListeners('error');
     const endpoint = { host: address.host, port: socket.address().port };
-    return new DataSockets(socket, endpoint, listener, events);
+    return new DataSockets(socket, endpoint, listener, events, new SocketErrorReporter(events, clock));
   }
 
   /** Sends one datagram; a failure is logged and the datagram lost. */
@@ -75,7 +83,7 @@
       if (socket) socket.send(datagram);
       else this.shared.send(datagram, to.port, to.host);
     } catch (error) {
-      this.report(error, to);
+      this.errors.report(error, to);
     }
   }
 
@@ -114,15 +122,8 @@
   private adopt(socket: Socket, destination?: Endpoint): void {
     this.sockets.add(socket);
     socket.on('message', this.listener);
-    socket.on('error', (error) => this.report(error, destination));
+    socket.on('error', (error) => this.errors.report(error, destination));
     socket.on('listening', () => enlargeBuffers(socket));
     if (!destination) enlargeBuffers(socket);
   }
-
-  private report(error: unknown, destination: Endpoint | undefined): void {
-    this.events.emit(FABRIC_EVENTS.socketError, {
-      destination: destination && formatEndpoint(destination),
-      error: error instanceof Error ? error.message : String(error),
-    });
-  }
 }
--- a/src/fabric/gue-edge-port.test.ts
+++ b/src/fabric/gue-edge-port.test.ts
@@ -1,9 +1,12 @@
-import { createSocket, type Socket } from 'node:dgram';
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import { once } from 'node:events';
 import test, { type ExecutionContext } from 'ava';
+import { VirtualClock } from '../common/clock.js';
 import type { Endpoint } from '../common/types.js';
-import { SILENT_EVENT_LOG } from '../observability/event.js';
+import { SILENT_EVENT_LOG, type EventFields } from '../observability/event.js';
+import { ERROR_REPORT_INTERVAL_MS, MAX_CONNECTED_SOCKETS } from './constants.js';
 import { createEdgePort, decodeSegment, EdgeBindError, encodeSegment, RELAY_HOP_LIMIT } from './index.js';
+import { SocketErrorReporter } from './socket-error-reporter.js';
 import type { BoundEdgePort, EdgeDropReason, EdgeHandler, PacketView, Segment } from './index.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -144,6 +147,39 @@
   }
 });
 
+test('every destination sees the data address as the source, also past the limit of connected sockets', async (t) => {
+  const destinations = await Promise.all(Array.from({ length: MAX_CONNECTED_SOCKETS + 3 }, openSocket));
+  t.teardown(() => destinations.forEach(({ socket }) => socket.close()));
+  const bench = await openBench(t, ({ edge }, packet) => {
+    for (const { endpoint } of destinations) edge.sendToBackend(packet, endpoint);
+  });
+  const arrivals = destinations.map(({ socket }) => once(socket, 'message') as Promise<[Buffer, RemoteInfo]>);
+  bench.fabric.socket.send(encodeSegment(OPENING), bench.edge.endpoint.port, LOOPBACK);
+  for (const [datagram, source] of await Promise.all(arrivals)) {
+    t.deepEqual(datagram, encodeSegment(OPENING));
+    t.is(source.port, bench.edge.endpoint.port);
+  }
+});
+
+test('errors of one destination are logged once in an interval', (t) => {
+  const clock = new VirtualClock();
+  const emitted: EventFields[] = [];
+  const reporter = new SocketErrorReporter({ emit: (_event, fields = {}) => emitted.push(fields) }, clock);
+  const destination = { host: LOOPBACK, port: 1 };
+  for (let count = 0; count < 5; count += 1) reporter.report(new Error('refused'), destination);
+  reporter.report(new Error('refused'), { ...destination, port: 2 });
+  clock.advance(ERROR_REPORT_INTERVAL_MS);
+  reporter.report(new Error('refused'), destination);
+  t.deepEqual(
+    emitted.map((fields) => [fields.destination, fields.suppressed]),
+    [
+      ['127.0.0.1:1', 0],
+      ['127.0.0.1:2', 0],
+      ['127.0.0.1:1', 4],
+    ],
+  );
+});
+
 test('a retained packet outlives the next one', async (t) => {
   const kept: PacketView[] = [];
   const bench = await openBench(t, ({ edge, backend }, packet) => {
--- a/src/fabric/gue-edge-port.ts
+++ b/src/fabric/gue-edge-port.ts
@@ -47,7 +47,7 @@
 
   async start(): Promise<void> {
     const listener = (datagram: Buffer, source: RemoteInfo): void => this.receive(datagram, source);
-    this.sockets = await DataSockets.bind(this.options.data, listener, this.options.events);
+    this.sockets = await DataSockets.bind(this.options.data, listener, this.options.events, this.clock);
     this.options.events.emit(FABRIC_EVENTS.edgeListening, { ...this.endpoint });
     this.armSourceExpiry();
   }
