Report services that need more exceptions than planned

Cause: event 1302 was declared but never written. Change: the bounded-load policy writes it once a service's share of exceptions is 1.5 times its target; the simulation and the table are part of the public surface.

--- a/src/placement/bounded-load-policy.ts
+++ b/src/placement/bounded-load-policy.ts
@@ -3,7 +3,13 @@
  * flows than its share; then the least loaded of a few candidates is taken, as an exception.
  */
 import { listCandidates, type Candidate } from './candidates.js';
-import { EXCEPTION_CANDIDATES, TARGET_EXCEPTION_SHARE } from './constants.js';
+import {
+  EXCEPTION_ALARM_FACTOR,
+  EXCEPTION_ALARM_LEAST_TARGET,
+  EXCEPTION_CANDIDATES,
+  TARGET_EXCEPTION_SHARE,
+} from './constants.js';
+import { PLACEMENT_EVENTS } from './events.js';
 import type { PlacementOptions } from './policy-options.js';
 import { ServiceBalance } from './service-balance.js';
 import type { PlacementDecision, PlacementPolicy, PlacementRequest } from './types.js';
@@ -15,6 +21,8 @@
 export class BoundedLoadPolicy implements PlacementPolicy {
   readonly name = 'bounded-load';
   private readonly balances = new Map<number, ServiceBalance>();
+  /** Services whose share of exceptions is reported as too large. */
+  private readonly overTarget = new Set<number>();
 
   constructor(private readonly options: PlacementOptions) {}
 
@@ -27,10 +35,22 @@
     balance.weigh(candidates, this.options.clock.now());
     const chosen = chooseWeighed(request, balance, candidates, first?.id);
     const isFirst = chosen.id === first?.id;
-    balance.record(!isFirst, this.options.targetExceptionShare?.() ?? TARGET_EXCEPTION_SHARE);
+    const target = this.options.targetExceptionShare?.() ?? TARGET_EXCEPTION_SHARE;
+    balance.record(!isFirst, target);
+    this.watchExceptions(request, balance.exceptionShare, target);
     return { outcome: 'place', backend: chosen.backend, firstChoice: isFirst };
   }
 
+  /** Writes an event once when a service needs clearly more exceptions than planned. */
+  private watchExceptions(request: PlacementRequest, share: number, target: number): void {
+    const { id, name } = request.service;
+    const planned = Math.max(target, EXCEPTION_ALARM_LEAST_TARGET);
+    if (share <= planned) this.overTarget.delete(id);
+    if (share <= planned * EXCEPTION_ALARM_FACTOR || this.overTarget.has(id)) return;
+    this.overTarget.add(id);
+    this.options.events?.emit(PLACEMENT_EVENTS.exceptionsOverTarget, { service: name, share, target });
+  }
+
   /** Balance of a service by its id, for status and tests. */
   balance(serviceId: number): ServiceBalance {
     let balance = this.balances.get(serviceId);
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -35,6 +35,9 @@
 export const RETRY_WINDOW_MS = 10_000;
 /** Largest relative change of a retry's delay in either direction. */
 export const RETRY_JITTER = 0.5;
+/** The share of exceptions is reported when it exceeds its target, or this least target, by the factor. */
+export const EXCEPTION_ALARM_FACTOR = 1.5;
+export const EXCEPTION_ALARM_LEAST_TARGET = 0.1;
 /** Decisions over which the share of exceptions is averaged. */
 export const EXCEPTION_AVERAGE_DECISIONS = 1_000;
 /** Relative slack on this balancer's part of a back end's capacity, because flows are not split exactly evenly. */
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -25,3 +25,9 @@
 export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
 export { UnknownPlacementModeError } from './errors.js';
 export { PLACEMENT_EVENTS } from './events.js';
+export {
+  runBalanceSimulation,
+  type BalanceSimulationOptions,
+  type BalanceSimulationResult,
+} from './balance-simulation.js';
+export { runBalanceTable, type BalanceTableOptions, type BalanceTableRow } from './balance-table.js';
--- a/src/placement/policies.test.ts
+++ b/src/placement/policies.test.ts
@@ -314,3 +314,20 @@
   t.deepEqual(seen, [1300, 1301]);
   t.is(policy.statistics().refusedNoEligibleBackend, 2);
 });
+
+test('more exceptions than planned are reported once until the share is back', (t) => {
+  const seen: number[] = [];
+  const events = { emit: ({ number }: { number: number }) => seen.push(number) };
+  const policy = createPlacementPolicy('bounded-load', { ...options(), events });
+  const halfOut = new Map(ids(BACKENDS).map((id, index) => [id, { eligible: index % 2 === 0 }]));
+  const open = (count: number, health?: Situation['health']): void => {
+    for (let seed = 1; seed <= count; seed += 1) policy.choose(request(seed, health ? { health } : {}));
+  };
+  open(1_000);
+  t.deepEqual(seen, []);
+  open(2_000, halfOut);
+  t.deepEqual(seen, [1302]);
+  open(4_000);
+  open(2_000, halfOut);
+  t.deepEqual(seen, [1302, 1302]);
+});
