Probe in a common order and admit members to the quorum base late

Cause: with independent random orders a crash stayed unprobed for seconds now and then; a member cut off a moment ago added others to its base before it noticed, so that two groups were quorate; a member did not answer an accusation it had refuted before. Change: all members share a probe order on a ring, so that each is probed once an interval; members enter the base after 5 s without a suspicion; outdated accusations are answered with the current state. Conclusion: a partition that begins in the very moment of an admission is not excluded by proof, only made unlikely.

--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -110,3 +110,6 @@
 
 /** Changes are gathered this long while a zone is silent, so that its loss is one change of the view or a few. */
 export const ZONE_VIEW_BATCH_MS = 1_000;
+
+/** A member enters the quorum base after it was active, and nobody suspected, for this long; above the time to notice a cut. */
+export const ADMISSION_WAIT_MS = 5_000;
--- a/src/membership/member-table.test.ts
+++ b/src/membership/member-table.test.ts
@@ -133,7 +133,8 @@
   const table = new MemberTable(new VirtualClock(), identity('a'), 5, () => undefined);
   table.advanceSelf('active');
   t.is(table.merge(news('a', [5, 0], 'joining')), 'known');
-  t.is(table.merge(news('a', [4, 3], 'failed')), 'known');
+  t.is(table.merge(news('a', [4, 3], 'failed')), 'outdated-accusation');
+  t.is(table.merge(news('a', [4, 3], 'active')), 'known');
   t.is(table.merge(news('a', [5, 0], 'active', { suspected: true })), 'accused');
   table.refute({ incarnation: 5, refutation: 4 });
   t.like(table.self, { incarnation: 5, refutation: 5, lifecycle: 'active' });
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -28,10 +28,12 @@
 /**
  * What became of a piece of news. `unknown`: it names a member or an incarnation that was never introduced.
  * `accused`: it holds this member for suspected or removed. `collision`: another member has the same id hash.
+ * `outdated-accusation`: as `accused`, but this member has refuted it already and the sender has not heard.
  * `reported-failed`: it says that a member that is live here has failed; the member is now suspected here, because the
  * report may come from the other side of a healed partition and the member must get the time to refute it.
  */
-export type MergeOutcome = 'changed' | 'known' | 'unknown' | 'accused' | 'collision' | 'reported-failed';
+export type MergeOutcome =
+  'changed' | 'known' | 'unknown' | 'accused' | 'outdated-accusation' | 'collision' | 'reported-failed';
 
 /** Mutable table; every change is reported to `onChange` after it took effect. */
 export class MemberTable {
@@ -41,6 +43,7 @@
   private readonly liveByHash = new Map<number, MemberRecord>();
   private liveRecords: readonly MemberRecord[] | undefined;
   private livePeers: readonly MemberRecord[] | undefined;
+  private ringRecords: readonly MemberRecord[] | undefined;
   private selfRecord: MemberRecord;
 
   constructor(
@@ -85,6 +88,12 @@
     return this.livePeers;
   }
 
+  /** Live members, self included, in the order of their id hashes. */
+  ring(): readonly MemberRecord[] {
+    this.ringRecords ??= [...this.live()].sort((left, right) => left.idHash - right.idHash);
+    return this.ringRecords;
+  }
+
   /** One digest for each bucket of members; removed members do not count. */
   bucketDigests(): number[] {
     return [...this.digests];
@@ -212,11 +221,12 @@
   }
 
   private judgeAccusation(news: MemberNews): MergeOutcome {
+    if (this.selfRecord.lifecycle === 'left') return 'known';
     const order = compareVersions(news, this.selfRecord);
-    if (order < 0 || this.selfRecord.lifecycle === 'left') return 'known';
     if (news.incarnation > this.selfRecord.incarnation && !news.identity) return 'unknown';
     const accused = order > 0 || news.suspected || isRemovedLifecycle(news.lifecycle);
-    return accused ? 'accused' : 'known';
+    if (!accused) return 'known';
+    return order < 0 ? 'outdated-accusation' : 'accused';
   }
 
   private store(record: MemberRecord, heard: boolean, accuserHash = 0): void {
@@ -229,6 +239,7 @@
     if (previous === this.selfRecord) this.selfRecord = record;
     this.liveRecords = undefined;
     this.livePeers = undefined;
+    this.ringRecords = undefined;
     this.onChange({ record, previous, heard, accuserHash: record.suspected ? accuserHash : 0 });
   }
 
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -1,4 +1,4 @@
-/** Failure detector: probes one member an interval, in shuffled order, directly and then through other members. */
+/** Failure detector: probes one member an interval, in turn, directly and then through other members. */
 import type { TimerHandle } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
@@ -14,6 +14,7 @@
 import { isRemoved, type MemberRecord } from './member-record.js';
 import type { MemberTable } from './member-table.js';
 import type { Messenger } from './messenger.js';
+import { probeShift } from './probe-order.js';
 import { sampleMembers, shuffle } from './sampling.js';
 import { encodeEntry, MessageType, type WireMessage } from './wire.js';
 
@@ -21,6 +22,8 @@
 export interface ProberContext {
   readonly table: MemberTable;
   readonly timers: GuardedTimers;
+  /** Wall clock, ms since the epoch. */
+  readonly wallMs: () => number;
   readonly random: RandomSource;
   readonly timing: MembershipTiming;
   readonly messenger: Messenger;
@@ -50,7 +53,9 @@
 
 /** One prober for each process. */
 export class Prober {
-  private order: number[] = [];
+  private urgent: number[] = [];
+  private ownOrder: number[] = [];
+  private phaseMs = 0;
   private sequence = 0;
   private open: OpenProbe | undefined;
   private roundTimer: TimerHandle | undefined;
@@ -64,10 +69,11 @@
     return this.blindProbes >= BLIND_PROBES;
   }
 
-  /** Starts probing at a random phase. */
+  /** Starts probing at a random phase of the common intervals, away from their ends. */
   start(): void {
     const { timing, random } = this.context;
-    this.scheduleRound(timing.probeIntervalMs * random());
+    this.phaseMs = timing.probeIntervalMs * (0.1 + 0.8 * random());
+    this.scheduleRound(this.nextDelayMs());
   }
 
   stop(): void {
@@ -85,7 +91,7 @@
 
   /** Probes these members next, for instance the rest of a zone that fell silent. */
   probeSoon(idHashes: readonly number[]): void {
-    this.order.push(...shuffle(idHashes, this.context.random));
+    this.urgent = shuffle(idHashes, this.context.random);
   }
 
   /** Probes a member outside the order, only to hear from it. */
@@ -146,17 +152,27 @@
   }
 
   private scheduleRound(delayMs: number): void {
-    const { timers, timing, health } = this.context;
+    const { timers, health } = this.context;
     const dueMs = timers.now() + delayMs;
     this.roundTimer = timers.schedule(delayMs, () => {
       if (timers.now() - dueMs >= LATE_ROUND_MS) health.worsen();
-      this.scheduleRound(timing.probeIntervalMs * health.stretch);
+      this.scheduleRound(this.nextDelayMs());
       this.judgeOpenProbe();
       this.context.onRound();
       this.probeNext();
     });
   }
 
+  /** To the same phase of the next interval, so that there is one round in each; longer while rounds are stretched. */
+  private nextDelayMs(): number {
+    const { timing, health, wallMs } = this.context;
+    const intervalMs = timing.probeIntervalMs;
+    if (health.stretch > 1) return intervalMs * health.stretch;
+    const sincePhaseMs = (wallMs() - this.phaseMs) % intervalMs;
+    const delayMs = intervalMs - sincePhaseMs;
+    return delayMs < intervalMs / 2 ? delayMs + intervalMs : delayMs;
+  }
+
   private judgeOpenProbe(): void {
     const { open, context } = this;
     if (!open) return;
@@ -184,22 +200,35 @@
     this.sendPing(target, sequence);
   }
 
-  /** Next live member in the shuffled order; a new order begins when one is used up. */
+  /** A member asked for by `probeSoon`; else the next in the common order, or while rounds are stretched in its own. */
   private nextTarget(): MemberRecord | undefined {
+    const { table, timing, wallMs, health } = this.context;
+    const urgent = this.nextLive(this.urgent);
+    if (urgent) return urgent;
+    const ring = table.ring();
+    if (ring.length < 2) return undefined;
+    if (health.stretch > 1) return this.nextInOwnOrder();
+    const round = Math.floor(wallMs() / timing.probeIntervalMs);
+    const rank = ring.indexOf(table.self);
+    return ring[(rank + probeShift(round, ring.length)) % ring.length];
+  }
+
+  private nextInOwnOrder(): MemberRecord | undefined {
     const { table, random } = this.context;
-    if (table.peers().length === 0) return undefined;
-    for (;;) {
-      const idHash = this.order.pop();
-      if (idHash === undefined) {
-        this.order = shuffle(
-          table.peers().map((peer) => peer.idHash),
-          random,
-        );
-        continue;
-      }
-      const member = table.get(idHash);
+    const member = this.nextLive(this.ownOrder);
+    if (member) return member;
+    const idHashes = table.peers().map((peer) => peer.idHash);
+    this.ownOrder = shuffle(idHashes, random);
+    return this.nextLive(this.ownOrder);
+  }
+
+  /** Takes the last live member of the list. */
+  private nextLive(idHashes: number[]): MemberRecord | undefined {
+    for (let idHash = idHashes.pop(); idHash !== undefined; idHash = idHashes.pop()) {
+      const member = this.context.table.get(idHash);
       if (member && !isRemoved(member)) return member;
     }
+    return undefined;
   }
 
   /** A suspected target is told so first, so that it can refute. */
--- a/src/membership/quorum-base.ts
+++ b/src/membership/quorum-base.ts
@@ -1,10 +1,12 @@
 /**
  * The members last known together in a settled view, against which reachability is measured (dynamic voting).
  *
- * Only a quorate member changes its base: it adds members that become active, takes out those that leave as planned, and
+ * Only a quorate member changes its base: it adds members that have been active for ADMISSION_WAIT_MS in which nobody was
+ * suspected (so that a member cut off a moment ago does not add others before it notices), takes out planned leavers, and
  * drops failed ones when the view has gone settleMs without a failure. Dropping raises the epoch; a member that meets a
  * higher epoch adopts that base before it can become quorate, so two sides of successive partitions never rest on different bases.
  */
+import { ADMISSION_WAIT_MS } from './constants.js';
 import { isRemoved, ownsShards, type MemberRecord } from './member-record.js';
 
 /** Standing of the reachable members against the base. `tie`: exactly half, the lowest id among them. */
@@ -15,6 +17,7 @@
   private currentEpoch = 0;
   private members = new Set<number>();
   private lastFailureMs = -Infinity;
+  private lastSuspicionMs = -Infinity;
 
   /** 0 while there is no base. */
   get epoch(): number {
@@ -31,6 +34,11 @@
     this.lastFailureMs = nowMs;
   }
 
+  /** A member is suspected; nobody is admitted for a while. */
+  noteSuspicion(nowMs: number): void {
+    this.lastSuspicionMs = nowMs;
+  }
+
   /** Makes the first base of a region from the live owners; without any nothing happens. */
   create(live: readonly MemberRecord[]): void {
     const owners = live.filter(ownsShards);
@@ -62,12 +70,20 @@
 
   /** Brings the base up to date; call it only while quorate. With `maySettle` failed members are dropped in time. */
   evolve(live: readonly MemberRecord[], nowMs: number, settleMs: number, maySettle: boolean): void {
-    const owners = new Set(live.filter(ownsShards).map((record) => record.idHash));
     for (const record of live) if (isLeaver(record)) this.members.delete(record.idHash);
-    for (const idHash of owners) this.members.add(idHash);
-    if (!maySettle || nowMs - this.lastFailureMs < settleMs || owners.size === 0) return;
-    if (this.members.size === owners.size) return;
-    this.adopt(this.currentEpoch + 1, owners);
+    const owners = live.filter(ownsShards);
+    this.admit(owners, nowMs);
+    if (!maySettle || nowMs - this.lastFailureMs < settleMs) return;
+    const present = owners.map((record) => record.idHash).filter((idHash) => this.members.has(idHash));
+    if (present.length > 0 && present.length < this.members.size) this.adopt(this.currentEpoch + 1, present);
+  }
+
+  private admit(owners: readonly MemberRecord[], nowMs: number): void {
+    if (nowMs - this.lastSuspicionMs < ADMISSION_WAIT_MS) return;
+    for (const record of owners) {
+      const activeForMs = nowMs - record.changedAtMs;
+      if (!record.suspected && activeForMs >= ADMISSION_WAIT_MS) this.members.add(record.idHash);
+    }
   }
 
   /** Takes out a planned leaver; call it only while quorate. */
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -78,6 +78,7 @@
   note({ record, previous }: RecordChange): void {
     const failed = record.lifecycle === 'failed' && previous !== undefined && !isRemoved(previous);
     if (failed) this.base.noteFailure(this.context.clock.now());
+    if (record.suspected) this.base.noteSuspicion(this.context.clock.now());
     if (record.lifecycle === 'left' && this.decision) this.base.remove(record.idHash);
   }
 
--- a/src/membership/simulated-cluster.ts
+++ b/src/membership/simulated-cluster.ts
@@ -1,5 +1,6 @@
 /** A region of members on a simulated network and a virtual clock, for tests and the cost model. */
 import { VirtualClock } from '../common/clock.js';
+import { combine32 } from '../common/hash.js';
 import { seededRandom } from '../common/random.js';
 import { PausableClock, SimulatedNetwork, type SimulatedChannel } from '../control/index.js';
 import type { Endpoint } from '../common/types.js';
@@ -100,7 +101,7 @@
     const membership = new SwimMembership({
       ...{ region: REGION, incarnation, channel, clock, timing },
       identity: identityOf(id, zone, endpoint),
-      random: seededRandom(seed * 100_003 + this.boots),
+      random: seededRandom(combine32(seed, this.boots)),
       seeds: this.seedsFor(index),
       platform: platform?.(id, this.clock),
       events: events?.(id),
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -91,6 +91,7 @@
     this.sync = new StateSync({ table, timers, random, timing, messenger });
     this.prober = new Prober({
       ...{ table, timers, random, timing, messenger, health: this.health },
+      wallMs: () => clock.wall(),
       onUnanswered: (target) => this.onUnanswered(target),
       onRound: () => this.onRound(),
     });
@@ -265,7 +266,10 @@
     const outcome = this.table.merge(news);
     if (outcome === 'unknown') this.sync.requestSoon(from);
     else if (outcome === 'accused') this.onAccused(news);
-    else if (outcome === 'reported-failed') this.onReportedFailed(news);
+    else if (outcome === 'outdated-accusation') {
+      const entries = [encodeEntry(this.table.self, true)];
+      this.messenger.send(from, { type: MessageType.GOSSIP, entries });
+    } else if (outcome === 'reported-failed') this.onReportedFailed(news);
     else if (outcome === 'collision') {
       this.events.emit(MEMBERSHIP_EVENTS.collision, { member: news.identity?.id });
     } else if (outcome === 'known' && news.suspected) this.confirmSuspicion(news);
