Stop health gossip where the byte budget does, and keep its digest

Cause: with the byte budget spent, a round encoded every waiting vote once for each peer only to be refused, ten times a second; each digest was computed from all votes. Change: a part is encoded once for all peers and a round ends at the first refused part; the digest and the back ends of its buckets are kept up to date with each vote; peers are picked without copying the member list. Conclusion: the cost of gossip follows what is sent, not what waits.

--- a/src/health/gossip.ts
+++ b/src/health/gossip.ts
@@ -17,6 +17,7 @@
   LOAD_ROUNDS,
   LOAD_SENDS,
   VERDICT_SENDS,
+  VOTES_PER_MESSAGE,
 } from './constants.js';
 import { HealthMessageError } from './errors.js';
 import { HEALTH_EVENTS } from './events.js';
@@ -26,6 +27,9 @@
 /** Votes answered to one digest at most, so that a newcomer of a large fleet does not cause a burst; it asks again. */
 const MAX_VOTES_PER_ANSWER = 320;
 
+/** Random picks before a round goes to fewer members than it could. */
+const MAX_PICKS = 40;
+
 /** What the gossip is made with. */
 export interface HealthGossipOptions {
   readonly clock: Clock;
@@ -97,32 +101,38 @@
   private sendPending(): void {
     this.round += 1;
     const urgentOnly = this.round % LOAD_ROUNDS !== 0;
-    const entries = [...this.pending.values()].filter(({ urgent }) => urgent || !urgentOnly);
+    const urgent = this.pendingEntries(true);
+    const entries = urgentOnly ? urgent : [...urgent, ...this.pendingEntries(false)];
     if (entries.length === 0) return;
     const peers = this.randomPeers(GOSSIP_FANOUT);
     if (peers.length === 0) {
       this.pending.clear();
       return;
     }
-    entries.sort((left, right) => Number(right.urgent) - Number(left.urgent));
-    for (const part of pages(entries.map(({ vote }) => vote))) this.sendPart(part, peers);
+    for (let start = 0; start < entries.length; start += VOTES_PER_MESSAGE) {
+      // What the byte budget holds back now is not even encoded: all of it waits for the next round.
+      if (!this.sendPart(entries.slice(start, start + VOTES_PER_MESSAGE), peers)) return;
+    }
   }
 
-  private sendPart(part: readonly Vote[], peers: readonly Member[]): void {
-    let sent = 0;
-    for (const peer of peers) {
-      if (this.send(peer, { votes: part, digest: [], answer: false })) sent += 1;
-    }
-    for (const vote of part) this.countSends(vote, sent, peers.length);
+  private pendingEntries(urgent: boolean): [string, PendingVote][] {
+    const entries: [string, PendingVote][] = [];
+    for (const entry of this.pending) if (entry[1].urgent === urgent) entries.push(entry);
+    return entries;
   }
 
-  private countSends(vote: Vote, sent: number, peers: number): void {
-    const key = `${vote.backendId}:${vote.memberHash}`;
-    const entry = this.pending.get(key);
-    if (!entry || entry.vote !== vote) return;
-    entry.sendsLeft -= sent;
-    const everyoneHasIt = peers < GOSSIP_FANOUT && sent === peers;
-    if (entry.sendsLeft <= 0 || everyoneHasIt) this.pending.delete(key);
+  /** Sends one message to each peer; false when the byte budget let none of them go. */
+  private sendPart(part: readonly [string, PendingVote][], peers: readonly Member[]): boolean {
+    const votes = part.map(([, { vote }]) => vote);
+    const payload = encodeUpdate({ votes, digest: [], answer: false }, this.options.clock.now());
+    let sent = 0;
+    for (const peer of peers) if (this.sendPayload(peer, payload)) sent += 1;
+    const everyoneHasIt = peers.length < GOSSIP_FANOUT && sent === peers.length;
+    for (const [key, entry] of part) {
+      entry.sendsLeft -= sent;
+      if (entry.sendsLeft <= 0 || everyoneHasIt) this.pending.delete(key);
+    }
+    return sent > 0;
   }
 
   private sendDigest(): void {
@@ -156,19 +166,24 @@
     const own = this.options.table.digest();
     const differing = own.flatMap((hash, bucket) => (hash === update.digest[bucket] ? [] : [bucket]));
     if (differing.length === 0) return;
-    const peer = this.peers().find((member) => member.id === message.senderId);
+    const peer = this.options.membership.view().members.find(({ id }) => id === message.senderId);
     if (!peer) return;
     const start = Math.floor(this.options.random() * differing.length);
     const rotated = [...differing.slice(start), ...differing.slice(0, start)];
     const votes = rotated
       .flatMap((bucket) => this.options.table.votesInBucket(bucket))
       .slice(0, MAX_VOTES_PER_ANSWER);
-    for (const part of pages(votes)) this.send(peer, { votes: part, digest: [], answer: true });
+    for (const part of pages(votes)) {
+      if (!this.send(peer, { votes: part, digest: [], answer: true })) break;
+    }
     if (!update.answer) this.send(peer, { votes: [], digest: own, answer: true });
   }
 
   private send(peer: Member, update: HealthUpdate): boolean {
-    const payload = encodeUpdate(update, this.options.clock.now());
+    return this.sendPayload(peer, encodeUpdate(update, this.options.clock.now()));
+  }
+
+  private sendPayload(peer: Member, payload: Uint8Array): boolean {
     if (!this.options.control.send(peer.control, 'health', payload)) {
       this.deferred += 1;
       return false;
@@ -178,20 +193,16 @@
     return true;
   }
 
-  private peers(): readonly Member[] {
-    const { membership } = this.options;
-    return membership.view().members.filter((member) => member.id !== membership.selfId);
-  }
-
+  /** Different random members, this one left out; fewer when there are fewer. */
   private randomPeers(count: number): Member[] {
-    const peers = [...this.peers()];
-    const chosen: Member[] = [];
-    while (chosen.length < count && peers.length > 0) {
-      const index = Math.floor(this.options.random() * peers.length);
-      chosen.push(peers[index]!);
-      peers[index] = peers[peers.length - 1]!;
-      peers.pop();
+    const { membership, random } = this.options;
+    const { members } = membership.view();
+    const chosen = new Set<Member>();
+    const wanted = Math.min(count, members.length - 1);
+    for (let tries = 0; chosen.size < wanted && tries < MAX_PICKS; tries += 1) {
+      const member = members[Math.floor(random() * members.length)];
+      if (member && member.id !== membership.selfId) chosen.add(member);
     }
-    return chosen;
+    return [...chosen];
   }
 }
--- a/src/health/votes.ts
+++ b/src/health/votes.ts
@@ -41,14 +41,19 @@
 /** All votes that this balancer knows; size: back ends × voters of each. */
 export class VoteTable {
   private readonly byBackend = new Map<number, Map<number, Vote>>();
+  /** Back ends with votes, by digest bucket. */
+  private readonly backendsByBucket = Array.from({ length: DIGEST_BUCKETS }, () => new Set<number>());
+  /** The digest, kept up to date with each change. */
+  private readonly buckets = new Uint32Array(DIGEST_BUCKETS);
 
   /** Stores a vote unless a newer one of the same member is known. */
   apply(vote: Vote): VoteChange {
-    const votes = this.byBackend.get(vote.backendId) ?? new Map<number, Vote>();
+    const votes = this.votesOf(vote.backendId);
     const known = votes.get(vote.memberHash);
     if (known && !isNewer(vote.version, known.version)) return 'stale';
     votes.set(vote.memberHash, vote);
-    this.byBackend.set(vote.backendId, votes);
+    if (known) this.toggle(known);
+    this.toggle(vote);
     const sameVerdict = known?.verdict === vote.verdict && known.passiveFailures === vote.passiveFailures;
     return sameVerdict ? 'load' : 'verdict';
   }
@@ -65,13 +70,15 @@
   /** Drops the votes of members and on back ends that no longer exist. */
   retain(memberHashes: ReadonlySet<number>, backendIds: ReadonlySet<number>): void {
     for (const [backendId, votes] of this.byBackend) {
-      if (!backendIds.has(backendId)) {
-        this.byBackend.delete(backendId);
-        continue;
-      }
-      for (const memberHash of votes.keys()) {
-        if (!memberHashes.has(memberHash)) votes.delete(memberHash);
+      const backendExists = backendIds.has(backendId);
+      for (const [memberHash, vote] of votes) {
+        if (backendExists && memberHashes.has(memberHash)) continue;
+        votes.delete(memberHash);
+        this.toggle(vote);
       }
+      if (backendExists) continue;
+      this.byBackend.delete(backendId);
+      this.backendsByBucket[bucketOf(backendId)]!.delete(backendId);
     }
   }
 
@@ -87,22 +94,30 @@
 
   /** One hash for each bucket of back ends over the verdicts; loads and passive counts are left out. */
   digest(): number[] {
-    const buckets = new Array<number>(DIGEST_BUCKETS).fill(0);
-    for (const [backendId, votes] of this.byBackend) {
-      const bucket = bucketOf(backendId);
-      for (const vote of votes.values()) buckets[bucket] = (buckets[bucket]! ^ verdictHash(vote)) >>> 0;
-    }
-    return buckets;
+    return [...this.buckets];
   }
 
-  /** The votes in one bucket that say something. */
+  /** The votes in one bucket. */
   votesInBucket(bucket: number): Vote[] {
     const found: Vote[] = [];
-    for (const [backendId, votes] of this.byBackend) {
-      if (bucketOf(backendId) === bucket) found.push(...votes.values());
-    }
+    for (const backendId of this.backendsByBucket[bucket] ?? []) found.push(...this.votesOn(backendId));
     return found;
   }
+
+  private votesOf(backendId: number): Map<number, Vote> {
+    let votes = this.byBackend.get(backendId);
+    if (!votes) {
+      votes = new Map();
+      this.byBackend.set(backendId, votes);
+      this.backendsByBucket[bucketOf(backendId)]!.add(backendId);
+    }
+    return votes;
+  }
+
+  /** Adds a vote to the digest, or takes it out again. */
+  private toggle(vote: Vote): void {
+    this.buckets[bucketOf(vote.backendId)]! ^= verdictHash(vote);
+  }
 }
 
 /** Digest bucket of a back end. */
