Measure the scale run's steps in their steady state

Cause: steps were measured right after settling, with the votes of probers that had just moved on still spreading. Change: a step waits until the bytes a second stop falling; settling is reported by itself; probes over HTTP, edits of whole trees, full-tree changes and a small site are steps of their own; suspicions count members, not observations. Conclusion: the slopes describe the steady fleet; the start is shown beside them.

--- a/src/experiment/scale/hollow-host.ts
+++ b/src/experiment/scale/hollow-host.ts
@@ -11,8 +11,10 @@
 import { createPlatformClient } from '../../platform/index.js';
 import { FlowPool, numericEndpoint } from './flow-generator.js';
 import { HollowDaemon, type HollowSurroundings } from './hollow-daemon.js';
+import { IDLE_LOAD } from './stub-probe.js';
 import type { HostConfiguration, HostSample } from './types.js';
 
+const IDLE_BODY = JSON.stringify(IDLE_LOAD);
 const ENDPOINT = z.object({ host: z.string(), port: z.number() });
 const CONFIGURATION = z.object({
   keyFile: z.string(),
@@ -30,6 +32,7 @@
   preloadedFlows: z.number(),
   lifetimeMs: z.number(),
 });
+const LISTEN_BODY = z.object({ count: z.number() });
 const PLATFORM_BODY = z.object({ ids: z.array(z.string()), blocked: z.boolean() });
 
 /** Everything a host process does. */
@@ -58,6 +61,8 @@
         return this.setPlatform(PLATFORM_BODY.parse(body));
       case '/mark':
         return this.forAll((daemon) => daemon.mark());
+      case '/listen':
+        return listenForProbes(LISTEN_BODY.parse(body).count);
       default:
         return this.sample();
     }
@@ -114,6 +119,17 @@
   }
 }
 
+/** Opens listeners that answer health and load probes as an idle back end does. */
+async function listenForProbes(count: number): Promise<{ readonly endpoints: Endpoint[] }> {
+  const endpoints: Endpoint[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const server = createServer((_request, response) => response.end(IDLE_BODY));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    endpoints.push({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
+  }
+  return { endpoints };
+}
+
 /** Serves a host on a port chosen by the kernel, prints the ready line and runs until the process is ended. */
 export async function runHollowHost(configurationFile: string): Promise<void> {
   const configuration = CONFIGURATION.parse(JSON.parse(readFileSync(configurationFile, 'utf8')));
--- a/src/experiment/scale/step-figures.ts
+++ b/src/experiment/scale/step-figures.ts
@@ -29,6 +29,9 @@
   readonly edits: readonly ScaleEdit[];
   readonly emptyHostBytes: number;
   readonly storeRequests: number;
+  /** Sample taken when the fleet had settled, and the seconds until then. */
+  readonly settled: readonly HostSample[];
+  readonly settleSeconds: number;
 }
 
 /** Figures of a step, for one daemon unless the field says otherwise. */
@@ -76,11 +79,9 @@
     secondsToEverywhereMedian: known.length === 0 ? null : round(quantile(known, 0.5)!, 3),
     storeReaders: daemons.filter((daemon) => daemon.storeReader).length,
     storeRequestsPerSecond: round(observation.storeRequests / seconds),
-    falseSuspicions: sum(
-      daemons.map(
-        (daemon) => daemon.changes.filter(({ state }) => state === 'suspect' || state === 'gone').length,
-      ),
-    ),
+    falseSuspicions: membersSeen(daemons, 'suspect'),
+    falseRemovals: membersSeen(daemons, 'gone'),
+    ...settleFigures(observation),
     exceptionsShare: openings > 0 ? round(sum(rate((daemon) => daemon.exceptions)) / openings, 4) : null,
     flowTableBytesPerFlow:
       flows > 0 ? round(sum(daemons.map((daemon) => daemon.flowTableBytes)) / flows) : null,
@@ -88,6 +89,25 @@
   };
 }
 
+/** Members that any daemon saw in the state. */
+export function membersSeen(daemons: readonly HollowSample[], state: string): number {
+  const seen = daemons.flatMap(({ changes }) => changes.filter((change) => change.state === state));
+  return new Set(seen.map(({ memberId }) => memberId)).size;
+}
+
+function settleFigures(
+  observation: StepObservation,
+): Pick<StepFigures, 'settleSeconds' | 'settleBytesPerDaemon' | 'settleHandoverBytesPerDaemon'> {
+  const daemons = daemonsOf(observation.settled);
+  const bytes = sum(daemons.map((daemon) => sumKinds(daemon, 'bytesOut')));
+  const handover = sum(daemons.map((daemon) => daemon.kinds.handover.bytesOut));
+  return {
+    settleSeconds: round(observation.settleSeconds),
+    settleBytesPerDaemon: Math.round(bytes / daemons.length),
+    settleHandoverBytesPerDaemon: Math.round(handover / daemons.length),
+  };
+}
+
 /** Seconds from the start of an edit until the last daemon had it (or a later version) in force. */
 export function secondsToEverywhere(daemons: readonly HollowSample[], edit: ScaleEdit): number | undefined {
   let latestMs = edit.startedAtWallMs;
--- a/src/experiment/scale/tree-generator.ts
+++ b/src/experiment/scale/tree-generator.ts
@@ -12,6 +12,14 @@
   readonly zones: readonly string[];
 }
 
+const DESIGN_SERVICES = 4_300;
+const DESIGN_BACKENDS = 6_300;
+
+/** Services of a tree with this many back ends, in the proportion of the size to design for. */
+export function servicesFor(backends: number): number {
+  return Math.max(1, Math.min(backends, Math.round((backends * DESIGN_SERVICES) / DESIGN_BACKENDS)));
+}
+
 /** A valid tree with back ends spread evenly over the services. Throws when the generator makes a faulty one. */
 export function generateTree(size: TreeSize): TreeDocument {
   const sites: Record<string, { services: Record<string, unknown> }> = {};
--- a/src/experiment/scale/types.ts
+++ b/src/experiment/scale/types.ts
@@ -97,12 +97,38 @@
   readonly secondsToEverywhereMedian: number | null;
   readonly storeReaders: number;
   readonly storeRequestsPerSecond: number;
+  /** Running members that any daemon saw suspect, or gone, while the step was measured. */
   readonly falseSuspicions: number;
+  readonly falseRemovals: number;
+  /** Seconds from the start of the first process until every shard was kept, and bytes a daemon sent until then. */
+  readonly settleSeconds: number;
+  readonly settleBytesPerDaemon: number;
+  readonly settleHandoverBytesPerDaemon: number;
   readonly exceptionsShare: number | null;
   readonly flowTableBytesPerFlow: number | null;
   readonly probesPerSecond: number;
 }
 
+/** Cost of real HTTP probes, and of the stub that hollow daemons use, measured without a fleet. */
+export interface ProbeCost {
+  readonly backends: number;
+  readonly httpProbesPerSecond: number;
+  /** Processor time of the probing process, share of a core. */
+  readonly httpCpuFraction: number;
+  readonly stubCpuFraction: number;
+  readonly seconds: number;
+}
+
+/** One edit of the whole tree by an operator's command, at one size of tree. */
+export interface OperatorCost {
+  readonly backends: number;
+  readonly edits: number;
+  readonly treeBytes: number;
+  /** Medians for one edit: processor time and elapsed time, ms. */
+  readonly cpuMs: number;
+  readonly elapsedMs: number;
+}
+
 /** What a fault did. */
 export interface FaultFigures {
   readonly fault: string;
@@ -129,6 +155,12 @@
   readonly emptyHostMegabytes: number;
   readonly steps: readonly (StepFigures & { readonly dimension: string })[];
   readonly faults: readonly FaultFigures[];
+  readonly probes: readonly ProbeCost[];
+  readonly operator: readonly OperatorCost[];
+  /** One-minute load average of the machine when the run began and ended; other work makes times longer. */
+  readonly loadAverage: readonly [number, number];
+  /** Commit that was measured, as the caller named it. */
+  readonly commit: string | null;
   readonly peakProcesses: number;
   readonly peakResidentMegabytes: number;
   readonly notRun: readonly string[];
--- a/src/experiment/special-runs.ts
+++ b/src/experiment/special-runs.ts
@@ -21,6 +21,8 @@
   readonly maxMembers: string;
   readonly secondsPerStep: string;
   readonly faults: boolean;
+  readonly faultMembers: string;
+  readonly commit?: string;
 }
 
 /** Adds the experiments below `run` and the host process below `experiment`. */
@@ -28,10 +30,12 @@
   run
     .command('scale')
     .description('slopes of the control plane against members, back ends, flows, openings and changes')
-    .option('--dimension <names...>', 'members, backends, openings, flows, changes, regions; all when absent')
+    .option('--dimension <names...>', 'steps to run (members, backends, openings, …); all when absent')
     .option('--max-members <count>', 'leave larger steps out', String(DEFAULT_MAX_MEMBERS))
     .option('--seconds-per-step <seconds>', 'time measured for each step', String(DEFAULT_SECONDS_PER_STEP))
     .option('--no-faults', 'leave the faults out')
+    .option('--fault-members <count>', 'daemons of the fleet that faults are tried on', '200')
+    .option('--commit <name>', 'name of the measured commit, noted in the report')
     .addHelpText('after', SCALE_EXAMPLES)
     .action(async (_own: unknown, command: Command) =>
       runScaleCommand(command.optsWithGlobals<ScaleFlags>()),
@@ -51,6 +55,8 @@
     dimensions: flags.dimension ?? [],
     maxMembers: Number(flags.maxMembers),
     faults: flags.faults,
+    faultMembers: Number(flags.faultMembers),
+    commit: flags.commit,
     progress: (line) => void process.stderr.write(`scale: ${line}\n`),
   });
   if (flags.out) writeFileSync(flags.out, `${JSON.stringify(report, null, 1)}\n`);
