--- a/src/experiment/experiment-run.ts
+++ b/src/experiment/experiment-run.ts
@@ -18,6 +18,7 @@
 import { ProcessLauncher } from './process-launcher.js';
 import { RunDirectory } from './run-directory.js';
 import { planActions, type PlainAction } from './run-plan.js';
+import { EDIT_HISTORY_LENGTH } from '../settings/index.js';
 import type { LoadSettings, Scenario } from './scenario.js';
 import { resolveNames, ScenarioNames } from './scenario-names.js';
 import { shortName, SiteTemplate } from './site-template.js';
@@ -247,10 +248,12 @@
     }
   }
 
+  /** Accepted edits that the stored history lacks; only as many as the history holds are looked for. */
   private async lostEdits(operators: Operators): Promise<number | undefined> {
-    const accepted = operators.edits.filter(
-      (edit) => edit.outcome === 'accepted' && edit.message !== 'unchanged',
-    );
+    const accepted = operators.edits
+      .filter((edit) => edit.outcome === 'accepted' && edit.message !== 'unchanged')
+      .sort((left, right) => (left.version ?? 0) - (right.version ?? 0))
+      .slice(-EDIT_HISTORY_LENGTH);
     if (accepted.length === 0) return 0;
     const stored = await operators.storedTokens();
     if (!stored) this.problems.push('the stored tree could not be read at the end: lost edits are not known');
