--- a/src/standin/caller/command.ts
+++ b/src/standin/caller/command.ts
@@ -1,9 +1,11 @@
 /** `sailquay standin caller`. */
 import type { Command } from 'commander';
+import { z } from 'zod';
 import type { Endpoint } from '../../common/types.js';
 import {
   parseEndpoint,
-  parseJson,
+  endpointSchema,
+  jsonParser,
   parseNumber,
   runUntilSignal,
   standinGroup,
@@ -11,6 +13,12 @@
 import { startCallerStandin } from './caller-standin.js';
 import { DEFAULT_LOAD, type CalledService, type CallerLoad } from './types.js';
 
+const servicesSchema = z
+  .array(
+    z.object({ name: z.string().min(1), address: endpointSchema, weight: z.number().positive().optional() }),
+  )
+  .min(1);
+
 interface CallerFlags extends CallerLoad {
   readonly fabric: Endpoint;
   readonly services: CalledService[];
@@ -56,7 +64,7 @@
     .command('caller')
     .description('Open flows through the fabric, send requests and check the answers')
     .requiredOption('--fabric <address:port>', 'caller side of the fabric', parseEndpoint)
-    .requiredOption('--services <json|@file>', 'list of {name, address, weight}', parseJson)
+    .requiredOption('--services <json|@file>', 'list of {name, address, weight}', jsonParser(servicesSchema))
     .option('--local <address:port>', 'local data address', parseEndpoint, anyPort)
     .option('--control <address:port>', 'HTTP control address', parseEndpoint, anyPort)
     .option('--first-client-address <address>', 'first inner client address', DEFAULT_LOAD.firstClientAddress)
--- a/src/standin/common/command-line.ts
+++ b/src/standin/common/command-line.ts
@@ -1,6 +1,7 @@
 /** Option parsing and life cycle shared by the stand-ins' commands. */
 import { readFileSync } from 'node:fs';
 import { InvalidArgumentError, type Command } from 'commander';
+import { z } from 'zod';
 import type { Endpoint } from '../../common/types.js';
 
 /** Reads a finite number that is not negative. */
@@ -20,8 +21,19 @@
   return { host: match[1], port };
 }
 
-/** Reads JSON: the text itself, or the file named after an `@`. */
-export function parseJson(text: string): unknown {
+/** Schema of an address in JSON; the port may be 0. */
+export const endpointSchema = z.object({ host: z.ipv4(), port: z.int().min(0).max(65_535) });
+
+/** A parser of JSON (the text itself, or the file named after an `@`) that fits `schema`. */
+export function jsonParser<T>(schema: z.ZodType<T>): (text: string) => T {
+  return (text) => {
+    const result = schema.safeParse(parseJson(text));
+    if (result.success) return result.data;
+    throw new InvalidArgumentError(z.prettifyError(result.error));
+  };
+}
+
+function parseJson(text: string): unknown {
   try {
     return JSON.parse(text.startsWith('@') ? readFileSync(text.slice(1), 'utf8') : text);
   } catch (error) {
--- a/src/standin/fabric/command.ts
+++ b/src/standin/fabric/command.ts
@@ -1,9 +1,11 @@
 /** `sailquay standin fabric`. */
 import type { Command } from 'commander';
+import { z } from 'zod';
 import type { Endpoint } from '../../common/types.js';
 import {
   parseEndpoint,
-  parseJson,
+  endpointSchema,
+  jsonParser,
   parseNumber,
   runUntilSignal,
   standinGroup,
@@ -11,6 +13,10 @@
 import { startFabricStandin } from './fabric-standin.js';
 import type { FabricBalancer, FabricImpairments } from './types.js';
 
+const balancersSchema = z.array(
+  z.object({ name: z.string().min(1), data: endpointSchema, admin: endpointSchema }),
+);
+
 interface FabricFlags extends FabricImpairments {
   readonly callerSide: Endpoint;
   readonly balancerSide: Endpoint;
@@ -28,7 +34,7 @@
     .option('--caller-side <address:port>', 'where callers send packets', parseEndpoint, anyPort)
     .option('--balancer-side <address:port>', 'where balancers send packets back', parseEndpoint, anyPort)
     .option('--control <address:port>', 'HTTP control address', parseEndpoint, anyPort)
-    .option('--balancers <json|@file>', 'list of {name, data, admin}', parseJson, [])
+    .option('--balancers <json|@file>', 'list of {name, data, admin}', jsonParser(balancersSchema), [])
     .option('--seed <number>', 'seed of the random choices', parseNumber, 1)
     .option('--loss-share <share>', 'share of packets lost', parseNumber, 0)
     .option('--duplicate-share <share>', 'share of packets sent twice', parseNumber, 0)
