Trust only answers given after a pause

Cause: messages that had waited in the socket during a pause made the resumed member quorate again. Change: only an acknowledgement of a probe sent after the pause does; a test with a member that is cut off when it resumes.

--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -69,6 +69,11 @@
     return this.blindProbes >= BLIND_PROBES;
   }
 
+  /** Number of the last probe sent; answers to later ones were given later. */
+  get lastSequence(): number {
+    return this.sequence;
+  }
+
   /** Starts probing at a random phase of the common intervals, away from their ends. */
   start(): void {
     const { timing, random } = this.context;
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -86,6 +86,10 @@
   noteContact(): void {
     this.met = true;
     this.sole = false;
+  }
+
+  /** Another member has answered a probe sent after the last pause. */
+  noteFreshAnswer(): void {
     this.validated = true;
   }
 
--- a/src/membership/swim-membership.test.ts
+++ b/src/membership/swim-membership.test.ts
@@ -149,6 +149,20 @@
   );
 });
 
+test('messages that waited during a pause do not make a member quorate that is cut off by now', (t) => {
+  const cluster = new SimulatedCluster({ size: 12 });
+  cluster.start();
+  cluster.pause(5);
+  cluster.clock.advance(10_000);
+  const others = [...cluster.members.keys()].filter((id) => id !== cluster.idOf(5));
+  cluster.network.partition([cluster.idOf(5)], others);
+  cluster.resume(5);
+  const isQuorate = (): boolean => cluster.at(5).membership.view().quorate;
+  t.is(timeUntil(cluster, isQuorate, 20_000), Infinity);
+  cluster.network.heal();
+  t.true(timeUntil(cluster, () => converged(cluster), 20_000) < Infinity);
+});
+
 test('a member that is suspected for a short silence refutes it and stays', (t) => {
   const cluster = new SimulatedCluster({ size: 12 });
   cluster.start();
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -62,6 +62,8 @@
   private readonly reporter: ChangeReporter;
   private readonly counts = { suspicionsRaised: 0, refutations: 0, pauses: 0 };
   private reconnectDueMs = 0;
+  /** What waited in the socket during a pause proves nothing: only answers to later probes do. */
+  private sequenceAtPause = 0;
   private running = false;
   private stopped = false;
 
@@ -235,6 +237,7 @@
       case MessageType.PING:
         return this.prober.onPing(from, message, this.firstEntriesFor(senderHash, refuted));
       case MessageType.ACK:
+        if (message.sequence > this.sequenceAtPause) this.quorum.noteFreshAnswer();
         return this.prober.onAck(senderHash, message);
       case MessageType.INDIRECT_PING:
         return this.prober.onIndirectPing(from, message);
@@ -388,6 +391,7 @@
     this.counts.pauses += 1;
     this.events.emit(MEMBERSHIP_EVENTS.paused, { lostMs: Math.round(lostMs) });
     this.prober.discard();
+    this.sequenceAtPause = this.prober.lastSequence;
     this.suspicions.restart();
     this.health.worsen();
     this.quorum.notePause(this.table.liveCount > 1);
