Log shard changes once a tick instead of once a shard

Cause: a start or a takeover wrote one event for each of up to 4,096 shards. Change: counts are logged at the end of a tick; records of another service at most once in ten seconds.

--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -11,8 +11,13 @@
 import type { ServicePort } from './service-index.js';
 import type { KeptShard } from './shard-holding.js';
 
+/** Least time between two log events about records of another service. */
+const WRONG_SERVICE_EVENT_MS = 10_000;
+
 /** Forwards packets of known flows, opens new ones, and answers for unknown ones. */
 export class KeptFlows {
+  private nextWrongServiceEventMs = 0;
+
   constructor(
     private readonly context: FlowContext,
     private readonly openings: Openings,
@@ -165,6 +170,9 @@
   private countWrongService(kept: KeptShard, entry: BackendEntry): void {
     const { counters, components } = this.context;
     counters.wrongServiceRecords += 1;
+    const nowMs = this.context.now();
+    if (nowMs < this.nextWrongServiceEventMs) return;
+    this.nextWrongServiceEventMs = nowMs + WRONG_SERVICE_EVENT_MS;
     components.events.emit(FLOW_EVENTS.wrongServiceRecord, { shard: kept.shard, backend: entry.id });
   }
 }
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -38,6 +38,9 @@
 export class Ownership {
   /** Shards given to another keeper since start. */
   givenShards = 0;
+  /** Shards since the last tick, for one log event each. */
+  private startedEmpty = 0;
+  private readonly recovered = new Map<string, number>();
   private readonly installer: ShardInstaller;
 
   constructor(
@@ -68,6 +71,7 @@
   tick(): void {
     this.detectPause();
     this.reconcile();
+    this.logChanges();
   }
 
   /** Takes in a shard from another balancer. */
@@ -141,6 +145,14 @@
     this.context.cautiousUntilMs = nowMs + ORPHAN_WAIT_MS;
   }
 
+  private logChanges(): void {
+    const { events } = this.context.components;
+    if (this.startedEmpty > 0) events.emit(FLOW_EVENTS.shardsStartedEmpty, { shards: this.startedEmpty });
+    this.startedEmpty = 0;
+    for (const [from, shards] of this.recovered) events.emit(FLOW_EVENTS.takeover, { from, shards });
+    this.recovered.clear();
+  }
+
   private reconcile(): void {
     for (const kept of this.context.kept.values()) {
       if (kept.settledFor !== this.context.ownersSequence) this.reconcileKept(kept);
@@ -199,7 +211,7 @@
     if (!ready) kept.awaitedSinceMs = nowMs;
     else if (nowMs - kept.awaitedSinceMs > ORPHAN_WAIT_MS) {
       this.installer.startEmpty(kept, settings.version);
-      this.context.components.events.emit(FLOW_EVENTS.shardsStartedEmpty, { shard: kept.shard });
+      this.startedEmpty += 1;
       this.ensureBackup(kept);
     }
   }
@@ -400,6 +412,7 @@
     const kept = this.context.kept.get(replica.shard);
     if (!replica.trusted && !this.hasWaitedForBetter(kept)) return;
     this.parts.holder.markLapsed(replica);
+    this.recovered.set(replica.keeperId, (this.recovered.get(replica.keeperId) ?? 0) + 1);
     const { records, ...header } = snapshotReplica(this.context, replica);
     const target = kept ?? this.acquire(replica.shard);
     const recovery = { ...header, purpose: ShardPurpose.RECOVERY };
