--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -64,8 +64,8 @@
     );
     this.peers = new ReplicaPeers(context, {
       onLapsed: (peer) => this.ownership.onLapsed(peer),
-      onMissing: (peer, shards) => this.ownership.onMissing(peer, shards),
-      onClosed: (peer) => this.ownership.onPeerClosed(peer),
+      onMissing: (peer, shards) => this.ownership.backups.onMissing(peer, shards),
+      onClosed: (peer) => this.ownership.backups.onPeerClosed(peer),
     });
     this.ownership = new Ownership(context, {
       relay: this.relay,
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -3,6 +3,7 @@
  * is held until its next holder has acknowledged it; the view alone gives nobody a shard.
  */
 import type { Member, MembershipView } from '../membership/types.js';
+import { BackupSync } from './backup-sync.js';
 import { ORPHAN_WAIT_LIMIT_MS, ORPHAN_WAIT_MS, PAUSE_DETECTION_MS, SHARD_COUNT } from './constants.js';
 import { FLOW_EVENTS } from './events.js';
 import type { FlowContext } from './flow-context.js';
@@ -14,7 +15,7 @@
 import type { ReplicaPeers } from './replica-peers.js';
 import { fromBitmap } from './shard-set.js';
 import { KeptShard, ReplicaShard } from './shard-holding.js';
-import { finishRebase } from './rebase.js';
+import { ReplicaRecovery } from './replica-recovery.js';
 import { ShardInstaller } from './shard-installer.js';
 import type { IncomingShard, InstallOutcome, ShardReceiver } from './shard-receiver.js';
 import type { ShardSender, ShardSnapshot } from './shard-sender.js';
@@ -22,9 +23,6 @@
 
 const { ShardPurpose } = sailquay.flow;
 
-/** Delay before a refused recovery is offered again. */
-const RECOVERY_RETRY_MS = 300;
-
 /** The parts that ownership works with. */
 export interface OwnershipParts {
   readonly relay: PacketRelay;
@@ -38,16 +36,21 @@
 export class Ownership {
   /** Shards given to another keeper since start. */
   givenShards = 0;
+  readonly backups: BackupSync;
   /** Shards since the last tick, for one log event each. */
   private startedEmpty = 0;
-  private readonly recovered = new Map<string, number>();
   private readonly installer: ShardInstaller;
+  private readonly recovery: ReplicaRecovery;
 
   constructor(
     private readonly context: FlowContext,
     private readonly parts: OwnershipParts,
   ) {
     this.installer = new ShardInstaller(context);
+    this.backups = new BackupSync(context, parts);
+    this.recovery = new ReplicaRecovery(context, parts, {
+      promote: (replica) => this.promote(replica),
+    });
   }
 
   /** Takes over a membership view. */
@@ -84,8 +87,8 @@
     const target = kept ?? this.acquire(incoming.shard);
     const outcome = this.installer.install(target, header, incoming.records);
     if (outcome === 'superseded') return 'done';
-    this.dropBackup(target);
-    target.settledFor = 0;
+    this.backups.drop(target);
+    this.backups.restart(target);
     target.owed.push({ senderId: incoming.from.senderId, transferId: incoming.transferId });
     this.reconcileKept(target);
     return 'later';
@@ -115,25 +118,6 @@
     if (given > 0) this.context.components.events.emit(FLOW_EVENTS.steppedDown, { shards: given });
   }
 
-  /** The backup lacks shards: they are replicated again. */
-  onMissing(peer: ReplicaPeer, shards: Iterable<number>): void {
-    for (const shard of shards) {
-      const kept = this.context.kept.get(shard);
-      peer.shards.delete(shard);
-      if (kept?.backup !== peer) continue;
-      kept.backup = undefined;
-      kept.settledFor = 0;
-    }
-  }
-
-  /** The link to a backup ended. */
-  onPeerClosed(peer: ReplicaPeer): void {
-    for (const kept of this.context.kept.values()) {
-      if (kept.backup !== peer) continue;
-      this.dropBackup(kept);
-    }
-  }
-
   private detectPause(): void {
     const nowMs = this.context.now();
     const gapMs = nowMs - this.context.lastTickMs;
@@ -149,15 +133,14 @@
     const { events } = this.context.components;
     if (this.startedEmpty > 0) events.emit(FLOW_EVENTS.shardsStartedEmpty, { shards: this.startedEmpty });
     this.startedEmpty = 0;
-    for (const [from, shards] of this.recovered) events.emit(FLOW_EVENTS.takeover, { from, shards });
-    this.recovered.clear();
+    this.recovery.logTakeovers();
   }
 
   private reconcile(): void {
     for (const kept of this.context.kept.values()) {
       if (kept.settledFor !== this.context.ownersSequence) this.reconcileKept(kept);
     }
-    for (const replica of this.context.replicas.values()) this.reconcileReplica(replica);
+    for (const replica of this.context.replicas.values()) this.recovery.reconcile(replica);
   }
 
   private acquireOwnShards(): void {
@@ -195,7 +178,7 @@
     if (kept.role === 'acquiring') this.reconcileAcquiring(kept, keeper);
     else if (kept.role === 'transferring') this.reconcileTransferring(kept);
     else if (keeper && keeper.id !== this.context.selfId) this.handToNextKeeper(kept, keeper);
-    else this.ensureBackup(kept);
+    else this.backups.ensure(kept);
   }
 
   private reconcileAcquiring(kept: KeptShard, keeper: Member | undefined): void {
@@ -212,7 +195,7 @@
     else if (nowMs - kept.awaitedSinceMs > ORPHAN_WAIT_MS) {
       this.installer.startEmpty(kept, settings.version);
       this.startedEmpty += 1;
-      this.ensureBackup(kept);
+      this.backups.ensure(kept);
     }
   }
 
@@ -271,89 +254,13 @@
     kept.role = 'serving';
   }
 
-  private ensureBackup(kept: KeptShard): void {
-    const self = this.context.member(this.context.selfId);
-    if (!self || this.context.now() < this.context.cautiousUntilMs) return;
-    const desired = this.context.map.backup(kept.shard, self);
-    if (!desired) {
-      this.dropBackup(kept);
-      return this.settle(kept);
-    }
-    if (kept.backup?.memberId === desired.id) return this.settle(kept);
-    if (kept.syncingTo !== desired.id) {
-      kept.syncingTo = desired.id;
-      kept.syncStarted = false;
-    }
-    if (!kept.syncStarted && kept.unacknowledgedRecords === 0) this.startSync(kept, desired.id);
-  }
-
-  /** Nothing is left to do until the view changes or the backup is lost. */
-  private settle(kept: KeptShard): void {
-    kept.syncingTo = undefined;
-    kept.settledFor = this.context.ownersSequence;
-    this.acknowledgeOwed(kept);
-  }
-
-  private startSync(kept: KeptShard, targetId: string): void {
-    kept.syncStarted = true;
-    this.parts.sender.enqueue({
-      shard: kept.shard,
-      purpose: ShardPurpose.REPLICA,
-      targetId,
-      generation: () => this.parts.peers.generationOf(targetId),
-      snapshot: () => (this.isSyncing(kept, targetId) ? snapshotKept(this.context, kept, false) : undefined),
-      onDone: (boot, snapshot) => this.onSynced(kept, targetId, boot, snapshot),
-      onFailed: () => {
-        if (this.isSyncing(kept, targetId)) kept.syncStarted = false;
-      },
-    });
-  }
-
-  private isSyncing(kept: KeptShard, targetId: string): boolean {
-    return this.context.kept.get(kept.shard) === kept && kept.syncingTo === targetId && kept.syncStarted;
-  }
-
-  private onSynced(kept: KeptShard, targetId: string, boot: number, snapshot: ShardSnapshot): void {
-    const peer = this.parts.peers.open(targetId, boot);
-    if (!this.isSyncing(kept, targetId)) {
-      // Another backup was chosen meanwhile, or the shard was given away: this replica is not kept up to date.
-      if (kept.backup !== peer) peer.disown(kept.shard);
-      return;
-    }
-    const former = kept.backup;
-    kept.backup = peer;
-    kept.syncingTo = undefined;
-    peer.assign(kept.shard);
-    if (former && former !== peer) {
-      former.release(kept.shard);
-      former.sendReleases();
-      kept.formerBackup = former;
-    }
-    if (kept.rebase?.phase === 'advancing' && snapshot.baseVersion === kept.rebase.toVersion)
-      finishRebase(kept);
-    this.acknowledgeOwed(kept);
-  }
-
-  private acknowledgeOwed(kept: KeptShard): void {
-    for (const owed of kept.owed.splice(0))
-      this.parts.receiver.acknowledge(owed.senderId, owed.transferId, true);
-  }
-
-  private dropBackup(kept: KeptShard): void {
-    if (!kept.backup) return;
-    kept.backup.release(kept.shard);
-    kept.formerBackup = kept.backup;
-    kept.backup = undefined;
-    kept.settledFor = 0;
-  }
-
   /**
    * Lets go of a shard that others hold now.
    *
    * @param keepFlows the shard is likely to come back: its flows are kept to be merged with what is sent then
    */
   private giveUp(kept: KeptShard, holders: readonly string[], keepFlows: boolean): void {
-    this.dropBackup(kept);
+    this.backups.drop(kept);
     kept.formerBackup?.sendReleases();
     for (const owed of kept.owed.splice(0))
       this.parts.receiver.acknowledge(owed.senderId, owed.transferId, false);
@@ -398,54 +305,20 @@
     return this.parts.holder.install(replica, header.generation ?? 0) ? 'done' : 'refused';
   }
 
-  private reconcileReplica(replica: ReplicaShard): void {
-    if (replica.recovering || !this.context.view.quorate || !this.parts.holder.keeperFailed(replica)) return;
-    const nowMs = this.context.now();
-    const keeper = this.context.map.keeper(replica.shard);
-    if (!keeper || nowMs < replica.retryRecoveryAtMs) return;
-    if (keeper.id === this.context.selfId) this.promote(replica);
-    else if (keeper.state === 'active') this.recover(replica, keeper.id);
-  }
-
   /** This balancer is the next keeper itself. */
   private promote(replica: ReplicaShard): void {
     const kept = this.context.kept.get(replica.shard);
     if (!replica.trusted && !this.hasWaitedForBetter(kept)) return;
-    this.parts.holder.markLapsed(replica);
-    this.recovered.set(replica.keeperId, (this.recovered.get(replica.keeperId) ?? 0) + 1);
+    this.recovery.begin(replica);
     const { records, ...header } = snapshotReplica(this.context, replica);
     const target = kept ?? this.acquire(replica.shard);
     const recovery = { ...header, purpose: ShardPurpose.RECOVERY };
     const outcome = this.installer.install(target, recovery, records);
-    if (outcome === 'installed') this.dropBackup(target);
+    if (outcome === 'installed') {
+      this.backups.drop(target);
+      this.backups.restart(target);
+    }
     this.parts.holder.remove(replica);
     this.reconcileKept(target);
   }
-
-  private recover(replica: ReplicaShard, keeperId: string): void {
-    replica.recovering = true;
-    this.parts.holder.markLapsed(replica);
-    this.context.components.events.emit(FLOW_EVENTS.takeover, {
-      shard: replica.shard,
-      from: replica.keeperId,
-    });
-    this.parts.sender.enqueue({
-      shard: replica.shard,
-      purpose: ShardPurpose.RECOVERY,
-      targetId: keeperId,
-      snapshot: () => this.beginRecovery(replica, keeperId),
-      onDone: () => this.parts.holder.remove(replica),
-      onFailed: () => {
-        replica.recovering = false;
-        replica.retryRecoveryAtMs = this.context.now() + RECOVERY_RETRY_MS;
-      },
-    });
-  }
-
-  private beginRecovery(replica: ReplicaShard, keeperId: string): ShardSnapshot | undefined {
-    if (this.context.replicas.get(replica.shard) !== replica) return undefined;
-    if (this.context.map.keeper(replica.shard)?.id !== keeperId) return undefined;
-    replica.handedOn = true;
-    return snapshotReplica(this.context, replica);
-  }
 }
--- /dev/null
+++ b/src/flow/replica-recovery.ts
@@ -0,0 +1,76 @@
+/** Hands replicas of failed keepers to the keepers that take their place. */
+import { FLOW_EVENTS } from './events.js';
+import type { FlowContext } from './flow-context.js';
+import { sailquay } from './pb/flow.js';
+import type { ReplicaHolder } from './replica-holder.js';
+import type { ReplicaShard } from './shard-holding.js';
+import type { ShardSender, ShardSnapshot } from './shard-sender.js';
+import { snapshotReplica } from './shard-snapshot.js';
+
+const { ShardPurpose } = sailquay.flow;
+
+/** Delay before a refused recovery is offered again. */
+const RECOVERY_RETRY_MS = 300;
+
+/** Takes replicas whose next keeper is this balancer. */
+export interface PromotionTarget {
+  promote(replica: ReplicaShard): void;
+}
+
+/** Follows the replicas held here. */
+export class ReplicaRecovery {
+  /** Shards by failed keeper since the last log event. */
+  private readonly takeovers = new Map<string, number>();
+
+  constructor(
+    private readonly context: FlowContext,
+    private readonly parts: { readonly holder: ReplicaHolder; readonly sender: ShardSender },
+    private readonly target: PromotionTarget,
+  ) {}
+
+  /** Notes that a keeper's shard is taken over; the keeper's heartbeats are answered as lapsed from here on. */
+  begin(replica: ReplicaShard): void {
+    this.parts.holder.markLapsed(replica);
+    this.takeovers.set(replica.keeperId, (this.takeovers.get(replica.keeperId) ?? 0) + 1);
+  }
+
+  /** Writes one event for each failed keeper. */
+  logTakeovers(): void {
+    const { events } = this.context.components;
+    for (const [from, shards] of this.takeovers) events.emit(FLOW_EVENTS.takeover, { from, shards });
+    this.takeovers.clear();
+  }
+
+  /** Hands a replica on when its keeper has failed. */
+  reconcile(replica: ReplicaShard): void {
+    if (replica.recovering || !this.context.view.quorate || !this.parts.holder.keeperFailed(replica)) return;
+    const nowMs = this.context.now();
+    const keeper = this.context.map.keeper(replica.shard);
+    if (!keeper || nowMs < replica.retryRecoveryAtMs) return;
+    if (keeper.id === this.context.selfId) this.target.promote(replica);
+    else if (keeper.state === 'active') this.recover(replica, keeper.id);
+  }
+
+  private recover(replica: ReplicaShard, keeperId: string): void {
+    replica.recovering = true;
+    this.begin(replica);
+    this.parts.sender.enqueue({
+      shard: replica.shard,
+      purpose: ShardPurpose.RECOVERY,
+      targetId: keeperId,
+      snapshot: () => this.beginRecovery(replica, keeperId),
+      onDone: () => this.parts.holder.remove(replica),
+      onFailed: () => {
+        replica.recovering = false;
+        replica.retryRecoveryAtMs = this.context.now() + RECOVERY_RETRY_MS;
+      },
+    });
+  }
+
+  private beginRecovery(replica: ReplicaShard, keeperId: string): ShardSnapshot | undefined {
+    if (this.context.replicas.get(replica.shard) !== replica) return undefined;
+    if (this.context.map.keeper(replica.shard)?.id !== keeperId) return undefined;
+    replica.handedOn = true;
+    return snapshotReplica(this.context, replica);
+  }
+}
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -46,6 +46,8 @@
   syncingTo: string | undefined;
   /** The snapshot is queued or on its way. */
   syncStarted = false;
+  /** Number of the latest snapshot for a backup; the outcome of an earlier one is void. */
+  syncNumber = 0;
   /** Records of this shard that no backup has acknowledged yet. */
   unacknowledgedRecords = 0;
   /** Member that the shard is queued for or being handed to. */
