Check a few nodes of the tree in memory at a time

Cause: the round of checks over a few nodes had been written, but each second every node was still hashed. Change: the timer calls the round.

--- a/src/dissemination/distributor.ts
+++ b/src/dissemination/distributor.ts
@@ -101,7 +101,7 @@
     const { clock } = this.options;
     new Ticker(clock, () => this.antiEntropyDelayMs()).run(signal, () => this.compareWithPeer());
     new Ticker(clock, () => limits.INTEGRITY_CHECK_INTERVAL_MS).run(signal, () =>
-      this.holder.checkIntegrity(),
+      this.holder.checkNextNodes(limits.INTEGRITY_CHECK_NODES),
     );
     this.compareWithPeer();
     if (this.reader) this.reading = this.reader.run(signal);
