Work the capacity page's tables out from recorded scale runs

Cause: the page must not carry figures that no recorded run gave. Change: 'experiment capacity' fits the steps of docs/measurements/scale*.json and rewrites the marked tables.

--- a/src/experiment/special-runs.ts
+++ b/src/experiment/special-runs.ts
@@ -1,6 +1,7 @@
 /** Experiments that are not scenarios: the scale run, its host processes, forwarding rates, the balance simulation. */
 import { writeFileSync } from 'node:fs';
 import type { Command } from 'commander';
+import { registerCapacityCommand } from './capacity/capacity-command.js';
 
 const DEFAULT_SECONDS_PER_STEP = 15;
 const DEFAULT_MAX_MEMBERS = 1_100;
@@ -40,6 +41,7 @@
     .action(async (_own: unknown, command: Command) =>
       runScaleCommand(command.optsWithGlobals<ScaleFlags>()),
     );
+  registerCapacityCommand(experiment);
   experiment
     .command('hollow-host', { hidden: true })
     .argument('<file>', 'configuration written by the scale run')
