Measure each step over a whole period of load reports

Cause: unchanged loads are reported every 15 s, so a window of 19 s held one or two of those rounds by chance. Change: the last edits spread within the step's time; the wait for a steady fleet is at least 20 s. Conclusion: steps are comparable when their time is a multiple of 15 s.

--- a/src/experiment/scale/probe-cost.ts
+++ b/src/experiment/scale/probe-cost.ts
@@ -21,7 +21,7 @@
 const REQUEST_TIMEOUT_MS = 20_000;
 const US_PER_SECOND = 1_000_000;
 
-/** The policy that a service has unless it sets another. */
+/** Intervals that give rates below and above those of the size to design for. */
 const POLICY: HealthPolicy = {
   probeIntervalMs: 3_000,
   probeTimeoutMs: 1_000,
--- a/src/experiment/scale/scale-run.ts
+++ b/src/experiment/scale/scale-run.ts
@@ -21,7 +21,7 @@
 const STEADY_POLL_MS = 5_000;
 const STEADY_LIMIT_MS = 60_000;
 /** Probers go on with votes of back ends they no longer probe for 10 s: the first readings are not steady. */
-const STEADY_MIN_MS = 12_000;
+const STEADY_MIN_MS = 20_000;
 /** Time that the last edits of a step have to spread. */
 const SPREAD_MS = 4_000;
 
@@ -150,7 +150,10 @@
     });
   }
 
-  /** Edits at the given rate for the time of a step and leaves the last ones time to spread. */
+  /**
+   * Edits at the given rate for the time of a step, and leaves the last ones time to spread within it. Unchanged loads
+   * are reported every 15 s: the time of a step should be a multiple of that.
+   */
   private async editFor(cluster: ScaleCluster, changesPerSecond: number): Promise<ScaleEdit[]> {
     const stepMs = this.options.secondsPerStep * 1_000;
     if (changesPerSecond === 0) {
@@ -158,13 +161,13 @@
       return [];
     }
     const edits: ScaleEdit[] = [];
-    const endsAtMs = Date.now() + stepMs;
+    const endsAtMs = Date.now() + stepMs - SPREAD_MS;
     while (Date.now() < endsAtMs) {
       const edit = await cluster.edit();
       edits.push(edit);
       await sleep(Math.max(0, edit.startedAtWallMs + 1_000 / changesPerSecond - Date.now()));
     }
-    await sleep(SPREAD_MS);
+    await sleep(Math.max(0, endsAtMs + SPREAD_MS - Date.now()));
     return edits;
   }
 
