Run the model check at the daemon's byte budget

Cause: the model gave each node a megabyte a second for control; news about an earlier boot could remove a restarted member from a modelled view. Change: 28,000 bytes a second in the tests; such news is ignored.

--- a/src/flow/flow-keeper.test.ts
+++ b/src/flow/flow-keeper.test.ts
@@ -9,7 +9,15 @@
 
 const START_MS = 9_000;
 
-const QUIET: ModelOptions = { seed: 7, nodes: 3, lossRate: 0, spreadMs: 0, resetRate: 0, sprayRate: 1 };
+const QUIET: ModelOptions = {
+  seed: 7,
+  nodes: 3,
+  lossRate: 0,
+  spreadMs: 0,
+  resetRate: 0,
+  sprayRate: 1,
+  budgetBytesPerSecond: 28_000,
+};
 
 async function startCluster(options: Partial<ModelOptions> = {}): Promise<ModelCluster> {
   const cluster = new ModelCluster({ ...QUIET, ...options });
--- a/src/flow/model-check.test.ts
+++ b/src/flow/model-check.test.ts
@@ -53,6 +53,7 @@
     spreadMs: 1_500,
     resetRate: 0.1,
     sprayRate: 0.8,
+    budgetBytesPerSecond: 28_000,
     durationMs: 30_000,
     openings: 120,
     edits: 8,
--- a/src/flow/model/model-cluster.ts
+++ b/src/flow/model/model-cluster.ts
@@ -22,6 +22,8 @@
   readonly resetRate: number;
   /** Share (0–1) of SYNs that reach two balancers. */
   readonly sprayRate: number;
+  /** Control bytes that a node may send in a second. */
+  readonly budgetBytesPerSecond: number;
 }
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
@@ -50,7 +52,7 @@
       delayMs: [0.5, 6],
       lossRate: options.lossRate,
       duplicateRate: 0.01,
-      budgetBytesPerSecond: 1_000_000,
+      budgetBytesPerSecond: options.budgetBytesPerSecond,
     });
     for (let index = 0; index < options.nodes; index += 1) this.addNode();
     for (const node of this.nodes) for (const other of this.nodes) node.believe(other.member, 'active');
--- a/src/flow/model/model-node.ts
+++ b/src/flow/model/model-node.ts
@@ -103,6 +103,8 @@
   /** Changes the belief about one member and publishes the view. */
   believe(member: Member, state: MemberState): void {
     if (!this.alive) return;
+    // News about an earlier boot of a member that has restarted.
+    if ((this.beliefs.get(member.id)?.incarnation ?? 0) > member.incarnation) return;
     if (state === 'gone') this.beliefs.delete(member.id);
     else this.beliefs.set(member.id, { ...member, state });
     this.publish();
