Check and resolve a change of a few nodes by itself

Cause: each received change validated and indexed the whole tree, which stopped the data path meanwhile. Change: sorted lists of nodes are walked side by side; a few changed back ends or services are checked alone, against kept sets of addresses and identifiers, and only their services are resolved anew. Anything else, and every fault, still goes through the whole tree, so faults read as before. Edits by operators still validate the whole tree. Random edits, valid and not, give the same settings and faults either way; without the check of addresses or of inherited zones that test fails. Conclusion: a change costs what it changes.

--- a/src/settings/inherit.ts
+++ b/src/settings/inherit.ts
@@ -18,12 +18,9 @@
   readonly nodes: ReadonlyMap<string, TreeNode>;
   private readonly chains = new Map<TreeNode, readonly TreeNode[]>();
 
-  constructor(nodes: readonly TreeNode[]) {
-    const index = new Map<string, TreeNode>();
-    for (const node of nodes) {
-      if (!index.has(node.path)) index.set(node.path, node);
-    }
-    this.nodes = index;
+  /** `nodes` as a list, or by path; an index must not change while this is in use. */
+  constructor(nodes: readonly TreeNode[] | ReadonlyMap<string, TreeNode>) {
+    this.nodes = nodes instanceof Map ? nodes : indexFirst(nodes as readonly TreeNode[]);
   }
 
   /** Nodes from `node` up to the top. Ends at a missing parent, and somewhere in a cycle. */
@@ -53,3 +50,11 @@
     return { value: definition?.fallback, origin: BUILT_IN_ORIGIN };
   }
 }
+
+function indexFirst(nodes: readonly TreeNode[]): Map<string, TreeNode> {
+  const index = new Map<string, TreeNode>();
+  for (const node of nodes) {
+    if (!index.has(node.path)) index.set(node.path, node);
+  }
+  return index;
+}
--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -14,7 +14,10 @@
   type TreeNode,
 } from './tree.js';
 import type { EffectiveBackend, EffectiveService, EffectiveSettings, HealthPolicy } from './types.js';
-import { checkShape, validateNodes } from './validate.js';
+import { checkNode, checkNodeShape } from './node-checks.js';
+import { changedServices, ResolvedTree } from './resolved-tree.js';
+import { findNodeChanges, type NodeChange } from './tree-changes.js';
+import { checkInherited, checkShape, validateNodes } from './validate.js';
 
 /** Typed access to the values in force at one node of a valid tree. */
 class EffectiveValues {
@@ -171,15 +174,78 @@
   return service;
 }
 
+/** Changed nodes up to which a tree is checked by its changes alone. */
+const MAX_INCREMENTAL_CHANGES = 64;
+
+/** The indexes of the tree that settings were resolved from; those of the newest version only. */
+const RESOLVED_TREES = new WeakMap<EffectiveSettings, ResolvedTree>();
+
 /**
  * Resolves a tree. Nothing is applied when there is any fault: the result is then the list of all of them.
- * Services that equal those of `previous` are the same objects, so that readers can compare by identity. The cost of
- * a change is small when the document shares its unchanged nodes with the previous one (`applyChanges`, `shareNodes`).
+ * Services that equal those of `previous` are the same objects, so that readers can compare by identity. A change of a few
+ * nodes costs little when the document shares its unchanged nodes with the previous one (`applyChanges`, `shareNodes`).
  */
 export function resolveSettings(
   document: TreeDocument,
   version: number,
   previous?: EffectiveSettings,
+): Result<EffectiveSettings, SettingsFault[]> {
+  const changed = previous && resolveChanges(document, version, previous);
+  return changed ? Result.ok(changed) : resolveWhole(document, version, previous);
+}
+
+/** Resolves what changed since `previous`; undefined when that needs the whole tree, as it does when there is a fault. */
+function resolveChanges(
+  document: TreeDocument,
+  version: number,
+  previous: EffectiveSettings,
+): EffectiveSettings | undefined {
+  const tree = RESOLVED_TREES.get(previous);
+  if (!tree || !Array.isArray(document.nodes)) return undefined;
+  const changes = findNodeChanges(tree.list, document.nodes, MAX_INCREMENTAL_CHANGES);
+  if (!changes || !areSound(changes) || !tree.covers(changes) || !tree.keepsUnique(changes)) return undefined;
+  const before = tree.list;
+  tree.apply(changes, document.nodes);
+  const inheritance = new Inheritance(tree.nodes);
+  const paths = changedServices(changes);
+  const faulty = [...paths].some((path) => {
+    const service = tree.nodes.get(path) as TreeNode;
+    return checkInherited(inheritance, service, tree.backends.get(path) ?? []).length > 0;
+  });
+  if (faulty) {
+    tree.apply(
+      changes.map(({ before, after }) => ({ before: after, after: before })),
+      before,
+    );
+    return undefined;
+  }
+  const services = previous.services.map((service) =>
+    paths.has(service.name)
+      ? resolveOrReuse(
+          inheritance,
+          tree.nodes.get(service.name) as TreeNode,
+          tree.backends.get(service.name) ?? [],
+          service,
+        )
+      : service,
+  );
+  const settings = { version, services };
+  RESOLVED_TREES.delete(previous);
+  RESOLVED_TREES.set(settings, tree);
+  return settings;
+}
+
+/** True when the changed nodes have no fault when each is taken alone. */
+function areSound(changes: readonly NodeChange[]): boolean {
+  return changes.every(
+    ({ after }) => !after || (checkNodeShape(after, 0).length === 0 && checkNode(after).length === 0),
+  );
+}
+
+function resolveWhole(
+  document: TreeDocument,
+  version: number,
+  previous: EffectiveSettings | undefined,
 ): Result<EffectiveSettings, SettingsFault[]> {
   const malformed = checkShape(document);
   if (malformed.length > 0) return Result.err(malformed);
@@ -192,7 +258,10 @@
     .filter((node) => node.kind === 'service')
     .map((node) => resolveOrReuse(inheritance, node, groups.get(node.path) ?? [], known.get(node.path)))
     .sort(byId);
-  return Result.ok({ version, services });
+  const settings = { version, services };
+  const tree = ResolvedTree.of(document.nodes);
+  if (tree) RESOLVED_TREES.set(settings, tree);
+  return Result.ok(settings);
 }
 
 /** One field in force at a node. */
--- a/src/settings/validate.ts
+++ b/src/settings/validate.ts
@@ -147,6 +147,18 @@
   ];
 }
 
+/** Faults of what a service and its back ends inherit; the rest of a node is judged by `checkNode`. */
+export function checkInherited(
+  inheritance: Inheritance,
+  service: TreeNode,
+  backends: readonly TreeNode[],
+): SettingsFault[] {
+  return [
+    ...checkProbeTimes(inheritance, service),
+    ...backends.flatMap((backend) => checkZone(inheritance, backend)),
+  ];
+}
+
 /** Every fault of a list of well-shaped nodes; empty when the tree may be applied. */
 export function validateNodes(
   nodes: readonly TreeNode[],
