--- a/src/flow/flow-keeper.test.ts
+++ b/src/flow/flow-keeper.test.ts
@@ -9,6 +9,10 @@
 
 const START_MS = 9_000;
 
+/** A pace at which replication and hand-over take no time to speak of; the last test uses the daemon's own. */
+const FAST_BYTES_PER_SECOND = 1_000_000;
+const DAEMON_BYTES_PER_SECOND = 28_000;
+
 const QUIET: ModelOptions = {
   seed: 7,
   nodes: 3,
@@ -16,7 +20,7 @@
   spreadMs: 0,
   resetRate: 0,
   sprayRate: 1,
-  budgetBytesPerSecond: 28_000,
+  budgetBytesPerSecond: FAST_BYTES_PER_SECOND,
 };
 
 async function startCluster(options: Partial<ModelOptions> = {}): Promise<ModelCluster> {
@@ -182,6 +186,19 @@
   t.deepEqual(cluster.violations, []);
 });
 
+test('at the byte budget of a daemon the start and a planned leave take a bounded time', async (t) => {
+  const cluster = await startCluster({ budgetBytesPerSecond: DAEMON_BYTES_PER_SECOND });
+  await cluster.runAsync(3_000);
+  const backedUp = cluster.nodes.reduce((sum, node) => sum + node.keeper.statistics().shardsBackedUp, 0);
+  t.is(backedUp, 4_096);
+  const flows = await openFlows(cluster, 100);
+  cluster.leave(cluster.nodes[0]!);
+  await cluster.runAsync(14_000);
+  t.is(cluster.liveNodes().length, 2);
+  t.is(await countReached(cluster, flows), 100);
+  t.deepEqual(cluster.violations, []);
+});
+
 const dataPacket = {
   bytes: Buffer.alloc(0),
   sourceAddress: 0,
