Pace exceptions by a byte budget, mix seeds, register two experiments

Cause: nothing steered the share of exceptions by bytes, so that 2,000 openings a second at 14% would pass the budget; first draws of near seeds were nearly equal (1.000, 0.996, 0.992 ...), which tied nodes together; two experiments had no command. Change: an exception budget (3,500 bytes a second unless configured) sets the target share; seeds are mixed; `experiment run forwarding` and `balance-simulation`; the scale run's tree no longer hits the capacity of its one service.

--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -1,14 +1,17 @@
 /** Seeded pseudo-random numbers; every random decision of the project takes one of these. */
+import { mix32 } from './hash.js';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 /** A source of uniform numbers in [0, 1). */
 export type RandomSource = () => number;
 
+/** Added to a seed before mixing, because mixing leaves zero unchanged. */
+const SEED_OFFSET = 0x9e3779b9;
 const TWO_POW_32 = 0x1_0000_0000;
 
-/** A deterministic source: equal seeds give equal sequences. */
+/** A deterministic source: equal seeds give equal sequences, and near seeds give unrelated ones. */
 export function seededRandom(seed: number): RandomSource {
-  const generator = xoroshiro128plus(seed);
+  const generator = xoroshiro128plus(mix32(seed + SEED_OFFSET));
   return () => (generator.next() >>> 0) / TWO_POW_32;
 }
 
--- a/src/daemon/config.ts
+++ b/src/daemon/config.ts
@@ -4,6 +4,7 @@
 import { parse as parseYaml } from 'yaml';
 import { z } from 'zod';
 import type { Endpoint } from '../common/types.js';
+import { DEFAULT_EXCEPTION_BYTES_PER_SECOND } from '../placement/index.js';
 import * as defaults from './constants.js';
 import { DaemonError, type ConfigFault } from './errors.js';
 
@@ -77,6 +78,8 @@
     .enum(['bounded-load', 'rendezvous', 'local-table', 'random', 'least-reported-load'])
     .default('bounded-load'),
   controlBudgetBytesPerSecond: positiveInteger.default(defaults.DEFAULT_CONTROL_BUDGET_BYTES_PER_SECOND),
+  /** Part of the control budget that records of exceptions may cost; fewer exceptions are made beyond it. */
+  exceptionBytesPerSecond: positiveInteger.default(DEFAULT_EXCEPTION_BYTES_PER_SECOND),
   limits: limits.prefault({}),
   log: log.prefault({}),
   drain: drain.prefault({}),
--- a/src/daemon/data-plane.ts
+++ b/src/daemon/data-plane.ts
@@ -10,7 +10,12 @@
 import type { HealthFeed } from '../health/types.js';
 import type { MembershipFeed, MembershipView } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
-import { createPlacementPolicy, OpeningLimiter, type CountingPolicy } from '../placement/index.js';
+import {
+  createPlacementPolicy,
+  ExceptionBudget,
+  OpeningLimiter,
+  type CountingPolicy,
+} from '../placement/index.js';
 import type { EffectiveSettings } from '../settings/types.js';
 import type { DaemonConfig } from './config.js';
 import { CountingAdmission } from './opening-admission.js';
@@ -110,7 +115,11 @@
   const share = (): number => 1 / Math.max(1, owners(membership.view()));
   const limiter = new OpeningLimiter({ clock, share });
   const admission = new CountingAdmission(options.memoryExceeded, limiter);
-  const policy = createPlacementPolicy(config.placement, { clock, random, events, capacityShare: share });
+  const budget = new ExceptionBudget({ clock, bytesPerSecond: config.exceptionBytesPerSecond });
+  const policy = createPlacementPolicy(config.placement, {
+    ...{ clock, random, events, capacityShare: share },
+    targetExceptionShare: budget.countOpening,
+  });
   const forwarder = createForwarder(config.placement, {
     selfId: config.id,
     zone: config.zone,
--- a/src/experiment/scale/hollow-daemon.ts
+++ b/src/experiment/scale/hollow-daemon.ts
@@ -10,7 +10,11 @@
 import { FlowKeeper, SHARD_COUNT } from '../../flow/index.js';
 import type { MembershipView } from '../../membership/index.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
-import { createPlacementPolicy } from '../../placement/index.js';
+import {
+  createPlacementPolicy,
+  DEFAULT_EXCEPTION_BYTES_PER_SECOND,
+  ExceptionBudget,
+} from '../../placement/index.js';
 import type { PlatformClient } from '../../platform/index.js';
 import { flowPacket, type FlowPool } from './flow-generator.js';
 import { GatedPlatform } from './gated-platform.js';
@@ -113,10 +117,15 @@
     });
     const { membership, settings, health } = plane;
     const edge = new NullEdge();
+    const budget = new ExceptionBudget({ clock, bytesPerSecond: DEFAULT_EXCEPTION_BYTES_PER_SECOND });
     const flows: FlowKeeper = new FlowKeeper({
       ...{ selfId: id, zone, clock, random, membership, settings, health, edge },
       control: channel,
-      policy: createPlacementPolicy('bounded-load', { clock, random }),
+      policy: createPlacementPolicy('bounded-load', {
+        clock,
+        random,
+        targetExceptionShare: budget.countOpening,
+      }),
       events: SILENT_EVENT_LOG,
       limits: { maxFlows: MAX_FLOWS, maxPendingOpenings: MAX_PENDING_OPENINGS },
     });
--- a/src/experiment/scale/tree-generator.ts
+++ b/src/experiment/scale/tree-generator.ts
@@ -31,7 +31,7 @@
       backends: backendsOf(index, size),
     };
   }
-  const parsed = parseTree({ defaults: { slots: 2, maxConnections: 2_000 }, sites });
+  const parsed = parseTree({ defaults: { slots: 2, maxConnections: 1_000_000 }, sites });
   if (parsed.isErr)
     throw new RangeError(`generated tree is faulty: ${JSON.stringify(parsed.error).slice(0, 500)}`);
   return parsed.value;
--- a/src/experiment/special-runs.ts
+++ b/src/experiment/special-runs.ts
@@ -1,7 +1,9 @@
 /** Experiments that are not scenarios: the scale run, its host processes, forwarding rates, the balance simulation. */
 import { writeFileSync } from 'node:fs';
 import type { Command } from 'commander';
+import { registerBalanceSimulation } from './balance-command.js';
 import { registerCapacityCommand } from './capacity/capacity-command.js';
+import { registerForwardingRun } from './forwarding/index.js';
 
 const DEFAULT_SECONDS_PER_STEP = 15;
 const DEFAULT_MAX_MEMBERS = 1_100;
@@ -41,6 +43,8 @@
     .action(async (_own: unknown, command: Command) =>
       runScaleCommand(command.optsWithGlobals<ScaleFlags>()),
     );
+  registerForwardingRun(run);
+  registerBalanceSimulation(run);
   registerCapacityCommand(experiment);
   experiment
     .command('hollow-host', { hidden: true })
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -14,6 +14,8 @@
   type CountingPolicy,
   type PlacementStatistics,
 } from './create-policy.js';
+export { ExceptionBudget, type ExceptionBudgetOptions } from './exception-budget.js';
+export { DEFAULT_EXCEPTION_BYTES_PER_SECOND } from './constants.js';
 export { exceptionShareForBudget, type PlacementOptions } from './policy-options.js';
 export {
   firstChoice,
--- a/src/placement/limits.test.ts
+++ b/src/placement/limits.test.ts
@@ -2,6 +2,7 @@
 import { VirtualClock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
 import type { EffectiveService, ServiceLimits } from '../settings/types.js';
+import { ExceptionBudget } from './exception-budget.js';
 import { OpeningLimiter } from './opening-limiter.js';
 import { RetryBudget } from './retry-budget.js';
 import type { RefusalReason } from './types.js';
@@ -175,3 +176,21 @@
   t.true(Math.min(...delays) >= 50 && Math.max(...delays) < 150);
   t.true(new Set(delays).size > 90);
 });
+
+for (const [openingsPerSecond, least, largest] of [
+  [10, 0.14, 0.14],
+  [150, 0.14, 0.14],
+  [500, 0.05, 0.06],
+  [2_000, 0.012, 0.016],
+] as const) {
+  test(`exceptions fit the byte budget at ${openingsPerSecond} openings a second`, (t) => {
+    const clock = new VirtualClock();
+    const budget = new ExceptionBudget({ clock, bytesPerSecond: 3_600 });
+    let share = 1;
+    for (let opening = 0; opening < 30 * openingsPerSecond; opening += 1) {
+      clock.advance(1_000 / openingsPerSecond);
+      share = budget.countOpening();
+    }
+    t.true(share >= least && share <= largest, String(share));
+  });
+}
