--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -80,12 +80,13 @@
 
 function totalsTable(all: readonly Account[], { steps }: RecordedData): string {
   const rows = all.map((account) => {
+    if (account.parts.length === 0) return [account.title, 'not measured', budgetOf(account), '-'];
     const sum = total(account.parts);
     const share = account.budget > 0 ? sum / account.budget : 0;
     return [
       account.title,
       `${number(sum, account.digits)} ± ${number(totalResidual(account.parts), account.digits)} ${account.unit}`,
-      `${number(account.budget, account.digits === 0 ? 0 : 1)} ${account.unit}`,
+      budgetOf(account),
       share > 1 ? `**over budget: ${number(share, 2)} times**` : `${number(100 * share, 0)}% of the budget`,
     ];
   });
@@ -94,6 +95,10 @@
   return table(['one daemon', 'at the size to design for', 'budget', ''], rows) + note;
 }
 
+function budgetOf(account: Account): string {
+  return `${number(account.budget, account.digits === 0 ? 0 : 1)} ${account.unit}`;
+}
+
 function accountTable(account: Account): string {
   const rows = account.parts.map((part) => [
     part.dimension,
