Take several measurements on each fleet of a scale run

Cause: each step started and settled a fleet of its own, most of the run's time; in small fleets a daemon probed more back ends than at the size to design for, and that hid what the tree costs. Change: fleets with a list of measurements; the tree's probe interval keeps a daemon's probes at that of the size to design for; fleets may be chosen by their smallest and largest number of members.

--- a/src/experiment/capacity/capacity-model.ts
+++ b/src/experiment/capacity/capacity-model.ts
@@ -8,7 +8,7 @@
 import { DAEMON_SHARE, DESIGN_SIZE } from './design-size.js';
 
 /** Steps of every recorded report. */
-export type RecordedStep = StepFigures & { readonly dimension: string };
+export type RecordedStep = StepFigures & { readonly dimensions: readonly string[] };
 
 /** Reads one figure of a step. */
 export type FigureReader = (step: RecordedStep) => number;
@@ -147,7 +147,7 @@
 
 /** The step that every slope starts from: the smallest of the back-end steps. */
 export function baseStep(steps: readonly RecordedStep[]): RecordedStep | undefined {
-  const idle = steps.filter((step) => step.dimension === 'backends');
+  const idle = steps.filter((step) => step.dimensions.includes('backends'));
   return idle.sort((left, right) => left.backends - right.backends)[0];
 }
 
@@ -174,7 +174,7 @@
   read: FigureReader,
 ): Point[] | undefined {
   const points = steps
-    .filter((step) => step.dimension === fitted.dimension)
+    .filter((step) => step.dimensions.includes(fitted.dimension))
     .map((step) => ({ x: fitted.read(step), y: read(step) }));
   return new Set(points.map(({ x }) => x)).size >= 2 ? points : undefined;
 }
--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -139,7 +139,7 @@
 
 function stepsTable(steps: readonly RecordedStep[]): string {
   const rows = steps.map((step) => [
-    step.dimension,
+    step.dimensions.join(', '),
     ...[step.members, step.backends, step.flowsPerDaemon].map(String),
     ...[step.openingsPerSecond, step.changesPerSecond].map(String),
     `${number(step.bytesOutPerSecond, 0)} / ${number(step.bytesOutPerSecondMax, 0)}`,
--- a/src/experiment/scale/operator-cost.ts
+++ b/src/experiment/scale/operator-cost.ts
@@ -21,7 +21,7 @@
 }
 
 async function measureEdits(seed: number, backends: number): Promise<OperatorCost> {
-  const tree = generateTree({ services: servicesFor(backends), backends, zones: ['zone-0'] });
+  const tree = generateTree({ services: servicesFor(backends), backends, zones: ['zone-0'], probers: 367 });
   const platform = await startPlatformStandin({ port: 0, objects: { [TREE_OBJECT_KEY]: tree } });
   const clock = new SystemClock();
   const random = seededRandom(seed);
--- a/src/experiment/scale/probe-cost.ts
+++ b/src/experiment/scale/probe-cost.ts
@@ -68,9 +68,6 @@
 
 const NO_SERVICE: Endpoint = { host: '127.0.0.1', port: 9 };
 
-/** Back ends of the prober's own region: probed at the policy's interval. */
-const OWN_REGION = { intervalFactor: 1 };
-
 function probeTargets(endpoints: readonly Endpoint[]): ProbeTarget[] {
   return endpoints.map((endpoint, index): ProbeTarget => {
     const backend: EffectiveBackend = {
--- a/src/experiment/scale/scale-run.ts
+++ b/src/experiment/scale/scale-run.ts
@@ -1,7 +1,7 @@
 /** The scale run: one dimension at a time at increasing sizes, then faults; hollow daemons on loopback. */
 import { cpus, loadavg } from 'node:os';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { generateTree, type TreeSize } from './tree-generator.js';
+import { generateTree } from './tree-generator.js';
 import { ProcessLauncher } from '../process-launcher.js';
 import { RunDirectory } from '../run-directory.js';
 import { runFaults } from './fault-steps.js';
@@ -9,7 +9,16 @@
 import { measureOperatorCost } from './operator-cost.js';
 import { measureProbeCost } from './probe-cost.js';
 import { daemonsOf, stepFigures } from './step-figures.js';
-import { BASE_STEP, describeStep, SCALE_STEPS, specifyDaemons, type ScaleStep } from './steps.js';
+import {
+  describeFleet,
+  describeMeasurement,
+  plainFleet,
+  selectFleets,
+  specifyDaemons,
+  type FleetSize,
+  type ScaleFleet,
+  type ScaleStep,
+} from './steps.js';
 import type { FaultFigures, HostSample, ScaleReport, StepFigures } from './types.js';
 
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -31,6 +40,7 @@
   readonly secondsPerStep: number;
   /** Dimensions to run; all when empty. */
   readonly dimensions: readonly string[];
+  readonly minMembers: number;
   readonly maxMembers: number;
   readonly faults: boolean;
   readonly faultMembers: number;
@@ -43,16 +53,14 @@
 export async function runScale(options: ScaleOptions): Promise<ScaleReport> {
   const run = new ScaleRun(options);
   const loadBefore = loadavg()[0]!;
-  const steps: (StepFigures & { dimension: string })[] = [];
+  const steps: RecordedStep[] = [];
   const notRun: string[] = [];
-  for (const each of SCALE_STEPS) {
-    if (options.dimensions.length > 0 && !options.dimensions.includes(each.dimension)) continue;
-    if (each.members > options.maxMembers) {
-      notRun.push(`${each.dimension} at ${each.members} members: above --max-members`);
+  for (const fleet of selectFleets(options.dimensions)) {
+    if (fleet.members > options.maxMembers || fleet.members < options.minMembers) {
+      notRun.push(`${describeFleet(fleet)}: outside --min-members and --max-members`);
       continue;
     }
-    const figures = await run.step(each, notRun);
-    if (figures) steps.push({ dimension: each.dimension, ...figures });
+    steps.push(...(await run.fleet(fleet, notRun)));
   }
   const faults: FaultFigures[] = options.faults ? await run.faults(notRun) : [];
   const wants = (dimension: string): boolean =>
@@ -80,6 +88,8 @@
   };
 }
 
+type RecordedStep = ScaleReport['steps'][number];
+
 class ScaleRun {
   emptyHostBytes = 0;
   peakProcesses = 0;
@@ -87,31 +97,43 @@
 
   constructor(private readonly options: ScaleOptions) {}
 
-  async step(each: ScaleStep, notRun: string[]): Promise<StepFigures | undefined> {
-    const label = describeStep(each);
-    this.options.progress(`step ${label}`);
-    return this.withCluster(each, async (cluster) => {
-      const settleSeconds = await this.settle(cluster, each.members, each.regions);
+  /** Settles a fleet and takes its measurements. */
+  async fleet(fleet: ScaleFleet, notRun: string[]): Promise<RecordedStep[]> {
+    const label = describeFleet(fleet);
+    this.options.progress(`fleet ${label}`);
+    const figures = await this.withCluster(fleet, async (cluster) => {
+      const settleSeconds = await this.settle(cluster, fleet.members, fleet.regions);
       if (settleSeconds === undefined) {
         notRun.push(`${label}: not settled within ${SETTLE_LIMIT_MS / 1_000} s`);
-        return undefined;
+        return [];
       }
       const settled = await cluster.sample();
       this.options.progress(`  settled after ${settleSeconds} s`);
       if (!(await this.untilSteady(cluster))) notRun.push(`${label}: measured although not yet steady`);
-      const figures = await this.measure(cluster, each, { settled, settleSeconds });
-      this.options.progress(
-        `  ${figures.bytesOutPerSecond} B/s out, ${figures.cpuFraction} of a core, ${figures.residentMegabytes} MB a daemon, ` +
-          `in force ${figures.secondsToEverywhereMax ?? 'not everywhere'} s, ${figures.falseSuspicions} false suspicions; ` +
-          `B/s by kind ${JSON.stringify(figures.bytesOutByKind)}`,
-      );
-      return figures;
+      const steps: RecordedStep[] = [];
+      for (const measurement of fleet.measurements) {
+        const step = { ...fleet, ...measurement };
+        const figures = await this.measure(cluster, step, { settled, settleSeconds });
+        steps.push({ dimensions: measurement.dimensions, ...figures });
+        this.report(step, figures);
+      }
+      return steps;
     });
+    if (!figures) notRun.push(`${label}: half of the machine's memory was in use`);
+    return figures ?? [];
+  }
+
+  private report(step: ScaleStep, figures: StepFigures): void {
+    this.options.progress(
+      `  ${describeMeasurement(step)}: ${figures.bytesOutPerSecond} B/s out, ${figures.cpuFraction} of a core, ` +
+        `${figures.residentMegabytes} MB a daemon, in force ${figures.secondsToEverywhereMax ?? '-'} s, ` +
+        `${figures.falseSuspicions} wrongly suspected; B/s by kind ${JSON.stringify(figures.bytesOutByKind)}`,
+    );
   }
 
   async faults(notRun: string[]): Promise<FaultFigures[]> {
     const members = Math.min(this.options.faultMembers, this.options.maxMembers);
-    const size = { ...BASE_STEP, dimension: 'members' as const, members };
+    const size = plainFleet(members);
     this.options.progress(`faults with ${members} members`);
     const inOneRegion = await this.withCluster(size, async (cluster) => {
       if ((await this.settle(cluster, members, 1)) === undefined) return undefined;
@@ -207,7 +229,7 @@
   }
 
   private async withCluster<T>(
-    size: TreeSizeAndMembers,
+    size: FleetSize,
     use: (cluster: ScaleCluster) => Promise<T>,
   ): Promise<T | undefined> {
     const { usedBytes, totalBytes } = machineMemory();
@@ -216,7 +238,8 @@
     const directory = new RunDirectory();
     const daemons = specifyDaemons(size.members, size.regions);
     const zones = [...new Set(daemons.map(({ zone }) => zone))];
-    const tree = generateTree({ services: size.services, backends: size.backends, zones });
+    const { services, backends, members } = size;
+    const tree = generateTree({ services, backends, zones, probers: Math.max(1, members / size.regions) });
     let cluster: ScaleCluster | undefined;
     try {
       if (this.emptyHostBytes === 0) this.emptyHostBytes = await measureEmptyHost(directory, tree);
@@ -236,8 +259,6 @@
   }
 }
 
-type TreeSizeAndMembers = Omit<TreeSize, 'zones'> & { readonly members: number; readonly regions: number };
-
 async function measureEmptyHost(
   directory: RunDirectory,
   tree: Parameters<typeof ScaleCluster.start>[0]['tree'],
--- a/src/experiment/scale/scale-text.ts
+++ b/src/experiment/scale/scale-text.ts
@@ -2,7 +2,6 @@
 import type { ScaleReport } from './types.js';
 
 const COLUMNS = [
-  'dimension',
   'members',
   'backends',
   'flowsPerDaemon',
@@ -18,9 +17,12 @@
 
 /** Steps and faults, a line each. */
 export function scaleText(report: ScaleReport): string {
-  const header = COLUMNS.join('  ');
+  const header = ['dimensions', ...COLUMNS].join('  ');
   const steps = report.steps.map((step) =>
-    COLUMNS.map((column) => String(step[column] ?? '-').padEnd(column.length)).join('  '),
+    [
+      step.dimensions.join(','),
+      ...COLUMNS.map((column) => String(step[column] ?? '-').padEnd(column.length)),
+    ].join('  '),
   );
   const faults = report.faults.map(
     (fault) =>
--- a/src/experiment/scale/steps.ts
+++ b/src/experiment/scale/steps.ts
@@ -1,59 +1,94 @@
-/** The steps of a scale run: one dimension varied at a time, the rest at a small base. */
+/** The fleets of a scale run and what is measured on each: one dimension varied at a time, the rest at a small base. */
 import { servicesFor } from './tree-generator.js';
 
-/** What a step can vary. */
+/** What a measurement can vary; an idle fleet is the zero of several. */
 export type ScaleDimension =
   'members' | 'backends' | 'flows' | 'openings' | 'changes' | 'full-tree-changes' | 'small-site' | 'regions';
 
-/** Size and load of one step. */
-export interface ScaleStep {
-  readonly dimension: ScaleDimension;
+/** Size of a fleet and its tree. */
+export interface FleetSize {
   readonly members: number;
   readonly regions: number;
   readonly services: number;
   readonly backends: number;
+}
+
+/** Load during one measurement; rates and flows are those of one daemon, changes those of the tree. */
+export interface Measurement {
+  readonly dimensions: readonly ScaleDimension[];
   readonly preloadedFlows: number;
   readonly openingsPerSecond: number;
   readonly changesPerSecond: number;
 }
 
+/** One fleet with its measurements in order; flows stay open from one to the next. */
+export interface ScaleFleet extends FleetSize {
+  readonly measurements: readonly Measurement[];
+}
+
+/** Everything about one measurement. */
+export type ScaleStep = FleetSize & Measurement;
+
 const ZONES_PER_REGION = 4;
 const FULL_BACKENDS = 6_300;
+const SMALL_TREE = { services: 100, backends: 150 };
+const FULL_TREE = { services: servicesFor(FULL_BACKENDS), backends: FULL_BACKENDS };
 
-/** Step that every slope starts from. */
-export const BASE_STEP: Omit<ScaleStep, 'dimension'> = {
-  members: 12,
-  regions: 1,
-  services: 100,
-  backends: 150,
-  preloadedFlows: 0,
-  openingsPerSecond: 0,
-  changesPerSecond: 0,
-};
+/** Fleet that faults are tried on, for a number of members. */
+export function plainFleet(members: number): FleetSize {
+  return { members, regions: 1, ...SMALL_TREE };
+}
 
-/** Every step, in the order in which they run. */
-export const SCALE_STEPS: readonly ScaleStep[] = [
-  step('small-site', { members: 3, services: 2, backends: 13, openingsPerSecond: 20 }),
-  ...[12, 50, 100, 200, 367].map((members) => step('members', { members, changesPerSecond: 0.2 })),
-  ...[150, 1_000, 3_000, FULL_BACKENDS].map((backends) =>
-    step('backends', { backends, services: servicesFor(backends) }),
-  ),
-  ...[0, 50, 100, 500].map((openingsPerSecond) => step('openings', { openingsPerSecond })),
-  ...[0, 5_000, 25_000, 50_000].map((preloadedFlows) => step('flows', { members: 6, preloadedFlows })),
-  ...[0, 0.5, 2].map((changesPerSecond) => step('changes', { changesPerSecond })),
-  ...[0, 0.1, 0.3].map((changesPerSecond) =>
-    step('full-tree-changes', {
-      members: 6,
-      backends: FULL_BACKENDS,
-      services: servicesFor(FULL_BACKENDS),
-      changesPerSecond,
-    }),
-  ),
-  step('regions', { members: 1_100, regions: 3, changesPerSecond: 0.1 }),
+/** Every fleet, in the order in which they run. */
+export const SCALE_FLEETS: readonly ScaleFleet[] = [
+  {
+    ...{ members: 3, regions: 1, services: 2, backends: 13 },
+    measurements: [measure(['small-site'], { openingsPerSecond: 20 })],
+  },
+  {
+    ...plainFleet(12),
+    measurements: [
+      measure(['backends', 'openings', 'changes', 'flows']),
+      measure(['members'], { changesPerSecond: 0.2 }),
+      ...[0.5, 2].map((changesPerSecond) => measure(['changes'], { changesPerSecond })),
+      ...[50, 100, 300].map((openingsPerSecond) => measure(['openings'], { openingsPerSecond })),
+      ...[25_000, 50_000].map((preloadedFlows) => measure(['flows'], { preloadedFlows })),
+    ],
+  },
+  ...[1_000, 3_000].map((backends) => ({
+    ...{ members: 12, regions: 1, services: servicesFor(backends), backends },
+    measurements: [measure(['backends'])],
+  })),
+  {
+    ...{ members: 12, regions: 1, ...FULL_TREE },
+    measurements: [
+      measure(['backends', 'full-tree-changes']),
+      ...[0.1, 0.3].map((changesPerSecond) => measure(['full-tree-changes'], { changesPerSecond })),
+    ],
+  },
+  ...[50, 100, 200, 367].map((members) => ({
+    ...plainFleet(members),
+    measurements: [measure(['members'], { changesPerSecond: 0.2 })],
+  })),
+  {
+    ...{ members: 1_100, regions: 3, ...SMALL_TREE },
+    measurements: [measure(['regions'], { changesPerSecond: 0.1 })],
+  },
 ];
 
-function step(dimension: ScaleDimension, change: Partial<ScaleStep>): ScaleStep {
-  return { ...BASE_STEP, ...change, dimension };
+function measure(dimensions: readonly ScaleDimension[], load: Partial<Measurement> = {}): Measurement {
+  return { preloadedFlows: 0, openingsPerSecond: 0, changesPerSecond: 0, ...load, dimensions };
+}
+
+/** The fleets with the measurements of the wanted dimensions; all of them when none is named. */
+export function selectFleets(dimensions: readonly string[]): ScaleFleet[] {
+  if (dimensions.length === 0) return [...SCALE_FLEETS];
+  return SCALE_FLEETS.map((fleet) => ({
+    ...fleet,
+    measurements: fleet.measurements.filter((each) =>
+      each.dimensions.some((name) => dimensions.includes(name)),
+    ),
+  })).filter((fleet) => fleet.measurements.length > 0);
 }
 
 /** One daemon of a fleet. */
@@ -72,10 +107,15 @@
   });
 }
 
-/** A step in one line. */
-export function describeStep(each: ScaleStep): string {
+/** A fleet in one line. */
+export function describeFleet(fleet: FleetSize): string {
+  return `${fleet.members} daemons, ${fleet.backends} back ends`;
+}
+
+/** A measurement in one line. */
+export function describeMeasurement(each: Measurement): string {
   return (
-    `${each.dimension}: ${each.members} daemons, ${each.backends} back ends, ${each.preloadedFlows} flows and ` +
-    `${each.openingsPerSecond} openings/s a daemon, ${each.changesPerSecond} changes/s`
+    `${each.dimensions.join(', ')}: ${each.preloadedFlows} flows and ${each.openingsPerSecond} openings/s a daemon, ` +
+    `${each.changesPerSecond} changes/s`
   );
 }
--- a/src/experiment/scale/tree-generator.ts
+++ b/src/experiment/scale/tree-generator.ts
@@ -10,11 +10,27 @@
   readonly services: number;
   readonly backends: number;
   readonly zones: readonly string[];
+  /** Balancers of a region, which share the probes. */
+  readonly probers: number;
 }
 
 const DESIGN_SERVICES = 4_300;
 const DESIGN_BACKENDS = 6_300;
 
+/** Probe interval unless a tree sets another, and back ends that a daemon probes at the size to design for. */
+const DEFAULT_PROBE_INTERVAL_MS = 500;
+const DESIGN_PROBED_BACKENDS = 51.5;
+const PROBERS_PER_BACKEND = 3;
+
+/**
+ * Probe interval with which a daemon of a small fleet sends no more probes a second than one at the size to design for;
+ * else few daemons would probe the back ends of many.
+ */
+function probeInterval({ backends, probers }: TreeSize): number {
+  const probed = (PROBERS_PER_BACKEND * backends) / Math.max(PROBERS_PER_BACKEND, probers);
+  return Math.round(DEFAULT_PROBE_INTERVAL_MS * Math.max(1, probed / DESIGN_PROBED_BACKENDS));
+}
+
 /** Services of a tree with this many back ends, in the proportion of the size to design for. */
 export function servicesFor(backends: number): number {
   return Math.max(1, Math.min(backends, Math.round((backends * DESIGN_SERVICES) / DESIGN_BACKENDS)));
@@ -31,7 +47,10 @@
       backends: backendsOf(index, size),
     };
   }
-  const parsed = parseTree({ defaults: { slots: 2, maxConnections: 1_000_000 }, sites });
+  const parsed = parseTree({
+    defaults: { slots: 2, maxConnections: 1_000_000, health: { probeIntervalMs: probeInterval(size) } },
+    sites,
+  });
   if (parsed.isErr)
     throw new RangeError(`generated tree is faulty: ${JSON.stringify(parsed.error).slice(0, 500)}`);
   return parsed.value;
--- a/src/experiment/scale/types.ts
+++ b/src/experiment/scale/types.ts
@@ -153,7 +153,7 @@
   readonly seed: number;
   readonly machine: { readonly cores: number; readonly memoryMegabytes: number; readonly node: string };
   readonly emptyHostMegabytes: number;
-  readonly steps: readonly (StepFigures & { readonly dimension: string })[];
+  readonly steps: readonly (StepFigures & { readonly dimensions: readonly string[] })[];
   readonly faults: readonly FaultFigures[];
   readonly probes: readonly ProbeCost[];
   readonly operator: readonly OperatorCost[];
--- a/src/experiment/special-runs.ts
+++ b/src/experiment/special-runs.ts
@@ -21,6 +21,7 @@
   readonly json?: boolean;
   readonly out?: string;
   readonly dimension?: string[];
+  readonly minMembers: string;
   readonly maxMembers: string;
   readonly secondsPerStep: string;
   readonly faults: boolean;
@@ -34,6 +35,7 @@
     .command('scale')
     .description('slopes of the control plane against members, back ends, flows, openings and changes')
     .option('--dimension <names...>', 'steps to run (members, backends, openings, …); all when absent')
+    .option('--min-members <count>', 'leave smaller fleets out', '1')
     .option('--max-members <count>', 'leave larger steps out', String(DEFAULT_MAX_MEMBERS))
     .option('--seconds-per-step <seconds>', 'time measured for each step', String(DEFAULT_SECONDS_PER_STEP))
     .option('--no-faults', 'leave the faults out')
@@ -59,6 +61,7 @@
     seed: flags.seed,
     secondsPerStep: Number(flags.secondsPerStep),
     dimensions: flags.dimension ?? [],
+    minMembers: Number(flags.minMembers),
     maxMembers: Number(flags.maxMembers),
     faults: flags.faults,
     faultMembers: Number(flags.faultMembers),
