Fix three faults that the model check found at the daemon's byte budget

Change: offers go before parts; no start beside a trusted replica held here for 18 s; a keeper that is not replicated reconstructs only for a lease after it received the shard; a replica lapses once.

--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -3,6 +3,7 @@
 import type { PacketView } from '../fabric/types.js';
 import type { FlowFingerprint } from '../placement/types.js';
 import type { BackendEntry } from './backend-catalogue.js';
+import { LEASE_MS } from './constants.js';
 import { FLOW_EVENTS } from './events.js';
 import type { FlowContext } from './flow-context.js';
 import { FlowFlag } from './flow-table.js';
@@ -164,7 +165,11 @@
   private isSurelyKeeper(kept: KeptShard): boolean {
     if (!this.context.view.quorate || !this.context.isFresh()) return false;
     if (kept.backup) return kept.backup.leaseHeld;
-    return this.context.now() >= this.context.cautiousUntilMs;
+    if (this.context.now() < this.context.cautiousUntilMs) return false;
+    const self = this.context.member(this.context.selfId);
+    if (self && !this.context.map.backup(kept.shard, self)) return true;
+    // Not replicated yet: sure only as long as no other balancer can have given up waiting for this one.
+    return this.context.now() - kept.heldSinceMs < LEASE_MS;
   }
 
   private countWrongService(kept: KeptShard, entry: BackendEntry): void {
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -191,7 +191,10 @@
     const settings = this.context.components.settings.current();
     const ready =
       this.context.view.quorate && settings !== undefined && nowMs >= this.context.cautiousUntilMs;
-    if (!ready) kept.awaitedSinceMs = nowMs;
+    const replica = this.context.replicas.get(kept.shard);
+    const heldHere = replica?.trusted === true && this.context.member(replica.keeperId) !== undefined;
+    const mayWait = nowMs - kept.acquiringSinceMs < 3 * ORPHAN_WAIT_MS;
+    if (!ready || (heldHere && mayWait)) kept.awaitedSinceMs = nowMs;
     else if (nowMs - kept.awaitedSinceMs > ORPHAN_WAIT_MS) {
       this.installer.startEmpty(kept, settings.version);
       this.startedEmpty += 1;
--- a/src/flow/replica-holder.ts
+++ b/src/flow/replica-holder.ts
@@ -95,6 +95,8 @@
 
   /** Stops acknowledging a keeper's heartbeats, because its shards are being handed to others. */
   markLapsed(replica: ReplicaShard): void {
+    // A replica that lapsed earlier says nothing about the generation that the keeper has reached since.
+    if (replica.lapsed) return;
     replica.lapsed = true;
     const link = this.keepers.get(replica.keeperId);
     if (link?.boot !== replica.keeperBoot || link.lapsed) return;
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -40,6 +40,8 @@
   complete = false;
   /** When an incomplete table began to learn its flows, monotonic ms. */
   learningSinceMs = 0;
+  /** When the shard was last received or started, monotonic ms. */
+  heldSinceMs = Number.NEGATIVE_INFINITY;
   /** Backup that holds all exceptions of this shard. */
   backup: ReplicaPeer | undefined;
   /** Member that is to become the backup; no exception is made until it has the snapshot. */
--- a/src/flow/shard-installer.ts
+++ b/src/flow/shard-installer.ts
@@ -24,6 +24,7 @@
   /** Starts a shard that nobody offered; flows may exist that are not in the table. */
   startEmpty(kept: KeptShard, baseVersion: number): void {
     kept.role = 'serving';
+    kept.heldSinceMs = this.context.now();
     kept.epoch = Math.floor(this.context.components.clock.wall() / MS_PER_SECOND);
     kept.baseVersion = baseVersion;
     kept.oldestBaseVersion = baseVersion;
@@ -40,6 +41,7 @@
     const incomingIsNewer = !held || kept.epoch <= epoch;
     this.adoptBase(kept, header, held);
     kept.epoch = Math.max(kept.epoch, epoch) + 1;
+    kept.heldSinceMs = this.context.now();
     if (!held) kept.role = 'serving';
     kept.rebase = undefined;
     for (const record of records) this.put(kept, record, incomingIsNewer);
--- a/src/flow/shard-sender.ts
+++ b/src/flow/shard-sender.ts
@@ -161,6 +161,8 @@
 
   private sendDue(lane: TransferLane): void {
     const nowMs = this.context.now();
+    // Offers keep their turn when the byte budget is short: without them a shard would be started empty elsewhere.
+    if (nowMs >= this.nextOfferMs) return;
     const batch = new PartBatch((parts) => this.send(lane.targetId, parts));
     for (const transfer of lane.active.values()) {
       if (transfer.nextSendMs > nowMs) continue;
@@ -189,17 +191,19 @@
   private sendOffersWhenDue(): void {
     const nowMs = this.context.now();
     if (nowMs < this.nextOfferMs) return;
-    this.nextOfferMs = nowMs + HEARTBEAT_MS;
-    for (const lane of this.lanes.values()) {
-      const shards = lane
-        .all()
-        .filter((outgoing) => outgoing.purpose !== ShardPurpose.REPLICA)
-        .map((outgoing) => outgoing.shard);
-      const member = this.context.member(lane.targetId);
-      if (shards.length === 0 || !member) continue;
-      const payload = HandoverMessage.encode({ offer: { shards: toBitmap(shards) } }).finish();
-      this.context.components.control.send(member.control, 'handover', payload);
-    }
+    const allSent = [...this.lanes.values()].every((lane) => this.sendOffer(lane));
+    if (allSent) this.nextOfferMs = nowMs + HEARTBEAT_MS;
+  }
+
+  private sendOffer(lane: TransferLane): boolean {
+    const shards = lane
+      .all()
+      .filter((outgoing) => outgoing.purpose !== ShardPurpose.REPLICA)
+      .map((outgoing) => outgoing.shard);
+    const member = this.context.member(lane.targetId);
+    if (shards.length === 0 || !member) return true;
+    const payload = HandoverMessage.encode({ offer: { shards: toBitmap(shards) } }).finish();
+    return this.context.components.control.send(member.control, 'handover', payload);
   }
 }
 
