Recover a stand-in connection's burst of losses in round trips

Cause: whole-path.test.ts broke flows as 'unanswered' on a loaded machine: after a stall had overflowed the UDP buffers, a connection resent one lost segment a retransmission timeout (200 ms), slower than its flow wrote, and fell 15 s behind. Change: an acknowledgement that stops short of what was in flight at the timeout resends the next lost segment at once (partial acknowledgement, RFC 6582). Conclusion: flows of the stand-ins catch up after a stall.

--- a/src/standin/segment-connection/segment-connection.test.ts
+++ b/src/standin/segment-connection/segment-connection.test.ts
@@ -3,6 +3,7 @@
 import { VirtualClock } from '../../common/clock.js';
 import { seededRandom, type RandomSource } from '../../common/random.js';
 import { decodeSegment, type Segment } from '../../fabric/index.js';
+import { RETRANSMIT_INITIAL_MS } from './constants.js';
 import { encodeMessage, MessageReader, SegmentConnection, type ConnectionListener } from './index.js';
 
 const CLIENT = { address: 0x0ac80001, port: 1_024 };
@@ -135,6 +136,24 @@
   });
 }
 
+test('a burst of losses is made good within one timeout and a round trip each', (t) => {
+  const wire = new Wire();
+  const client = wire.open();
+  wire.clock.advance(100);
+  const lost = new Set<number>();
+  wire.filter = (segment, towards) => {
+    const first = towards === wire.server && segment.payload.length > 0 && !lost.has(segment.sequence);
+    if (first) lost.add(segment.sequence);
+    return !first;
+  };
+  const messages = Array.from({ length: 20 }, (_, index) => `message ${index};`);
+  for (const message of messages) client.write(Buffer.from(message));
+  wire.clock.advance(RETRANSMIT_INITIAL_MS + messages.length * 2);
+  t.is(lost.size, messages.length);
+  t.is(wire.server.received, messages.join(''));
+  t.deepEqual(wire.client.events, ['open']);
+});
+
 test('a repeated SYN gets the same SYN-ACK', (t) => {
   const wire = new Wire();
   const initials: number[] = [];
--- a/src/standin/segment-connection/segment-connection.ts
+++ b/src/standin/segment-connection/segment-connection.ts
@@ -61,6 +61,8 @@
   private timer: TimerHandle | undefined;
   private retransmitMs = RETRANSMIT_INITIAL_MS;
   private waitingSinceMs: number | undefined;
+  /** End of what was in flight at the last timeout; undefined once all of that is acknowledged. */
+  private recoverUntil: number | undefined;
 
   private constructor(private readonly options: ConnectionOptions) {
     this.queue = new SendQueue(options.initialSequence);
@@ -197,9 +199,22 @@
     this.waitingSinceMs = undefined;
     this.timer?.cancel();
     this.timer = undefined;
+    this.resendNextLost();
     this.sendWaiting();
   }
 
+  /**
+   * During recovery, an acknowledgement that stops short of `recoverUntil` shows the next lost segment: it is sent
+   * again at once (a partial acknowledgement, RFC 6582). Were each lost segment to wait for a timeout of its own, a
+   * connection that writes steadily would never catch up after a burst of losses.
+   */
+  private resendNextLost(): void {
+    const { oldest } = this.queue;
+    if (this.recoverUntil === undefined) return;
+    if (oldest && sequenceDistance(oldest.sequence, this.recoverUntil) > 0) this.transmitSegment(oldest);
+    else this.recoverUntil = undefined;
+  }
+
   private closeWhenDone(): void {
     if (this.currentState !== 'closing' || !this.peerClosed || !this.queue.empty) return;
     this.finish();
@@ -227,6 +242,7 @@
       return;
     }
     this.retransmitMs = Math.min(this.retransmitMs * 2, RETRANSMIT_LIMIT_MS);
+    this.recoverUntil ??= this.queue.sentUntil;
     this.transmitSegment(oldest);
     this.armTimer();
   }
