Leave services alone that a change of settings did not touch

Cause: each change of the tree ranked the probers of every back end anew, configured every service and formed every belief again, on the event loop of the data path. Change: probers are kept until the members or the back end's zone change; only changed services are configured and evaluated. A change of the members still costs the whole of it. Conclusion: what is left of a change grows with the tree by plain loops only.

--- a/src/health/constants.ts
+++ b/src/health/constants.ts
@@ -42,6 +42,9 @@
 /** A report is distrusted when the own count differs from it by more than this many standard deviations. */
 export const LOAD_CONTRADICTION_DEVIATIONS = 4;
 
+/** Report intervals without a new report after which the last one counts as unchanged; covers the gossip's delay. */
+export const LOAD_SETTLED_INTERVALS = 3;
+
 /** A contradiction that lasts this long is written to the log. */
 export const CONTRADICTION_EVENT_MS = 3_000;
 
--- a/src/health/health-monitor.ts
+++ b/src/health/health-monitor.ts
@@ -8,10 +8,11 @@
 import type { MembershipFeed } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
 import type { LoadView } from '../placement/types.js';
-import type { EffectiveSettings } from '../settings/types.js';
+import type { EffectiveBackend, EffectiveSettings } from '../settings/types.js';
 import {
   CONFLICT_FRESH_MS,
   EVALUATION_INTERVAL_MS,
+  LOAD_SETTLED_INTERVALS,
   PASSIVE_FAILURE_THRESHOLD,
   PAUSE_DETECTION_MS,
   PROBERS_PER_BACKEND,
@@ -22,7 +23,7 @@
 import { OwnVotes } from './own-votes.js';
 import type { Probe } from './probe.js';
 import type { PassiveTracker } from './passive-tracker.js';
-import { Prober, type ProberStatistics, type ProbeTarget } from './prober.js';
+import { loadInterval, Prober, type ProberStatistics, type ProbeTarget } from './prober.js';
 import { proberCandidates, ProberRanking } from './prober-assignment.js';
 import { ServiceHealth } from './service-health.js';
 import type { BackendHealth, HealthFeed, PassiveEvidence } from './types.js';
@@ -52,6 +53,16 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** The members that probe a back end, and what they were found from. */
+interface Assignment {
+  /** Hashes, best first. */
+  readonly probers: readonly number[];
+  /** A balancer of this region stands in the back end's zone. */
+  readonly isLocal: boolean;
+  readonly zone: string;
+  readonly ranking: ProberRanking;
+}
+
 /** Believes something about every back end of the settings in force; never touches an open flow. */
 export class HealthMonitor implements HealthFeed {
   private readonly table = new VoteTable();
@@ -65,7 +76,7 @@
   private candidateKey = '';
   private witnesses: ReadonlySet<number> = new Set();
   private readonly memberNames = new Map<number, string>();
-  private readonly assigned = new Map<number, readonly number[]>();
+  private assigned: ReadonlyMap<number, Assignment> = new Map();
   private configured = false;
   private evaluatedAtMs = -Infinity;
 
@@ -143,7 +154,7 @@
     this.serviceOfBackend.clear();
     for (const service of settings.services) {
       const health = this.services.get(service.id) ?? this.createService(service.id, service);
-      health.configure(service, nowMs, warm);
+      if (!health.isConfiguredAs(service)) health.configure(service, nowMs, warm);
       for (const backend of service.backends) this.serviceOfBackend.set(backend.id, health);
     }
     this.assign();
@@ -156,8 +167,9 @@
       events,
       load,
       table: this.table,
+      loadSettledMs: () => LOAD_SETTLED_INTERVALS * loadInterval(this.assigned.size),
       isWitness: (hash) => hash !== this.selfHash && this.witnesses.has(hash),
-      probers: (backendId) => this.assigned.get(backendId) ?? [],
+      probers: (backendId) => this.assigned.get(backendId)?.probers ?? [],
       memberName: (hash) => this.memberNames.get(hash) ?? `member ${hash.toString(16)}`,
     });
     this.services.set(id, health);
@@ -178,20 +190,18 @@
     this.memberNames.clear();
     for (const id of names) this.memberNames.set(hashString(id), id);
     this.assign();
+    for (const service of this.services.values()) service.markDirty();
   }
 
-  /** Computes the probers of every back end and drops votes of members and on back ends that are gone. */
+  /** Determines the probers of every back end and drops votes of members and on back ends that are gone. */
   private assign(): void {
     const targets: ProbeTarget[] = [];
-    this.assigned.clear();
+    const assigned = new Map<number, Assignment>();
     for (const service of this.options.settings.current()?.services ?? []) {
       for (const backend of service.backends) {
-        const isLocal = this.ranking.hasZone(backend.zone);
-        const probers = this.ranking.probersOf(
-          backend.id,
-          isLocal ? PROBERS_PER_BACKEND : PROBERS_PER_REMOTE_BACKEND,
-        );
-        this.assigned.set(backend.id, probers);
+        const assignment = this.assignmentOf(backend);
+        assigned.set(backend.id, assignment);
+        const { probers, isLocal } = assignment;
         if (!probers.includes(this.selfHash)) continue;
         targets.push({
           backend,
@@ -201,9 +211,18 @@
         });
       }
     }
-    this.table.retain(new Set([...this.memberNames.keys(), this.selfHash]), new Set(this.assigned.keys()));
-    this.prober.assign(targets, this.assigned.size);
-    for (const service of this.services.values()) service.markDirty();
+    this.assigned = assigned;
+    this.table.retain(new Set([...this.memberNames.keys(), this.selfHash]), new Set(assigned.keys()));
+    this.prober.assign(targets, assigned.size);
+  }
+
+  /** The probers of a back end; those found before unless the members or its zone have changed. */
+  private assignmentOf({ id, zone }: EffectiveBackend): Assignment {
+    const known = this.assigned.get(id);
+    if (known?.ranking === this.ranking && known.zone === zone) return known;
+    const isLocal = this.ranking.hasZone(zone);
+    const count = isLocal ? PROBERS_PER_BACKEND : PROBERS_PER_REMOTE_BACKEND;
+    return { probers: this.ranking.probersOf(id, count), isLocal, zone, ranking: this.ranking };
   }
 
   private spreadOwn(vote: Vote, change: 'load' | 'verdict'): void {
--- a/src/health/service-health.ts
+++ b/src/health/service-health.ts
@@ -9,7 +9,7 @@
 import { describeBelief } from './evidence.js';
 import { HEALTH_EVENTS } from './events.js';
 import { countingVotes } from './probe-verdict.js';
-import { judgeLoads, newestLoad, type LoadTrust } from './reported-load.js';
+import { CountsAtReport, judgeLoads, newestLoad, type LoadTrust } from './reported-load.js';
 import type { BackendHealth, HealthEvidence } from './types.js';
 import type { ReportedLoad, VoteTable } from './votes.js';
 
@@ -19,6 +19,8 @@
   readonly events: EventLog;
   readonly load: LoadView;
   readonly table: VoteTable;
+  /** Ms after which a reported load that was not followed by another has not changed. */
+  readonly loadSettledMs: () => number;
   /** True for another member whose passive evidence counts: one that keeps flows and is not leaving. */
   readonly isWitness: (memberHash: number) => boolean;
   /** Hashes of the assigned probers of a back end. */
@@ -35,6 +37,7 @@
   readonly beliefs = new Map<number, BackendBelief>();
   private readonly published = new Map<number, BackendHealth>();
   private readonly trust = new Map<number, LoadTrust>();
+  private readonly countsAtReport = new CountsAtReport();
   /** Monotonic ms since when a report is contradicted; Infinity once the event is written. */
   private readonly contradictedSince = new Map<number, number>();
   private readonly capped = new Set<number>();
@@ -46,6 +49,11 @@
     private readonly options: ServiceHealthOptions,
   ) {}
 
+  /** True when this very service is configured; services are immutable. */
+  isConfiguredAs(service: EffectiveService): boolean {
+    return this.service === service && this.beliefs.size === service.backends.length;
+  }
+
   /** Takes over new settings; added back ends begin with slow start unless `warm`. */
   configure(service: EffectiveService, nowMs: number, warm: boolean): void {
     this.service = service;
@@ -114,6 +122,7 @@
     this.published.delete(id);
     this.trust.delete(id);
     this.contradictedSince.delete(id);
+    this.countsAtReport.forget(id);
     this.capped.delete(id);
   }
 
@@ -152,10 +161,12 @@
 
   private judgeReports(nowMs: number): Map<number, ReportedLoad | undefined> {
     const reports = new Map<number, ReportedLoad | undefined>();
+    const times = { nowMs, settledMs: this.options.loadSettledMs() };
     const observations = [...this.beliefs].map(([backendId, belief]) => {
       const report = newestLoad(this.options.table.votesOn(backendId));
       reports.set(backendId, report);
-      const ownFlows = this.options.load.openFlows(backendId);
+      const openNow = this.options.load.openFlows(backendId);
+      const ownFlows = this.countsAtReport.ownFlowsAt(backendId, report, openNow, times);
       const failing =
         belief.passive.failures(nowMs) >= PASSIVE_FAILURE_THRESHOLD || belief.condition === 'ejected';
       return { backendId, report, ownFlows, failing };
