--- a/src/experiment/capacity/capacity-model.ts
+++ b/src/experiment/capacity/capacity-model.ts
@@ -5,7 +5,7 @@
 import { fitLine, valueAt, type LinearFit, type Point } from '../scale/slopes.js';
 import type { ScaleDimension } from '../scale/steps.js';
 import type { ProbeCost, StepFigures } from '../scale/types.js';
-import { DAEMON_SHARE, DESIGN_SIZE } from './design-size.js';
+import { DAEMON_SHARE } from './design-size.js';
 
 /** Steps of every recorded report. */
 export type RecordedStep = StepFigures & { readonly dimensions: readonly string[] };
@@ -86,8 +86,8 @@
   probes: readonly ProbeCost[],
 ): Contribution[] {
   const fits = probeFits(probes);
-  const rate = probesPerSecond(steps);
-  if (!fits || rate === undefined) return contributions(steps, (step) => step.cpuFraction);
+  const rate = DAEMON_SHARE.probesPerSecond;
+  if (!fits) return contributions(steps, (step) => step.cpuFraction);
   const withoutStub = (step: RecordedStep): number =>
     step.cpuFraction - fits.stub.slope * step.probesPerSecond;
   const largestMeasured = Math.max(...probes.map(({ httpProbesPerSecond }) => httpProbesPerSecond));
@@ -137,14 +137,6 @@
   };
 }
 
-/** Probes a second of one daemon at the size to design for, from the probes each back end got in the largest tree. */
-export function probesPerSecond(steps: readonly RecordedStep[]): number | undefined {
-  const largest = [...steps].sort((left, right) => right.backends - left.backends)[0];
-  if (!largest) return undefined;
-  const perBackend = (largest.probesPerSecond * largest.members) / largest.backends;
-  return (perBackend * DESIGN_SIZE.backends * DESIGN_SIZE.regions) / DESIGN_SIZE.daemons;
-}
-
 /** The step that every slope starts from: the smallest of the back-end steps. */
 export function baseStep(steps: readonly RecordedStep[]): RecordedStep | undefined {
   const idle = steps.filter((step) => step.dimensions.includes('backends'));
--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -4,13 +4,12 @@
   contributions,
   cpuContributions,
   missingDimensions,
-  probesPerSecond,
   total,
   totalResidual,
   type Contribution,
   type RecordedStep,
 } from './capacity-model.js';
-import { DAEMON_BUDGET } from './design-size.js';
+import { DAEMON_BUDGET, DAEMON_SHARE } from './design-size.js';
 import type { RecordedData } from './recorded-data.js';
 
 interface Account {
@@ -159,16 +158,15 @@
   return table(header, rows);
 }
 
-function probesTable({ probes, steps }: RecordedData): string {
+function probesTable({ probes }: RecordedData): string {
   const rows = probes.map((probe) => [
     String(probe.backends),
     String(probe.httpProbesPerSecond),
     number(100 * probe.httpCpuFraction, 2),
     number(100 * probe.stubCpuFraction, 2),
   ]);
-  const rate = probesPerSecond(steps);
-  const note =
-    rate === undefined ? '' : `\n\nProbes/s of a daemon at the size to design for: ${number(rate, 0)}.`;
+  const rate = number(DAEMON_SHARE.probesPerSecond, 0);
+  const note = `\n\nProbes/s of a daemon at the size to design for, at the default interval: ${rate}.`;
   return table(['back ends probed', 'probes/s', '% core over HTTP', '% core with the stub'], rows) + note;
 }
 
--- a/src/experiment/capacity/design-size.ts
+++ b/src/experiment/capacity/design-size.ts
@@ -1,5 +1,12 @@
 /** The size to design for, what one daemon gets of it, and the budget of one daemon's control. */
 
+import {
+  PROBE_JITTER,
+  PROBERS_PER_BACKEND,
+  PROBERS_PER_REMOTE_BACKEND,
+  REMOTE_PROBE_INTERVAL_FACTOR,
+} from '../../health/constants.js';
+
 /** The whole fleet. */
 export const DESIGN_SIZE = {
   daemons: 1_100,
@@ -15,7 +22,20 @@
 } as const;
 
 const SECONDS_PER_DAY = 86_400;
-const PROBERS_PER_BACKEND = 3;
+/** Probe interval unless a service sets another. */
+const PROBE_INTERVAL_SECONDS = 0.5;
+
+/**
+ * Probes a second of one daemon: a region's back ends have PROBERS_PER_BACKEND probers in it, those of the other regions
+ * fewer and at a longer interval. Intervals are jittered downwards. Reads of loads are rare at this size.
+ */
+function probesPerDaemon(): number {
+  const { daemons, regions, backends } = DESIGN_SIZE;
+  const own = PROBERS_PER_BACKEND / regions;
+  const remote = ((1 - 1 / regions) * PROBERS_PER_REMOTE_BACKEND) / REMOTE_PROBE_INTERVAL_FACTOR;
+  const rate = 1 / (PROBE_INTERVAL_SECONDS * (1 - PROBE_JITTER));
+  return (backends * (own + remote) * rate * regions) / daemons;
+}
 
 /** Share of one daemon; a region's daemons share the region's flows and probe every back end of the tree. */
 export const DAEMON_SHARE = {
@@ -24,7 +44,7 @@
   flows: Math.round(DESIGN_SIZE.openFlows / DESIGN_SIZE.daemons),
   openingsPerSecond: DESIGN_SIZE.openingsPerSecond / DESIGN_SIZE.daemons,
   changesPerSecond: DESIGN_SIZE.changesPerDay / SECONDS_PER_DAY,
-  probedBackends: (PROBERS_PER_BACKEND * DESIGN_SIZE.backends * DESIGN_SIZE.regions) / DESIGN_SIZE.daemons,
+  probesPerSecond: probesPerDaemon(),
 } as const;
 
 /** What a daemon may spend on control. */
