Give the scale run's flows a service of ten back ends; add roles to the capacity tables

Cause: flows were opened to a service of one or two back ends, where there is hardly a choice, so nearly nothing was replicated; the page named no figures for each role.

--- a/src/experiment/capacity/capacity-model.ts
+++ b/src/experiment/capacity/capacity-model.ts
@@ -15,7 +15,7 @@
 
 /** What one dimension adds. */
 export interface Contribution {
-  readonly dimension: ScaleDimension | 'base' | 'probes';
+  readonly dimension: ScaleDimension | 'base' | 'probes' | 'process';
   /** What the line runs over, and its unit. */
   readonly variable: string;
   readonly target: number;
--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -10,6 +10,8 @@
   type RecordedStep,
 } from './capacity-model.js';
 import { DAEMON_BUDGET, DAEMON_SHARE } from './design-size.js';
+import { rolesTable } from './capacity-roles.js';
+import { formatNumber as number, markdownTable as table } from './markdown-table.js';
 import type { RecordedData } from './recorded-data.js';
 
 interface Account {
@@ -27,6 +29,7 @@
     totals: totalsTable(accounts(data), data),
     parts: accounts(data).map(accountTable).join('\n\n'),
     kinds: kindsTable(data.steps),
+    roles: rolesTable(data),
     steps: stepsTable(data.steps),
     probes: probesTable(data),
     operator: operatorTable(data),
@@ -34,7 +37,7 @@
   };
 }
 
-function accounts({ steps, probes }: RecordedData): Account[] {
+function accounts({ steps, probes, reports }: RecordedData): Account[] {
   const cpu = cpuContributions(steps, probes).map((part) => percent(part));
   return [
     {
@@ -47,7 +50,25 @@
     },
     {
       ...{ title: 'Resident memory', unit: 'MB', digits: 1, budget: DAEMON_BUDGET.megabytes },
-      parts: contributions(steps, (step) => step.residentMegabytes),
+      parts: [...processMemory(reports), ...contributions(steps, (step) => step.residentMegabytes)],
+    },
+  ];
+}
+
+/** Memory of a process without daemons; hollow daemons share it, a real one has it for itself. */
+function processMemory(reports: RecordedData['reports']): Contribution[] {
+  const megabytes = Math.max(0, ...reports.map(({ report }) => report.emptyHostMegabytes));
+  const variable = 'a process without daemons';
+  if (megabytes === 0) return [];
+  return [
+    {
+      dimension: 'process',
+      variable,
+      target: 0,
+      base: 0,
+      largestMeasured: 0,
+      fit: undefined,
+      value: megabytes,
     },
   ];
 }
@@ -198,12 +219,3 @@
   ];
   return table(header, rows);
 }
-
-function table(header: readonly string[], rows: readonly (readonly string[])[]): string {
-  const lines = [header, header.map(() => '---'), ...rows];
-  return lines.map((cells) => `| ${cells.join(' | ')} |`).join('\n');
-}
-
-function number(value: number, digits: number): string {
-  return value.toLocaleString('en-US', { minimumFractionDigits: digits, maximumFractionDigits: digits });
-}
--- a/src/experiment/scale/tree-generator.test.ts
+++ b/src/experiment/scale/tree-generator.test.ts
@@ -19,6 +19,8 @@
     t.is(all.length, backends);
     t.is(new Set(all.map(({ zone }) => zone)).size, Math.min(backends, zones.length));
     t.true(resolved.value.services.every((service) => service.backends.length >= 1));
+    const first = resolved.value.services.find(({ name }) => name === 'site-0/service-0');
+    t.is(first?.backends.length, Math.min(10, backends));
     return undefined;
   });
 }
--- a/src/experiment/scale/tree-generator.ts
+++ b/src/experiment/scale/tree-generator.ts
@@ -4,6 +4,7 @@
 const SERVICES_PER_SITE = 100;
 const BACKEND_NETWORK_SIZE = 250;
 const FIRST_SERVICE_PORT = 5_000;
+const FIRST_SERVICE_BACKENDS = 10;
 
 /** Size of a tree. */
 export interface TreeSize {
@@ -36,7 +37,7 @@
   return Math.max(1, Math.min(backends, Math.round((backends * DESIGN_SERVICES) / DESIGN_BACKENDS)));
 }
 
-/** A valid tree with back ends spread evenly over the services. Throws when the generator makes a faulty one. */
+/** A valid tree with ten back ends behind the first service and the others spread evenly. Throws when the generator makes a faulty one. */
 export function generateTree(size: TreeSize): TreeDocument {
   const sites: Record<string, { services: Record<string, unknown> }> = {};
   for (let index = 0; index < size.services; index += 1) {
@@ -58,7 +59,7 @@
 
 function backendsOf(service: number, size: TreeSize): Record<string, unknown> {
   const backends: Record<string, unknown> = {};
-  for (let index = service; index < size.backends; index += size.services) {
+  for (const index of backendIndexes(service, size)) {
     backends[`backend-${index}`] = {
       zone: size.zones[index % size.zones.length],
       endpoint: backendEndpoint(index, 6_000),
@@ -68,6 +69,16 @@
   return backends;
 }
 
+/** The first service, which flows are opened to, has enough back ends for a choice; the others share the rest evenly. */
+function backendIndexes(service: number, { services, backends }: TreeSize): number[] {
+  const first = Math.min(FIRST_SERVICE_BACKENDS, backends - services + 1);
+  if (service === 0)
+    return Array.from({ length: services === 1 ? backends : first }, (_unused, index) => index);
+  const indexes: number[] = [];
+  for (let index = first + service - 1; index < backends; index += services - 1) indexes.push(index);
+  return indexes;
+}
+
 function backendEndpoint(index: number, port: number): string {
   return `127.64.${Math.floor(index / BACKEND_NETWORK_SIZE)}.${1 + (index % BACKEND_NETWORK_SIZE)}:${port}`;
 }
