Find probers anew only where a change of members can matter

Change: probers stay where none of them went and no newcomer scores higher than the lowest; services are evaluated where probers or votes of changed members are involved.

--- a/src/health/health-monitor.ts
+++ b/src/health/health-monitor.ts
@@ -72,6 +72,7 @@
   private readonly gossip: HealthGossip;
   private readonly prober: Prober;
   private ranking = new ProberRanking([]);
+  private rankingChanges = this.ranking.changesSince(this.ranking);
   private candidateKey = '';
   private witnesses: ReadonlySet<number> = new Set();
   private readonly memberNames = new Map<number, string>();
@@ -183,12 +184,29 @@
       names.size === this.memberNames.size && [...this.memberNames.values()].every((id) => names.has(id));
     if (key === this.candidateKey && sameNames) return;
     this.candidateKey = key;
-    this.ranking = new ProberRanking(candidates);
+    const ranking = new ProberRanking(candidates);
+    this.rankingChanges = ranking.changesSince(this.ranking);
+    this.ranking = ranking;
+    const before = { assigned: this.assigned, names: new Set(this.memberNames.keys()) };
     this.witnesses = new Set(candidates.map(({ hash }) => hash));
     this.memberNames.clear();
     for (const id of names) this.memberNames.set(hashString(id), id);
+    this.markVotersDirty(before.names);
     this.assign();
-    for (const service of this.services.values()) service.markDirty();
+    for (const [backendId, { probers }] of this.assigned) {
+      if (before.assigned.get(backendId)?.probers !== probers)
+        this.serviceOfBackend.get(backendId)?.markDirty();
+    }
+  }
+
+  /** Votes of members that came, went or changed their part count otherwise than before. */
+  private markVotersDirty(earlierNames: ReadonlySet<number>): void {
+    const { added, removed } = this.rankingChanges;
+    const changed = new Set([...added, ...removed].map(({ hash }) => hash));
+    for (const hash of earlierNames) if (!this.memberNames.has(hash)) changed.add(hash);
+    for (const [backendId, service] of this.serviceOfBackend) {
+      for (const hash of changed) if (this.table.get(backendId, hash)) service.markDirty();
+    }
   }
 
   /** Determines the probers of every back end and drops votes of members and on back ends that are gone. */
@@ -220,6 +238,9 @@
     if (known?.ranking === this.ranking && known.zone === zone) return known;
     const isLocal = this.ranking.hasZone(zone);
     const count = isLocal ? PROBERS_PER_BACKEND : PROBERS_PER_REMOTE_BACKEND;
+    const changes = this.rankingChanges;
+    if (known?.ranking === changes.earlier && known.zone === zone && changes.leaves(id, known.probers, count))
+      return { ...known, ranking: this.ranking };
     return { probers: this.ranking.probersOf(id, count), isLocal, zone, ranking: this.ranking };
   }
 
--- a/src/health/prober-assignment.test.ts
+++ b/src/health/prober-assignment.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { hashString } from '../common/hash.js';
+import { seededRandom } from '../common/random.js';
 import { ProberRanking, type ProberCandidate } from './prober-assignment.js';
 
 function fleet(members: number, zones: number): ProberCandidate[] {
@@ -55,3 +56,41 @@
     );
   }
 });
+
+test('probers that a change of members surely leaves are those that the new ranking finds', (t) => {
+  const random = seededRandom(17);
+  const pick = (limit: number): number => Math.floor(random() * limit);
+  let [left, found] = [0, 0];
+  for (let round = 0; round < 200; round += 1) {
+    const zones = 1 + pick(5);
+    const before = fleet(1 + pick(30), zones);
+    const after = before.filter(() => random() > 0.1);
+    for (let added = pick(3); added > 0; added -= 1) {
+      const id = `new-${round}-${added}`;
+      after.push({ id, hash: hashString(id), zone: `zone-${pick(zones + 1)}` });
+    }
+    const [earlier, later] = [new ProberRanking(before), new ProberRanking(after)];
+    const changes = later.changesSince(earlier);
+    for (const backendId of BACKENDS.slice(0, 50)) {
+      for (const count of [2, 3]) {
+        const probers = earlier.probersOf(backendId, count);
+        if (changes.leaves(backendId, probers, count)) {
+          left += 1;
+          t.deepEqual(later.probersOf(backendId, count), probers);
+        } else found += 1;
+      }
+    }
+  }
+  t.true(left > 1_000 && found > 1_000, `${left} left, ${found} found anew`);
+});
+
+test('one newcomer of many changes the probers of few back ends', (t) => {
+  const before = fleet(200, 4);
+  const changes = new ProberRanking([
+    ...before,
+    { id: 'new', hash: hashString('new'), zone: 'zone-1' },
+  ]).changesSince(new ProberRanking(before));
+  const earlier = new ProberRanking(before);
+  const kept = BACKENDS.filter((id) => changes.leaves(id, earlier.probersOf(id, 3), 3)).length;
+  t.true(kept > 0.95 * BACKENDS.length, `${kept} of ${BACKENDS.length}`);
+});
--- a/src/health/prober-assignment.ts
+++ b/src/health/prober-assignment.ts
@@ -30,11 +30,13 @@
   private readonly salts: Uint32Array;
   private readonly zones: Uint32Array;
   private readonly zoneNames: readonly string[];
+  private readonly saltByHash: ReadonlyMap<number, number>;
 
   constructor(private readonly candidates: readonly ProberCandidate[]) {
     const zoneNames = [...new Set(candidates.map(({ zone }) => zone))];
     this.zoneNames = zoneNames;
     this.salts = Uint32Array.from(candidates, ({ hash }) => mix32(hash));
+    this.saltByHash = new Map(candidates.map(({ hash }) => [hash, mix32(hash)]));
     this.zones = Uint32Array.from(candidates, ({ zone }) => zoneNames.indexOf(zone));
   }
 
@@ -69,4 +71,52 @@
     found.sort((left, right) => scores[right]! - scores[left]!);
     return found.map((zone) => best[zone]!);
   }
+
+  /** Salt of a member; undefined when it is no candidate. */
+  saltOf(hash: number): number | undefined {
+    return this.saltByHash.get(hash);
+  }
+
+  /** What the members' change from `earlier` to this ranking leaves as it was. */
+  changesSince(earlier: ProberRanking): RankingChanges {
+    const added = this.candidates.filter(({ hash }) => earlier.saltOf(hash) === undefined);
+    const removed = earlier.candidates.filter(({ hash }) => this.saltOf(hash) === undefined);
+    const sameZones =
+      this.zoneNames.length === earlier.zoneNames.length &&
+      this.zoneNames.every((zone) => earlier.hasZone(zone));
+    return new RankingChanges(this, earlier, added, removed, sameZones);
+  }
+}
+
+/** Members that came and went between two rankings. */
+export class RankingChanges {
+  private readonly removedHashes: ReadonlySet<number>;
+  private readonly addedSalts: readonly number[];
+
+  constructor(
+    private readonly ranking: ProberRanking,
+    readonly earlier: ProberRanking,
+    readonly added: readonly ProberCandidate[],
+    readonly removed: readonly ProberCandidate[],
+    private readonly sameZones: boolean,
+  ) {
+    this.removedHashes = new Set(removed.map(({ hash }) => hash));
+    this.addedSalts = added.map(({ hash }) => mix32(hash));
+  }
+
+  /**
+   * True when the probers that the earlier ranking chose are surely still the ones: all are there, the zones are the
+   * same, and no newcomer scores higher than the lowest of them. A member that is not chosen cannot displace one by
+   * leaving, nor by coming with a lower score.
+   */
+  leaves(backendId: number, probers: readonly number[], count: number): boolean {
+    if (!this.sameZones || probers.length < count) return false;
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const hash of probers) {
+      const salt = this.ranking.saltOf(hash);
+      if (salt === undefined || this.removedHashes.has(hash)) return false;
+      lowest = Math.min(lowest, mix32(salt ^ backendId));
+    }
+    return this.addedSalts.every((salt) => mix32(salt ^ backendId) < lowest);
+  }
 }
