--- a/src/experiment/figures.ts
+++ b/src/experiment/figures.ts
@@ -20,6 +20,7 @@
   'imbalance.peakToMean',
   'imbalance.coefficientOfVariation',
   'imbalance.busySlots.peakToMean',
+  'imbalance.busySlots.mean',
   'imbalance.busySlots.peakToMeanOfAverages',
   'exceptionsShare',
   'drain.secondsToLastNewFlow',
--- a/src/experiment/measure.test.ts
+++ b/src/experiment/measure.test.ts
@@ -10,7 +10,7 @@
     name,
     service: name.slice(0, name.lastIndexOf('/')),
     openFlows,
-    busySlots: 0,
+    busySlots: openFlows / 10,
     opened,
   }));
   return { atMs, backends };
@@ -24,7 +24,10 @@
   const figures = measure.imbalance(samples, (backend) => backend !== 's/a/3');
   t.deepEqual(figures.peakToMean, { a: 1.25, b: 1 });
   t.deepEqual(figures.coefficientOfVariation, { a: 0.25, b: 0 });
-  t.deepEqual(figures.busySlots.peakToMean, { a: null, b: null });
+  t.deepEqual(figures.busySlots.peakToMean, { a: 1.25, b: 1 });
+  t.deepEqual(figures.busySlots.mean, { a: 1.25, b: 0.4 });
+  const idle = measure.imbalance([sample(0, { 's/a/1': 0, 's/a/2': 0 })], () => true);
+  t.deepEqual([idle.busySlots.peakToMean, idle.busySlots.mean], [{ a: null }, { a: 0 }]);
 });
 
 test('the last new flow after a drain: 0 when none came, null without a drain', (t) => {
--- a/src/experiment/measure.ts
+++ b/src/experiment/measure.ts
@@ -44,6 +44,7 @@
     busySlots: {
       peakToMean: table(busySlots, peakToMean),
       coefficientOfVariation: table(busySlots, coefficientOfVariation),
+      mean: table(busySlots, mean),
       peakToMeanOfAverages: Object.fromEntries(
         services.map((service) => [
           shortName(service),
