Measure one daemon alone in its process

Cause: many hollow daemons share a process, so the memory of one process with one daemon was not measured. Change: two fleets of one daemon, with a small and the full tree; a row for each among the roles; the roles' page text.

--- a/src/experiment/capacity/capacity-roles.ts
+++ b/src/experiment/capacity/capacity-roles.ts
@@ -47,6 +47,7 @@
     ['store reader', readerBytes(data), 'in the holder of the tree', 'one document while it is read'],
     operatorRow(data),
     smallSiteRow(data.steps),
+    ...singleDaemonRows(data),
     ['process without duties', '0', '-', emptyProcess(data)],
   ];
   return markdownTable(['role', 'bytes sent', 'processor', 'memory'], rows);
@@ -109,6 +110,18 @@
   ];
 }
 
+/** One daemon alone in its process: what many daemons of a process share is counted here for one. */
+function singleDaemonRows({ steps, reports }: RecordedData): string[][] {
+  const empty = Math.max(0, ...reports.map(({ report }) => report.emptyHostMegabytes));
+  const single = steps.filter((step) => step.dimensions.includes('single-daemon'));
+  return single.map((step) => [
+    `one daemon alone in its process, ${step.backends} back ends`,
+    '0',
+    `${formatNumber(100 * step.cpuFraction, 2)} %`,
+    `${formatNumber(empty + step.residentMegabytes, 0)} MB with the process`,
+  ]);
+}
+
 function emptyProcess({ reports }: RecordedData): string {
   const sizes = reports.flatMap(({ report }) => report.emptyHostMegabytes || []);
   return sizes.length === 0 ? NOT_MEASURED : `${Math.max(...sizes)} MB`;
--- a/src/experiment/scale/steps.ts
+++ b/src/experiment/scale/steps.ts
@@ -3,7 +3,15 @@
 
 /** What a measurement can vary; an idle fleet is the zero of several. */
 export type ScaleDimension =
-  'members' | 'backends' | 'flows' | 'openings' | 'changes' | 'full-tree-changes' | 'small-site' | 'regions';
+  | 'members'
+  | 'backends'
+  | 'flows'
+  | 'openings'
+  | 'changes'
+  | 'full-tree-changes'
+  | 'small-site'
+  | 'single-daemon'
+  | 'regions';
 
 /** Size of a fleet and its tree. */
 export interface FleetSize {
@@ -45,6 +53,10 @@
     ...{ members: 3, regions: 1, services: 2, backends: 13 },
     measurements: [measure(['small-site'], { openingsPerSecond: 20 })],
   },
+  ...[SMALL_TREE, FULL_TREE].map((tree) => ({
+    ...{ members: 1, regions: 1, ...tree },
+    measurements: [measure(['single-daemon'], { changesPerSecond: 0.1 })],
+  })),
   {
     ...plainFleet(12),
     measurements: [
