Remember that a shard was acknowledged when its receiver has no backup to fill first

Cause: with two balancers the one that stays has no backup, so it acknowledged a shard while installing it; the status of the assembly then overwrote that with 'received', and a lost acknowledgement was never repeated: 32 such transfers filled the window and the hand-over stalled. Ruled out: the byte budget alone (three balancers at the same budget end in time). Change: the acknowledgement made during the installation stands.

--- a/src/flow/shard-receiver.ts
+++ b/src/flow/shard-receiver.ts
@@ -109,6 +109,9 @@
     );
     const outcome = this.install({ header, shard, transferId: header.transferId ?? 0, records, from });
     this.assemblies.delete(key);
+    // Without a backup to fill first, the shard is acknowledged while it is installed.
+    const ended = this.ended.get(key);
+    if (outcome === 'later' && ended !== undefined) return ended;
     const status = STATUS_OF_OUTCOME[outcome];
     this.remember(key, status);
     return status;
