Run the platform client's fault tests on a virtual clock

Cause: deadlines of 0.7 s and a watch silence of 0.1 s ran on the real clock, so that a stall could end a call before its request was sent. Conclusion: their outcomes depend on turns of the event loop, not on time.

--- a/src/platform/client-test-support.ts
+++ b/src/platform/client-test-support.ts
@@ -1,6 +1,6 @@
 /** What the tests of the platform client share. */
 import type { ExecutionContext } from 'ava';
-import { SystemClock, type Clock } from '../common/clock.js';
+import { SystemClock, type Clock, type VirtualClock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
 import { startPlatformStandin, type PlatformStandin } from '../standin/platform/index.js';
@@ -47,6 +47,29 @@
   t.fail('the condition did not come true');
 }
 
+/** Virtual time between two polls; an exchange on loopback takes a few polls, however slow the machine is. */
+const STEP_MS = 10;
+
+/** Waits like `eventually` and moves `clock` on with each poll. */
+export function eventuallyOn(
+  t: ExecutionContext,
+  clock: VirtualClock,
+  condition: () => boolean,
+): Promise<void> {
+  return eventually(t, () => {
+    clock.advance(STEP_MS);
+    return condition();
+  });
+}
+
+/** Awaits a call whose deadlines and pauses run on `clock`. */
+export async function settle<T>(t: ExecutionContext, clock: VirtualClock, call: Promise<T>): Promise<T> {
+  let settled = false;
+  const result = call.finally(() => (settled = true));
+  await eventuallyOn(t, clock, () => settled);
+  return result;
+}
+
 type Outcome = { readonly isErr: boolean; readonly error?: { readonly kind: string } };
 
 /** Kind of a result's error, or `ok`. */
