Count every refusal by its reason, in one place

Cause: refusals at the flow limit and to addresses without a service were in no metric, and retries counted as refusals for want of a back end, because admission, policy and keeper each counted their own. Change: the keeper counts what it refuses, by reason; admission and policy no longer feed the metric. Conclusion: sailquay_flows_refused_total now adds up to flow.refused.

--- a/src/daemon/daemon-parts.test.ts
+++ b/src/daemon/daemon-parts.test.ts
@@ -11,7 +11,7 @@
 import { DAEMON_EVENTS } from './events.js';
 import { FaultInjection } from './fault-injection.js';
 import { LimitGuard } from './limit-guard.js';
-import { CountingAdmission } from './opening-admission.js';
+import { LimitedAdmission } from './opening-admission.js';
 
 const PEER: Endpoint = { host: '10.0.0.2', port: 7100 };
 const OTHER: Endpoint = { host: '10.0.0.3', port: 7100 };
@@ -29,7 +29,7 @@
     reached: DAEMON_EVENTS.memoryLimit,
     recovered: DAEMON_EVENTS.memoryRecovered,
   });
-  const admission = new CountingAdmission(() => guard.exceeded(), { admit: () => undefined });
+  const admission = new LimitedAdmission(() => guard.exceeded(), { admit: () => undefined });
   guard.start();
   const refusals = [99, 100, 95, 90, 89, 99].map((megabytes) => {
     residentMegabytes = megabytes;
@@ -38,7 +38,6 @@
   });
   const refused = 'balancer-memory-limit';
   t.deepEqual(refusals, [undefined, refused, refused, refused, undefined, undefined]);
-  t.deepEqual(admission.refusals(), { 'balancer-memory-limit': 3 });
   t.deepEqual(emitted, [
     [1011, { value: 100, limit: 100 }],
     [1012, { value: 89, limit: 100 }],
@@ -46,13 +45,12 @@
   guard.stop();
 });
 
-test('a refusal of the limiter is passed on and counted', (t) => {
-  const admission = new CountingAdmission(() => false, {
+test('a refusal of the limiter is passed on', (t) => {
+  const admission = new LimitedAdmission(() => false, {
     admit: (_service, client) => (client === 1 ? 'client-openings' : undefined),
   });
   t.is(admission.admit(SERVICE, 1, 0), 'client-openings');
   t.is(admission.admit(SERVICE, 2, 0), undefined);
-  t.deepEqual(admission.refusals(), { 'client-openings': 1 });
 });
 
 interface DrainCase {
--- a/src/daemon/data-plane.ts
+++ b/src/daemon/data-plane.ts
@@ -18,7 +18,7 @@
 } from '../placement/index.js';
 import type { EffectiveSettings } from '../settings/types.js';
 import type { DaemonConfig } from './config.js';
-import { CountingAdmission } from './opening-admission.js';
+import { LimitedAdmission } from './opening-admission.js';
 
 /** Receives packets before the flow keeper exists, then passes them to it; counts what arrives. */
 export class EdgeGate implements EdgeHandler {
@@ -93,7 +93,6 @@
 export interface DataPlane {
   readonly forwarder: PacketForwarder;
   readonly policy: CountingPolicy;
-  readonly admission: CountingAdmission;
 }
 
 /** Binds the data socket; packets go to `gate`. */
@@ -114,7 +113,7 @@
   const { config, clock, random, events, membership, settings } = options;
   const share = (): number => 1 / Math.max(1, owners(membership.view()));
   const limiter = new OpeningLimiter({ clock, share });
-  const admission = new CountingAdmission(options.memoryExceeded, limiter);
+  const admission = new LimitedAdmission(options.memoryExceeded, limiter);
   const budget = new ExceptionBudget({ clock, bytesPerSecond: config.exceptionBytesPerSecond });
   const policy = createPlacementPolicy(config.placement, {
     ...{ clock, random, events, capacityShare: share },
@@ -138,7 +137,7 @@
   followSources(options, signal);
   forwarder.start(signal);
   options.gate.forwarder = forwarder;
-  return { forwarder, policy, admission };
+  return { forwarder, policy };
 }
 
 /** Limits that follow a reread of the configuration. */
--- a/src/daemon/opening-admission.ts
+++ b/src/daemon/opening-admission.ts
@@ -1,12 +1,10 @@
-/** Admits openings: memory first, then the service's and client's limits; counts refusals by reason. */
+/** Admits openings: memory first, then the service's and client's limits. */
 import type { OpeningAdmission } from '../flow/index.js';
 import type { RefusalReason } from '../placement/types.js';
 import type { EffectiveService } from '../settings/types.js';
 
 /** The admission of one daemon. */
-export class CountingAdmission implements OpeningAdmission {
-  private readonly counts = new Map<RefusalReason, number>();
-
+export class LimitedAdmission implements OpeningAdmission {
   constructor(
     private readonly memoryExceeded: () => boolean,
     private readonly limiter: OpeningAdmission,
@@ -17,15 +15,7 @@
     clientAddress: number,
     openFlowsOfService: number,
   ): RefusalReason | undefined {
-    const reason = this.memoryExceeded()
-      ? 'balancer-memory-limit'
-      : this.limiter.admit(service, clientAddress, openFlowsOfService);
-    if (reason) this.counts.set(reason, (this.counts.get(reason) ?? 0) + 1);
-    return reason;
-  }
-
-  /** Refusals by reason since start. */
-  refusals(): Readonly<Record<string, number>> {
-    return Object.fromEntries(this.counts);
+    if (this.memoryExceeded()) return 'balancer-memory-limit';
+    return this.limiter.admit(service, clientAddress, openFlowsOfService);
   }
 }
--- a/src/daemon/status-source.ts
+++ b/src/daemon/status-source.ts
@@ -160,10 +160,7 @@
 }
 
 function refusalsOf({ dataPlane }: Components): CountsByLabel {
-  return {
-    ...dataPlane.admission.refusals(),
-    'no-eligible-backend': dataPlane.policy.statistics().refusedNoEligibleBackend,
-  };
+  return dataPlane.forwarder.statistics().refusals;
 }
 
 function countMembers({ controlPlane }: Components): CountsByLabel {
--- a/src/flow/baselines/baseline-forwarder.ts
+++ b/src/flow/baselines/baseline-forwarder.ts
@@ -11,7 +11,7 @@
   PacketForwarder,
 } from '../packet-forwarder.js';
 import { ServiceIndex } from '../service-index.js';
-import type { FlowStatistics } from '../types.js';
+import type { FlowStatistics, RefusalCause } from '../types.js';
 
 /** Base of the baselines. */
 export abstract class BaselineForwarder implements PacketForwarder {
@@ -82,8 +82,8 @@
   }
 
   /** Answers a packet for which there is no back end. */
-  protected refuse(packet: PacketView): void {
-    this.counters.refused += 1;
+  protected refuse(packet: PacketView, cause: RefusalCause): void {
+    this.counters.countRefusal(cause);
     this.components.edge.sendReset(packet);
   }
 }
--- a/src/flow/baselines/local-table-forwarder.ts
+++ b/src/flow/baselines/local-table-forwarder.ts
@@ -29,7 +29,7 @@
       slot = -1;
     }
     if (slot < 0) slot = this.place(packet);
-    if (slot < 0) return this.refuse(packet);
+    if (slot < 0) return this.refuse(packet, 'no-eligible-backend');
     this.table.touch(slot, this.nowSeconds());
     const entry = this.catalogue.at(this.table.backendIndex(slot));
     if (packet.rst) this.close(slot);
--- a/src/flow/baselines/rendezvous-forwarder.ts
+++ b/src/flow/baselines/rendezvous-forwarder.ts
@@ -8,10 +8,10 @@
 export class RendezvousForwarder extends BaselineForwarder {
   handlePacket(packet: PacketView): void {
     const service = this.services.find(packet.destinationAddress, packet.destinationPort)?.service;
-    if (!service) return this.refuse(packet);
+    if (!service) return this.refuse(packet, 'no-service');
     this.fingerprintForward(packet);
     const backend = firstChoice(this.fingerprint, this.eligible(service));
-    if (!backend) return this.refuse(packet);
+    if (!backend) return this.refuse(packet, 'no-eligible-backend');
     if (packet.syn && !packet.ack) this.counters.opened += 1;
     this.components.edge.sendToBackend(packet, backend.endpoint);
   }
--- a/src/flow/flow-counters.ts
+++ b/src/flow/flow-counters.ts
@@ -1,11 +1,12 @@
 /** Counters of a forwarder. */
-import type { FlowStatistics } from './types.js';
+import type { FlowStatistics, RefusalCause } from './types.js';
 
 /** Mutable counters; totals since start. */
 export class FlowCounters {
   opened = 0;
   exceptions = 0;
-  refused = 0;
+  /** Openings refused, by reason. */
+  readonly refusals = new Map<RefusalCause, number>();
   deferred = 0;
   relayed = 0;
   unknownDropped = 0;
@@ -23,6 +24,11 @@
   /** Packets dropped because no holder of their shard was known or the hop limit was reached. */
   unroutable = 0;
 
+  /** Counts a refused opening. */
+  countRefusal(cause: RefusalCause): void {
+    this.refusals.set(cause, (this.refusals.get(cause) ?? 0) + 1);
+  }
+
   /** The counters with the gauges of the moment. */
   snapshot(
     gauges: Pick<FlowStatistics, 'open' | 'replicated' | 'shardsKept' | 'shardsBackedUp' | 'shardsAcquiring'>,
@@ -31,7 +37,8 @@
       ...gauges,
       opened: this.opened,
       exceptions: this.exceptions,
-      refused: this.refused,
+      refused: [...this.refusals.values()].reduce((sum, count) => sum + count, 0),
+      refusals: Object.fromEntries(this.refusals),
       deferred: this.deferred,
       relayed: this.relayed,
       unknownDropped: this.unknownDropped,
--- a/src/flow/openings.ts
+++ b/src/flow/openings.ts
@@ -6,6 +6,7 @@
 import type { FlowFingerprint, PlacementDecision, RefusalReason } from '../placement/types.js';
 import { RetryBudget } from '../placement/retry-budget.js';
 import type { EffectiveService } from '../settings/types.js';
+import type { RefusalCause } from './types.js';
 import type { BackendEntry } from './backend-catalogue.js';
 import { EXCEPTION_RESERVE_BYTES_PER_SECOND, OPEN_TIMEOUT_MS, RETAIN_PACKET_MS } from './constants.js';
 import type { FlowContext } from './flow-context.js';
@@ -52,15 +53,16 @@
   ): void {
     const { counters, components } = this.context;
     const service = port?.service;
-    if (!service) return this.refuse(packet);
+    if (!service) return this.refuse(packet, 'no-service');
     if (!this.mayOpen(kept) || this.unanswered.size >= components.limits.maxPendingOpenings) {
       counters.deferred += 1;
       return;
     }
-    if (this.admissionRefusal(service, packet)) return this.refuse(packet);
+    const refusal = this.admissionRefusal(service, packet);
+    if (refusal) return this.refuse(packet, refusal);
     const decision = this.decide(kept, fingerprint, service, undefined);
     if (decision === 'deferred') counters.deferred += 1;
-    else if (decision.outcome === 'refuse') this.refuse(packet);
+    else if (decision.outcome === 'refuse') this.refuse(packet, decision.reason);
     else {
       const opening = this.begin(kept, fingerprint, service, packet);
       this.place(opening, this.context.catalogue.entry(service, decision.backend));
@@ -142,8 +144,8 @@
     return components.limiter?.admit(service, packet.sourceAddress, openOfService);
   }
 
-  private refuse(packet: PacketView): void {
-    this.context.counters.refused += 1;
+  private refuse(packet: PacketView, cause: RefusalCause): void {
+    this.context.counters.countRefusal(cause);
     this.context.components.edge.sendReset(packet);
   }
 
--- a/src/flow/types.ts
+++ b/src/flow/types.ts
@@ -1,5 +1,10 @@
 /** What other slices read of the flow keeper. */
 
+import type { RefusalReason } from '../placement/types.js';
+
+/** Why an opening was refused; `no-service`: nothing is served at the address. */
+export type RefusalCause = RefusalReason | 'no-service';
+
 /** Counters of one balancer's flows; all totals since start unless said otherwise. */
 export interface FlowStatistics {
   /** Flows open now (kept by this balancer). */
@@ -9,6 +14,8 @@
   readonly opened: number;
   readonly exceptions: number;
   readonly refused: number;
+  /** The same by reason. */
+  readonly refusals: Readonly<Partial<Record<RefusalCause, number>>>;
   /** Openings dropped without an answer because ownership was not settled; the caller repeats them. */
   readonly deferred: number;
   readonly relayed: number;
--- a/src/observability/observability.test.ts
+++ b/src/observability/observability.test.ts
@@ -79,6 +79,7 @@
     opened: 9,
     exceptions: 1,
     refused: 3,
+    refusals: { 'no-eligible-backend': 3 },
     deferred: 0,
     relayed: 4,
     unknownDropped: 6,
