Let a keeper that was cut off step down before it answers again

Cause: a zone that was cut off kept its shards while the majority took them over. An assignment also removed replicas that were still to be handed on, a keeper without a quorum rebased alone, a claim of a keeper for its own replica counted as held elsewhere, and an unknown flow was reset by tables that could not know it. Change: on regaining the quorum, and on news of a lapse without a link, a keeper steps down from shards without backup, keeps the flows it knows and forwards the established ones meanwhile; a shard nobody offers is started from them. Resets only from a table that has been complete for a learning time, here or as the backup told so. The model check cuts zones off and heals them, with views and quorums that differ.

--- a/src/flow/acting-backup.ts
+++ b/src/flow/acting-backup.ts
@@ -50,7 +50,7 @@
   answerKeeper(replica: ReplicaShard, fingerprint: FlowFingerprint, packet: PacketView): void {
     const port = this.context.services.find(packet.destinationAddress, packet.destinationPort);
     const slot = replica.table.find(fingerprint.high, fingerprint.low);
-    if (slot < 0) return answerUnknownFlow(this.context, packet, port);
+    if (slot < 0) return answerUnknownFlow(this.context, packet, port, replica.completeSinceMs);
     this.forward(this.context.catalogue.at(replica.table.backendIndex(slot)), packet, port);
   }
 
--- a/src/flow/backup-sync.ts
+++ b/src/flow/backup-sync.ts
@@ -30,6 +30,7 @@
     kept.syncingTo = undefined;
     kept.syncStarted = false;
     kept.syncNumber += 1;
+    kept.lastBackupId = undefined;
     kept.settledFor = 0;
   }
 
@@ -59,6 +60,7 @@
     const desired = this.context.map.backup(kept.shard, self);
     if (!desired) {
       this.drop(kept);
+      kept.lastBackupId = undefined;
       return this.settle(kept);
     }
     if (kept.backup?.memberId === desired.id) return this.settle(kept);
@@ -112,6 +114,7 @@
   private onSynced(kept: KeptShard, peer: ReplicaPeer, snapshot: ShardSnapshot): void {
     const former = kept.backup;
     kept.backup = peer;
+    kept.lastBackupId = peer.memberId;
     kept.syncingTo = undefined;
     peer.assign(kept.shard);
     if (former && former !== peer) {
--- a/src/flow/flow-context.ts
+++ b/src/flow/flow-context.ts
@@ -4,7 +4,7 @@
 import { firstChoice } from '../placement/weighted-rendezvous.js';
 import type { EffectiveBackend } from '../settings/types.js';
 import { BackendCatalogue, type BackendEntry } from './backend-catalogue.js';
-import { PAUSE_DETECTION_MS } from './constants.js';
+import { PAUSE_DETECTION_MS, REBASE_LEARNING_MS } from './constants.js';
 import { BaseCatalogue } from './base-catalogue.js';
 import { FlowCounters } from './flow-counters.js';
 import { FlowFlag, type FlowTable } from './flow-table.js';
@@ -52,6 +52,11 @@
     return this.components.selfId;
   }
 
+  /** Time that a keeper without all records learns its flows, ms. */
+  get learningMs(): number {
+    return this.components.limits.rebaseLearningMs ?? REBASE_LEARNING_MS;
+  }
+
   /** Monotonic ms. */
   now(): number {
     return this.components.clock.now();
--- a/src/flow/flow-keeper.test.ts
+++ b/src/flow/flow-keeper.test.ts
@@ -147,6 +147,48 @@
   t.deepEqual(cluster.violations, []);
 });
 
+test('after a zone was cut off every flow stays with its back end and every shard opens flows again', async (t) => {
+  const cluster = await startCluster();
+  const before = await openFlows(cluster, 100);
+  cluster.partition('zone-b', 9_000);
+  await cluster.runAsync(6_500);
+  const during = await openFlows(cluster, 100);
+  await cluster.runAsync(20_000);
+  const flows = [...before, ...during.filter((flow) => flow.established)];
+  t.true(flows.length > 140, `${flows.length} flows`);
+  t.is(await countReached(cluster, flows), flows.length);
+  const after = await openFlows(cluster, 100);
+  t.true(after.every((flow) => flow.established));
+  t.deepEqual(cluster.violations, []);
+});
+
+test('a reset answers an unknown flow only where it would surely be known', async (t) => {
+  const cluster = await startCluster();
+  const { services } = cluster.settings.snapshot();
+  // A table is complete once every flow that it may lack has been idle for too long.
+  const shortIdle = services.map((service) => ({ ...service, idleTimeoutMs: 10_000 }));
+  for (const node of cluster.nodes) node.apply({ version: 2, services: shortIdle });
+  const resets = (): number =>
+    cluster.nodes.reduce((sum, node) => sum + node.keeper.statistics().unknownReset, 0);
+  const strangers = Array.from({ length: 40 }, () => cluster.openFlow());
+  const send = async (flows: readonly ModelFlow[]): Promise<number> => {
+    const before = resets();
+    for (const flow of flows) cluster.spray({ ...strangerPacket, sourceAddress: flow.index });
+    await cluster.runAsync(500);
+    return resets() - before;
+  };
+  t.is(await send(strangers), 0, 'the shards were started without records');
+  await cluster.runAsync(60_000);
+  // A backup that relayed a packet to the keeper is not asked again, so some packets get no answer.
+  t.true((await send(strangers)) > strangers.length / 2, 'the shards have been complete for a learning time');
+  const [leaving] = cluster.nodes;
+  const moving = strangers.filter((flow) => leaving!.keeper.baseVersionOf(strangerShard(flow)) !== undefined);
+  t.true(moving.length > 0);
+  cluster.leave(leaving!);
+  await cluster.runAsync(6_000);
+  t.is(await send(moving), 0, 'the shards were received a moment ago');
+});
+
 test('a record that names a back end of another service is not used', async (t) => {
   const cluster = await startCluster({ nodes: 1 });
   const node = cluster.nodes[0]!;
@@ -212,3 +254,13 @@
   hops: 0,
   relayedFrom: undefined,
 };
+
+/** A packet of a flow that nobody has opened. */
+const strangerPacket = { ...dataPacket, sourcePort: 9 };
+
+function strangerShard(flow: ModelFlow): number {
+  const fingerprint = { high: 0, low: 0 };
+  const { sourcePort, destinationAddress, destinationPort } = strangerPacket;
+  fingerprintFlow(flow.index, sourcePort, destinationAddress, destinationPort, fingerprint);
+  return shardOf(fingerprint.high);
+}
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -64,6 +64,7 @@
     );
     this.peers = new ReplicaPeers(context, {
       onLapsed: (peer) => this.ownership.onLapsed(peer),
+      onLapsedUnseen: (memberId) => this.ownership.onLapsedUnseen(memberId),
       onMissing: (peer, shards) => this.ownership.backups.onMissing(peer, shards),
       onClosed: (peer) => this.ownership.backups.onPeerClosed(peer),
     });
@@ -104,6 +105,7 @@
     const shard = shardOf(fingerprint.high);
     const kept = context.kept.get(shard);
     if (kept && kept.role !== 'acquiring') return this.keptFlows.handle(kept, fingerprint, packet);
+    if (kept && this.keptFlows.forwardRetained(kept, fingerprint, packet)) return;
     const replica = context.replicas.get(shard);
     if (replica && this.actingBackup.actsFor(replica)) {
       return this.actingBackup.handle(replica, fingerprint, packet);
--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -35,6 +35,20 @@
     else this.handleUnknown(kept, fingerprint, packet, port);
   }
 
+  /**
+   * A packet of a shard that was given up and is awaited again: an established flow stays with its back end whoever
+   * holds the shard. False when the flow is not one of those.
+   */
+  forwardRetained(kept: KeptShard, fingerprint: FlowFingerprint, packet: PacketView): boolean {
+    const { table } = kept;
+    const slot = table.find(fingerprint.high, fingerprint.low);
+    if (slot < 0 || packet.syn || table.hasFlag(slot, FlowFlag.CLOSED | FlowFlag.PENDING)) return false;
+    if (!table.hasFlag(slot, FlowFlag.ANSWERED)) return false;
+    const port = this.context.services.find(packet.destinationAddress, packet.destinationPort);
+    this.handleKnown(kept, slot, fingerprint, packet, port);
+    return true;
+  }
+
   /** A packet from a back end; true when it must not reach the caller. */
   handleReturn(kept: KeptShard, fingerprint: FlowFingerprint, packet: PacketView, from: Endpoint): boolean {
     const { table } = kept;
@@ -140,7 +154,10 @@
     }
     const entry = this.reconstruct(kept, fingerprint, port);
     if (!entry && kept.backup) return this.relay.relayTo(packet, kept.backup.memberId);
-    if (!entry) return answerUnknownFlow(this.context, packet, port);
+    if (!entry) {
+      const completeSinceMs = kept.complete ? kept.heldSinceMs : undefined;
+      return answerUnknownFlow(this.context, packet, port, completeSinceMs);
+    }
     this.context.counters.reconstructed += 1;
     this.context.insertKept(kept.table, fingerprint, entry, FlowFlag.ANSWERED);
     this.context.components.edge.sendToBackend(packet, entry.endpoint);
@@ -182,14 +199,21 @@
   }
 }
 
-/** Answers a packet of a flow that nobody knows, as its service says. */
+/**
+ * Answers a packet of a flow without a record. A reset needs certainty that the flow would be known: the shard's table
+ * has held every open flow for a whole learning time. In any other case the packet is dropped.
+ *
+ * @param completeSinceMs since when the table has been complete, monotonic ms; undefined when it is not
+ */
 export function answerUnknownFlow(
   context: FlowContext,
   packet: PacketView,
   port: ServicePort | undefined,
+  completeSinceMs: number | undefined,
 ): void {
   const { counters, components } = context;
-  if (port?.service?.unknownFlow === 'reset' && !packet.rst) {
+  const certain = completeSinceMs !== undefined && context.now() - completeSinceMs >= context.learningMs;
+  if (certain && port?.service?.unknownFlow === 'reset' && !packet.rst) {
     counters.unknownReset += 1;
     components.edge.sendReset(packet);
     return;
--- a/src/flow/model-check.test.ts
+++ b/src/flow/model-check.test.ts
@@ -36,6 +36,13 @@
     nodes: 5,
     seeds: [3, 408],
   },
+  {
+    name: 'partitions of a zone',
+    rareKinds: ['partition'],
+    rareIntervalMs: 30_000,
+    nodes: 3,
+    seeds: [3, 7],
+  },
   {
     name: 'everything',
     rareKinds: ['crash', 'join', 'restart', 'leave', 'suspect', 'pause-long'],
--- a/src/flow/model/model-cluster.ts
+++ b/src/flow/model/model-cluster.ts
@@ -9,6 +9,7 @@
 import { SHARD_COUNT } from '../constants.js';
 import { ModelFlow } from './model-flow.js';
 import { ModelNode, type ModelWire } from './model-node.js';
+import { ModelPartition } from './model-partition.js';
 import { SettingsScript } from './settings-script.js';
 
 /** Knobs of one run. */
@@ -28,8 +29,8 @@
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const PACKET_DELAY_MS = [0.5, 4] as const;
-const SUSPECT_AFTER_MS = 1_200;
-const GONE_AFTER_MS = 3_500;
+export const SUSPECT_AFTER_MS = 1_200;
+export const GONE_AFTER_MS = 3_500;
 
 /** The world of the model check. */
 export class ModelCluster implements ModelWire {
@@ -42,6 +43,7 @@
   readonly trace: string[] = [];
   private readonly network: SimulatedNetwork;
   private readonly bases = new Map<string, number>();
+  private cut: ModelPartition | undefined;
   private nextBoot = 1;
 
   constructor(readonly options: ModelOptions) {
@@ -154,6 +156,23 @@
     });
   }
 
+  /** Cuts a zone off from the others for a while; see `ModelPartition`. */
+  partition(zone: string, durationMs: number): void {
+    if (this.cut) return;
+    const cut = new ModelPartition(this, zone);
+    if (!cut.leavesMajority()) return;
+    this.note(`${zone} is cut off for ${Math.round(durationMs)} ms`);
+    this.cut = cut;
+    this.network.partition(cut.ids(cut.inside), cut.ids(cut.outside));
+    cut.begin();
+    this.later(durationMs, () => {
+      this.note('the cut is healed');
+      this.network.heal();
+      this.cut = undefined;
+      cut.heal();
+    });
+  }
+
   /** Some nodes suspect a healthy node for a while. */
   suspect(node: ModelNode): void {
     this.note(`${node.id} is suspected by some`);
@@ -212,7 +231,7 @@
     if (this.random() < this.options.lossRate) return;
     this.later(this.packetDelay(), () => {
       const target = this.liveNodes().find((other) => other.member.data.host === balancer.host);
-      target?.receive(copy);
+      if (target && !this.cut?.separates(node, target)) target.receive(copy);
     });
   }
 
--- /dev/null
+++ b/src/flow/model/model-partition.ts
@@ -0,0 +1,68 @@
+/**
+ * A zone of the model that is cut off. Each side removes the other from its view, one node after the other, and the
+ * cut-off side loses its quorum. Callers and back ends still reach both sides.
+ */
+import type { MemberState } from '../../membership/types.js';
+import { GONE_AFTER_MS, SUSPECT_AFTER_MS, type ModelCluster } from './model-cluster.js';
+import type { ModelNode } from './model-node.js';
+
+/** Least time until a node learns that the cut is healed. */
+const REJOIN_AFTER_MS = 100;
+
+/** One cut and its effect on the views. */
+export class ModelPartition {
+  readonly inside: readonly ModelNode[];
+  readonly outside: readonly ModelNode[];
+
+  constructor(
+    private readonly cluster: ModelCluster,
+    zone: string,
+  ) {
+    this.inside = cluster.liveNodes().filter((node) => node.parts.zone === zone);
+    this.outside = cluster.liveNodes().filter((node) => node.parts.zone !== zone);
+  }
+
+  /** True when the nodes outside the zone keep their quorum. */
+  leavesMajority(): boolean {
+    return this.inside.length > 0 && this.inside.length < this.outside.length;
+  }
+
+  separates(left: ModelNode, right: ModelNode): boolean {
+    return this.inside.includes(left) !== this.inside.includes(right);
+  }
+
+  ids(nodes: readonly ModelNode[]): string[] {
+    return nodes.map((node) => node.id);
+  }
+
+  begin(): void {
+    this.spreadAcross('suspect', SUSPECT_AFTER_MS);
+    this.spreadAcross('gone', GONE_AFTER_MS + this.cluster.options.spreadMs);
+    for (const node of this.inside) this.cluster.later(GONE_AFTER_MS, () => node.setQuorate(false));
+  }
+
+  heal(): void {
+    this.spreadAcross('active', REJOIN_AFTER_MS);
+    for (const node of this.inside)
+      this.cluster.later(this.delay(REJOIN_AFTER_MS), () => node.setQuorate(true));
+  }
+
+  private spreadAcross(state: MemberState, afterMs: number): void {
+    for (const left of this.inside) {
+      for (const right of this.outside) {
+        this.learn(left, right, state, afterMs);
+        this.learn(right, left, state, afterMs);
+      }
+    }
+  }
+
+  private learn(observer: ModelNode, node: ModelNode, state: MemberState, afterMs: number): void {
+    this.cluster.later(this.delay(afterMs), () => {
+      if (state !== 'active' || node.alive) observer.believe(node.member, state);
+    });
+  }
+
+  private delay(afterMs: number): number {
+    return afterMs + this.cluster.random() * this.cluster.options.spreadMs;
+  }
+}
--- a/src/flow/model/schedule.ts
+++ b/src/flow/model/schedule.ts
@@ -22,7 +22,8 @@
   | 'join'
   | 'leave'
   | 'crash'
-  | 'restart';
+  | 'restart'
+  | 'partition';
 
 /** Result of one run. */
 export interface ModelResult {
@@ -54,6 +55,7 @@
 const SETTLE_MS = 24_000;
 const SHORT_PAUSE_MS = [200, 2_500] as const;
 const LONG_PAUSE_MS = [4_000, 11_000] as const;
+const PARTITION_MS = [8_000, 12_000] as const;
 
 /** Draws a schedule. */
 export function drawSchedule(options: ScheduleOptions): ScheduledAction[] {
@@ -134,6 +136,8 @@
   else if (action.kind === 'pause-short') cluster.pause(node, between(SHORT_PAUSE_MS, action.choice));
   else if (!mayLose) return;
   else if (action.kind === 'pause-long') cluster.pause(node, between(LONG_PAUSE_MS, action.choice));
+  else if (action.kind === 'partition')
+    cluster.partition(node.parts.zone, between(PARTITION_MS, action.choice));
   else if (action.kind === 'leave') cluster.leave(node);
   else if (action.kind === 'crash') cluster.crash(node);
 }
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -56,6 +56,7 @@
   /** Takes over a membership view. */
   onView(view: MembershipView): void {
     const previous = this.context.map;
+    const regainedQuorum = view.quorate && !this.context.view.quorate;
     const changed = this.context.setView(view);
     if (changed) {
       this.parts.relay.previousMap = previous;
@@ -66,6 +67,7 @@
     for (const targetId of this.parts.sender.targets()) {
       if (!this.context.member(targetId)) this.parts.sender.failTarget(targetId);
     }
+    if (regainedQuorum) this.stepDownUnreplicated(() => true);
     this.acquireOwnShards();
     this.reconcile();
   }
@@ -118,6 +120,27 @@
     if (given > 0) this.context.components.events.emit(FLOW_EVENTS.steppedDown, { shards: given });
   }
 
+  /** A member that this keeper had lost sight of says that it has handed on what it was the backup for. */
+  onLapsedUnseen(memberId: string): void {
+    this.parts.peers.nextGeneration(memberId);
+    this.stepDownUnreplicated((kept) => kept.lastBackupId === memberId);
+  }
+
+  /**
+   * Steps down from shards that lost their backup while this balancer was cut off: the backup may have handed them on.
+   * Known flows are forwarded meanwhile; a shard that nobody offers is started again with them.
+   */
+  private stepDownUnreplicated(isConcerned: (kept: KeptShard) => boolean): void {
+    let given = 0;
+    for (const kept of [...this.context.kept.values()]) {
+      if (kept.role === 'acquiring' || kept.backup || kept.lastBackupId === undefined) continue;
+      if (!isConcerned(kept)) continue;
+      this.giveUp(kept, [kept.lastBackupId, ...this.probableHolders(kept.shard)], true);
+      given += 1;
+    }
+    if (given > 0) this.context.components.events.emit(FLOW_EVENTS.steppedDown, { shards: given });
+  }
+
   private detectPause(): void {
     const nowMs = this.context.now();
     const gapMs = nowMs - this.context.lastTickMs;
@@ -170,7 +193,8 @@
 
   private hasWaitedForBetter(kept: KeptShard | undefined): boolean {
     if (!kept) return false;
-    return kept.role !== 'acquiring' || this.context.now() - kept.acquiringSinceMs > ORPHAN_WAIT_MS;
+    const waitedFromMs = Math.max(kept.acquiringSinceMs, this.context.cautiousUntilMs);
+    return kept.role !== 'acquiring' || this.context.now() - waitedFromMs > ORPHAN_WAIT_MS;
   }
 
   private reconcileKept(kept: KeptShard): void {
@@ -196,7 +220,7 @@
     const mayWait = nowMs - kept.acquiringSinceMs < 3 * ORPHAN_WAIT_MS;
     if (!ready || (heldHere && mayWait)) kept.awaitedSinceMs = nowMs;
     else if (nowMs - kept.awaitedSinceMs > ORPHAN_WAIT_MS) {
-      this.installer.startEmpty(kept, settings.version);
+      this.installer.startUnoffered(kept, settings.version);
       this.startedEmpty += 1;
       this.backups.ensure(kept);
     }
@@ -272,7 +296,7 @@
     if (stillKeeper && keepFlows) this.dropPending(kept);
     else this.installer.forgetFlows(kept);
     if (!stillKeeper) return;
-    const next = new KeptShard(kept.shard, this.context.now(), holders, keepFlows ? kept.table : undefined);
+    const next = new KeptShard(kept.shard, this.context.now(), holders, keepFlows ? kept : undefined);
     this.context.kept.set(kept.shard, next);
   }
 
@@ -294,6 +318,7 @@
       header.oldestBaseVersion ?? 0,
       this.context.now(),
     );
+    if (header.complete) replica.completeSinceMs = this.context.now();
     for (const record of incoming.records) {
       const entry = this.context.catalogue.find(record.backendKey)!;
       if (replica.table.find(record.high, record.low) >= 0) continue;
--- a/src/flow/rebase.ts
+++ b/src/flow/rebase.ts
@@ -3,7 +3,7 @@
  * as exceptions first; then the backup takes the new base, then the keeper. Paced by the byte budget.
  */
 import type { InboundControlMessage } from '../control/types.js';
-import { REBASE_LEARNING_MS, REBASE_RESERVE_BYTES_PER_SECOND, REBASE_SHARDS_PER_TICK } from './constants.js';
+import { REBASE_RESERVE_BYTES_PER_SECOND, REBASE_SHARDS_PER_TICK } from './constants.js';
 import { changedServices } from './base-catalogue.js';
 import type { FlowContext } from './flow-context.js';
 import { FlowFlag } from './flow-table.js';
@@ -69,19 +69,16 @@
     return this.context.now() - kept.learningSinceMs;
   }
 
-  private learningMs(): number {
-    return this.context.components.limits.rebaseLearningMs ?? REBASE_LEARNING_MS;
-  }
-
   /** A flow that has not shown itself for its idle timeout is forgotten anyway. */
   private hasSeenAllFlows(kept: KeptShard): boolean {
-    return this.learnedMs(kept) >= Math.max(this.learningMs(), this.longestIdleMs);
+    return this.learnedMs(kept) >= Math.max(this.context.learningMs, this.longestIdleMs);
   }
 
   private mayStart(kept: KeptShard): boolean {
-    if (kept.role !== 'serving' || kept.rebase || kept.syncingTo !== undefined) return false;
+    if (!this.context.view.quorate || kept.role !== 'serving' || kept.rebase || kept.syncingTo !== undefined)
+      return false;
     if (kept.transferTarget !== undefined) return false;
-    if (!kept.complete && this.learnedMs(kept) < this.learningMs()) return false;
+    if (!kept.complete && this.learnedMs(kept) < this.context.learningMs) return false;
     if (!(kept.formerBackup?.hasLetGo(kept.shard) ?? true)) return false;
     const self = this.context.member(this.context.selfId);
     return kept.backup?.leaseHeld ?? (self !== undefined && !this.context.map.backup(kept.shard, self));
--- a/src/flow/replica-holder.ts
+++ b/src/flow/replica-holder.ts
@@ -261,6 +261,8 @@
     for (const shard of link.shards.values()) {
       const replica = this.held(shard, from);
       if (assigned.has(shard) || !replica || replica.installedAtMs > youngestMs) continue;
+      // Handed on to the next keeper, whoever that is by now; the keeper may lack what was placed here.
+      if (replica.lapsed) continue;
       this.remove(replica);
     }
     const missing = [...assigned].filter((shard) => !this.held(shard, from));
@@ -277,6 +279,7 @@
       if (replica.baseVersion > baseVersion) return false;
       replica.baseVersion = baseVersion;
       replica.oldestBaseVersion = oldestBaseVersion;
+      if (oldestBaseVersion === baseVersion) replica.completeSinceMs ??= this.context.now();
       return true;
     });
     if (advanced.length < (advance.shards?.length ?? 0) / 2) this.reportOwnPlacements();
--- a/src/flow/replica-peer.ts
+++ b/src/flow/replica-peer.ts
@@ -57,6 +57,7 @@
   closed = false;
   private lastAckedSentAtMs = Number.NEGATIVE_INFINITY;
   private lastAckReceivedAtMs: number;
+  private readonly openedAtMs: number;
   private echo = 0;
   private digestAtLastHeartbeat = 0;
   private nextSequence = 1;
@@ -75,7 +76,8 @@
     private readonly generation: number,
     private readonly listener: ReplicaPeerListener,
   ) {
-    this.lastAckReceivedAtMs = context.now();
+    this.openedAtMs = context.now();
+    this.lastAckReceivedAtMs = this.openedAtMs;
   }
 
   /** True while a heartbeat that was sent less than a lease ago has been acknowledged. */
@@ -155,6 +157,8 @@
 
   /** Takes in the answer to a heartbeat. */
   onHeartbeatAck(ack: sailquay.flow.HeartbeatAck.$Properties): void {
+    // An answer to a heartbeat from before this link says nothing about the shards replicated over it.
+    if ((ack.echo ?? 0) < this.openedAtMs) return;
     if (ack.lapsed) return this.listener.onLapsed(this);
     this.lastAckedSentAtMs = Math.max(this.lastAckedSentAtMs, ack.echo ?? 0);
     this.lastAckReceivedAtMs = this.context.now();
--- a/src/flow/replica-peers.ts
+++ b/src/flow/replica-peers.ts
@@ -6,6 +6,13 @@
 import { ReplicaPeer, type ReplicaPeerListener } from './replica-peer.js';
 import { fromBitmap, unpackShards } from './shard-set.js';
 
+/** What the links tell their owner. */
+export interface ReplicaPeersListener extends ReplicaPeerListener {
+  onClosed(peer: ReplicaPeer): void;
+  /** A member without a link treats this keeper as failed. */
+  onLapsedUnseen(memberId: string): void;
+}
+
 /** Creates, finds and closes the links. */
 export class ReplicaPeers {
   private readonly peers = new Map<string, ReplicaPeer>();
@@ -15,7 +22,7 @@
 
   constructor(
     private readonly context: FlowContext,
-    private readonly listener: ReplicaPeerListener & { onClosed(peer: ReplicaPeer): void },
+    private readonly listener: ReplicaPeersListener,
   ) {}
 
   /** The link to a member's present boot; a link to an earlier boot is closed. */
@@ -65,7 +72,8 @@
     const peer = this.peers.get(from.senderId);
     if (peer && from.senderIncarnation > peer.boot) this.close(peer);
     const current = peer && peer.boot === from.senderIncarnation && !peer.closed ? peer : undefined;
-    if (message.heartbeatAck) current?.onHeartbeatAck(message.heartbeatAck);
+    if (message.heartbeatAck?.lapsed && !current) this.listener.onLapsedUnseen(from.senderId);
+    else if (message.heartbeatAck) current?.onHeartbeatAck(message.heartbeatAck);
     else if (message.recordsAck) current?.onRecordsAck(message.recordsAck);
     else if (message.assignmentReply) {
       current?.onMissing(fromBitmap(message.assignmentReply.missing ?? new Uint8Array()));
--- a/src/flow/replica-recovery.ts
+++ b/src/flow/replica-recovery.ts
@@ -47,6 +47,8 @@
     const nowMs = this.context.now();
     const keeper = this.context.map.keeper(replica.shard);
     if (!keeper || nowMs < replica.retryRecoveryAtMs) return;
+    // After a cut or a pause the view may lack a keeper that never failed.
+    if (!replica.trusted && nowMs < this.context.cautiousUntilMs) return;
     if (keeper.id === this.context.selfId) this.target.promote(replica);
     else if (keeper.state === 'active') this.recover(replica, keeper.id);
   }
--- a/src/flow/shard-claims.ts
+++ b/src/flow/shard-claims.ts
@@ -31,15 +31,22 @@
 
   /** Answers with the claimed shards that are held here, as keeper or as backup. */
   onClaim(claim: sailquay.flow.Claim.$Properties, from: InboundControlMessage): void {
-    const held = [...fromBitmap(claim.shards ?? new Uint8Array())].filter((shard) => this.holds(shard));
+    const claimed = [...fromBitmap(claim.shards ?? new Uint8Array())];
+    const held = claimed.filter((shard) => this.holds(shard, from));
     if (held.length === 0) return;
     const payload = HandoverMessage.encode({ offer: { shards: toBitmap(held) } }).finish();
     this.context.components.control.send(from.from, 'handover', payload);
   }
 
-  private holds(shard: number): boolean {
+  private holds(shard: number, claimant: InboundControlMessage): boolean {
     const kept = this.context.kept.get(shard);
-    return (kept !== undefined && kept.role !== 'acquiring') || this.context.replicas.has(shard);
+    if (kept !== undefined && kept.role !== 'acquiring') return true;
+    const replica = this.context.replicas.get(shard);
+    if (!replica) return false;
+    // A replica of the claimant's own flows is handed to nobody else unless it lapsed.
+    const ownReplica =
+      replica.keeperId === claimant.senderId && replica.keeperBoot === claimant.senderIncarnation;
+    return replica.lapsed || !ownReplica;
   }
 
   private awaitedByHolder(): Map<string, number[]> {
--- a/src/flow/shard-holding.ts
+++ b/src/flow/shard-holding.ts
@@ -27,6 +27,9 @@
   outstanding: number;
 }
 
+/** What a keeper that stepped down still knows of the shard. */
+export type RetainedShard = Pick<KeptShard, 'epoch' | 'oldestBaseVersion' | 'table'>;
+
 /** A shard that this balancer keeps or is about to keep. */
 export class KeptShard {
   role: KeptRole = 'acquiring';
@@ -44,6 +47,8 @@
   heldSinceMs = Number.NEGATIVE_INFINITY;
   /** Backup that holds all exceptions of this shard. */
   backup: ReplicaPeer | undefined;
+  /** Member that held all exceptions last; its replica may have been handed on while it could not be reached. */
+  lastBackupId: string | undefined;
   /** Member that is to become the backup; no exception is made until it has the snapshot. */
   syncingTo: string | undefined;
   /** The snapshot is queued or on its way. */
@@ -65,6 +70,8 @@
 
   /** Last time at which somebody offered the shard or it began to be awaited, monotonic ms. */
   awaitedSinceMs: number;
+  /** Flows, closed ones included; while acquiring those known when the shard was given up to its present holder. */
+  readonly table: FlowTable;
 
   constructor(
     readonly shard: number,
@@ -72,9 +79,10 @@
     readonly acquiringSinceMs: number,
     /** Members that probably hold the shard, to relay packets to while acquiring. */
     readonly probableHolders: readonly string[],
-    /** Flows that were known when the shard was given up to its present holder, or none. */
-    readonly table = new FlowTable(),
+    /** The shard as it was when this balancer stepped down, or nothing. */
+    readonly retained?: RetainedShard,
   ) {
+    this.table = retained?.table ?? new FlowTable();
     this.awaitedSinceMs = acquiringSinceMs;
   }
 }
@@ -86,6 +94,8 @@
   trusted = true;
   /** The keeper failed: the replica goes to the next keeper, whoever it is. */
   lapsed = false;
+  /** Since when the keeper's table has held every open flow, monotonic ms; undefined while it may lack some. */
+  completeSinceMs: number | undefined;
   /** A snapshot has gone to the next keeper, which may know more by now: only records are served from here on. */
   handedOn = false;
   /** A recovery of this replica is queued or being sent. */
--- a/src/flow/shard-installer.ts
+++ b/src/flow/shard-installer.ts
@@ -21,13 +21,15 @@
 export class ShardInstaller {
   constructor(private readonly context: FlowContext) {}
 
-  /** Starts a shard that nobody offered; flows may exist that are not in the table. */
-  startEmpty(kept: KeptShard, baseVersion: number): void {
+  /** Starts a shard that nobody offered, from what was retained of it; flows may exist that are not in the table. */
+  startUnoffered(kept: KeptShard, baseVersion: number): void {
+    const { retained } = kept;
+    const wallSeconds = Math.floor(this.context.components.clock.wall() / MS_PER_SECOND);
     kept.role = 'serving';
     kept.heldSinceMs = this.context.now();
-    kept.epoch = Math.floor(this.context.components.clock.wall() / MS_PER_SECOND);
+    kept.epoch = Math.max(wallSeconds, (retained?.epoch ?? 0) + 1);
     kept.baseVersion = baseVersion;
-    kept.oldestBaseVersion = baseVersion;
+    kept.oldestBaseVersion = Math.min(baseVersion, retained?.oldestBaseVersion ?? baseVersion);
     kept.complete = false;
     kept.learningSinceMs = this.context.now();
     this.markExceptions(kept);
