--- a/src/common/event-stream.ts
+++ b/src/common/event-stream.ts
@@ -1,27 +1,61 @@
 /**
- * Bridge between callbacks and `most` streams: a `Subject` is pushed to by its owner and observed as a stream.
+ * Bridge between callbacks and `most` streams. Observers made here see events in the call that pushes them, as the slices
+ * need it: a change of settings is in force when `push` returns. (`Stream.observe` would subscribe in a later turn.)
  */
 import { EventEmitter } from 'node:events';
-import { fromEvent, type Stream } from 'most';
+import { defaultScheduler, Stream, type Disposable, type Scheduler, type Sink } from 'most';
 import type { Clock, TimerHandle } from './clock.js';
 
 const EVENT = 'event';
 
+/** Starts a subscription and returns the function that ends it. */
+export type Subscribe<T> = (listener: (event: T) => void) => () => void;
+
+/** A source of a stream over a subscription; each observer has its own. */
+class SubscriptionSource<T> {
+  constructor(private readonly subscribe: Subscribe<T>) {}
+
+  run(sink: Sink<T>, scheduler: Scheduler): Disposable<T> {
+    const end = this.subscribe((event) => sink.event(scheduler.now(), event));
+    return { dispose: () => end() };
+  }
+}
+
+/** The events of a subscription as a `most` stream, to be filtered, mapped and merged. */
+export function streamOf<T>(subscribe: Subscribe<T>): Stream<T> {
+  return new Stream(new SubscriptionSource(subscribe));
+}
+
+/** Calls `listener` for each event of a stream from now on; returns the function that ends it. Errors are thrown. */
+export function observe<T>(stream: Stream<T>, listener: (event: T) => void): () => void {
+  const sink: Sink<T> = {
+    event: (_time, event) => listener(event),
+    end: () => undefined,
+    error: (_time, error) => {
+      throw error;
+    },
+  };
+  const running = stream.source.run(sink, defaultScheduler);
+  return () => void running.dispose();
+}
+
 /** A hot stream of `T`: observers see the events pushed after they subscribed. */
 export class Subject<T> {
   private readonly emitter = new EventEmitter().setMaxListeners(0);
   /** The events as a `most` stream. */
-  readonly stream: Stream<T> = fromEvent(EVENT, this.emitter) as Stream<T>;
+  readonly stream: Stream<T> = streamOf((listener) => {
+    this.emitter.on(EVENT, listener);
+    return () => this.emitter.off(EVENT, listener);
+  });
 
-  /** Delivers `event` to every current observer. */
+  /** Delivers `event` to every current observer before it returns. */
   push(event: T): void {
     this.emitter.emit(EVENT, event);
   }
 
-  /** Calls `listener` synchronously for each event; returns the function that ends the subscription. */
+  /** Calls `listener` for each event; returns the function that ends the subscription. */
   subscribe(listener: (event: T) => void): () => void {
-    this.emitter.on(EVENT, listener);
-    return () => this.emitter.off(EVENT, listener);
+    return observe(this.stream, listener);
   }
 }
 
--- a/src/daemon/data-plane.ts
+++ b/src/daemon/data-plane.ts
@@ -1,5 +1,7 @@
 /** The data path of one balancer: the edge, placement and the flow keeper (or a baseline in its place). */
+import { merge } from 'most';
 import type { Clock } from '../common/clock.js';
+import { observe, streamOf } from '../common/event-stream.js';
 import type { RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { ControlChannel } from '../control/types.js';
@@ -156,11 +158,14 @@
   sources.setView(membership.view());
   const current = settings.current();
   if (current) sources.setSettings(current);
-  const ends = [
-    membership.subscribe((view) => sources.setView(view)),
-    settings.subscribe((next) => sources.setSettings(next)),
-  ];
-  signal.addEventListener('abort', () => ends.forEach((end) => end()));
+  const views = streamOf<MembershipView>((listener) => membership.subscribe(listener));
+  const versions = streamOf<EffectiveSettings>((listener) => settings.subscribe(listener));
+  const updates = merge(
+    views.map((view) => () => sources.setView(view)),
+    versions.map((version) => () => sources.setSettings(version)),
+  );
+  const end = observe(updates, (update) => update());
+  signal.addEventListener('abort', end);
 }
 
 /** Number of members that own shards. */
