Show the weightiest evidence of a back end and each remedy once

Cause: status showed the newest evidence, so that an ejected back end read 'probes say healthy'; an unreachable platform's remedy stood twice in the error; two contract comments said the opposite of the code. Change: status takes the first, weightiest evidence; errors carry the problem without the remedy for wrapping; comments corrected. The fixture of the fleet test now has the weightier evidence first and older, so that it fails with the old order.

--- a/src/cli/fleet-output.ts
+++ b/src/cli/fleet-output.ts
@@ -45,7 +45,8 @@
   const believers = majority(views);
   const eligible = views.filter((view) => view.eligible).length;
   const flows = summaries.reduce((sum, { flowsByBackend }) => sum + (flowsByBackend[id] ?? 0), 0);
-  const [reason] = [...(believers[0]?.evidence ?? [])].sort((left, right) => left.ageMs - right.ageMs);
+  // The weightiest evidence comes first.
+  const [reason] = believers[0]?.evidence ?? [];
   const because = reason ? `${reason.source}: ${reason.text} (${seconds(reason.ageMs)} ago)` : '';
   const condition = believers[0]?.condition ?? 'unknown';
   const seenBy = `${believers.length}/${views.length}`;
--- a/src/cli/fleet.test.ts
+++ b/src/cli/fleet.test.ts
@@ -36,8 +36,8 @@
     ...{ service: 'site/push', name: 'site/push/b0', id: 77, endpoint: CLOSED, zone: 'zone-a', condition },
     ...{ eligible: condition === 'healthy', warmup: 1, weight: 1, openFlows: 0, reportedLoad: undefined },
     evidence: [
-      { source: 'probe', text: `old news of ${condition}`, ageMs: 9_000 },
-      { source: 'probe', text: `seen ${condition}`, ageMs: 1_500 },
+      { source: 'passive', text: `seen ${condition}`, ageMs: 1_500 },
+      { source: 'probe', text: 'newer but less weighty', ageMs: 100 },
     ],
   };
 }
@@ -92,7 +92,7 @@
   t.deepEqual(lines[6], ['three', 'zone-a', 'active', 'yes', 'v7', '5', '10+20']);
   t.deepEqual(lines[9], [
     ...['site/push/b0', 'zone-a', 'ejected', '1/3', '12', '2/3'],
-    'probe: seen ejected (1.5 s ago)',
+    'passive: seen ejected (1.5 s ago)',
   ]);
 });
 
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -22,12 +22,13 @@
   abstract readonly kind: string;
 
   constructor(
-    message: string,
+    /** What went wrong, without the remedy; `message` has both. */
+    readonly problem: string,
     /** What to do about it, one sentence. */
     readonly remedy: string,
     options?: ErrorOptions,
   ) {
-    super(`${message}. ${remedy}`, options);
+    super(`${problem}. ${remedy}`, options);
     this.name = new.target.name;
   }
 }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -25,7 +25,7 @@
   readonly senderIncarnation: number;
   readonly from: Endpoint;
   readonly payload: Uint8Array;
-  /** Lowest protocol version both ends speak. */
+  /** Highest protocol version that both ends speak. */
   readonly protocolVersion: number;
 }
 
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -42,7 +42,10 @@
     value: T,
     expectedVersion: number,
   ): Promise<Result<StoredObject<T>, PlatformError>>;
-  /** Yields the object at each version after `afterVersion` until `signal` aborts; reconnects by itself. */
+  /**
+   * Yields newer versions of the object than `afterVersion`, in order, until `signal` aborts; reconnects by itself. A slow
+   * reader may miss versions in between, never the newest.
+   */
   watch<T>(key: string, afterVersion: number, signal: AbortSignal): AsyncIterable<StoredObject<T>>;
   /** Takes or renews a lease; err `platform.lease-held` when another holder has it. */
   acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, PlatformError>>;
--- a/src/settings/tree-editor.ts
+++ b/src/settings/tree-editor.ts
@@ -237,14 +237,14 @@
 }
 
 function unavailable(error: PlatformError): TreeError {
-  const message = `The platform did not answer: ${error.message}`;
+  const message = `The platform did not answer: ${error.problem}`;
   const remedy = 'Check the platform and its URL, then repeat; nothing was written';
   return new TreeError('settings.platform-unavailable', message, remedy, { cause: error });
 }
 
 function gaveUp(run: EditRun, error: PlatformError): TreeError {
   if (run.outcomeOpen) {
-    const message = `It is not known whether the edit took effect: ${error.message}`;
+    const message = `It is not known whether the edit took effect: ${error.problem}`;
     const remedy = `Repeat it with the same token (${run.request.token}); it is applied at most once`;
     return new TreeError('settings.outcome-unknown', message, remedy, { cause: error });
   }
