Wait longer for the votes of the start before a step is measured

Cause: 200 daemons were measured at 12,201 B/s, 9 KB of it the votes of the start, and that bent the slope over members. Change: a fleet counts as steady below 6 KB/s a daemon.

--- a/src/experiment/scale/scale-run.ts
+++ b/src/experiment/scale/scale-run.ts
@@ -30,8 +30,8 @@
 const STEADY_SHARE = 0.1;
 const STEADY_POLL_MS = 5_000;
 const STEADY_LIMIT_MS = 150_000;
-/** A daemon that sends more than this is held at its byte budget: it has a backlog, however even its rate. */
-const STEADY_BYTES_PER_SECOND = 14_000;
+/** Idle fleets send half of this; a daemon that sends more still spreads the votes of the start, however even its rate. */
+const STEADY_BYTES_PER_SECOND = 6_000;
 /** Probers go on with votes of back ends they no longer probe for 10 s: the first readings are not steady. */
 const STEADY_MIN_MS = 20_000;
 /** Time that the last edits of a step have to spread. */
