Send many shards in one message between balancers

Cause: a shard on its way took 50 to 70 bytes of part header, each later acknowledgement a datagram of its own, the window of 32 shards waited for round trips, and an installed shard was asked after from 150 ms on, so that 1,300 shards were bound by the byte budget and by the window at once. Change: whole shards with equal headers travel as a group (4 bytes a shard, 8 a record, back end keys once), their acknowledgements likewise, those that follow later once a tick. The window is 256 shards while they have few records. The test of the daemon's budget asks for 8 s to a replicated start and 4 s for a leave instead of 12 s and 14 s.

--- a/src/flow/constants.ts
+++ b/src/flow/constants.ts
@@ -55,8 +55,14 @@
 export const TRANSFER_RESEND_MS = 150;
 /** Longest delay between two attempts for one shard. */
 export const TRANSFER_RESEND_LIMIT_MS = 1_500;
-/** Shards of one peer that are in transfer at once. */
+/** Shards in transfer to one peer at once: this many in any case, */
 export const TRANSFER_WINDOW_SHARDS = 32;
+/** and up to this many while they have few records. */
+export const TRANSFER_WINDOW_SMALL_SHARDS = 256;
+/** Records in transfer to one peer above which the smaller window holds. */
+export const TRANSFER_WINDOW_RECORDS = 1_024;
+/** Attempts to send a shard in a group before it is sent in the form that older balancers know. */
+export const MAX_GROUP_ATTEMPTS = 3;
 /** Records in one part of a shard. */
 export const MAX_PART_RECORDS = 96;
 /** Bytes of parts collected for one datagram. */
--- a/src/flow/flow-keeper.test.ts
+++ b/src/flow/flow-keeper.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type { SimulatedChannel } from '../control/simulated-network.js';
 import { backendKey } from './backend-catalogue.js';
 import { fingerprintFlow, shardOf } from './flow-key.js';
 import { ModelCluster, type ModelOptions } from './model/model-cluster.js';
@@ -229,18 +230,31 @@
 });
 
 test('at the byte budget of a daemon the start and a planned leave take a bounded time', async (t) => {
-  const cluster = await startCluster({ budgetBytesPerSecond: DAEMON_BYTES_PER_SECOND });
-  await cluster.runAsync(3_000);
+  const cluster = new ModelCluster({ ...QUIET, budgetBytesPerSecond: DAEMON_BYTES_PER_SECOND });
+  await cluster.runAsync(8_000);
   const backedUp = cluster.nodes.reduce((sum, node) => sum + node.keeper.statistics().shardsBackedUp, 0);
   t.is(backedUp, 4_096);
   const flows = await openFlows(cluster, 100);
   cluster.leave(cluster.nodes[0]!);
-  await cluster.runAsync(14_000);
+  await cluster.runAsync(4_000);
   t.is(cluster.liveNodes().length, 2);
   t.is(await countReached(cluster, flows), 100);
   t.deepEqual(cluster.violations, []);
 });
 
+test('a balancer that does not know groups of shards is sent them one by one', async (t) => {
+  const cluster = new ModelCluster(QUIET);
+  for (const node of cluster.nodes) ignoreGroups(node.parts.channel);
+  await cluster.runAsync(START_MS);
+  const flows = await openFlows(cluster, 60);
+  t.true(flows.every((flow) => flow.established));
+  cluster.leave(cluster.nodes[0]!);
+  await cluster.runAsync(18_000);
+  t.is(cluster.liveNodes().length, 2);
+  t.is(await countReached(cluster, flows), 60);
+  t.deepEqual(cluster.violations, []);
+});
+
 const dataPacket = {
   bytes: Buffer.alloc(0),
   sourceAddress: 0,
@@ -264,3 +278,16 @@
   fingerprintFlow(flow.index, sourcePort, destinationAddress, destinationPort, fingerprint);
   return shardOf(fingerprint.high);
 }
+
+/** Makes a channel deliver what a balancer of the version before groups would understand of a message. */
+function ignoreGroups(channel: SimulatedChannel): void {
+  const deliver = channel.deliver.bind(channel);
+  channel.deliver = (delivery) => {
+    if (delivery.kind !== 'handover') return deliver(delivery);
+    const message = sailquay.flow.HandoverMessage.decode(delivery.message.payload);
+    if (message.parts) message.parts.groups = [];
+    if (message.acks) message.acks.groups = [];
+    const payload = sailquay.flow.HandoverMessage.encode(message).finish();
+    deliver({ ...delivery, message: { ...delivery.message, payload } });
+  };
+}
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -218,8 +218,8 @@
 
   private onHandover(message: InboundControlMessage): void {
     const decoded = HandoverMessage.decode(message.payload);
-    if (decoded.parts) this.receiver.onParts(decoded.parts.parts ?? [], message);
-    else if (decoded.acks) this.sender.onAcks(decoded.acks.acks ?? [], message);
+    if (decoded.parts) this.receiver.onParts(decoded.parts, message);
+    else if (decoded.acks) this.sender.onAcks(decoded.acks, message);
     else if (decoded.offer) this.ownership.onOffer(decoded.offer);
     else if (decoded.claim) this.claims.onClaim(decoded.claim, message);
     else if (decoded.release) this.holder.onRelease(decoded.release, message);
--- a/src/flow/pb/flow.d.ts
+++ b/src/flow/pb/flow.d.ts
@@ -1050,6 +1050,106 @@
             type $Shape = sailquay.flow.ShardPart.$Properties;
         }
 
+        /**
+         * Properties of a ShardGroup.
+         * @deprecated Use sailquay.flow.ShardGroup.$Properties instead.
+         */
+        interface IShardGroup extends sailquay.flow.ShardGroup.$Properties {
+        }
+
+        /** Represents a ShardGroup. */
+        class ShardGroup {
+
+            /**
+             * Constructs a new ShardGroup.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.flow.ShardGroup.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** ShardGroup header. */
+            header?: (sailquay.flow.ShardPart.$Properties|null);
+
+            /** ShardGroup shards. */
+            shards: Uint8Array;
+
+            /** ShardGroup firstTransferId. */
+            firstTransferId: number;
+
+            /** ShardGroup transferOffsets. */
+            transferOffsets: Uint8Array;
+
+            /** ShardGroup recordCounts. */
+            recordCounts: Uint8Array;
+
+            /** ShardGroup backendKeys. */
+            backendKeys: number[];
+
+            /** ShardGroup records. */
+            records: Uint8Array;
+
+            /**
+             * Encodes the specified ShardGroup message. Does not implicitly {@link sailquay.flow.ShardGroup.verify|verify} messages.
+             * @param message ShardGroup message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.flow.ShardGroup.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes a ShardGroup message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.flow.ShardGroup & sailquay.flow.ShardGroup.$Shape} ShardGroup
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.flow.ShardGroup & sailquay.flow.ShardGroup.$Shape;
+
+            /**
+             * Gets the type url for ShardGroup
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace ShardGroup {
+
+            /** Properties of a ShardGroup. */
+            interface $Properties {
+
+                /** ShardGroup header */
+                header?: (sailquay.flow.ShardPart.$Properties|null);
+
+                /** ShardGroup shards */
+                shards?: (Uint8Array|null);
+
+                /** ShardGroup firstTransferId */
+                firstTransferId?: (number|null);
+
+                /** ShardGroup transferOffsets */
+                transferOffsets?: (Uint8Array|null);
+
+                /** ShardGroup recordCounts */
+                recordCounts?: (Uint8Array|null);
+
+                /** ShardGroup backendKeys */
+                backendKeys?: (number[]|null);
+
+                /** ShardGroup records */
+                records?: (Uint8Array|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of a ShardGroup. */
+            type $Shape = sailquay.flow.ShardGroup.$Properties;
+        }
+
         /**
          * Properties of a ShardParts.
          * @deprecated Use sailquay.flow.ShardParts.$Properties instead.
@@ -1072,6 +1172,9 @@
             /** ShardParts parts. */
             parts: sailquay.flow.ShardPart.$Properties[];
 
+            /** ShardParts groups. */
+            groups: sailquay.flow.ShardGroup.$Properties[];
+
             /**
              * Encodes the specified ShardParts message. Does not implicitly {@link sailquay.flow.ShardParts.verify|verify} messages.
              * @param message ShardParts message or plain object to encode
@@ -1106,6 +1209,9 @@
                 /** ShardParts parts */
                 parts?: (sailquay.flow.ShardPart.$Properties[]|null);
 
+                /** ShardParts groups */
+                groups?: (sailquay.flow.ShardGroup.$Properties[]|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1209,6 +1315,82 @@
             type $Shape = sailquay.flow.ShardAck.$Properties;
         }
 
+        /**
+         * Properties of a ShardAckGroup.
+         * @deprecated Use sailquay.flow.ShardAckGroup.$Properties instead.
+         */
+        interface IShardAckGroup extends sailquay.flow.ShardAckGroup.$Properties {
+        }
+
+        /** Represents a ShardAckGroup. */
+        class ShardAckGroup {
+
+            /**
+             * Constructs a new ShardAckGroup.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.flow.ShardAckGroup.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** ShardAckGroup status. */
+            status: sailquay.flow.ShardStatus;
+
+            /** ShardAckGroup firstTransferId. */
+            firstTransferId: number;
+
+            /** ShardAckGroup transferOffsets. */
+            transferOffsets: Uint8Array;
+
+            /**
+             * Encodes the specified ShardAckGroup message. Does not implicitly {@link sailquay.flow.ShardAckGroup.verify|verify} messages.
+             * @param message ShardAckGroup message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.flow.ShardAckGroup.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes a ShardAckGroup message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.flow.ShardAckGroup & sailquay.flow.ShardAckGroup.$Shape} ShardAckGroup
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.flow.ShardAckGroup & sailquay.flow.ShardAckGroup.$Shape;
+
+            /**
+             * Gets the type url for ShardAckGroup
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace ShardAckGroup {
+
+            /** Properties of a ShardAckGroup. */
+            interface $Properties {
+
+                /** ShardAckGroup status */
+                status?: (sailquay.flow.ShardStatus|null);
+
+                /** ShardAckGroup firstTransferId */
+                firstTransferId?: (number|null);
+
+                /** ShardAckGroup transferOffsets */
+                transferOffsets?: (Uint8Array|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of a ShardAckGroup. */
+            type $Shape = sailquay.flow.ShardAckGroup.$Properties;
+        }
+
         /**
          * Properties of a ShardAcks.
          * @deprecated Use sailquay.flow.ShardAcks.$Properties instead.
@@ -1231,6 +1413,9 @@
             /** ShardAcks acks. */
             acks: sailquay.flow.ShardAck.$Properties[];
 
+            /** ShardAcks groups. */
+            groups: sailquay.flow.ShardAckGroup.$Properties[];
+
             /**
              * Encodes the specified ShardAcks message. Does not implicitly {@link sailquay.flow.ShardAcks.verify|verify} messages.
              * @param message ShardAcks message or plain object to encode
@@ -1265,6 +1450,9 @@
                 /** ShardAcks acks */
                 acks?: (sailquay.flow.ShardAck.$Properties[]|null);
 
+                /** ShardAcks groups */
+                groups?: (sailquay.flow.ShardAckGroup.$Properties[]|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/flow/pb/flow.js
+++ b/src/flow/pb/flow.js
@@ -2690,12 +2690,286 @@
             return ShardPart;
         })();
 
+        flow.ShardGroup = (function() {
+
+            /**
+             * Properties of a ShardGroup.
+             * @typedef {Object} sailquay.flow.ShardGroup.$Properties
+             * @property {sailquay.flow.ShardPart.$Properties|null} [header] ShardGroup header
+             * @property {Uint8Array|null} [shards] ShardGroup shards
+             * @property {number|null} [firstTransferId] ShardGroup firstTransferId
+             * @property {Uint8Array|null} [transferOffsets] ShardGroup transferOffsets
+             * @property {Uint8Array|null} [recordCounts] ShardGroup recordCounts
+             * @property {Array.<number>|null} [backendKeys] ShardGroup backendKeys
+             * @property {Uint8Array|null} [records] ShardGroup records
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a ShardGroup.
+             * @memberof sailquay.flow
+             * @interface IShardGroup
+             * @augments sailquay.flow.ShardGroup.$Properties
+             * @deprecated Use sailquay.flow.ShardGroup.$Properties instead.
+             */
+
+            /**
+             * Shape of a ShardGroup.
+             * @typedef {sailquay.flow.ShardGroup.$Properties} sailquay.flow.ShardGroup.$Shape
+             */
+
+            /**
+             * Constructs a new ShardGroup.
+             * @memberof sailquay.flow
+             * @classdesc Represents a ShardGroup.
+             * @constructor
+             * @param {sailquay.flow.ShardGroup.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const ShardGroup = function (properties) {
+                this.backendKeys = [];
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * ShardGroup header.
+             * @member {sailquay.flow.ShardPart.$Properties|null|undefined} header
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.header = null;
+
+            /**
+             * ShardGroup shards.
+             * @member {Uint8Array} shards
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.shards = $util.newBuffer([]);
+
+            /**
+             * ShardGroup firstTransferId.
+             * @member {number} firstTransferId
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.firstTransferId = 0;
+
+            /**
+             * ShardGroup transferOffsets.
+             * @member {Uint8Array} transferOffsets
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.transferOffsets = $util.newBuffer([]);
+
+            /**
+             * ShardGroup recordCounts.
+             * @member {Uint8Array} recordCounts
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.recordCounts = $util.newBuffer([]);
+
+            /**
+             * ShardGroup backendKeys.
+             * @member {Array.<number>} backendKeys
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.backendKeys = $util.emptyArray;
+
+            /**
+             * ShardGroup records.
+             * @member {Uint8Array} records
+             * @memberof sailquay.flow.ShardGroup
+             * @instance
+             */
+            ShardGroup.prototype.records = $util.newBuffer([]);
+
+            /**
+             * Encodes the specified ShardGroup message. Does not implicitly {@link sailquay.flow.ShardGroup.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.flow.ShardGroup
+             * @static
+             * @param {sailquay.flow.ShardGroup.$Properties} message ShardGroup message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            ShardGroup.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.header != null && $Object.hasOwnProperty.call(message, "header"))
+                    $root.sailquay.flow.ShardPart.encode(message.header, writer.uint32(/* id 1, wireType 2 =*/10).fork(), _depth + 1).ldelim();
+                if (message.shards != null && $Object.hasOwnProperty.call(message, "shards") && message.shards.length)
+                    writer.uint32(/* id 2, wireType 2 =*/18).bytes(message.shards);
+                if (message.firstTransferId != null && $Object.hasOwnProperty.call(message, "firstTransferId") && message.firstTransferId !== 0)
+                    writer.uint32(/* id 3, wireType 5 =*/29).fixed32(message.firstTransferId);
+                if (message.transferOffsets != null && $Object.hasOwnProperty.call(message, "transferOffsets") && message.transferOffsets.length)
+                    writer.uint32(/* id 4, wireType 2 =*/34).bytes(message.transferOffsets);
+                if (message.recordCounts != null && $Object.hasOwnProperty.call(message, "recordCounts") && message.recordCounts.length)
+                    writer.uint32(/* id 5, wireType 2 =*/42).bytes(message.recordCounts);
+                if (message.backendKeys != null && message.backendKeys.length)
+                    writer.uint32(/* id 6, wireType 2 =*/50).fixed32s(message.backendKeys);
+                if (message.records != null && $Object.hasOwnProperty.call(message, "records") && message.records.length)
+                    writer.uint32(/* id 7, wireType 2 =*/58).bytes(message.records);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a ShardGroup message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.flow.ShardGroup
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.flow.ShardGroup & sailquay.flow.ShardGroup.$Shape} ShardGroup
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            ShardGroup.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.flow.ShardGroup();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            message.header = $root.sailquay.flow.ShardPart.decode(reader, reader.size(), $undefined, _depth + 1, message.header);
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.shards = value;
+                            else
+                                delete message.shards;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.firstTransferId = value;
+                            else
+                                delete message.firstTransferId;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.transferOffsets = value;
+                            else
+                                delete message.transferOffsets;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.recordCounts = value;
+                            else
+                                delete message.recordCounts;
+                            continue;
+                        }
+                    case 6: {
+                            if (wireType === 2) {
+                                if (!(message.backendKeys && message.backendKeys.length))
+                                    message.backendKeys = [];
+                                reader.fixed32s(message.backendKeys);
+                                continue;
+                            }
+                            if (wireType !== 5)
+                                break;
+                            if (!(message.backendKeys && message.backendKeys.length))
+                                message.backendKeys = [];
+                            message.backendKeys.push(reader.fixed32());
+                            continue;
+                        }
+                    case 7: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.records = value;
+                            else
+                                delete message.records;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for ShardGroup
+             * @function getTypeUrl
+             * @memberof sailquay.flow.ShardGroup
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            ShardGroup.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.flow.ShardGroup";
+            };
+
+            return ShardGroup;
+        })();
+
         flow.ShardParts = (function() {
 
             /**
              * Properties of a ShardParts.
              * @typedef {Object} sailquay.flow.ShardParts.$Properties
              * @property {Array.<sailquay.flow.ShardPart.$Properties>|null} [parts] ShardParts parts
+             * @property {Array.<sailquay.flow.ShardGroup.$Properties>|null} [groups] ShardParts groups
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2722,6 +2996,7 @@
              */
             const ShardParts = function (properties) {
                 this.parts = [];
+                this.groups = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -2736,6 +3011,14 @@
              */
             ShardParts.prototype.parts = $util.emptyArray;
 
+            /**
+             * ShardParts groups.
+             * @member {Array.<sailquay.flow.ShardGroup.$Properties>} groups
+             * @memberof sailquay.flow.ShardParts
+             * @instance
+             */
+            ShardParts.prototype.groups = $util.emptyArray;
+
             /**
              * Encodes the specified ShardParts message. Does not implicitly {@link sailquay.flow.ShardParts.verify|verify} messages.
              * @function encode
@@ -2755,6 +3038,9 @@
                 if (message.parts != null && message.parts.length)
                     for (let i = 0; i < message.parts.length; ++i)
                         $root.sailquay.flow.ShardPart.encode(message.parts[i], writer.uint32(/* id 1, wireType 2 =*/10).fork(), _depth + 1).ldelim();
+                if (message.groups != null && message.groups.length)
+                    for (let i = 0; i < message.groups.length; ++i)
+                        $root.sailquay.flow.ShardGroup.encode(message.groups[i], writer.uint32(/* id 2, wireType 2 =*/18).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2807,6 +3093,14 @@
                             message.parts.push($root.sailquay.flow.ShardPart.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 2: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.groups && message.groups.length))
+                                message.groups = [];
+                            message.groups.push($root.sailquay.flow.ShardGroup.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -3067,12 +3361,203 @@
             return ShardAck;
         })();
 
+        flow.ShardAckGroup = (function() {
+
+            /**
+             * Properties of a ShardAckGroup.
+             * @typedef {Object} sailquay.flow.ShardAckGroup.$Properties
+             * @property {sailquay.flow.ShardStatus|null} [status] ShardAckGroup status
+             * @property {number|null} [firstTransferId] ShardAckGroup firstTransferId
+             * @property {Uint8Array|null} [transferOffsets] ShardAckGroup transferOffsets
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a ShardAckGroup.
+             * @memberof sailquay.flow
+             * @interface IShardAckGroup
+             * @augments sailquay.flow.ShardAckGroup.$Properties
+             * @deprecated Use sailquay.flow.ShardAckGroup.$Properties instead.
+             */
+
+            /**
+             * Shape of a ShardAckGroup.
+             * @typedef {sailquay.flow.ShardAckGroup.$Properties} sailquay.flow.ShardAckGroup.$Shape
+             */
+
+            /**
+             * Constructs a new ShardAckGroup.
+             * @memberof sailquay.flow
+             * @classdesc Represents a ShardAckGroup.
+             * @constructor
+             * @param {sailquay.flow.ShardAckGroup.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const ShardAckGroup = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * ShardAckGroup status.
+             * @member {sailquay.flow.ShardStatus} status
+             * @memberof sailquay.flow.ShardAckGroup
+             * @instance
+             */
+            ShardAckGroup.prototype.status = 0;
+
+            /**
+             * ShardAckGroup firstTransferId.
+             * @member {number} firstTransferId
+             * @memberof sailquay.flow.ShardAckGroup
+             * @instance
+             */
+            ShardAckGroup.prototype.firstTransferId = 0;
+
+            /**
+             * ShardAckGroup transferOffsets.
+             * @member {Uint8Array} transferOffsets
+             * @memberof sailquay.flow.ShardAckGroup
+             * @instance
+             */
+            ShardAckGroup.prototype.transferOffsets = $util.newBuffer([]);
+
+            /**
+             * Encodes the specified ShardAckGroup message. Does not implicitly {@link sailquay.flow.ShardAckGroup.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.flow.ShardAckGroup
+             * @static
+             * @param {sailquay.flow.ShardAckGroup.$Properties} message ShardAckGroup message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            ShardAckGroup.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.status != null && $Object.hasOwnProperty.call(message, "status") && message.status !== 0)
+                    writer.uint32(/* id 1, wireType 0 =*/8).int32(message.status);
+                if (message.firstTransferId != null && $Object.hasOwnProperty.call(message, "firstTransferId") && message.firstTransferId !== 0)
+                    writer.uint32(/* id 2, wireType 5 =*/21).fixed32(message.firstTransferId);
+                if (message.transferOffsets != null && $Object.hasOwnProperty.call(message, "transferOffsets") && message.transferOffsets.length)
+                    writer.uint32(/* id 3, wireType 2 =*/26).bytes(message.transferOffsets);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a ShardAckGroup message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.flow.ShardAckGroup
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.flow.ShardAckGroup & sailquay.flow.ShardAckGroup.$Shape} ShardAckGroup
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            ShardAckGroup.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.flow.ShardAckGroup();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.int32())
+                                message.status = value;
+                            else
+                                delete message.status;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.firstTransferId = value;
+                            else
+                                delete message.firstTransferId;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.bytes()).length)
+                                message.transferOffsets = value;
+                            else
+                                delete message.transferOffsets;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for ShardAckGroup
+             * @function getTypeUrl
+             * @memberof sailquay.flow.ShardAckGroup
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            ShardAckGroup.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.flow.ShardAckGroup";
+            };
+
+            return ShardAckGroup;
+        })();
+
         flow.ShardAcks = (function() {
 
             /**
              * Properties of a ShardAcks.
              * @typedef {Object} sailquay.flow.ShardAcks.$Properties
              * @property {Array.<sailquay.flow.ShardAck.$Properties>|null} [acks] ShardAcks acks
+             * @property {Array.<sailquay.flow.ShardAckGroup.$Properties>|null} [groups] ShardAcks groups
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -3099,6 +3584,7 @@
              */
             const ShardAcks = function (properties) {
                 this.acks = [];
+                this.groups = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -3113,6 +3599,14 @@
              */
             ShardAcks.prototype.acks = $util.emptyArray;
 
+            /**
+             * ShardAcks groups.
+             * @member {Array.<sailquay.flow.ShardAckGroup.$Properties>} groups
+             * @memberof sailquay.flow.ShardAcks
+             * @instance
+             */
+            ShardAcks.prototype.groups = $util.emptyArray;
+
             /**
              * Encodes the specified ShardAcks message. Does not implicitly {@link sailquay.flow.ShardAcks.verify|verify} messages.
              * @function encode
@@ -3132,6 +3626,9 @@
                 if (message.acks != null && message.acks.length)
                     for (let i = 0; i < message.acks.length; ++i)
                         $root.sailquay.flow.ShardAck.encode(message.acks[i], writer.uint32(/* id 1, wireType 2 =*/10).fork(), _depth + 1).ldelim();
+                if (message.groups != null && message.groups.length)
+                    for (let i = 0; i < message.groups.length; ++i)
+                        $root.sailquay.flow.ShardAckGroup.encode(message.groups[i], writer.uint32(/* id 2, wireType 2 =*/18).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3184,6 +3681,14 @@
                             message.acks.push($root.sailquay.flow.ShardAck.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 2: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.groups && message.groups.length))
+                                message.groups = [];
+                            message.groups.push($root.sailquay.flow.ShardAckGroup.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/flow/shard-receiver.ts
+++ b/src/flow/shard-receiver.ts
@@ -4,6 +4,7 @@
 import type { KnowledgeExchange } from './knowledge-exchange.js';
 import { sailquay } from './pb/flow.js';
 import { unpackPart, type ShardRecord } from './record-codec.js';
+import { expandGroup, groupAcknowledgements } from './shard-group.js';
 
 const { HandoverMessage, ShardStatus } = sailquay.flow;
 
@@ -35,6 +36,10 @@
 export class ShardReceiver {
   private readonly assemblies = new Map<string, Assembly>();
   private readonly ended = new Map<string, sailquay.flow.ShardStatus>();
+  /** Acknowledgements that follow later, by sender, collected for one message. */
+  private readonly later = new Map<string, sailquay.flow.ShardAck.$Properties[]>();
+  /** Boots of the senders that know groups. */
+  private readonly groupSenders = new Map<string, number>();
 
   constructor(
     private readonly context: FlowContext,
@@ -42,39 +47,73 @@
     private readonly install: (incoming: IncomingShard) => InstallOutcome,
   ) {}
 
-  /** Takes in parts and acknowledges each. */
-  onParts(parts: readonly sailquay.flow.ShardPart.$Properties[], from: InboundControlMessage): void {
+  /** Takes in parts and groups, and acknowledges each shard. */
+  onParts(message: sailquay.flow.ShardParts.$Properties, from: InboundControlMessage): void {
+    const groups = message.groups ?? [];
+    if (groups.length > 0) this.groupSenders.set(from.senderId, from.senderIncarnation);
+    else if (this.groupSenders.get(from.senderId) !== from.senderIncarnation) {
+      this.groupSenders.delete(from.senderId);
+    }
+    const parts = [...(message.parts ?? []), ...groups.flatMap((group) => expandGroup(group))];
     const acks = parts.map((part) => ({
       shard: part.shard,
       transferId: part.transferId,
       part: part.part,
       status: this.onPart(part, from),
     }));
-    for (let start = 0; start < acks.length; start += ACKS_PER_MESSAGE) {
-      const payload = HandoverMessage.encode({ acks: { acks: acks.slice(start, start + ACKS_PER_MESSAGE) } });
-      this.context.components.control.send(from.from, 'handover', payload.finish());
-    }
+    const known = groups.length > 0;
+    this.sendAcknowledgements(acks, known, (payload) =>
+      this.context.components.control.send(from.from, 'handover', payload),
+    );
   }
 
   /** Tells a sender that a shard which was answered with "later" is installed now, or was given up again. */
   acknowledge(senderId: string, transferId: number, installed: boolean): void {
     const status = installed ? ShardStatus.DONE : ShardStatus.REFUSED;
     this.remember(`${senderId} ${transferId}`, status);
-    const member = this.context.member(senderId);
-    if (!member) return;
-    const acks = { acks: [{ transferId, part: 0, status }] };
-    const payload = HandoverMessage.encode({ acks }).finish();
-    this.context.components.control.send(member.control, 'handover', payload);
+    const acks = this.later.get(senderId) ?? [];
+    this.later.set(senderId, acks);
+    acks.push({ transferId, part: 0, status });
   }
 
-  /** Forgets transfers whose sender fell silent. */
+  /** Sends the collected acknowledgements and forgets transfers whose sender fell silent. */
   tick(): void {
+    this.sendLater();
     const oldestMs = this.context.now() - ASSEMBLY_TIMEOUT_MS;
     for (const [key, assembly] of this.assemblies) {
       if (assembly.touchedMs < oldestMs) this.assemblies.delete(key);
     }
   }
 
+  /** An acknowledgement that finds no room in the byte budget is repeated when its sender asks again. */
+  private sendLater(): void {
+    for (const [senderId, acks] of this.later) {
+      const member = this.context.member(senderId);
+      if (!member) continue;
+      const knowsGroups = this.groupSenders.has(senderId);
+      this.sendAcknowledgements(acks, knowsGroups, (payload) =>
+        this.context.components.control.send(member.control, 'handover', payload),
+      );
+    }
+    this.later.clear();
+  }
+
+  private sendAcknowledgements(
+    acks: readonly sailquay.flow.ShardAck.$Properties[],
+    knowsGroups: boolean,
+    send: (payload: Uint8Array) => boolean,
+  ): void {
+    const whole = knowsGroups ? acks.filter((ack) => (ack.part ?? 0) === 0) : [];
+    for (const group of groupAcknowledgements(whole)) {
+      send(HandoverMessage.encode({ acks: { groups: [group] } }).finish());
+    }
+    const single = knowsGroups ? acks.filter((ack) => (ack.part ?? 0) !== 0) : acks;
+    for (let start = 0; start < single.length; start += ACKS_PER_MESSAGE) {
+      const message = { acks: { acks: single.slice(start, start + ACKS_PER_MESSAGE) } };
+      send(HandoverMessage.encode(message).finish());
+    }
+  }
+
   private onPart(
     part: sailquay.flow.ShardPart.$Properties,
     from: InboundControlMessage,
--- a/src/flow/shard-sender.ts
+++ b/src/flow/shard-sender.ts
@@ -5,15 +5,18 @@
 import type { InboundControlMessage } from '../control/types.js';
 import {
   HEARTBEAT_MS,
-  MAX_PART_RECORDS,
-  TRANSFER_DATAGRAM_BYTES,
+  MAX_GROUP_ATTEMPTS,
   TRANSFER_RESEND_LIMIT_MS,
   TRANSFER_RESEND_MS,
+  TRANSFER_WINDOW_RECORDS,
   TRANSFER_WINDOW_SHARDS,
+  TRANSFER_WINDOW_SMALL_SHARDS,
 } from './constants.js';
 import type { FlowContext } from './flow-context.js';
 import { sailquay } from './pb/flow.js';
-import { packPart, type ShardRecord } from './record-codec.js';
+import type { ShardRecord } from './record-codec.js';
+import { expandAcknowledgements } from './shard-group.js';
+import { cutParts, GroupBatch, headerOf, PartBatch } from './shard-parts.js';
 import { toBitmap } from './shard-set.js';
 
 const { HandoverMessage, ShardPurpose, ShardStatus } = sailquay.flow;
@@ -48,6 +51,7 @@
   readonly outgoing: OutgoingShard;
   readonly snapshot: ShardSnapshot;
   readonly transferId: number;
+  readonly header: sailquay.flow.ShardPart.$Properties;
   readonly parts: readonly sailquay.flow.ShardPart.$Properties[];
   readonly unacknowledged: Set<number>;
   nextSendMs: number;
@@ -61,9 +65,18 @@
 class TransferLane {
   readonly queued: OutgoingShard[] = [];
   readonly active = new Map<number, ActiveTransfer>();
+  /** Records of the active transfers. */
+  activeRecords = 0;
+  /** The form that the target has answered; groups are tried first. */
+  form: 'unknown' | 'groups' | 'parts' = 'unknown';
 
   constructor(readonly targetId: string) {}
 
+  hasRoom(): boolean {
+    if (this.active.size < TRANSFER_WINDOW_SHARDS) return true;
+    return this.active.size < TRANSFER_WINDOW_SMALL_SHARDS && this.activeRecords < TRANSFER_WINDOW_RECORDS;
+  }
+
   all(): OutgoingShard[] {
     return [...[...this.active.values()].map((transfer) => transfer.outgoing), ...this.queued];
   }
@@ -103,8 +116,14 @@
   }
 
   /** Takes in the receiver's acknowledgements. */
-  onAcks(acks: readonly sailquay.flow.ShardAck.$Properties[], from: InboundControlMessage): void {
+  onAcks(message: sailquay.flow.ShardAcks.$Properties, from: InboundControlMessage): void {
     const lanes = this.lanesOf(from.senderId);
+    const groups = message.groups ?? [];
+    for (const [, lane] of lanes) {
+      if (groups.length > 0) lane.form = 'groups';
+      else if (lane.form === 'unknown') lane.form = 'parts';
+    }
+    const acks = [...(message.acks ?? []), ...groups.flatMap((group) => expandAcknowledgements(group))];
     for (const ack of acks) for (const [, lane] of lanes) this.onAck(lane, ack, from.senderIncarnation);
     for (const [, lane] of lanes) this.pump(lane);
   }
@@ -128,14 +147,21 @@
     if (!transfer) return;
     transfer.unacknowledged.delete(ack.part ?? 0);
     const status = ack.status ?? ShardStatus.RECEIVED;
-    if (status === ShardStatus.RECEIVED) return;
+    if (status === ShardStatus.RECEIVED) {
+      // The receiver tells by itself when the shard is installed; asking is only for the case that this is lost.
+      if (transfer.unacknowledged.size === 0) {
+        transfer.nextSendMs = this.context.now() + TRANSFER_RESEND_LIMIT_MS;
+      }
+      return;
+    }
     lane.active.delete(transfer.transferId);
+    lane.activeRecords -= transfer.snapshot.records.length;
     if (status === ShardStatus.DONE) transfer.outgoing.onDone(boot, transfer.snapshot);
     else transfer.outgoing.onFailed();
   }
 
   private pump(lane: TransferLane): void {
-    while (lane.active.size < TRANSFER_WINDOW_SHARDS && lane.queued.length > 0) {
+    while (lane.hasRoom() && lane.queued.length > 0) {
       this.begin(lane, lane.queued.shift()!);
     }
     if (lane.active.size > 0) this.sendDue(lane);
@@ -146,12 +172,15 @@
     if (!snapshot) return outgoing.onFailed();
     const transferId = this.nextTransferId;
     this.nextTransferId = (this.nextTransferId + 1) >>> 0;
-    const parts = cutParts(outgoing, snapshot, transferId);
+    const header = headerOf(outgoing, snapshot);
+    const parts = cutParts(header, outgoing.shard, transferId, snapshot.records);
     const unacknowledged = new Set(parts.keys());
+    lane.activeRecords += snapshot.records.length;
     lane.active.set(transferId, {
       outgoing,
       snapshot,
       transferId,
+      header,
       parts,
       unacknowledged,
       nextSendMs: 0,
@@ -163,27 +192,45 @@
     const nowMs = this.context.now();
     // Offers keep their turn when the byte budget is short: without them a shard would be started empty elsewhere.
     if (nowMs >= this.nextOfferMs) return;
-    const batch = new PartBatch((parts) => this.send(lane.targetId, parts));
+    const send = (message: sailquay.flow.ShardParts.$Properties): boolean =>
+      this.send(lane.targetId, message);
+    const batch = new PartBatch(send);
+    const groups = new GroupBatch(send);
     for (const transfer of lane.active.values()) {
       if (transfer.nextSendMs > nowMs) continue;
-      if (!this.sendTransfer(transfer, batch)) return;
-      const delayMs = Math.min(TRANSFER_RESEND_LIMIT_MS, TRANSFER_RESEND_MS * 2 ** transfer.attempts);
-      transfer.nextSendMs = nowMs + delayMs;
-      transfer.attempts += 1;
+      const sent = mayGroup(lane, transfer)
+        ? this.sendInGroup(transfer, groups)
+        : this.sendParts(transfer, batch);
+      if (!sent) return;
     }
-    batch.flush();
+    if (groups.flush()) batch.flush();
+  }
+
+  private sendInGroup(transfer: ActiveTransfer, groups: GroupBatch): boolean {
+    const { transferId, header, outgoing, snapshot } = transfer;
+    const shard = { shard: outgoing.shard, transferId, records: snapshot.records };
+    return groups.add(header, shard, () => this.scheduleRepeat(transfer));
   }
 
-  private sendTransfer(transfer: ActiveTransfer, batch: PartBatch): boolean {
+  private sendParts(transfer: ActiveTransfer, batch: PartBatch): boolean {
     const { parts, unacknowledged } = transfer;
     const due = unacknowledged.size > 0 ? [...unacknowledged] : [parts.length - 1];
-    return due.every((part) => batch.add(parts[part]!));
+    if (!due.every((part) => batch.add(parts[part]!))) return false;
+    this.scheduleRepeat(transfer);
+    return true;
+  }
+
+  private scheduleRepeat(transfer: ActiveTransfer): void {
+    const backoffMs = Math.min(TRANSFER_RESEND_LIMIT_MS, TRANSFER_RESEND_MS * 2 ** transfer.attempts);
+    const awaitsInstallation = transfer.unacknowledged.size === 0;
+    transfer.nextSendMs = this.context.now() + (awaitsInstallation ? TRANSFER_RESEND_LIMIT_MS : backoffMs);
+    transfer.attempts += 1;
   }
 
-  private send(targetId: string, parts: readonly sailquay.flow.ShardPart.$Properties[]): boolean {
+  private send(targetId: string, parts: sailquay.flow.ShardParts.$Properties): boolean {
     const member = this.context.member(targetId);
     if (!member) return false;
-    const payload = HandoverMessage.encode({ parts: { parts: [...parts] } }).finish();
+    const payload = HandoverMessage.encode({ parts }).finish();
     return this.context.components.control.send(member.control, 'handover', payload);
   }
 
@@ -207,70 +254,7 @@
   }
 }
 
-/** Collects parts for one datagram. */
-class PartBatch {
-  private parts: sailquay.flow.ShardPart.$Properties[] = [];
-  private bytes = 0;
-
-  constructor(private readonly send: (parts: readonly sailquay.flow.ShardPart.$Properties[]) => boolean) {}
-
-  /** False when the byte budget is used up. */
-  add(part: sailquay.flow.ShardPart.$Properties): boolean {
-    const bytes = PART_OVERHEAD_BYTES + part.records!.length + part.backendKeys!.length * 4;
-    if (this.bytes + bytes > TRANSFER_DATAGRAM_BYTES && !this.flush()) return false;
-    this.parts.push(part);
-    this.bytes += bytes;
-    return true;
-  }
-
-  flush(): boolean {
-    if (this.parts.length === 0) return true;
-    const sent = this.send(this.parts);
-    this.parts = [];
-    this.bytes = 0;
-    return sent;
-  }
-}
-
-/** Upper bound of the fields of a part without records and keys. */
-const PART_OVERHEAD_BYTES = 64;
-/** Different back ends in one part, so that the keys leave room for records. */
-const MAX_PART_KEYS = 40;
-
-function cutParts(
-  outgoing: OutgoingShard,
-  snapshot: ShardSnapshot,
-  transferId: number,
-): sailquay.flow.ShardPart.$Properties[] {
-  const groups = groupRecords(snapshot.records);
-  const { epoch, baseVersion, oldestBaseVersion, complete, trusted, learningMs } = snapshot;
-  return groups.map((records, part) => ({
-    shard: outgoing.shard,
-    epoch,
-    purpose: outgoing.purpose,
-    transferId,
-    part,
-    partCount: groups.length,
-    baseVersion,
-    oldestBaseVersion,
-    complete,
-    trusted,
-    learningMs,
-    generation: outgoing.generation?.(),
-    ...packPart(records),
-  }));
-}
-
-function groupRecords(records: readonly ShardRecord[]): ShardRecord[][] {
-  const groups: ShardRecord[][] = [[]];
-  let keys = new Set<number>();
-  for (const record of records) {
-    if (groups.at(-1)!.length >= MAX_PART_RECORDS || keys.size >= MAX_PART_KEYS) {
-      groups.push([]);
-      keys = new Set();
-    }
-    groups.at(-1)!.push(record);
-    keys.add(record.backendKey);
-  }
-  return groups;
+function mayGroup(lane: TransferLane, transfer: ActiveTransfer): boolean {
+  if (transfer.parts.length > 1 || lane.form === 'parts') return false;
+  return lane.form === 'groups' || transfer.attempts < MAX_GROUP_ATTEMPTS;
 }
--- a/src/flow/shard-set.ts
+++ b/src/flow/shard-set.ts
@@ -22,24 +22,35 @@
   return shards;
 }
 
-/** Writes shard numbers as 16-bit little-endian integers. */
-export function packShards(shards: readonly number[]): Uint8Array {
-  const bytes = new Uint8Array(shards.length * 2);
-  shards.forEach((shard, index) => {
-    bytes[index * 2] = shard & 0xff;
-    bytes[index * 2 + 1] = shard >>> 8;
+/** Writes numbers below 65,536 as 16-bit little-endian integers. */
+export function packNumbers(numbers: readonly number[]): Uint8Array {
+  const bytes = new Uint8Array(numbers.length * 2);
+  numbers.forEach((number, index) => {
+    bytes[index * 2] = number & 0xff;
+    bytes[index * 2 + 1] = number >>> 8;
   });
   return bytes;
 }
 
+/** Reads what `packNumbers` wrote. Throws `MalformedRecordError`. */
+export function unpackNumbers(bytes: Uint8Array): number[] {
+  if (bytes.length % 2 !== 0) throw new MalformedRecordError('a 16-bit number is cut off');
+  return Array.from(
+    { length: bytes.length / 2 },
+    (_unused, index) => bytes[index * 2]! | (bytes[index * 2 + 1]! << 8),
+  );
+}
+
+/** Writes shard numbers as 16-bit little-endian integers. */
+export function packShards(shards: readonly number[]): Uint8Array {
+  return packNumbers(shards);
+}
+
 /** Reads what `packShards` wrote. Throws `MalformedRecordError`. */
 export function unpackShards(bytes: Uint8Array): number[] {
-  if (bytes.length % 2 !== 0) throw new MalformedRecordError('a shard number is cut off');
-  const shards: number[] = [];
-  for (let offset = 0; offset < bytes.length; offset += 2) {
-    const shard = bytes[offset]! | (bytes[offset + 1]! << 8);
+  const shards = unpackNumbers(bytes);
+  for (const shard of shards) {
     if (shard >= SHARD_COUNT) throw new MalformedRecordError(`there is no shard ${shard}`);
-    shards.push(shard);
   }
   return shards;
 }
