Probe each back end once a second by default

Cause: probes over HTTP are the largest part of control's processor time at the size to design for (0.085% of a core for each probe a second, 64 a second at the interval of 0.5 s: docs/CAPACITY.md). Change: health.probeIntervalMs is 1,000 unless set; a first failure is still confirmed at a quarter of the interval.

--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -162,7 +162,7 @@
       name: 'health.probeIntervalMs',
       number: 16,
       scope: 'service',
-      fallback: 500,
+      fallback: 1_000,
       description: 'Time between two probes of a back end.',
     },
     50,
