--- a/src/experiment/capacity/capacity-model.ts
+++ b/src/experiment/capacity/capacity-model.ts
@@ -156,7 +156,8 @@
   return {
     ...{ dimension: fitted.dimension, variable: fitted.variable, target: fitted.target, base, fit },
     largestMeasured: Math.max(...sizes),
-    value: valueAt(fit, fitted.target) - valueAt(fit, base),
+    // A part that falls with the size is noise, or a cost that was shared out; it must not hide the others.
+    value: Math.max(0, valueAt(fit, fitted.target) - valueAt(fit, base)),
   };
 }
 
--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -139,6 +139,7 @@
 }
 
 function rangeOf(part: Contribution): string {
+  if (part.fit && part.fit.slope < 0) return 'falls with the size: counted as 0';
   if (!part.fit || part.target <= part.largestMeasured) return 'measured';
   return `extrapolated ×${number(part.target / part.largestMeasured, 1)}`;
 }
--- a/src/experiment/capacity/capacity.test.ts
+++ b/src/experiment/capacity/capacity.test.ts
@@ -90,6 +90,12 @@
   t.true(Math.abs(value('probes') - 0.0005 * rate) < 1e-9);
 });
 
+test('a part that falls with the size is counted as nothing', (t) => {
+  const parts = contributions(STEPS, (each) => 1_000 - each.backends / 10);
+  t.is(parts.find(({ dimension }) => dimension === 'backends')?.value, 0);
+  t.is(total(parts), 985);
+});
+
 test('nothing measured gives no parts rather than zeros', (t) => {
   t.deepEqual(
     contributions([], (each) => each.cpuFraction),
