--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -67,7 +67,10 @@
     for (const targetId of this.parts.sender.targets()) {
       if (!this.context.member(targetId)) this.parts.sender.failTarget(targetId);
     }
-    if (regainedQuorum) this.stepDownUnreplicated(() => true);
+    if (regainedQuorum) {
+      this.stepDownUnreplicated(() => true);
+      this.returnUnacknowledged();
+    }
     this.acquireOwnShards();
     this.reconcile();
   }
@@ -150,6 +153,18 @@
     if (!paused && this.context.view.quorate) return;
     this.parts.holder.distrustAll();
     this.context.cautiousUntilMs = nowMs + ORPHAN_WAIT_MS;
+    if (paused) this.returnUnacknowledged();
+  }
+
+  /**
+   * Gives shards back that were received and not yet acknowledged: their senders may have taken this balancer for gone
+   * and serve them again. They hand them over once more.
+   */
+  private returnUnacknowledged(): void {
+    for (const kept of [...this.context.kept.values()]) {
+      if (kept.role === 'acquiring' || kept.owed.length === 0) continue;
+      this.giveUp(kept, [...new Set(kept.owed.map((owed) => owed.senderId))], true);
+    }
   }
 
   private logChanges(): void {
