Let a backup act for a silent keeper no longer than the keeper must keep it as backup

Cause: a backup that was cut off opened first choices, and reconstructed flows, for keepers that had replaced it 2.4 s after the last acknowledgement and placed the same flows elsewhere; it noticed the loss of its quorum only a second later. A keeper without a held lease also went on sending packets of flows that no back end had answered. Change: a backup opens and reconstructs only within 2.4 s of its last acknowledgement to the keeper, and reconstructs again once the replica is being handed on. Flows without an answer are sent on only by a sure keeper.

--- a/src/flow/acting-backup.ts
+++ b/src/flow/acting-backup.ts
@@ -10,6 +10,7 @@
 import { FlowFlag } from './flow-table.js';
 import { answerUnknownFlow } from './kept-flows.js';
 import type { PacketRelay } from './packet-relay.js';
+import type { ReplicaHolder } from './replica-holder.js';
 import type { ServicePort } from './service-index.js';
 import type { ReplicaShard } from './shard-holding.js';
 
@@ -18,6 +19,7 @@
   constructor(
     private readonly context: FlowContext,
     private readonly relay: PacketRelay,
+    private readonly holder: ReplicaHolder,
   ) {}
 
   /** True when this balancer answers for the shard now. */
@@ -34,7 +36,9 @@
     if (slot >= 0)
       return this.forward(this.context.catalogue.at(replica.table.backendIndex(slot)), packet, port);
     if (packet.syn && !packet.ack) return this.open(replica, fingerprint, packet, port);
-    const entry = replica.handedOn ? undefined : this.reconstruct(replica, fingerprint, port);
+    // A keeper that was cut off from here, or is on the larger side of a cut, may have placed the flow elsewhere since.
+    const mayReconstruct = !replica.handedOn && (replica.lapsed || this.holder.isSurelyBackup(replica));
+    const entry = !mayReconstruct ? undefined : this.reconstruct(replica, fingerprint, port);
     if (entry) this.forward(entry, packet, port);
     else this.relay.relay(packet, replica.shard, undefined);
   }
@@ -69,7 +73,8 @@
     port: ServicePort | undefined,
   ): void {
     const { counters, components } = this.context;
-    const entry = port?.service && !replica.lapsed ? this.chooseFirst(replica, fingerprint, port) : undefined;
+    const mayOpen = !replica.lapsed && this.holder.isSurelyBackup(replica);
+    const entry = port?.service && mayOpen ? this.chooseFirst(replica, fingerprint, port) : undefined;
     if (!entry) {
       counters.deferred += 1;
       return;
--- a/src/flow/flow-keeper.test.ts
+++ b/src/flow/flow-keeper.test.ts
@@ -127,6 +127,21 @@
   t.is(await countReached(cluster, flows), 30);
 });
 
+test('without a quorum the SYN of a flow that no back end has answered goes nowhere', async (t) => {
+  const cluster = await startCluster();
+  const flow = cluster.openFlow();
+  let syns = 0;
+  flow.onBackendPacket = () => {
+    syns += 1;
+  };
+  await cluster.runAsync(500);
+  t.true(syns > 0);
+  for (const node of cluster.nodes) node.setQuorate(false);
+  const before = syns;
+  await cluster.runAsync(3_000);
+  t.is(syns, before);
+});
+
 test('a planned leave gives every shard away and breaks nothing', async (t) => {
   const cluster = await startCluster();
   const flows = await openFlows(cluster, 100);
--- a/src/flow/flow-keeper.ts
+++ b/src/flow/flow-keeper.ts
@@ -55,9 +55,9 @@
     this.openings = new Openings(context);
     this.relay = new PacketRelay(context);
     this.keptFlows = new KeptFlows(context, this.openings, this.relay);
-    this.actingBackup = new ActingBackup(context, this.relay);
     this.knowledge = new KnowledgeExchange(context);
     this.holder = new ReplicaHolder(context, this.knowledge);
+    this.actingBackup = new ActingBackup(context, this.relay, this.holder);
     this.sender = new ShardSender(context);
     this.receiver = new ShardReceiver(context, this.knowledge, (incoming) =>
       this.ownership.install(incoming),
--- a/src/flow/kept-flows.ts
+++ b/src/flow/kept-flows.ts
@@ -85,6 +85,11 @@
     if (opening && (flags & FlowFlag.CLOSED) !== 0 && kept.role === 'serving') {
       return this.openings.open(kept, fingerprint, packet, port);
     }
+    if ((flags & FlowFlag.ANSWERED) === 0 && !this.isSurelyKeeper(kept)) {
+      // Another balancer may have opened the flow on another back end meanwhile.
+      this.context.counters.deferred += 1;
+      return;
+    }
     if (opening && (flags & FlowFlag.ANSWERED) === 0) this.openings.countSyn(fingerprint);
     this.context.components.edge.sendToBackend(packet, entry.endpoint);
     if ((flags & FlowFlag.CLOSED) === 0) this.follow(kept, slot, fingerprint, packet, entry);
--- a/src/flow/replica-holder.ts
+++ b/src/flow/replica-holder.ts
@@ -93,6 +93,16 @@
     return silentMs > LEASE_MS + LEASE_MARGIN_MS;
   }
 
+  /**
+   * True while the keeper cannot have replaced this backup: it does so only after a silence that began with an
+   * acknowledgement received, so not earlier than the same silence after the acknowledgement was sent.
+   */
+  isSurelyBackup(replica: ReplicaShard): boolean {
+    const link = this.keepers.get(replica.keeperId);
+    if (link?.boot !== replica.keeperBoot) return false;
+    return this.context.now() - link.lastAckSentAtMs <= LEASE_MS + LEASE_MARGIN_MS;
+  }
+
   /** Stops acknowledging a keeper's heartbeats, because its shards are being handed to others. */
   markLapsed(replica: ReplicaShard): void {
     // A replica that lapsed earlier says nothing about the generation that the keeper has reached since.
