Let the only balancer of a region found it through the platform's lease

Change: a member that has met nobody for the witness's waiting time, has seen no base and holds the region's lease may activate. A running region holds that lease itself, so a newcomer that is cut off from it does not get it. Conclusion: a newcomer cut off from every member, while none of them reaches the platform, could still found a second base; it takes both faults for longer than the lease, and is written here as open.

--- a/src/daemon/control-plane.ts
+++ b/src/daemon/control-plane.ts
@@ -98,7 +98,10 @@
     membership,
     settings,
     health,
-    mayActivate: () => settings.current() !== undefined && (joined || membership.view().quorate),
+    mayActivate: () => {
+      const meetsRegion = joined || membership.view().quorate || membership.mayFoundRegion();
+      return settings.current() !== undefined && meetsRegion;
+    },
     start: () => {
       void membership.join().then(() => {
         joined = true;
--- a/src/membership/quorum.test.ts
+++ b/src/membership/quorum.test.ts
@@ -99,6 +99,39 @@
   );
 });
 
+/** Activates a member as soon as it may found its region; true when it did within 40 s. */
+async function founds(cluster: SimulatedCluster, index: number): Promise<boolean> {
+  const { membership } = cluster.at(index);
+  for (let second = 0; second < 40; second += 1) {
+    await cluster.clock.advanceAsync(1_000, 50);
+    if (!membership.mayFoundRegion()) continue;
+    membership.activate();
+    await cluster.clock.advanceAsync(2_000, 50);
+    return true;
+  }
+  return false;
+}
+
+test('the only member of a region founds it through the lease; a newcomer cut off from a running region does not', async (t) => {
+  const alone = new LeaseStore();
+  const site = new SimulatedCluster({ size: 1, platform: (id, clock) => alone.client(id, clock) });
+  site.boot(0);
+  t.false(site.at(0).membership.mayFoundRegion());
+  t.true(await founds(site, 0));
+  t.true(quorate(site, 0));
+
+  const [cluster] = await startCluster(4);
+  cluster.crash(3);
+  await cluster.clock.advanceAsync(20_000, 50);
+  cluster.network.partition(
+    [0, 1, 2].map((index) => cluster.idOf(index)),
+    [cluster.idOf(3)],
+  );
+  cluster.boot(3);
+  t.false(await founds(cluster, 3));
+  t.true(quorate(cluster, 0));
+});
+
 test('two members, one crash: the survivor goes on', async (t) => {
   const cases: [name: string, crashed: number, storeDown: boolean, within: number][] = [
     ['lowest id survives', 1, false, 0],
--- a/src/membership/quorum.ts
+++ b/src/membership/quorum.ts
@@ -65,6 +65,15 @@
     return this.decision;
   }
 
+  /**
+   * True when this member may become active with nobody else in sight, to make the region's first base: it has met nobody
+   * for the witness's waiting time and holds the region's lease, which a running region would hold itself.
+   */
+  get mayFoundRegion(): boolean {
+    if (this.withdrawn || this.isBootstrapped || this.exchange.seenEpoch > 0) return false;
+    return this.isAlone() && this.waitedLongEnough() && this.lease.standing() === 'held';
+  }
+
   start(hasSeeds: boolean): void {
     this.sole = !hasSeeds;
     this.lease.start();
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -169,6 +169,11 @@
     await this.joiner.join();
   }
 
+  /** True when this member may activate although it has met nobody: see `Quorum.mayFoundRegion`. */
+  mayFoundRegion(): boolean {
+    return this.quorum.mayFoundRegion;
+  }
+
   /** Takes shards from now on: joining becomes active. */
   activate(): void {
     if (this.table.self.lifecycle !== 'joining') throw stateError('activate needs a joining member');
