Let the model's majority take over before the cut-off side loses its quorum

Change: the others remove a cut-off member first, then it loses its quorum, then it removes the others, as the daemons do.

--- a/src/flow/model/model-partition.ts
+++ b/src/flow/model/model-partition.ts
@@ -37,8 +37,11 @@
 
   begin(): void {
     this.spreadAcross('suspect', SUSPECT_AFTER_MS);
-    this.spreadAcross('gone', GONE_AFTER_MS + this.cluster.options.spreadMs);
-    for (const node of this.inside) this.cluster.later(GONE_AFTER_MS, () => node.setQuorate(false));
+    this.spread(this.outside, this.inside, 'gone', GONE_AFTER_MS);
+    // The others take over before the cut-off side has lost its quorum, which it does before it removes anyone.
+    this.spread(this.inside, this.outside, 'gone', GONE_AFTER_MS + this.cluster.options.spreadMs);
+    const unnoticedMs = GONE_AFTER_MS + this.cluster.options.spreadMs;
+    for (const node of this.inside) this.cluster.later(unnoticedMs, () => node.setQuorate(false));
   }
 
   heal(): void {
@@ -48,12 +51,17 @@
   }
 
   private spreadAcross(state: MemberState, afterMs: number): void {
-    for (const left of this.inside) {
-      for (const right of this.outside) {
-        this.learn(left, right, state, afterMs);
-        this.learn(right, left, state, afterMs);
-      }
-    }
+    this.spread(this.inside, this.outside, state, afterMs);
+    this.spread(this.outside, this.inside, state, afterMs);
+  }
+
+  private spread(
+    observers: readonly ModelNode[],
+    nodes: readonly ModelNode[],
+    state: MemberState,
+    afterMs: number,
+  ): void {
+    for (const observer of observers) for (const node of nodes) this.learn(observer, node, state, afterMs);
   }
 
   private learn(observer: ModelNode, node: ModelNode, state: MemberState, afterMs: number): void {
