--- a/src/experiment/capacity/design-size.ts
+++ b/src/experiment/capacity/design-size.ts
@@ -6,6 +6,7 @@
   PROBERS_PER_REMOTE_BACKEND,
   REMOTE_PROBE_INTERVAL_FACTOR,
 } from '../../health/constants.js';
+import { fieldNamed } from '../../settings/index.js';
 
 /** The whole fleet. */
 export const DESIGN_SIZE = {
@@ -23,7 +24,7 @@
 
 const SECONDS_PER_DAY = 86_400;
 /** Probe interval unless a service sets another. */
-const PROBE_INTERVAL_SECONDS = 0.5;
+const PROBE_INTERVAL_SECONDS = Number(fieldNamed('health.probeIntervalMs')?.fallback) / 1_000;
 
 /**
  * Probes a second of one daemon: a region's back ends have PROBERS_PER_BACKEND probers in it, those of the other regions
--- a/src/experiment/scale/steps.ts
+++ b/src/experiment/scale/steps.ts
@@ -7,6 +7,7 @@
   | 'backends'
   | 'flows'
   | 'openings'
+  | 'peak-openings'
   | 'changes'
   | 'full-tree-changes'
   | 'small-site'
@@ -53,6 +54,11 @@
     ...{ members: 3, regions: 1, services: 2, backends: 13 },
     measurements: [measure(['small-site'], { openingsPerSecond: 20 })],
   },
+  {
+    // The openings a second that today's busiest balancers see; the three daemons share one event loop.
+    ...plainFleet(3),
+    measurements: [measure(['peak-openings'], { openingsPerSecond: 2_000 })],
+  },
   ...[SMALL_TREE, FULL_TREE].map((tree) => ({
     ...{ members: 1, regions: 1, ...tree },
     measurements: [measure(['single-daemon'], { changesPerSecond: 0.1 })],
