Name the limits of a service that has none once

Cause: the same four fields without limits stood in the flow slice, three simulations and two tests. Change: one constant beside the type of the limits; the tests keep their assertions. Conclusion: behaviour is unchanged.

--- a/src/flow/knowledge-exchange.ts
+++ b/src/flow/knowledge-exchange.ts
@@ -3,7 +3,7 @@
  * them. The message is left unanswered meanwhile, so that its sender repeats it.
  */
 import type { InboundControlMessage } from '../control/types.js';
-import type { EffectiveBackend, EffectiveService } from '../settings/types.js';
+import { UNLIMITED_SERVICE, type EffectiveBackend, type EffectiveService } from '../settings/types.js';
 import { sameBackends, type BaseSet } from './base-catalogue.js';
 import { MAX_PART_RECORDS } from './constants.js';
 import { FLOW_EVENTS } from './events.js';
@@ -218,12 +218,7 @@
     unknownFlow: 'drop',
     idleTimeoutMs: ONE_DAY_MS,
     zonePreference: 0,
-    limits: {
-      maxConnections: undefined,
-      openingsPerSecond: undefined,
-      openingsPerSecondPerClient: undefined,
-      retryBudgetShare: 0,
-    },
+    limits: UNLIMITED_SERVICE,
     healthPolicy: {
       probeIntervalMs: 0,
       probeTimeoutMs: 0,
--- a/src/flow/model/settings-script.ts
+++ b/src/flow/model/settings-script.ts
@@ -1,7 +1,12 @@
 /** Settings versions for the model check: two services whose back ends come, go, drain and change weight. */
 import type { RandomSource } from '../../common/random.js';
 import { hashString } from '../../common/hash.js';
-import type { EffectiveBackend, EffectiveService, EffectiveSettings } from '../../settings/types.js';
+import {
+  UNLIMITED_SERVICE,
+  type EffectiveBackend,
+  type EffectiveService,
+  type EffectiveSettings,
+} from '../../settings/types.js';
 
 /** A back end of the model; the endpoint's port is unique over all services. */
 export interface ModelBackend {
@@ -74,12 +79,7 @@
       unknownFlow: 'reset',
       idleTimeoutMs: 3_600_000,
       zonePreference: 0,
-      limits: {
-        maxConnections: undefined,
-        openingsPerSecond: undefined,
-        openingsPerSecondPerClient: undefined,
-        retryBudgetShare: 0.5,
-      },
+      limits: { ...UNLIMITED_SERVICE, retryBudgetShare: 0.5 },
       healthPolicy: {
         probeIntervalMs: 1_000,
         probeTimeoutMs: 500,
--- a/src/health/health-simulation.ts
+++ b/src/health/health-simulation.ts
@@ -9,11 +9,12 @@
 import type { ControlChannel, InboundControlMessage } from '../control/types.js';
 import type { Member, MemberState, MembershipView } from '../membership/types.js';
 import type { EventDefinition, EventLog } from '../observability/event.js';
-import type {
-  EffectiveBackend,
-  EffectiveService,
-  EffectiveSettings,
-  HealthPolicy,
+import {
+  UNLIMITED_SERVICE,
+  type EffectiveBackend,
+  type EffectiveService,
+  type EffectiveSettings,
+  type HealthPolicy,
 } from '../settings/types.js';
 import { HealthMonitor } from './health-monitor.js';
 import { HEALTH_PATH, type ProbeResponse } from './probe.js';
@@ -343,12 +344,7 @@
     unknownFlow: 'reset',
     idleTimeoutMs: 3_600_000,
     zonePreference: 0,
-    limits: {
-      maxConnections: undefined,
-      openingsPerSecond: undefined,
-      openingsPerSecondPerClient: undefined,
-      retryBudgetShare: 0,
-    },
+    limits: UNLIMITED_SERVICE,
     healthPolicy: { ...SIMULATED_POLICY, ...options.policy },
     backends: Array.from({ length: options.backends }, (_, index) => simulatedBackend(name, first + index)),
   };
--- a/src/placement/balance-simulation.ts
+++ b/src/placement/balance-simulation.ts
@@ -6,7 +6,7 @@
 import { hashString } from '../common/hash.js';
 import { jitter, seededRandom, type RandomSource } from '../common/random.js';
 import type { BackendHealth, HealthFeed } from '../health/types.js';
-import type { EffectiveBackend, EffectiveService } from '../settings/types.js';
+import { UNLIMITED_SERVICE, type EffectiveBackend, type EffectiveService } from '../settings/types.js';
 import { ImbalanceRecorder, type Imbalance } from './balance-recorder.js';
 import { createPlacementPolicy, type CountingPolicy } from './create-policy.js';
 import type { PlacementMode } from './types.js';
@@ -322,12 +322,7 @@
   unknownFlow: 'reset',
   idleTimeoutMs: 3_600_000,
   zonePreference: 0,
-  limits: {
-    maxConnections: undefined,
-    openingsPerSecond: undefined,
-    openingsPerSecondPerClient: undefined,
-    retryBudgetShare: 0,
-  },
+  limits: UNLIMITED_SERVICE,
   healthPolicy: {
     probeIntervalMs: 1_000,
     probeTimeoutMs: 500,
--- a/src/placement/limits.test.ts
+++ b/src/placement/limits.test.ts
@@ -1,21 +1,14 @@
 import test from 'ava';
 import { VirtualClock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
-import type { EffectiveService, ServiceLimits } from '../settings/types.js';
+import { UNLIMITED_SERVICE, type EffectiveService, type ServiceLimits } from '../settings/types.js';
 import { ExceptionBudget } from './exception-budget.js';
 import { OpeningLimiter } from './opening-limiter.js';
 import { RetryBudget } from './retry-budget.js';
 import type { RefusalReason } from './types.js';
 
-const UNLIMITED: ServiceLimits = {
-  maxConnections: undefined,
-  openingsPerSecond: undefined,
-  openingsPerSecondPerClient: undefined,
-  retryBudgetShare: 0,
-};
-
 function service(limits: Partial<ServiceLimits>): EffectiveService {
-  return { id: 1, limits: { ...UNLIMITED, ...limits } } as EffectiveService;
+  return { id: 1, limits: { ...UNLIMITED_SERVICE, ...limits } } as EffectiveService;
 }
 
 interface LimitCase {
--- a/src/placement/policies.test.ts
+++ b/src/placement/policies.test.ts
@@ -4,7 +4,7 @@
 import { hashString } from '../common/hash.js';
 import { seededRandom } from '../common/random.js';
 import type { BackendHealth } from '../health/types.js';
-import type { EffectiveBackend, EffectiveService } from '../settings/types.js';
+import { UNLIMITED_SERVICE, type EffectiveBackend, type EffectiveService } from '../settings/types.js';
 import { BoundedLoadPolicy } from './bounded-load-policy.js';
 import { createPlacementPolicy, PLACEMENT_MODES } from './create-policy.js';
 import { UnknownPlacementModeError } from './errors.js';
@@ -30,12 +30,7 @@
   unknownFlow: 'drop',
   idleTimeoutMs: 1_000,
   zonePreference: 0,
-  limits: {
-    maxConnections: undefined,
-    openingsPerSecond: undefined,
-    openingsPerSecondPerClient: undefined,
-    retryBudgetShare: 0,
-  },
+  limits: UNLIMITED_SERVICE,
   healthPolicy: {
     probeIntervalMs: 1_000,
     probeTimeoutMs: 500,
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -30,6 +30,14 @@
   readonly retryBudgetShare: number;
 }
 
+/** A service without limits and without retries. */
+export const UNLIMITED_SERVICE: ServiceLimits = {
+  maxConnections: undefined,
+  openingsPerSecond: undefined,
+  openingsPerSecondPerClient: undefined,
+  retryBudgetShare: 0,
+};
+
 /** One back end as it is used: inherited and overridden fields already merged. */
 export interface EffectiveBackend {
   /** Full node path, e.g. `isartal/pickguide/pick-01`. */
