--- /dev/null
+++ b/src/cookie-daemon/adapters.ts
@@ -0,0 +1,28 @@
+/** What a deployment brings: the edge that carries packets, and the source of routes and back ends. */
+import type { Clock } from '../common/clock.js';
+import type { Endpoint } from '../common/types.js';
+import type { CookieEdgeHandler, CookieEdgePort } from '../fabric/cookie-edge.js';
+import type { EventLog } from '../observability/event.js';
+import type { RoutingSource } from '../routing/index.js';
+
+/** An edge whose socket is bound. */
+export interface BoundCookieEdge extends CookieEdgePort {
+  /** Where it is bound. */
+  readonly endpoint: Endpoint;
+  close(): Promise<void>;
+}
+
+/** What an edge is opened with. */
+export interface CookieEdgeOptions {
+  readonly data: Endpoint;
+  readonly handler: CookieEdgeHandler;
+  readonly events: EventLog;
+  readonly clock: Clock;
+}
+
+/** Made by the deployment's entry point. */
+export interface DeploymentAdapters {
+  /** Binds the data socket; packets go to the handler from then on. */
+  openEdge(options: CookieEdgeOptions): Promise<BoundCookieEdge>;
+  createSource(address: Endpoint, clock: Clock): RoutingSource;
+}
--- /dev/null
+++ b/src/cookie-daemon/config.ts
@@ -0,0 +1,138 @@
+/**
+ * Configuration of a daemon on a cookie edge: one file of JSON or YAML, checked before it is used. Unknown fields are
+ * ignored, since whoever writes the file may be newer than this build.
+ */
+import { readFileSync } from 'node:fs';
+import * as z from 'zod/mini';
+import { parseEndpoint } from '../common/endpoint-text.js';
+import type { Endpoint } from '../common/types.js';
+import * as defaults from './constants.js';
+import { CookieDaemonError } from './errors.js';
+
+const SMALLEST_BOUND_PORT = 0;
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+const name = z.string().check(z.regex(NAME_PATTERN, 'use 1 to 63 letters, digits, ".", "_" or "-"'));
+const milliseconds = z.int().check(z.positive());
+
+/** `host:port` with a numeric IPv4 host; port 0 (the kernel chooses) only for own addresses. */
+function endpoint(smallestPort: number) {
+  const text = z.string().check(
+    z.refine((value) => parseEndpoint(value, smallestPort) !== undefined, {
+      error: `write IPv4:port with a port of ${smallestPort} to 65535`,
+    }),
+  );
+  return z.pipe(
+    text,
+    z.transform((value): Endpoint => parseEndpoint(value, smallestPort) as Endpoint),
+  );
+}
+
+const ownAddress = endpoint(SMALLEST_BOUND_PORT);
+const otherAddress = endpoint(1);
+
+/** Schema of the configuration file. */
+export const cookieDaemonConfigSchema = z.object({
+  /** Unique among all daemons. */
+  id: name,
+  region: name,
+  zone: name,
+  /** UDP address on which callers' packets arrive. */
+  data: ownAddress,
+  /** HTTP address of readiness, status and metrics. */
+  admin: ownAddress,
+  /** UDP address of messages between daemons. */
+  control: ownAddress,
+  /** Control addresses of some other daemons; they may be stale. */
+  seeds: z._default(z.array(otherAddress), []),
+  /** Address of the source of routes and back ends. */
+  source: otherAddress,
+  /** Longest life of a flow, in ms. */
+  maxFlowAgeMs: z._default(milliseconds, defaults.DEFAULT_MAX_FLOW_AGE_MS),
+  /** See `OpeningPlacement`; 0 turns the preference of the own zone off. */
+  zoneMargin: z._default(z.number().check(z.nonnegative()), defaults.DEFAULT_ZONE_MARGIN),
+  limits: z.prefault(
+    z.object({ maxFlows: z._default(z.int().check(z.positive()), defaults.DEFAULT_MAX_FLOWS) }),
+    {},
+  ),
+  drain: z.prefault(
+    z.object({
+      /** Shortest time of forwarding after a stop request. */
+      minMs: z._default(milliseconds, defaults.DEFAULT_DRAIN_MIN_MS),
+      /** Then the daemon ends after this long without a packet. */
+      quietMs: z._default(milliseconds, defaults.DEFAULT_DRAIN_QUIET_MS),
+      /** It ends after this long in any case. */
+      maxMs: z._default(milliseconds, defaults.DEFAULT_DRAIN_MAX_MS),
+    }),
+    {},
+  ),
+  log: z.prefault(
+    z.object({
+      level: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info'),
+      /** Lines of one event in ten seconds. */
+      burst: z._default(z.int().check(z.positive()), defaults.DEFAULT_LOG_BURST),
+    }),
+    {},
+  ),
+});
+
+/** A checked configuration. */
+export type CookieDaemonConfig = z.output<typeof cookieDaemonConfigSchema>;
+
+/** Fields that a reread puts in force at once; the others need a restart. */
+const RELOADABLE: ReadonlySet<string> = new Set(['limits', 'drain', 'log']);
+
+/** Reads a configuration file. Throws `CookieDaemonError`. */
+export async function loadCookieDaemonConfig(path: string): Promise<CookieDaemonConfig> {
+  return checkCookieDaemonConfig(await parseText(readText(path), path), path);
+}
+
+/** Checks a configuration value and adds the defaults. Throws `cookie-daemon.config-invalid` with every fault. */
+export function checkCookieDaemonConfig(value: unknown, source: string): CookieDaemonConfig {
+  const result = cookieDaemonConfigSchema.safeParse(value);
+  if (result.success) return result.data;
+  const faults = result.error.issues.map(({ path, message }) => `${path.join('.') || 'file'}: ${message}`);
+  throw new CookieDaemonError(
+    'cookie-daemon.config-invalid',
+    `the configuration (${source}) has ${faults.length} fault(s): ${faults.join('; ')}`,
+    'Correct the named fields',
+  );
+}
+
+/** Top-level fields whose values differ, and which of them a reread cannot put in force. */
+export function compareConfigs(
+  before: CookieDaemonConfig,
+  after: CookieDaemonConfig,
+): { readonly changed: readonly string[]; readonly needsRestart: readonly string[] } {
+  const fields = Object.keys(after) as (keyof CookieDaemonConfig)[];
+  const changed = fields.filter((field) => JSON.stringify(before[field]) !== JSON.stringify(after[field]));
+  return { changed, needsRestart: changed.filter((field) => !RELOADABLE.has(field)) };
+}
+
+function readText(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (cause) {
+    throw unreadable(path, cause, 'Give the path of a file that this process may read');
+  }
+}
+
+/** JSON is read without loading the YAML library, which would make each start slower. */
+async function parseText(text: string, path: string): Promise<unknown> {
+  try {
+    if (text.trimStart().startsWith('{')) return JSON.parse(text);
+    const { parse } = await import('yaml');
+    return parse(text);
+  } catch (cause) {
+    throw unreadable(path, cause, 'Write JSON or YAML');
+  }
+}
+
+function unreadable(path: string, cause: unknown, remedy: string): CookieDaemonError {
+  return new CookieDaemonError(
+    'cookie-daemon.config-unreadable',
+    `cannot read the configuration ${path}: ${(cause as Error).message}`,
+    remedy,
+    { cause },
+  );
+}
--- /dev/null
+++ b/src/cookie-daemon/constants.ts
@@ -0,0 +1,23 @@
+/** Defaults of a daemon on a cookie edge. */
+
+/** Shortest time that a stopping daemon goes on forwarding: whoever sends it packets must notice that it is not ready. */
+export const DEFAULT_DRAIN_MIN_MS = 1_300;
+
+/** After that it ends as soon as no packet came for this long, and at the latest after the longest time. */
+export const DEFAULT_DRAIN_QUIET_MS = 400;
+export const DEFAULT_DRAIN_MAX_MS = 4_000;
+
+/** Flows remembered at once; more are forwarded all the same, by their cookies. */
+export const DEFAULT_MAX_FLOWS = 200_000;
+
+/** Longest life of a flow unless the configuration says otherwise. */
+export const DEFAULT_MAX_FLOW_AGE_MS = 3_600_000;
+
+/** The configuration file is looked at this often for changes that nobody announced. */
+export const CONFIG_POLL_MS = 1_000;
+
+/** Log lines of one event in ten seconds; the rest are counted. */
+export const DEFAULT_LOG_BURST = 2_000;
+
+/** Flows that a back end of another zone must have less, for each unit of capacity, to be preferred. */
+export const DEFAULT_ZONE_MARGIN = 0.5;
--- /dev/null
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -0,0 +1,112 @@
+/** The life of a balancer on a cookie edge: it learns routes and back ends, becomes ready, forwards and stops. */
+import { formatEndpoint } from '../common/types.js';
+import { delay, waitUntilQuiet } from '../daemon/drain.js';
+import { AdminServer, type Readiness } from '../observability/admin-server.js';
+import { wireCookieDaemon, type CookieDaemonComponents, type CookieDaemonEnvironment } from './components.js';
+import { compareConfigs, type CookieDaemonConfig } from './config.js';
+import { COOKIE_DAEMON_EVENTS } from './events.js';
+import { describeStatus, renderMetrics, summarize } from './status.js';
+
+/** Readiness is compared with the last reported this often. */
+const READINESS_INTERVAL_MS = 20;
+
+/** One running balancer. */
+export class CookieDaemon {
+  private admin!: AdminServer;
+  private stopped: Promise<void> | undefined;
+  private lastReady: boolean | undefined;
+  private readonly running = new AbortController();
+
+  private constructor(
+    private readonly components: CookieDaemonComponents,
+    /** The configuration in force. */
+    private readonly current: { config: CookieDaemonConfig },
+  ) {}
+
+  /** Binds the sockets and starts to learn. Throws a `SailquayError` when a socket cannot be bound. */
+  static async start(
+    config: CookieDaemonConfig,
+    environment: CookieDaemonEnvironment,
+  ): Promise<CookieDaemon> {
+    const current = { config };
+    const components = await wireCookieDaemon(() => current.config, environment);
+    const daemon = new CookieDaemon(components, current);
+    await daemon.run();
+    return daemon;
+  }
+
+  /** Whether new flows may come here, with every reason why not. */
+  readiness(): Readiness {
+    const reasons: string[] = [];
+    if (this.stopped) reasons.push('stopping');
+    if (!this.components.knowledge.routes()) reasons.push('no routes');
+    if (this.components.knowledge.revisionOf('backends') < 0) reasons.push('no back ends');
+    return { ready: reasons.length === 0, reasons };
+  }
+
+  /** Puts a new configuration in force as far as possible. */
+  reload(config: CookieDaemonConfig): void {
+    const { changed, needsRestart } = compareConfigs(this.current.config, config);
+    const { limits, drain, log } = config;
+    this.current.config = { ...this.current.config, limits, drain, log };
+    this.components.events.emit(COOKIE_DAEMON_EVENTS.configReread, {
+      changed: changed.join(',') || 'nothing',
+      needsRestart: needsRestart.join(',') || 'nothing',
+    });
+  }
+
+  /** Ends readiness, forwards until the routers have turned away, and stops. Further calls wait for the first. */
+  stop(): Promise<void> {
+    this.stopped ??= this.drainAndClose();
+    return this.stopped;
+  }
+
+  private async run(): Promise<void> {
+    const { components, running } = this;
+    const { forwarder, followers, edge, events } = components;
+    forwarder.start(running.signal);
+    for (const follower of followers) void follower.run(running.signal);
+    this.admin = await AdminServer.listen(this.current.config.admin, {
+      readiness: () => this.readiness(),
+      status: () => describeStatus(components, this.readiness()),
+      metrics: () => renderMetrics(components, this.readiness()),
+    });
+    events.emit(COOKIE_DAEMON_EVENTS.started, {
+      data: formatEndpoint(edge.endpoint),
+      admin: formatEndpoint(this.admin.endpoint),
+      zone: this.current.config.zone,
+      pid: process.pid,
+      uptimeMs: Math.round(process.uptime() * 1_000),
+    });
+    this.reportReadiness();
+  }
+
+  private reportReadiness(): void {
+    const { ready, reasons } = this.readiness();
+    if (ready !== this.lastReady) {
+      this.lastReady = ready;
+      this.components.events.emit(ready ? COOKIE_DAEMON_EVENTS.ready : COOKIE_DAEMON_EVENTS.notReady, {
+        reasons: reasons.join(','),
+        version: this.components.knowledge.routes()?.table.version,
+        uptimeMs: Math.round(process.uptime() * 1_000),
+      });
+    }
+    if (!ready && !this.stopped) {
+      this.components.clock.schedule(READINESS_INTERVAL_MS, () => this.reportReadiness());
+    }
+  }
+
+  private async drainAndClose(): Promise<void> {
+    const { clock, events, forwarder } = this.components;
+    const { minMs, quietMs, maxMs } = this.current.config.drain;
+    events.emit(COOKIE_DAEMON_EVENTS.stopping, { flows: forwarder.flowCount, minMs, maxMs });
+    await delay(clock, minMs);
+    const packetsReceived = (): number => forwarder.statistics.packets;
+    const quiet = await waitUntilQuiet({ clock, quietMs, maxMs: maxMs - minMs, packetsReceived });
+    if (!quiet) events.emit(COOKIE_DAEMON_EVENTS.drainTimedOut, { maxMs });
+    this.running.abort();
+    await this.admin.close();
+    await this.components.edge.close();
+    events.emit(COOKIE_DAEMON_EVENTS.stopped, summarize(this.components));
+  }
+}
--- /dev/null
+++ b/src/cookie-daemon/run.ts
@@ -0,0 +1,99 @@
+/** Runs a daemon on a cookie edge as the process: configuration, log, signals, uncaught errors and exit code. */
+import { randomInt } from 'node:crypto';
+import { statSync } from 'node:fs';
+import { SystemClock, type Clock } from '../common/clock.js';
+import { seededRandom } from '../common/random.js';
+import { SailquayError } from '../common/types.js';
+import type { EventLog } from '../observability/event.js';
+import { ConsolaEventLog } from '../observability/event-log.js';
+import { LineWriter } from '../observability/line-writer.js';
+import type { DeploymentAdapters } from './adapters.js';
+import { loadCookieDaemonConfig } from './config.js';
+import { CONFIG_POLL_MS } from './constants.js';
+import { CookieDaemon } from './cookie-daemon.js';
+import { COOKIE_DAEMON_EVENTS } from './events.js';
+
+const MAX_SEED = 0x7fff_ffff;
+const EXIT_DONE = 0;
+const EXIT_FAILED = 1;
+
+/** Runs until SIGTERM or SIGINT has been carried out; resolves to the exit code. Throws when it cannot start. */
+export async function runCookieDaemon(configPath: string, adapters: DeploymentAdapters): Promise<number> {
+  const config = await loadCookieDaemonConfig(configPath);
+  const clock = new SystemClock();
+  const writer = new LineWriter(clock);
+  const events = new ConsolaEventLog({
+    ...{ format: 'json', level: config.log.level, burst: config.log.burst },
+    ...{ memberId: config.id, clock, write: writer.write },
+  });
+  reportUncaught(events, writer);
+  const random = seededRandom(randomInt(MAX_SEED));
+  const daemon = await CookieDaemon.start(config, { clock, random, events, adapters });
+  followConfig({ configPath, clock, events, daemon });
+  await untilStopped(daemon);
+  writer.flush();
+  return EXIT_DONE;
+}
+
+/** What rereading the configuration needs. */
+interface ConfigFollowing {
+  readonly configPath: string;
+  readonly clock: Clock;
+  readonly events: ConsolaEventLog;
+  readonly daemon: CookieDaemon;
+}
+
+/** Rereads the file on SIGHUP, and when it changes without a word. */
+function followConfig(following: ConfigFollowing): void {
+  const { configPath, clock } = following;
+  let changedMs = modifiedAt(configPath);
+  process.on('SIGHUP', () => {
+    changedMs = modifiedAt(configPath);
+    void reread(following);
+  });
+  const poll = (): void => {
+    clock.schedule(CONFIG_POLL_MS, () => {
+      const nowMs = modifiedAt(configPath);
+      if (nowMs !== changedMs) void reread(following);
+      changedMs = nowMs;
+      poll();
+    });
+  };
+  poll();
+}
+
+function modifiedAt(path: string): number | undefined {
+  return statSync(path, { throwIfNoEntry: false })?.mtimeMs;
+}
+
+async function reread({ configPath, events, daemon }: ConfigFollowing): Promise<void> {
+  try {
+    const config = await loadCookieDaemonConfig(configPath);
+    daemon.reload(config);
+    events.setLevel(config.log.level);
+  } catch (error) {
+    if (!(error instanceof SailquayError)) throw error;
+    events.emit(COOKIE_DAEMON_EVENTS.configRejected, { error: error.message });
+  }
+}
+
+function untilStopped(daemon: CookieDaemon): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const onSignal = (): void => {
+      daemon.stop().then(resolve, reject);
+    };
+    process.on('SIGTERM', onSignal);
+    process.on('SIGINT', onSignal);
+  });
+}
+
+function reportUncaught(events: EventLog, writer: LineWriter): void {
+  const end = (error: unknown): void => {
+    const { message, stack } = error instanceof Error ? error : new Error(String(error));
+    events.emit(COOKIE_DAEMON_EVENTS.uncaughtError, { error: message, stack });
+    writer.flush();
+    process.exit(EXIT_FAILED);
+  };
+  process.on('uncaughtException', end);
+  process.on('unhandledRejection', end);
+}
--- /dev/null
+++ b/src/cookie-daemon/status.ts
@@ -0,0 +1,107 @@
+/** What a daemon on a cookie edge shows of itself: status page, metrics and the numbers of its last log line. */
+import type { Readiness } from '../observability/admin-server.js';
+import type { MetricDefinition } from '../observability/metrics-page.js';
+import type { RoutingTopic } from '../routing/index.js';
+import type { CookieDaemonComponents } from './components.js';
+
+const MICROSECONDS = 1_000_000;
+
+/** Back ends by condition. */
+interface BackendCounts extends Readonly<Record<string, number>> {
+  readonly ready: number;
+  readonly draining: number;
+  readonly departed: number;
+}
+
+/** The status page. */
+export interface CookieDaemonStatus {
+  readonly readiness: Readiness;
+  readonly routesVersion: number | undefined;
+  readonly backends: BackendCounts;
+  readonly openFlows: number;
+  readonly knowledgeAgeMs: Readonly<Record<RoutingTopic, number>>;
+  readonly sourceLost: boolean;
+}
+
+export function describeStatus(components: CookieDaemonComponents, readiness: Readiness): CookieDaemonStatus {
+  const { knowledge, forwarder, circuit } = components;
+  return {
+    readiness,
+    routesVersion: knowledge.routes()?.table.version,
+    backends: countBackends(components),
+    openFlows: forwarder.flowCount,
+    knowledgeAgeMs: {
+      routes: Math.round(knowledge.ageOf('routes')),
+      backends: Math.round(knowledge.ageOf('backends')),
+    },
+    sourceLost: circuit.isLost,
+  };
+}
+
+/** Totals for the last log line. */
+export function summarize({ forwarder, followers }: CookieDaemonComponents): Record<string, number | string> {
+  const { packets, forwarded, opened, takenOver, placedAnew, ejections, drops, refusals } =
+    forwarder.statistics;
+  return {
+    ...{ packets, forwarded, opened, takenOver, placedAnew, ejections },
+    drops: JSON.stringify(drops),
+    refusals: JSON.stringify(refusals),
+    sourceCalls: followers.reduce((sum, { calls }) => sum + calls, 0),
+  };
+}
+
+/** The page in Prometheus' text format. The library is loaded at the first scrape, not at the start. */
+export async function renderMetrics(
+  components: CookieDaemonComponents,
+  readiness: Readiness,
+): Promise<{ readonly contentType: string; readonly text: string }> {
+  const { MetricsPage, counter, gauge } = await import('../observability/metrics-page.js');
+  type Parts = CookieDaemonComponents;
+  const { handshake } = components.forwarder.statistics;
+  const definitions: MetricDefinition<Parts>[] = [
+    gauge('ready', '1 while new flows may come here', () => Number(readiness.ready)),
+    gauge('flows_remembered', 'Flows remembered by this balancer', (parts) => parts.forwarder.flowCount),
+    counter('packets_total', 'Packets from callers', (parts) => parts.forwarder.statistics.packets),
+    counter('packets_forwarded_total', 'Packets sent on', (parts) => parts.forwarder.statistics.forwarded),
+    counter('flows_opened_total', 'Openings placed', (parts) => parts.forwarder.statistics.opened),
+    counter('flows_taken_over_total', 'Flows met in mid-life', (p) => p.forwarder.statistics.takenOver),
+    counter(
+      'openings_placed_anew_total',
+      'SYN copies placed elsewhere',
+      (p) => p.forwarder.statistics.placedAnew,
+    ),
+    counter('flows_refused_total', 'Openings refused', (p) => p.forwarder.statistics.refusals, 'reason'),
+    counter('packets_dropped_total', 'Packets dropped', (p) => p.forwarder.statistics.drops, 'reason'),
+    counter('backend_ejections_total', 'Back ends ejected', (parts) => parts.forwarder.statistics.ejections),
+    gauge('backends', 'Back ends, by condition', (parts) => countBackends(parts), 'condition'),
+    gauge('routes_version', 'Version of the routes in force', (p) => p.knowledge.routes()?.table.version),
+    gauge('knowledge_age_seconds', 'Time since nothing newer was proved', (p) => ages(p), 'topic'),
+    gauge('source_lost', '1 while the source is out of reach', (parts) => Number(parts.circuit.isLost)),
+    counter('source_calls_total', 'Calls to the source', (p) => p.followers.reduce((n, f) => n + f.calls, 0)),
+    counter('process_cpu_seconds_total', 'Processor time', () => cpuSeconds()),
+    gauge('process_resident_memory_bytes', 'Resident memory', () => process.memoryUsage.rss()),
+  ];
+  const page = new MetricsPage(definitions, () => components);
+  const text = await page.render();
+  const histogram = handshake.render('sailquay_handshake_seconds', "From a SYN to its caller's next packet");
+  return { contentType: page.contentType, text: `${text}${histogram.join('\n')}\n` };
+}
+
+function countBackends({ knowledge }: CookieDaemonComponents): BackendCounts {
+  const counts = { ready: 0, draining: 0, departed: 0 };
+  for (const { departed, record } of knowledge.backends.all()) {
+    if (departed) counts.departed += 1;
+    else if (record.draining) counts.draining += 1;
+    else counts.ready += 1;
+  }
+  return counts;
+}
+
+function ages({ knowledge }: CookieDaemonComponents): Readonly<Record<RoutingTopic, number>> {
+  return { routes: knowledge.ageOf('routes') / 1_000, backends: knowledge.ageOf('backends') / 1_000 };
+}
+
+function cpuSeconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS;
+}
--- a/src/daemon/config.ts
+++ b/src/daemon/config.ts
@@ -1,8 +1,8 @@
 /** Configuration of a daemon: command-line flags over the YAML file over defaults, checked by one schema. */
 import { readFileSync } from 'node:fs';
-import { isIPv4 } from 'node:net';
 import { parse as parseYaml } from 'yaml';
 import { z } from 'zod';
+import { parseEndpoint } from '../common/endpoint-text.js';
 import type { Endpoint } from '../common/types.js';
 import { DEFAULT_EXCEPTION_BYTES_PER_SECOND } from '../placement/index.js';
 import * as defaults from './constants.js';
@@ -19,11 +19,8 @@
 function endpoint(allowZero: boolean) {
   const smallest = allowZero ? 0 : 1;
   return z.string().transform((text, context): Endpoint => {
-    const separator = text.lastIndexOf(':');
-    const host = text.slice(0, separator);
-    const port = Number(text.slice(separator + 1));
-    const valid = isIPv4(host) && /:\d+$/.test(text) && port >= smallest && port <= MAX_PORT;
-    if (valid) return { host, port };
+    const parsed = parseEndpoint(text, smallest);
+    if (parsed) return parsed;
     context.addIssue(
       `"${text}" is not an address: write IPv4:port with a port of ${smallest} to ${MAX_PORT}`,
     );
--- a/src/fabric/types.ts
+++ b/src/fabric/types.ts
@@ -23,7 +23,8 @@
   | 'ttl-exceeded'
   | 'hop-limit'
   | 'unknown-peer'
-  | 'unknown-service';
+  | 'unknown-service'
+  | 'contradictory';
 
 /** A decoded view on one inner packet. Views are reused between packets: do not keep one. */
 export interface PacketView {
--- /dev/null
+++ b/src/flow/cookie/backend-state.ts
@@ -0,0 +1,79 @@
+/** What this balancer has seen of each back end: its own open flows there, and signs of life in callers' packets. */
+import { hashString } from '../../common/hash.js';
+import type { KnownBackend } from '../../routing/index.js';
+import { EJECT_AFTER_FAILURES, EJECT_MAX_MS, EJECT_MIN_MS, SUSPECT_MS } from './constants.js';
+
+/** Whether a back end should get new flows, as far as packets tell. */
+export type Liveness = 'alive' | 'suspect' | 'trial' | 'ejected';
+
+/**
+ * Passive health of one back end. A caller that goes on with an opening, or acknowledges new data, proves that its back
+ * end lives. Openings without an answer and repeated data speak against it, but only while other back ends prove to be
+ * reachable: otherwise it is this balancer or its links that fail.
+ */
+export class BackendState {
+  /** Flows of this balancer that are open there, openings in progress included. */
+  openFlows = 0;
+  /** Monotonic ms of the last sign of life; -Infinity before the first. */
+  lastProofMs = Number.NEGATIVE_INFINITY;
+  /** Failures since the last sign of life, and the time of the first and the last of them. */
+  private failures = 0;
+  private firstFailureMs = 0;
+  private lastFailureMs = 0;
+  private ejectedUntilMs = 0;
+  private ejectForMs = EJECT_MIN_MS;
+  private trialMs = Number.NEGATIVE_INFINITY;
+
+  /** Hash of the back end's id, for the order among equal loads. */
+  readonly idHash: number;
+
+  constructor(readonly backend: KnownBackend) {
+    this.idHash = hashString(backend.id);
+  }
+
+  /** Failures since the last sign of life. */
+  get failuresInRow(): number {
+    return this.failures;
+  }
+
+  /** Counts a sign of life; true when that ends an ejection or a suspicion. */
+  noteProof(nowMs: number): boolean {
+    this.lastProofMs = nowMs;
+    if (this.failures === 0) return false;
+    this.failures = 0;
+    this.ejectedUntilMs = 0;
+    this.ejectForMs = EJECT_MIN_MS;
+    return true;
+  }
+
+  /**
+   * Counts a failure that began at `sinceMs`; true when the back end is ejected by it.
+   *
+   * @param othersProvedMs monotonic ms of the last sign of life of any other back end
+   */
+  noteFailure(nowMs: number, sinceMs: number, othersProvedMs: number): boolean {
+    if (this.lastProofMs >= sinceMs) return false;
+    if (this.failures === 0) this.firstFailureMs = sinceMs;
+    this.failures += 1;
+    this.lastFailureMs = nowMs;
+    if (this.failures < EJECT_AFTER_FAILURES || othersProvedMs <= this.firstFailureMs) return false;
+    if (nowMs < this.ejectedUntilMs) return false;
+    this.ejectedUntilMs = nowMs + this.ejectForMs;
+    this.ejectForMs = Math.min(EJECT_MAX_MS, this.ejectForMs * 2);
+    return true;
+  }
+
+  liveness(nowMs: number): Liveness {
+    if (this.failures === 0) return 'alive';
+    if (nowMs < this.ejectedUntilMs) return 'ejected';
+    if (this.failures >= EJECT_AFTER_FAILURES && this.ejectedUntilMs > 0) {
+      return nowMs - this.trialMs < this.ejectForMs ? 'ejected' : 'trial';
+    }
+    return nowMs - this.lastFailureMs < SUSPECT_MS ? 'suspect' : 'alive';
+  }
+
+  /** Notes that an opening is tried at a back end that was ejected. */
+  noteTrial(nowMs: number): void {
+    this.trialMs = nowMs;
+  }
+}
--- /dev/null
+++ b/src/flow/cookie/constants.ts
@@ -0,0 +1,38 @@
+/** Times and sizes of cookie forwarding. */
+
+/** Housekeeping: pending openings, pauses and expiry are looked at this often. */
+export const TICK_MS = 50;
+
+/** An opening that its caller does not go on with after this long is unanswered. Callers repeat a SYN after 200 ms. */
+export const OPENING_ANSWER_MS = 150;
+
+/** A tick this late means that the process stood still; SYNs that waited meanwhile are too old to open a flow. */
+export const PAUSE_MS = 150;
+
+/** What is read this long after a pause may have waited through it. */
+export const BACKLOG_MS = 50;
+
+/** Unanswered openings and repeated data in a row, without any sign of life, after which a back end is ejected. */
+export const EJECT_AFTER_FAILURES = 2;
+
+/** First time for which a back end is ejected, and the longest; it doubles with each failed trial. */
+export const EJECT_MIN_MS = 1_000;
+export const EJECT_MAX_MS = 8_000;
+
+/** A back end with one failure and no sign of life is avoided this long where there are others. */
+export const SUSPECT_MS = 1_000;
+
+/** Largest share of a service's back ends that may be ejected at once. */
+export const MAX_EJECTED_SHARE = 0.6;
+
+/** Data repeated earlier than this is a duplicate of the network, not a repetition by the caller. */
+export const REPETITION_MIN_MS = 150;
+
+/** A flow is kept this long after its caller closed it, for the last packets. */
+export const CLOSING_MS = 3_000;
+
+/** Part of the flow cache that is looked at for expiry each second. */
+export const EXPIRY_INTERVAL_MS = 1_000;
+
+/** A back end that is slow from its start counts as this part of its capacity. */
+export const COLD_CAPACITY_SHARE = 0.5;
--- /dev/null
+++ b/src/flow/cookie/cookie-registry.ts
@@ -0,0 +1,68 @@
+/**
+ * Which cookie names which back end. A cookie is a hash of the back end's id, so that every balancer finds it alone. Where
+ * two ids have the same hash, the back end that was recorded later takes a second hash; both are understood.
+ */
+import { combine32, hashString } from '../../common/hash.js';
+import type { KnownBackend } from '../../routing/index.js';
+
+/** Salts of the first and second hash. */
+const SALTS = [0x53514c31, 0x53514c32] as const;
+
+/** Cookie of a back end with the given salt; never 0, which means "none yet". */
+function hashId(id: string, salt: number): number {
+  return combine32(hashString(id), salt) || 1;
+}
+
+/** See the module. */
+export class CookieRegistry {
+  private readonly primary = new Map<number, KnownBackend>();
+  private readonly secondary = new Map<number, KnownBackend>();
+  private collisionCount = 0;
+
+  /** Collisions met since start. */
+  get collisions(): number {
+    return this.collisionCount;
+  }
+
+  /** Makes a back end's cookies known. */
+  add(backend: KnownBackend): void {
+    const [first, second] = cookiesOf(backend.id);
+    const holder = this.primary.get(first);
+    if (!holder) this.primary.set(first, backend);
+    else {
+      this.collisionCount += 1;
+      this.primary.set(first, earlier(holder, backend));
+    }
+    if (!this.secondary.has(second)) this.secondary.set(second, backend);
+  }
+
+  /** Forgets a back end's cookies. */
+  remove(backend: KnownBackend): void {
+    const [first, second] = cookiesOf(backend.id);
+    if (this.primary.get(first) === backend) this.primary.delete(first);
+    if (this.secondary.get(second) === backend) this.secondary.delete(second);
+  }
+
+  /** The cookie for flows of a back end; 0 when both of its hashes belong to others, so that it cannot be named. */
+  cookieOf(backend: KnownBackend): number {
+    const [first, second] = cookiesOf(backend.id);
+    if (this.primary.get(first) === backend) return first;
+    return !this.primary.has(second) && this.secondary.get(second) === backend ? second : 0;
+  }
+
+  /** The back end that a cookie names; undefined when it is not known. */
+  backendOf(cookie: number): KnownBackend | undefined {
+    return this.primary.get(cookie) ?? this.secondary.get(cookie);
+  }
+}
+
+function cookiesOf(id: string): readonly [number, number] {
+  return [hashId(id, SALTS[0]), hashId(id, SALTS[1])];
+}
+
+/** The back end that was recorded first keeps the cookie; equal revisions are ordered by id. */
+function earlier(left: KnownBackend, right: KnownBackend): KnownBackend {
+  const difference = left.record.createdRevision - right.record.createdRevision;
+  if (difference !== 0) return difference < 0 ? left : right;
+  return left.id < right.id ? left : right;
+}
--- /dev/null
+++ b/src/flow/cookie/cookie-statistics.ts
@@ -0,0 +1,34 @@
+/** Counters of cookie forwarding since start. */
+import { LatencyHistogram } from '../../observability/latency-histogram.js';
+
+/** Numbers that only rise, read by the metrics page and the stop event. */
+export class CookieStatistics {
+  packets = 0;
+  forwarded = 0;
+  opened = 0;
+  placedAnew = 0;
+  takenOver = 0;
+  ejections = 0;
+  /** Milliseconds from the SYN to the caller's next packet. */
+  readonly handshake = new LatencyHistogram();
+  private readonly dropCounts = new Map<string, number>();
+  private readonly refusalCounts = new Map<string, number>();
+
+  countDrop(reason: string): void {
+    this.dropCounts.set(reason, (this.dropCounts.get(reason) ?? 0) + 1);
+  }
+
+  countRefusal(reason: string): void {
+    this.refusalCounts.set(reason, (this.refusalCounts.get(reason) ?? 0) + 1);
+  }
+
+  /** Packets dropped, by reason. */
+  get drops(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.dropCounts);
+  }
+
+  /** Openings refused, by reason. */
+  get refusals(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.refusalCounts);
+  }
+}
--- /dev/null
+++ b/src/flow/cookie/flow-cache.ts
@@ -0,0 +1,110 @@
+/**
+ * The flows that this balancer has met. Forwarding does not depend on it, since packets carry cookies: it tells copies of a
+ * SYN from new ones, counts open flows, and lets a flow's packets be compared with its earlier ones.
+ */
+import type { CookiePacket } from '../../fabric/cookie-edge.js';
+import { addressKey } from '../../routing/index.js';
+import type { BackendState } from './backend-state.js';
+
+/** opening: nothing but SYNs yet. open: the caller went on. closing: the caller closed or reset it. */
+export type FlowPhase = 'opening' | 'open' | 'closing';
+
+/** One flow from a caller to a service address. */
+export interface Flow {
+  readonly callerKey: number;
+  readonly serviceKey: number;
+  state: BackendState;
+  phase: FlowPhase;
+  openedAtMs: number;
+  lastPacketMs: number;
+  /** Highest data sequence number seen, its time, and the last acknowledgement. */
+  dataSequence: number;
+  dataAtMs: number;
+  acknowledgement: number;
+  /** True when the present phase has counted against the back end already. */
+  failureNoted: boolean;
+}
+
+/** Flows by service address and caller. */
+export class FlowCache {
+  private readonly services = new Map<number, Map<number, Flow>>();
+  private count = 0;
+  private sweep: Iterator<Flow> | undefined;
+
+  constructor(private readonly maxFlows: () => number) {}
+
+  get size(): number {
+    return this.count;
+  }
+
+  find(packet: CookiePacket): Flow | undefined {
+    const flows = this.services.get(addressKey(packet.destinationAddress, packet.destinationPort));
+    return flows?.get(addressKey(packet.sourceAddress, packet.sourcePort));
+  }
+
+  /** Adds the flow of `packet`; undefined when the cache is full, which only costs what it is for. */
+  add(packet: CookiePacket, state: BackendState, phase: FlowPhase, nowMs: number): Flow | undefined {
+    if (this.count >= this.maxFlows()) return undefined;
+    const serviceKey = addressKey(packet.destinationAddress, packet.destinationPort);
+    const callerKey = addressKey(packet.sourceAddress, packet.sourcePort);
+    const flow: Flow = {
+      ...{ callerKey, serviceKey, state, phase, openedAtMs: nowMs, lastPacketMs: nowMs },
+      ...{ dataSequence: -1, dataAtMs: 0, acknowledgement: packet.acknowledgement, failureNoted: false },
+    };
+    this.flowsOf(serviceKey).set(callerKey, flow);
+    this.count += 1;
+    state.openFlows += 1;
+    return flow;
+  }
+
+  /** Makes a flow count at another back end. */
+  move(flow: Flow, state: BackendState): void {
+    if (flow.state === state) return;
+    if (flow.phase !== 'closing') {
+      flow.state.openFlows -= 1;
+      state.openFlows += 1;
+    }
+    flow.state = state;
+  }
+
+  /** Ends the flow's count at its back end; it is still found until it expires. */
+  close(flow: Flow): void {
+    if (flow.phase === 'closing') return;
+    flow.phase = 'closing';
+    flow.state.openFlows -= 1;
+  }
+
+  remove(flow: Flow): void {
+    this.close(flow);
+    const flows = this.services.get(flow.serviceKey);
+    if (!flows?.delete(flow.callerKey)) return;
+    this.count -= 1;
+    if (flows.size === 0) this.services.delete(flow.serviceKey);
+  }
+
+  /** Looks at up to `limit` flows, going on where the last call ended, and removes those that `isExpired`. */
+  expire(limit: number, isExpired: (flow: Flow) => boolean): void {
+    this.sweep ??= this.all();
+    for (let looked = 0; looked < limit; looked += 1) {
+      const next = this.sweep.next();
+      if (next.done) {
+        this.sweep = undefined;
+        return;
+      }
+      if (isExpired(next.value)) this.remove(next.value);
+    }
+  }
+
+  private *all(): Generator<Flow> {
+    for (const flows of this.services.values()) yield* flows.values();
+  }
+
+  private flowsOf(serviceKey: number): Map<number, Flow> {
+    let flows = this.services.get(serviceKey);
+    if (!flows) {
+      flows = new Map();
+      this.services.set(serviceKey, flows);
+    }
+    return flows;
+  }
+}
--- a/src/observability/event-log.ts
+++ b/src/observability/event-log.ts
@@ -14,6 +14,8 @@
   readonly level: EventLevel;
   readonly memberId: string;
   readonly clock: Clock;
+  /** Lines of one event in `EVENT_WINDOW_MS`; `EVENT_BURST` unless given. */
+  readonly burst?: number;
   /** Receives finished lines without the line end; default: stderr. */
   readonly write?: (line: string) => void;
 }
@@ -34,7 +36,7 @@
   suppressed: number;
 }
 
-/** The daemon's event log. A repeated event is written `EVENT_BURST` times a window; the rest are counted. */
+/** The daemon's event log. A repeated event is written `burst` times a window; the rest are counted. */
 export class ConsolaEventLog implements EventLog {
   private readonly consola: ConsolaInstance;
   private readonly windows = new Map<number, Window>();
@@ -68,7 +70,7 @@
       this.windows.set(event.number, { startedMs: nowMs, written: 1, suppressed: 0 });
       return window?.suppressed ?? 0;
     }
-    if (window.written >= EVENT_BURST) {
+    if (window.written >= (this.options.burst ?? EVENT_BURST)) {
       window.suppressed += 1;
       return undefined;
     }
--- a/src/observability/event.ts
+++ b/src/observability/event.ts
@@ -18,6 +18,9 @@
   platform: 1700,
   control: 1800,
   health: 1900,
+  routing: 2000,
+  'cookie-daemon': 2100,
+  spreading: 2200,
 } as const;
 
 /** A declared event. */
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -2,12 +2,14 @@
  * Prometheus metrics of one daemon. The other slices keep their own counters; a snapshot of them is copied into the
  * registry at each scrape, so that nothing on the packet path touches a metrics library.
  */
-import { Counter, Gauge, Registry } from 'prom-client';
 import type { FlowStatistics } from '../flow/types.js';
-import { METRIC_PREFIX } from './constants.js';
-
-/** Counts by the value of one label. */
-export type CountsByLabel = Readonly<Record<string, number>>;
+import {
+  counter as defineCounter,
+  gauge as defineGauge,
+  MetricsPage,
+  type CountsByLabel,
+  type MetricDefinition,
+} from './metrics-page.js';
 
 /** Everything a scrape shows. Counts are totals since start; the rest are current values. */
 export interface MetricsSnapshot {
@@ -40,17 +42,7 @@
   readonly residentBytes: number;
 }
 
-/** Name, help and (optional) label of one metric and how its value is read from a snapshot. */
-interface MetricDefinition {
-  readonly name: string;
-  readonly help: string;
-  readonly type: 'counter' | 'gauge';
-  readonly label?: string;
-  /** Undefined: the metric is left out. */
-  readonly read: (snapshot: MetricsSnapshot) => number | CountsByLabel | undefined;
-}
-
-const METRICS: readonly MetricDefinition[] = [
+const METRICS: readonly MetricDefinition<MetricsSnapshot>[] = [
   gauge('flows_open', 'Flows kept by this balancer', (s) => s.flow.open),
   gauge('flows_replicated', 'Flow records held as a backup', (s) => s.flow.replicated),
   counter('flows_opened_total', 'Openings placed', (s) => s.flow.opened),
@@ -95,58 +87,21 @@
   gauge('process_resident_memory_bytes', 'Resident memory of the process', (s) => s.residentBytes),
 ];
 
-/** The registry of one daemon; `collect` is asked for a snapshot at each scrape. */
-export class DaemonMetrics {
-  private readonly registry = new Registry();
-  private readonly instruments: { definition: MetricDefinition; instrument: Gauge | Counter }[];
-  readonly contentType = this.registry.contentType;
-
-  constructor(private readonly collect: () => MetricsSnapshot) {
-    this.instruments = METRICS.map((definition) => ({ definition, instrument: this.register(definition) }));
-  }
-
-  /** The metrics in Prometheus' text format. */
-  async render(): Promise<string> {
-    const snapshot = this.collect();
-    for (const { definition, instrument } of this.instruments) copy(definition, instrument, snapshot);
-    return this.registry.metrics();
-  }
-
-  private register(definition: MetricDefinition): Gauge | Counter {
-    const options = {
-      name: METRIC_PREFIX + definition.name,
-      help: definition.help,
-      labelNames: definition.label ? [definition.label] : [],
-      registers: [this.registry],
-    };
-    return definition.type === 'gauge' ? new Gauge(options) : new Counter(options);
-  }
-}
-
-function copy(definition: MetricDefinition, instrument: Gauge | Counter, snapshot: MetricsSnapshot): void {
-  instrument.reset();
-  const value = definition.read(snapshot);
-  if (value === undefined) {
-    instrument.remove();
-    return;
-  }
-  if (typeof value === 'number') {
-    instrument.inc(value);
-    return;
-  }
-  for (const [label, count] of Object.entries(value)) {
-    instrument.inc({ [definition.label ?? 'label']: label }, count);
+/** The metrics of one daemon; `collect` is asked for a snapshot at each scrape. */
+export class DaemonMetrics extends MetricsPage<MetricsSnapshot> {
+  constructor(collect: () => MetricsSnapshot) {
+    super(METRICS, collect);
   }
 }
 
-type Read = MetricDefinition['read'];
+type Read = MetricDefinition<MetricsSnapshot>['read'];
 
-function gauge(name: string, help: string, read: Read, label?: string): MetricDefinition {
-  return { name, help, type: 'gauge', read, label };
+function gauge(name: string, help: string, read: Read, label?: string): MetricDefinition<MetricsSnapshot> {
+  return defineGauge(name, help, read, label);
 }
 
-function counter(name: string, help: string, read: Read, label?: string): MetricDefinition {
-  return { name, help, type: 'counter', read, label };
+function counter(name: string, help: string, read: Read, label?: string): MetricDefinition<MetricsSnapshot> {
+  return defineCounter(name, help, read, label);
 }
 
 function readUnknown({ flow }: MetricsSnapshot): CountsByLabel {
--- /dev/null
+++ b/src/routing/backend-registry.ts
@@ -0,0 +1,178 @@
+/**
+ * All back ends that this balancer has heard of. Records and removals may come from several sides and in any order:
+ * the one with the higher revision wins, a removal before a record of the same revision. A back end that left is
+ * remembered until no flow to it can be open.
+ */
+import type { Clock } from '../common/clock.js';
+import type { EventLog } from '../observability/event.js';
+import { formatEndpoint } from '../common/types.js';
+import { ROUTING_EVENTS } from './events.js';
+import type { BackendRemoval, RoutedBackend } from './types.js';
+
+/** A back end as this balancer sees it. One object for each id, changed in place. */
+export interface KnownBackend {
+  readonly id: string;
+  record: RoutedBackend;
+  /** Its record is gone from the source. */
+  departed: boolean;
+  /** It departed while its record may only have lapsed, and had not said that it leaves. */
+  lapsed: boolean;
+  /** Monotonic ms at which it departed; undefined while it is recorded. */
+  departedAtMs: number | undefined;
+  /** Monotonic ms until which it is slow from its start. */
+  coldUntilMs: number;
+}
+
+/** What a registry needs. */
+export interface BackendRegistryOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Time after which no flow can be open any more; a departed back end is remembered this long. */
+  readonly retentionMs: number;
+}
+
+/** See the module. */
+export class BackendRegistry {
+  private readonly byId = new Map<string, KnownBackend>();
+  private readonly byService = new Map<string, Set<KnownBackend>>();
+  /** Departed back ends in the order in which they departed. */
+  private readonly departed = new Set<KnownBackend>();
+  private readonly addListeners: ((backend: KnownBackend) => void)[] = [];
+  private readonly forgetListeners: ((backend: KnownBackend) => void)[] = [];
+
+  constructor(private readonly options: BackendRegistryOptions) {}
+
+  get(id: string): KnownBackend | undefined {
+    return this.byId.get(id);
+  }
+
+  /** Every back end, departed ones included. */
+  all(): IterableIterator<KnownBackend> {
+    return this.byId.values();
+  }
+
+  /** Back ends of a service, departed ones included. */
+  ofService(service: string): ReadonlySet<KnownBackend> {
+    return this.byService.get(service) ?? NONE;
+  }
+
+  /** Calls `listener` with each back end when it becomes known. */
+  onAdd(listener: (backend: KnownBackend) => void): void {
+    this.addListeners.push(listener);
+  }
+
+  /** Calls `listener` with each back end when it is forgotten. */
+  onForget(listener: (backend: KnownBackend) => void): void {
+    this.forgetListeners.push(listener);
+  }
+
+  /**
+   * Takes a record in; false when it is not newer than what is known.
+   *
+   * @param knownRevision everything up to this revision is known: a record of then or before that is not known is gone
+   */
+  put(record: RoutedBackend, knownRevision: number): boolean {
+    const known = this.byId.get(record.id);
+    if (!known) {
+      this.add(record);
+      if (record.revision <= knownRevision) this.remove(record, false);
+      return true;
+    }
+    if (record.revision <= known.record.revision) return false;
+    this.change(known, record);
+    return true;
+  }
+
+  /** Takes a removal in; false when it is not newer than what is known. `mayHaveLapsed`: see `KnownBackend.lapsed`. */
+  remove(removal: BackendRemoval, mayHaveLapsed: boolean): boolean {
+    const known = this.byId.get(removal.id);
+    if (!known || known.departed || removal.revision < known.record.revision) return false;
+    known.departed = true;
+    known.departedAtMs = this.options.clock.now();
+    known.lapsed = mayHaveLapsed && !known.record.draining;
+    this.departed.add(known);
+    this.options.events.emit(ROUTING_EVENTS.backendGone, {
+      backend: known.id,
+      revision: removal.revision,
+      draining: known.record.draining,
+      lapsed: known.lapsed,
+    });
+    return true;
+  }
+
+  /** Removes every back end that is not among `ids` and was last recorded at `revision` or before. */
+  removeAllBut(ids: ReadonlySet<string>, revision: number, mayHaveLapsed: boolean): boolean {
+    let changed = false;
+    for (const known of this.byId.values()) {
+      if (ids.has(known.id) || known.departed || known.record.revision > revision) continue;
+      changed = this.remove({ id: known.id, revision: known.record.revision }, mayHaveLapsed) || changed;
+    }
+    return changed;
+  }
+
+  /** Forgets back ends that departed longer ago than the retention time. */
+  prune(): void {
+    const nowMs = this.options.clock.now();
+    for (const backend of this.departed) {
+      if (nowMs - (backend.departedAtMs ?? nowMs) < this.options.retentionMs) return;
+      this.forget(backend);
+    }
+  }
+
+  private add(record: RoutedBackend): void {
+    const backend: KnownBackend = {
+      ...{ id: record.id, record, departed: false, lapsed: false, departedAtMs: undefined },
+      coldUntilMs: this.options.clock.now() + record.coldMs,
+    };
+    this.byId.set(record.id, backend);
+    this.serviceSet(record.service).add(backend);
+    this.options.events.emit(ROUTING_EVENTS.backendKnown, describe(record));
+    this.addListeners.forEach((listener) => listener(backend));
+  }
+
+  private change(known: KnownBackend, record: RoutedBackend): void {
+    if (known.record.service !== record.service) {
+      this.serviceSet(known.record.service).delete(known);
+      this.serviceSet(record.service).add(known);
+    }
+    const stateChanged = known.departed || known.record.draining !== record.draining;
+    known.record = record;
+    known.departed = false;
+    known.lapsed = false;
+    known.departedAtMs = undefined;
+    this.departed.delete(known);
+    known.coldUntilMs = this.options.clock.now() + record.coldMs;
+    if (stateChanged) this.options.events.emit(ROUTING_EVENTS.backendChanged, describe(record));
+  }
+
+  private forget(backend: KnownBackend): void {
+    this.departed.delete(backend);
+    this.byId.delete(backend.id);
+    this.serviceSet(backend.record.service).delete(backend);
+    this.options.events.emit(ROUTING_EVENTS.backendForgotten, { backend: backend.id });
+    this.forgetListeners.forEach((listener) => listener(backend));
+  }
+
+  private serviceSet(service: string): Set<KnownBackend> {
+    let backends = this.byService.get(service);
+    if (!backends) {
+      backends = new Set();
+      this.byService.set(service, backends);
+    }
+    return backends;
+  }
+}
+
+const NONE: ReadonlySet<KnownBackend> = new Set();
+
+function describe(record: RoutedBackend): Readonly<Record<string, string | number | boolean>> {
+  return {
+    backend: record.id,
+    service: record.service,
+    endpoint: formatEndpoint(record.endpoint),
+    zone: record.zone,
+    draining: record.draining,
+    coldMs: record.coldMs,
+    revision: record.revision,
+  };
+}
--- /dev/null
+++ b/src/routing/errors.ts
@@ -0,0 +1,35 @@
+/** Why a call to a routing source failed. */
+import { SailquayError } from '../common/types.js';
+
+/**
+ * `unavailable`: no connection, or the source says that it did nothing. `timeout`: no answer in time.
+ * `throttled`: too many calls. `history-gone`: the changes asked for are forgotten, read everything.
+ * `malformed`: an answer that cannot be understood. `cancelled`: the caller ended the call.
+ */
+export type RoutingSourceErrorKind =
+  | 'routing.unavailable'
+  | 'routing.timeout'
+  | 'routing.throttled'
+  | 'routing.history-gone'
+  | 'routing.malformed'
+  | 'routing.cancelled';
+
+const REMEDIES: Readonly<Record<RoutingSourceErrorKind, string>> = {
+  'routing.unavailable': 'Check the address of the source and the network to it; the call is repeated',
+  'routing.timeout': 'Check the load of the source and the network to it; the call is repeated',
+  'routing.throttled': 'Fewer balancers should read the source; the call is repeated later',
+  'routing.history-gone': 'Nothing to do: everything is read again',
+  'routing.malformed': 'Check that the source speaks the version of the interface that this build knows',
+  'routing.cancelled': 'Nothing to do: the caller ended the call',
+};
+
+/** A call to a routing source that failed. */
+export class RoutingSourceError extends SailquayError {
+  constructor(
+    readonly kind: RoutingSourceErrorKind,
+    problem: string,
+    options?: ErrorOptions,
+  ) {
+    super(problem, REMEDIES[kind], options);
+  }
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,17 @@
+/**
+ * Routes and back ends of a cookie edge: the model, where it comes from, and how current it is.
+ *
+ * ```ts
+ * const knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
+ * const circuit = new SourceCircuit(clock, random, events);
+ * void new SourceFollower('routes', { clock, source, knowledge, circuit }).run(signal);
+ * ```
+ */
+export type * from './types.js';
+export { BackendRegistry, type KnownBackend } from './backend-registry.js';
+export { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
+export { ROUTING_EVENTS } from './events.js';
+export { RoutingKnowledge, type AppliedUpdate } from './knowledge.js';
+export { addressKey, RouteIndex } from './route-index.js';
+export { SourceCircuit } from './source-circuit.js';
+export { SourceFollower } from './source-follower.js';
--- /dev/null
+++ b/src/routing/source-follower.ts
@@ -0,0 +1,99 @@
+/** One task that follows one topic of the source: read everything, then watch for changes, and again after a gap. */
+import type { Clock } from '../common/clock.js';
+import { WATCH_WAIT_MS } from './constants.js';
+import type { RoutingSourceError } from './errors.js';
+import type { RoutingKnowledge } from './knowledge.js';
+import type { SourceCircuit } from './source-circuit.js';
+import type { RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
+
+/** What a follower needs. */
+export interface SourceFollowerOptions {
+  readonly clock: Clock;
+  readonly source: RoutingSource;
+  readonly knowledge: RoutingKnowledge;
+  readonly circuit: SourceCircuit;
+}
+
+/** See the module. */
+export class SourceFollower {
+  private reads = 0;
+  private watches = 0;
+
+  constructor(
+    private readonly topic: RoutingTopic,
+    private readonly options: SourceFollowerOptions,
+  ) {}
+
+  /** Calls made since start. */
+  get calls(): number {
+    return this.reads + this.watches;
+  }
+
+  /** Follows until `signal` aborts. Never throws. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { knowledge } = this.options;
+    let readAll = knowledge.revisionOf(this.topic) < 0;
+    while (!signal.aborted) {
+      const complete = readAll ? await this.readAll(signal) : await this.watchOnce(signal);
+      readAll = !complete;
+    }
+  }
+
+  /** Reads the topic; false when that failed. */
+  private async readAll(signal: AbortSignal): Promise<boolean> {
+    const { source, clock } = this.options;
+    const askedAtMs = clock.now();
+    this.reads += 1;
+    const answer = await source.read(this.topic, signal);
+    if (answer.isErr) {
+      await this.waitAfter(answer.error, signal);
+      return false;
+    }
+    return this.take(answer.value, -1, askedAtMs);
+  }
+
+  /** Watches once; false when everything must be read again. */
+  private async watchOnce(signal: AbortSignal): Promise<boolean> {
+    const { source, clock, knowledge } = this.options;
+    const since = knowledge.revisionOf(this.topic);
+    const askedAtMs = clock.now();
+    this.watches += 1;
+    const answer = await source.watch(this.topic, since, WATCH_WAIT_MS, signal);
+    if (answer.isOk) return this.take(answer.value, since, provedAt(answer.value, askedAtMs, clock.now()));
+    if (answer.error.kind === 'routing.history-gone') return false;
+    await this.waitAfter(answer.error, signal);
+    return true;
+  }
+
+  private take(update: RoutingUpdate, since: number, provedAtMs: number): boolean {
+    const { circuit, knowledge } = this.options;
+    const mayHaveLapsed = circuit.recordsMayLapse();
+    circuit.noteAnswer();
+    return knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
+  }
+
+  private async waitAfter(error: RoutingSourceError, signal: AbortSignal): Promise<void> {
+    if (signal.aborted || error.kind === 'routing.cancelled') return;
+    const waitMs = this.options.circuit.noteFailure(this.topic, error);
+    await pause(this.options.clock, waitMs, signal);
+  }
+}
+
+/** An answer without changes was held back by the source for the whole wait, so it proves that much more. */
+function provedAt(update: RoutingUpdate, askedAtMs: number, nowMs: number): number {
+  const isEmpty = update.routes.length + update.backends.length + update.removals.length === 0;
+  return isEmpty && !update.complete ? Math.min(askedAtMs + WATCH_WAIT_MS, nowMs) : askedAtMs;
+}
+
+/** Resolves after `waitMs` on `clock` or when `signal` aborts. */
+function pause(clock: Clock, waitMs: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = clock.schedule(waitMs, done);
+    function done(): void {
+      timer.cancel();
+      signal.removeEventListener('abort', done);
+      resolve();
+    }
+    signal.addEventListener('abort', done);
+  });
+}
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,96 @@
+/**
+ * What a balancer on a cookie edge knows: routes, and the back ends that serve them. All of it comes from a
+ * `RoutingSource` or from other balancers that read it there; the source's revisions order everything.
+ */
+import type Result from 'true-myth/result';
+import type { Endpoint } from '../common/types.js';
+import type { RoutingSourceError } from './errors.js';
+
+/** One part of a route's traffic. */
+export interface RouteTarget {
+  readonly service: string;
+  /** Relative share of the route's new flows, > 0. */
+  readonly weight: number;
+}
+
+/** A service address that callers use, and the services behind it. */
+export interface Route {
+  readonly name: string;
+  /** Address that callers use: IPv4 as an unsigned 32-bit integer, port 1–65535. */
+  readonly address: number;
+  readonly port: number;
+  /** Not empty; a route without a split has one target. */
+  readonly targets: readonly RouteTarget[];
+}
+
+/** Settings of one service. */
+export interface RoutedService {
+  readonly name: string;
+  /** Open flows that one back end of it holds. */
+  readonly maxConnections: number;
+}
+
+/** All routes as they are in force together. */
+export interface RouteTable {
+  /** Version as the operator counts it; rises in irregular steps. */
+  readonly version: number;
+  /** Revision of the source that brought it; orders tables. */
+  readonly revision: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly RoutedService[];
+  /** An open flow without packets for this long may be forgotten. */
+  readonly idleTimeoutMs: number;
+}
+
+/** One start of a back end process; a restart is another back end with another id. */
+export interface RoutedBackend {
+  /** Unique for each start. */
+  readonly id: string;
+  readonly service: string;
+  readonly endpoint: Endpoint;
+  readonly zone: string;
+  /** Requests it works on at once. */
+  readonly capacity: number;
+  /** It has said that it leaves: no new flow, open flows stay. */
+  readonly draining: boolean;
+  /** Milliseconds for which it is still slow from its start, when this record was written. */
+  readonly coldMs: number;
+  /** Revision of the source at which this start was first recorded. */
+  readonly createdRevision: number;
+  /** Revision of the last change of this record; orders records of one id. */
+  readonly revision: number;
+}
+
+/** A back end that left the source. */
+export interface BackendRemoval {
+  readonly id: string;
+  /** Revision of the last record of it; a removal goes before a record of the same revision. */
+  readonly revision: number;
+}
+
+/** The two things that a source tells separately. */
+export type RoutingTopic = 'routes' | 'backends';
+
+/** What a source says about a topic, complete up to `revision`. */
+export interface RoutingUpdate {
+  /** Everything of the topic up to this revision of the source is in here or was before. */
+  readonly revision: number;
+  /** True: back ends that are not listed are gone. False: the changes since the revision asked for. */
+  readonly complete: boolean;
+  readonly routes: readonly RouteTable[];
+  readonly backends: readonly RoutedBackend[];
+  readonly removals: readonly BackendRemoval[];
+}
+
+/** Where routes and back ends are recorded. All calls end when `signal` aborts. */
+export interface RoutingSource {
+  /** Reads the whole topic. */
+  read(topic: RoutingTopic, signal: AbortSignal): Promise<Result<RoutingUpdate, RoutingSourceError>>;
+  /** Waits up to `waitMs` for changes after `revision`; an update without changes says that there were none. */
+  watch(
+    topic: RoutingTopic,
+    revision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<RoutingUpdate, RoutingSourceError>>;
+}
