--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,17 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'build/**', 'target/**', 'journal/**', 'node_modules/**', 'src/**/pb/*.js', 'src/**/pb/*.d.ts'] },
+  {
+    ignores: [
+      'dist/**',
+      'build/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'src/**/pb/*.js',
+      'src/**/pb/*.d.ts',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
