--- a/src/cookie-daemon/constants.ts
+++ b/src/cookie-daemon/constants.ts
@@ -5,7 +5,7 @@
 
 /** After that it ends as soon as no packet came for this long, and at the latest after the longest time. */
 export const DEFAULT_DRAIN_QUIET_MS = 400;
-export const DEFAULT_DRAIN_MAX_MS = 4_000;
+export const DEFAULT_DRAIN_MAX_MS = 3_000;
 
 /** Flows remembered at once; more are forwarded all the same, by their cookies. */
 export const DEFAULT_MAX_FLOWS = 200_000;
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -106,7 +106,9 @@
       this.options.events.emit(COOKIE_FLOW_EVENTS.oldOpening, { flow: formatFlowId(packet) });
       return;
     }
-    const route = this.options.knowledge.routes()?.find(packet.destinationAddress, packet.destinationPort);
+    const routes = this.options.knowledge.routes();
+    if (!routes || !this.options.knowledge.isComplete()) return this.statistics.countDrop('starting');
+    const route = routes.find(packet.destinationAddress, packet.destinationPort);
     if (!route) return this.refuse(packet, 'no-route');
     const placement = this.place(packet, route, nowMs);
     if (!placement) return this.refuse(packet, 'no-backend', route);
