--- a/src/flow/cookie/pause-detector.ts
+++ b/src/common/pause-detector.ts
@@ -1,15 +1,24 @@
 /**
- * Notices that the process stood still. What waited in the socket meanwhile is old: a copy of a SYN may long have opened
- * its flow through another balancer, so that it must not open it again.
+ * Notices that the process stood still. What waited in a socket meanwhile is old: a copy of a SYN may long have opened its
+ * flow through another balancer, and a message between daemons seems newer than it is.
  */
-import { BACKLOG_MS, PAUSE_MS, TICK_MS } from './constants.js';
+
+/** A tick this late means that the process stood still. */
+const PAUSE_MS = 150;
+
+/** What is read this long after a pause may have waited through it. */
+const BACKLOG_MS = 50;
 
 /** See the module. Times are monotonic ms. */
 export class PauseDetector {
   private lastTickMs: number;
   private backlogUntilMs = Number.NEGATIVE_INFINITY;
 
-  constructor(nowMs: number) {
+  /** @param tickMs time between two calls of `noteTick` */
+  constructor(
+    nowMs: number,
+    private readonly tickMs: number,
+  ) {
     this.lastTickMs = nowMs;
   }
 
@@ -27,7 +36,7 @@
   }
 
   private pausedFor(nowMs: number): number {
-    const lateMs = nowMs - this.lastTickMs - TICK_MS;
+    const lateMs = nowMs - this.lastTickMs - this.tickMs;
     return lateMs >= PAUSE_MS ? lateMs : 0;
   }
 }
--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -1,12 +1,17 @@
 /** Everything that a daemon on a cookie edge is made of, and how it is wired. */
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
+import type { Endpoint } from '../common/types.js';
 import { CookieForwarder } from '../flow/cookie/cookie-forwarder.js';
 import type { EventLog } from '../observability/event.js';
-import { RoutingKnowledge, SourceCircuit, SourceFollower } from '../routing/index.js';
+import { PauseDetector } from '../common/pause-detector.js';
+import { TICK_MS } from '../flow/cookie/constants.js';
+import { RoutingKnowledge, SourceCircuit } from '../routing/index.js';
+import { NetworkTransport, Spreader } from '../spreading/index.js';
 import type { BoundCookieEdge, DeploymentAdapters } from './adapters.js';
 import type { CookieDaemonConfig } from './config.js';
 import { EdgeGate } from './edge-gate.js';
+import { SourceReading } from './source-reading.js';
 
 /** What a daemon needs from its surroundings. */
 export interface CookieDaemonEnvironment {
@@ -21,7 +26,9 @@
   readonly edge: BoundCookieEdge;
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
-  readonly followers: readonly SourceFollower[];
+  readonly reading: SourceReading;
+  readonly transport: NetworkTransport;
+  readonly spreader: Spreader;
   readonly forwarder: CookieForwarder;
 }
 
@@ -31,18 +38,33 @@
   environment: CookieDaemonEnvironment,
 ): Promise<CookieDaemonComponents> {
   const { clock, random, events, adapters } = environment;
-  const { data, source: address, zone, zoneMargin, maxFlowAgeMs } = config();
+  const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs } = config();
   const gate = new EdgeGate();
   const edge = await adapters.openEdge({ data, handler: gate, events, clock });
+  const transport = await NetworkTransport.open(control, events);
   const knowledge = new RoutingKnowledge({ clock, events, retentionMs: maxFlowAgeMs });
   const circuit = new SourceCircuit(clock, random, events);
+  const pauses = new PauseDetector(clock.now(), TICK_MS);
   const source = adapters.createSource(address, clock);
-  const following = { clock, source, knowledge, circuit };
-  const followers = [new SourceFollower('routes', following), new SourceFollower('backends', following)];
+  const reading = new SourceReading({
+    ...{ clock, source, knowledge, circuit },
+    onProof: () => spreader.noteOwnProof(),
+  });
+  const spreader = new Spreader({
+    ...{ selfId: id, zone, seeds: seedsOf(config()), transport, knowledge, clock, random, events },
+    setReading: (isReading) => reading.set(isReading),
+    mayBeOld: () => pauses.mayBeOld(clock.now()),
+    recordsMayLapse: () => circuit.recordsMayLapse(),
+  });
   const forwarder = new CookieForwarder({
-    ...{ clock, random, events, knowledge, edge, zone, zoneMargin, maxFlowAgeMs },
+    ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs },
     maxFlows: () => config().limits.maxFlows,
   });
   gate.open(forwarder);
-  return { ...environment, edge, knowledge, circuit, followers, forwarder };
+  return { ...environment, edge, transport, knowledge, circuit, reading, spreader, forwarder };
+}
+
+/** Seeds with the port that all daemons share, where the configuration gives one. */
+function seedsOf({ seeds, seedPort }: CookieDaemonConfig): readonly Endpoint[] {
+  return seeds.map(({ host, port }) => ({ host, port: seedPort ?? port }));
 }
--- a/src/cookie-daemon/config.ts
+++ b/src/cookie-daemon/config.ts
@@ -10,6 +10,7 @@
 import { CookieDaemonError } from './errors.js';
 
 const SMALLEST_BOUND_PORT = 0;
+const MAX_PORT = 65_535;
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 
 const name = z.string().check(z.regex(NAME_PATTERN, 'use 1 to 63 letters, digits, ".", "_" or "-"'));
@@ -41,10 +42,12 @@
   data: ownAddress,
   /** HTTP address of readiness, status and metrics. */
   admin: ownAddress,
-  /** UDP address of messages between daemons. */
+  /** Address of messages between daemons, UDP and TCP. */
   control: ownAddress,
   /** Control addresses of some other daemons; they may be stale. */
   seeds: z._default(z.array(otherAddress), []),
+  /** Control port of all daemons; the ports of `seeds` are ignored when it is given. */
+  seedPort: z.optional(z.int().check(z.positive(), z.maximum(MAX_PORT))),
   /** Address of the source of routes and back ends. */
   source: otherAddress,
   /** Longest life of a flow, in ms. */
--- a/src/cookie-daemon/constants.ts
+++ b/src/cookie-daemon/constants.ts
@@ -14,7 +14,7 @@
 export const DEFAULT_MAX_FLOW_AGE_MS = 3_600_000;
 
 /** The configuration file is looked at this often for changes that nobody announced. */
-export const CONFIG_POLL_MS = 1_000;
+export const CONFIG_POLL_MS = 2_000;
 
 /** Log lines of one event in ten seconds; the rest are counted. */
 export const DEFAULT_LOG_BURST = 2_000;
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -63,9 +63,9 @@
 
   private async run(): Promise<void> {
     const { components, running } = this;
-    const { forwarder, followers, edge, events } = components;
+    const { forwarder, spreader, edge, events } = components;
     forwarder.start(running.signal);
-    for (const follower of followers) void follower.run(running.signal);
+    spreader.start(running.signal);
     this.admin = await AdminServer.listen(this.current.config.admin, {
       readiness: () => this.readiness(),
       status: () => describeStatus(components, this.readiness()),
@@ -97,16 +97,17 @@
   }
 
   private async drainAndClose(): Promise<void> {
-    const { clock, events, forwarder } = this.components;
+    const { clock, events, forwarder, spreader, reading, edge, transport } = this.components;
     const { minMs, quietMs, maxMs } = this.current.config.drain;
     events.emit(COOKIE_DAEMON_EVENTS.stopping, { flows: forwarder.flowCount, minMs, maxMs });
     await delay(clock, minMs);
     const packetsReceived = (): number => forwarder.statistics.packets;
     const quiet = await waitUntilQuiet({ clock, quietMs, maxMs: maxMs - minMs, packetsReceived });
     if (!quiet) events.emit(COOKIE_DAEMON_EVENTS.drainTimedOut, { maxMs });
+    spreader.leave();
     this.running.abort();
-    await this.admin.close();
-    await this.components.edge.close();
+    reading.stop();
+    await Promise.all([this.admin.close(), edge.close(), transport.close()]);
     events.emit(COOKIE_DAEMON_EVENTS.stopped, summarize(this.components));
   }
 }
--- a/src/cookie-daemon/status.ts
+++ b/src/cookie-daemon/status.ts
@@ -21,10 +21,12 @@
   readonly openFlows: number;
   readonly knowledgeAgeMs: Readonly<Record<RoutingTopic, number>>;
   readonly sourceLost: boolean;
+  readonly sourceReader: boolean;
+  readonly peers: number;
 }
 
 export function describeStatus(components: CookieDaemonComponents, readiness: Readiness): CookieDaemonStatus {
-  const { knowledge, forwarder, circuit } = components;
+  const { knowledge, forwarder, circuit, spreader } = components;
   return {
     readiness,
     routesVersion: knowledge.routes()?.table.version,
@@ -35,18 +37,25 @@
       backends: Math.round(knowledge.ageOf('backends')),
     },
     sourceLost: circuit.isLost,
+    sourceReader: spreader.isReading,
+    peers: spreader.peerCount,
   };
 }
 
 /** Totals for the last log line. */
-export function summarize({ forwarder, followers }: CookieDaemonComponents): Record<string, number | string> {
+export function summarize({
+  forwarder,
+  reading,
+  spreader,
+}: CookieDaemonComponents): Record<string, number | string> {
   const { packets, forwarded, opened, takenOver, placedAnew, ejections, drops, refusals } =
     forwarder.statistics;
   return {
     ...{ packets, forwarded, opened, takenOver, placedAnew, ejections },
     drops: JSON.stringify(drops),
     refusals: JSON.stringify(refusals),
-    sourceCalls: followers.reduce((sum, { calls }) => sum + calls, 0),
+    sourceCalls: reading.calls,
+    ...spreader.statistics,
   };
 }
 
@@ -77,7 +86,12 @@
     gauge('routes_version', 'Version of the routes in force', (p) => p.knowledge.routes()?.table.version),
     gauge('knowledge_age_seconds', 'Time since nothing newer was proved', (p) => ages(p), 'topic'),
     gauge('source_lost', '1 while the source is out of reach', (parts) => Number(parts.circuit.isLost)),
-    counter('source_calls_total', 'Calls to the source', (p) => p.followers.reduce((n, f) => n + f.calls, 0)),
+    counter('source_calls_total', 'Calls to the source', (parts) => parts.reading.calls),
+    gauge('source_reader', '1 while this daemon reads the source', (p) => Number(p.spreader.isReading)),
+    gauge('peers', 'Peers known', (parts) => parts.spreader.peerCount),
+    counter('spreading_sent_bytes_total', 'Bytes to peers', (p) => p.spreader.statistics.bytesSent),
+    counter('spreading_received_bytes_total', 'Bytes from peers', (p) => p.spreader.statistics.bytesReceived),
+    counter('spreading_fetches_total', 'States fetched', (p) => p.spreader.statistics.fetches),
     counter('process_cpu_seconds_total', 'Processor time', () => cpuSeconds()),
     gauge('process_resident_memory_bytes', 'Resident memory', () => process.memoryUsage.rss()),
   ];
--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -1,17 +1,11 @@
 /** Times and sizes of cookie forwarding. */
 
 /** Housekeeping: pending openings, pauses and expiry are looked at this often. */
-export const TICK_MS = 50;
+export const TICK_MS = 100;
 
 /** An opening that its caller does not go on with after this long is unanswered. Callers repeat a SYN after 200 ms. */
 export const OPENING_ANSWER_MS = 150;
 
-/** A tick this late means that the process stood still; SYNs that waited meanwhile are too old to open a flow. */
-export const PAUSE_MS = 150;
-
-/** What is read this long after a pause may have waited through it. */
-export const BACKLOG_MS = 50;
-
 /** Unanswered openings and repeated data in a row, without any sign of life, after which a back end is ejected. */
 export const EJECT_AFTER_FAILURES = 2;
 
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import { combine32 } from '../../common/hash.js';
+import type { PauseDetector } from '../../common/pause-detector.js';
 import type { RandomSource } from '../../common/random.js';
 import type { CookieEdgeHandler, CookieEdgePort, CookiePacket } from '../../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../../fabric/types.js';
@@ -23,7 +24,6 @@
 import { FlowCache, type Flow } from './flow-cache.js';
 import { formatFlowId } from './flow-id.js';
 import { OpeningPlacement, type Placement } from './opening-placement.js';
-import { PauseDetector } from './pause-detector.js';
 import { TrafficSplitter } from './traffic-splitter.js';
 
 /** What a cookie forwarder needs. */
@@ -33,6 +33,8 @@
   readonly events: EventLog;
   readonly knowledge: RoutingKnowledge;
   readonly edge: CookieEdgePort;
+  /** Ticked by the forwarder every `TICK_MS`. */
+  readonly pauses: PauseDetector;
   readonly zone: string;
   /** See `OpeningPlacement`. */
   readonly zoneMargin: number;
@@ -50,7 +52,6 @@
   private readonly cache: FlowCache;
   private readonly splitter: TrafficSplitter;
   private readonly placement: OpeningPlacement;
-  private readonly pauses: PauseDetector;
   /** Openings without an answer yet, oldest first. */
   private pending: Flow[] = [];
   /** The two newest signs of life of different back ends. */
@@ -59,11 +60,10 @@
   private nextExpiryMs = 0;
 
   constructor(private readonly options: CookieForwarderOptions) {
-    const { knowledge, random, zone, zoneMargin, clock, maxFlows } = options;
+    const { knowledge, random, zone, zoneMargin, maxFlows } = options;
     this.cache = new FlowCache(maxFlows);
     this.splitter = new TrafficSplitter(random);
     this.placement = new OpeningPlacement(zone, zoneMargin);
-    this.pauses = new PauseDetector(clock.now());
     for (const backend of knowledge.backends.all()) this.cookies.add(backend);
     knowledge.backends.onAdd((backend) => this.cookies.add(backend));
     knowledge.backends.onForget((backend) => this.forget(backend));
@@ -101,7 +101,7 @@
 
   private onSyn(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
     if (flow) return this.onSynCopy(packet, flow, nowMs);
-    if (this.pauses.mayBeOld(nowMs)) {
+    if (this.options.pauses.mayBeOld(nowMs)) {
       this.statistics.countDrop('old-opening');
       this.options.events.emit(COOKIE_FLOW_EVENTS.oldOpening, { flow: formatFlowId(packet) });
       return;
@@ -272,7 +272,7 @@
 
   private tick(): void {
     const nowMs = this.options.clock.now();
-    const pausedMs = this.pauses.noteTick(nowMs);
+    const pausedMs = this.options.pauses.noteTick(nowMs);
     if (pausedMs > 0) {
       this.options.events.emit(COOKIE_FLOW_EVENTS.paused, { pausedMs: Math.round(pausedMs) });
       this.pending = [];
--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../common/clock.js';
 
 /** Lines gather this long before they are written. */
-const GATHER_MS = 100;
+const GATHER_MS = 300;
 
 /** Characters that may wait; more are left out. */
 const MAX_WAITING = 262_144;
--- a/src/routing/backend-registry.ts
+++ b/src/routing/backend-registry.ts
@@ -83,6 +83,11 @@
     return true;
   }
 
+  /** Takes in the last record of a back end that left, unless that back end is known. */
+  putDeparted(record: RoutedBackend): void {
+    if (!this.byId.has(record.id)) this.put(record, record.revision);
+  }
+
   /** Takes a removal in; false when it is not newer than what is known. `mayHaveLapsed`: see `KnownBackend.lapsed`. */
   remove(removal: BackendRemoval, mayHaveLapsed: boolean): boolean {
     const known = this.byId.get(removal.id);
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -11,7 +11,7 @@
 export { BackendRegistry, type KnownBackend } from './backend-registry.js';
 export { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
 export { ROUTING_EVENTS } from './events.js';
-export { RoutingKnowledge, type AppliedUpdate } from './knowledge.js';
+export { RoutingKnowledge, type AppliedUpdate, type UpdateOrigin } from './knowledge.js';
 export { addressKey, RouteIndex } from './route-index.js';
 export { SourceCircuit } from './source-circuit.js';
 export { SourceFollower } from './source-follower.js';
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -5,15 +5,7 @@
 import { BackendRegistry } from './backend-registry.js';
 import { ROUTING_EVENTS } from './events.js';
 import { RouteIndex } from './route-index.js';
-import type { RouteTable, RoutingTopic, RoutingUpdate } from './types.js';
-
-/** How far a topic is known. */
-export interface TopicProgress {
-  /** Everything up to this revision of the source is known; -1 before the first complete update. */
-  revision: number;
-  /** Monotonic ms at which nothing newer than `revision` existed; -Infinity before the first proof. */
-  provedAtMs: number;
-}
+import type { RouteTable, RoutingTopic, RoutingUpdate, TopicProof } from './types.js';
 
 /** An update that changed what is known, for those who pass it on. */
 export interface AppliedUpdate {
@@ -23,6 +15,16 @@
   readonly since: number;
 }
 
+/** Where an update comes from. */
+export interface UpdateOrigin {
+  /** Revision after which the changes were asked for; ignored for a complete update. */
+  readonly since: number;
+  /** Monotonic ms at which nothing newer than the update existed. */
+  readonly provedAtMs: number;
+  /** True when records may have vanished because their owners could not write. */
+  readonly mayHaveLapsed: boolean;
+}
+
 /** What the knowledge needs. */
 export interface RoutingKnowledgeOptions {
   readonly clock: Clock;
@@ -32,14 +34,19 @@
 }
 
 const UNKNOWN_REVISION = -1;
+const NOTHING_KNOWN: TopicProof = {
+  revision: UNKNOWN_REVISION,
+  changedRevision: UNKNOWN_REVISION,
+  provedAtMs: Number.NEGATIVE_INFINITY,
+};
 
 /** See the module. Updates may come in any order and more than once; nothing older is ever applied. */
 export class RoutingKnowledge {
   readonly backends: BackendRegistry;
   private index: RouteIndex | undefined;
-  private readonly progress: Readonly<Record<RoutingTopic, TopicProgress>> = {
-    routes: { revision: UNKNOWN_REVISION, provedAtMs: Number.NEGATIVE_INFINITY },
-    backends: { revision: UNKNOWN_REVISION, provedAtMs: Number.NEGATIVE_INFINITY },
+  private readonly progress: Record<RoutingTopic, TopicProof> = {
+    routes: NOTHING_KNOWN,
+    backends: NOTHING_KNOWN,
   };
   private readonly applied = new Subject<AppliedUpdate>();
 
@@ -72,7 +79,12 @@
     return Math.max(this.ageOf('routes'), this.ageOf('backends'));
   }
 
-  /** Calls `listener` after each update that brought a newer revision; returns the function that ends it. */
+  /** How far a topic is known, to be told to others. */
+  proofOf(topic: RoutingTopic): TopicProof {
+    return this.progress[topic];
+  }
+
+  /** Calls `listener` after each update that changed something; returns the function that ends it. */
   subscribe(listener: (applied: AppliedUpdate) => void): () => void {
     return this.applied.subscribe(listener);
   }
@@ -81,36 +93,40 @@
    * Takes an update in. Changes since a later revision than the known one leave a gap: their records are taken, but
    * the topic does not count as known up to them.
    *
-   * @param since revision after which the changes were asked for; ignored for a complete update
-   * @param provedAtMs monotonic ms at which nothing newer than the update existed
-   * @param mayHaveLapsed true when records may have vanished because their owners could not write
    * @returns false when there is a gap, so that everything should be read
    */
-  apply(
-    topic: RoutingTopic,
-    update: RoutingUpdate,
-    proof: { readonly since: number; readonly provedAtMs: number; readonly mayHaveLapsed: boolean },
-  ): boolean {
+  apply(topic: RoutingTopic, update: RoutingUpdate, origin: UpdateOrigin): boolean {
     if (topic === 'routes') update.routes.forEach((table) => this.applyTable(table));
-    else this.applyBackends(update, proof.mayHaveLapsed);
-    return this.advance(topic, update, proof);
+    else this.applyBackends(update, origin.mayHaveLapsed);
+    const before = this.progress[topic].revision;
+    if (!update.complete && origin.since > before) return false;
+    const changed = update.complete ? update.revision > before : hasContent(update);
+    const { revision } = update;
+    const changedRevision = changed ? revision : this.progress[topic].changedRevision;
+    this.advance(topic, { revision, changedRevision, provedAtMs: origin.provedAtMs });
+    if (changed && revision > before) this.applied.push({ topic, update, since: before });
+    return true;
   }
 
-  private advance(
-    topic: RoutingTopic,
-    update: RoutingUpdate,
-    { since, provedAtMs }: { readonly since: number; readonly provedAtMs: number },
-  ): boolean {
-    const progress = this.progress[topic];
-    const before = progress.revision;
-    if (!update.complete && since > before) return false;
-    if (update.revision < before) return true;
-    progress.revision = update.revision;
-    progress.provedAtMs = Math.max(progress.provedAtMs, provedAtMs);
-    if (update.revision > before) this.applied.push({ topic, update, since: before });
+  /** Takes a proof of another balancer in; false when it speaks of changes that are not known here. */
+  acceptProof(topic: RoutingTopic, proof: TopicProof): boolean {
+    const { revision, changedRevision } = this.progress[topic];
+    if (proof.changedRevision > revision) return false;
+    this.advance(topic, { ...proof, changedRevision: Math.max(proof.changedRevision, changedRevision) });
     return true;
   }
 
+  /** Nothing goes back: an older proof changes nothing. */
+  private advance(topic: RoutingTopic, proof: TopicProof): void {
+    const known = this.progress[topic];
+    if (proof.revision < known.revision) return;
+    this.progress[topic] = {
+      revision: proof.revision,
+      changedRevision: Math.max(known.changedRevision, proof.changedRevision),
+      provedAtMs: Math.max(known.provedAtMs, proof.provedAtMs),
+    };
+  }
+
   private applyTable(table: RouteTable): void {
     const current = this.index?.table;
     if (current && (table.revision <= current.revision || table.version < current.version)) {
@@ -135,9 +151,14 @@
   private applyBackends(update: RoutingUpdate, mayHaveLapsed: boolean): void {
     const knownRevision = update.complete ? UNKNOWN_REVISION : this.progress.backends.revision;
     update.backends.forEach((record) => this.backends.put(record, knownRevision));
+    update.departed?.forEach((record) => this.backends.putDeparted(record));
     update.removals.forEach((removal) => this.backends.remove(removal, mayHaveLapsed));
     if (!update.complete) return;
     const listed = new Set(update.backends.map(({ id }) => id));
     this.backends.removeAllBut(listed, update.revision, mayHaveLapsed);
   }
 }
+
+function hasContent(update: RoutingUpdate): boolean {
+  return update.routes.length + update.backends.length + update.removals.length > 0;
+}
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -1,6 +1,6 @@
 /** One task that follows one topic of the source: read everything, then watch for changes, and again after a gap. */
 import type { Clock } from '../common/clock.js';
-import { WATCH_WAIT_MS } from './constants.js';
+import { WATCH_WAIT_AFTER_CHANGE_MS, WATCH_WAIT_MS } from './constants.js';
 import type { RoutingSourceError } from './errors.js';
 import type { RoutingKnowledge } from './knowledge.js';
 import type { SourceCircuit } from './source-circuit.js';
@@ -12,12 +12,15 @@
   readonly source: RoutingSource;
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
+  /** Called after each answer that was taken in. */
+  readonly onProof?: () => void;
 }
 
 /** See the module. */
 export class SourceFollower {
   private reads = 0;
   private watches = 0;
+  private lastBroughtChange = false;
 
   constructor(
     private readonly topic: RoutingTopic,
@@ -58,8 +61,13 @@
     const since = knowledge.revisionOf(this.topic);
     const askedAtMs = clock.now();
     this.watches += 1;
-    const answer = await source.watch(this.topic, since, WATCH_WAIT_MS, signal);
-    if (answer.isOk) return this.take(answer.value, since, provedAt(answer.value, askedAtMs, clock.now()));
+    const waitMs = this.lastBroughtChange ? WATCH_WAIT_AFTER_CHANGE_MS : WATCH_WAIT_MS;
+    const answer = await source.watch(this.topic, since, waitMs, signal);
+    if (answer.isOk) {
+      this.lastBroughtChange = hasChanges(answer.value);
+      const heldMs = this.lastBroughtChange ? 0 : waitMs;
+      return this.take(answer.value, since, Math.min(askedAtMs + heldMs, clock.now()));
+    }
     if (answer.error.kind === 'routing.history-gone') return false;
     await this.waitAfter(answer.error, signal);
     return true;
@@ -69,7 +77,9 @@
     const { circuit, knowledge } = this.options;
     const mayHaveLapsed = circuit.recordsMayLapse();
     circuit.noteAnswer();
-    return knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
+    const complete = knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
+    this.options.onProof?.();
+    return complete;
   }
 
   private async waitAfter(error: RoutingSourceError, signal: AbortSignal): Promise<void> {
@@ -79,10 +89,9 @@
   }
 }
 
-/** An answer without changes was held back by the source for the whole wait, so it proves that much more. */
-function provedAt(update: RoutingUpdate, askedAtMs: number, nowMs: number): number {
-  const isEmpty = update.routes.length + update.backends.length + update.removals.length === 0;
-  return isEmpty && !update.complete ? Math.min(askedAtMs + WATCH_WAIT_MS, nowMs) : askedAtMs;
+/** An answer without changes was held back for the whole wait, so it proves that much more. */
+function hasChanges({ routes, backends, removals }: RoutingUpdate): boolean {
+  return routes.length + backends.length + removals.length > 0;
 }
 
 /** Resolves after `waitMs` on `clock` or when `signal` aborts. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -80,6 +80,18 @@
   readonly routes: readonly RouteTable[];
   readonly backends: readonly RoutedBackend[];
   readonly removals: readonly BackendRemoval[];
+  /** Last records of back ends that left, for those who never knew them; only from other balancers. */
+  readonly departed?: readonly RoutedBackend[];
+}
+
+/** How far a topic is known, and when that was last proved. */
+export interface TopicProof {
+  /** Everything up to this revision of the source is known; -1 before the first complete update. */
+  readonly revision: number;
+  /** Nothing changed between this revision and `revision`. */
+  readonly changedRevision: number;
+  /** Monotonic ms at which nothing newer than `revision` existed; -Infinity before the first proof. */
+  readonly provedAtMs: number;
 }
 
 /** Where routes and back ends are recorded. All calls end when `signal` aborts. */
--- /dev/null
+++ b/src/spreading/errors.ts
@@ -0,0 +1,34 @@
+/** Errors of spreading knowledge between daemons. */
+import { formatEndpoint, SailquayError, type Endpoint } from '../common/types.js';
+
+export type SpreadingErrorKind = 'spreading.bind' | 'spreading.fetch';
+
+/** A socket could not be bound, or a peer could not be read. */
+export class SpreadingError extends SailquayError {
+  constructor(
+    readonly kind: SpreadingErrorKind,
+    problem: string,
+    remedy: string,
+    options?: ErrorOptions,
+  ) {
+    super(problem, remedy, options);
+  }
+}
+
+export function bindError(endpoint: Endpoint, cause: unknown): SpreadingError {
+  return new SpreadingError(
+    'spreading.bind',
+    `the control address ${formatEndpoint(endpoint)} could not be bound`,
+    'Check that the address belongs to this machine and that no other process uses the port',
+    { cause },
+  );
+}
+
+export function fetchError(peer: Endpoint, cause: unknown): SpreadingError {
+  return new SpreadingError(
+    'spreading.fetch',
+    `the peer ${formatEndpoint(peer)} could not be read: ${(cause as Error).message}`,
+    'Nothing to do: another peer is asked',
+    { cause },
+  );
+}
--- /dev/null
+++ b/src/spreading/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Spreads routes, back ends and the proofs of their age between daemons, so that few of them read the source.
+ *
+ * ```ts
+ * const transport = await NetworkTransport.open(control, events);
+ * const spreader = new Spreader({ selfId, zone, seeds, transport, knowledge, clock, random, events, setReading, mayBeOld });
+ * spreader.start(signal);
+ * ```
+ */
+export type * from './types.js';
+export { SpreadingError, type SpreadingErrorKind } from './errors.js';
+export { SPREADING_EVENTS } from './events.js';
+export { NetworkTransport } from './network-transport.js';
+export { ReaderRole, type RoleReason } from './reader-role.js';
+export { Spreader, type SpreaderOptions, type SpreadingStatistics } from './spreader.js';
--- /dev/null
+++ b/src/spreading/message-codec.ts
@@ -0,0 +1,162 @@
+/** Encodes and decodes messages between daemons. Ages travel, clocks do not. */
+import type { Endpoint } from '../common/types.js';
+import { formatIpv4, parseIpv4 } from '../fabric/ipv4-address.js';
+import type { RoutedBackend, RouteTable, RoutingTopic, RoutingUpdate, TopicProof } from '../routing/index.js';
+import { TRANSIT_MS } from './constants.js';
+import { sailquay } from './pb/spreading.js';
+import type { Peer, PeerMessage, ReaderSighting, SpreadUpdate } from './types.js';
+
+const wire = sailquay.spreading;
+type WireMessage = sailquay.spreading.IPeerMessage;
+
+const TYPE_NUMBERS = {
+  news: wire.MessageType.NEWS,
+  pull: wire.MessageType.PULL,
+  state: wire.MessageType.STATE,
+} as const;
+const TOPIC_NUMBERS = { routes: wire.Topic.ROUTES, backends: wire.Topic.BACKENDS } as const;
+
+/** Ages beyond this are all the same. */
+const MAX_AGE_MS = 0xffff_ffff;
+
+/** Encodes a message as of `nowMs`. */
+export function encodePeerMessage(message: PeerMessage, nowMs: number): Uint8Array {
+  const proofs = Object.entries(message.proofs) as [RoutingTopic, TopicProof][];
+  return wire.PeerMessage.encode({
+    type: TYPE_NUMBERS[message.type],
+    senderId: message.senderId,
+    senderZone: message.senderZone,
+    leaving: message.leaving,
+    proofs: proofs.map(([topic, { revision, changedRevision, provedAtMs }]) => ({
+      ...{ topic: TOPIC_NUMBERS[topic], revision, changedRevision, ageMs: age(nowMs, provedAtMs) },
+    })),
+    readers: message.readers.map(({ id, provedAtMs }) => ({ id, ageMs: age(nowMs, provedAtMs) })),
+    peers: message.peers.map(({ endpoint, zone, heardAtMs }) => ({
+      ...{ ...encodeEndpoint(endpoint), zone, ageMs: age(nowMs, heardAtMs) },
+    })),
+    updates: message.updates.map(encodeUpdate),
+  }).finish();
+}
+
+/** Decodes a message that arrived at `nowMs`; undefined when it is malformed. */
+export function decodePeerMessage(bytes: Uint8Array, nowMs: number): PeerMessage | undefined {
+  try {
+    return fromWire(wire.PeerMessage.decode(bytes), nowMs);
+  } catch {
+    return undefined;
+  }
+}
+
+function fromWire(message: WireMessage, nowMs: number): PeerMessage | undefined {
+  const type = keyOf(TYPE_NUMBERS, message.type);
+  if (!type || !message.senderId) return undefined;
+  const arrivedMs = nowMs - TRANSIT_MS;
+  const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
+  for (const { topic, revision, changedRevision, ageMs } of message.proofs ?? []) {
+    const name = keyOf(TOPIC_NUMBERS, topic);
+    if (!name) continue;
+    const provedAtMs = arrivedMs - (ageMs ?? 0);
+    proofs[name] = { revision: revision ?? 0, changedRevision: changedRevision ?? 0, provedAtMs };
+  }
+  return {
+    ...{ type, senderId: message.senderId, senderZone: message.senderZone ?? '', proofs },
+    leaving: message.leaving ?? false,
+    readers: (message.readers ?? []).map(({ id, ageMs }): ReaderSighting => ({
+      id: id ?? '',
+      provedAtMs: arrivedMs - (ageMs ?? 0),
+    })),
+    peers: (message.peers ?? []).map(({ zone, ageMs, ...at }): Peer => ({
+      ...{ endpoint: decodeEndpoint(at), zone: zone ?? '', heardAtMs: arrivedMs - (ageMs ?? 0) },
+    })),
+    updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update) ?? []),
+  };
+}
+
+function encodeUpdate({ topic, since, update }: SpreadUpdate): sailquay.spreading.IUpdate {
+  const table = update.routes.at(-1);
+  const departed = update.departed ?? [];
+  return {
+    ...{ topic: TOPIC_NUMBERS[topic], complete: update.complete, since, revision: update.revision },
+    routes: table && encodeTable(table),
+    backends: [
+      ...update.backends.map((backend) => encodeBackend(backend, false)),
+      ...departed.map((backend) => encodeBackend(backend, true)),
+    ],
+    removals: update.removals.map(({ id, revision }) => ({ id, revision })),
+  };
+}
+
+function decodeUpdate(update: sailquay.spreading.IUpdate): SpreadUpdate | undefined {
+  const topic = keyOf(TOPIC_NUMBERS, update.topic);
+  if (!topic) return undefined;
+  const backends = update.backends ?? [];
+  const decoded: RoutingUpdate = {
+    ...{ revision: update.revision ?? 0, complete: update.complete ?? false },
+    routes: update.routes ? [decodeTable(update.routes)] : [],
+    backends: backends.filter(({ departed }) => !departed).map(decodeBackend),
+    departed: backends.filter(({ departed }) => departed).map(decodeBackend),
+    removals: (update.removals ?? []).map(({ id, revision }) => ({ id: id ?? '', revision: revision ?? 0 })),
+  };
+  return { topic, since: update.since ?? 0, update: decoded };
+}
+
+function encodeTable(table: RouteTable): sailquay.spreading.IRouteTable {
+  return {
+    ...{ version: table.version, revision: table.revision, idleTimeoutMs: table.idleTimeoutMs },
+    routes: table.routes.map(({ name, address, port, targets }) => ({
+      ...{ name, address, port, targets: targets.map(({ service, weight }) => ({ service, weight })) },
+    })),
+    services: table.services.map(({ name, maxConnections }) => ({
+      ...{ name, maxConnections: Number.isFinite(maxConnections) ? maxConnections : 0 },
+    })),
+  };
+}
+
+function decodeTable(table: sailquay.spreading.IRouteTable): RouteTable {
+  return {
+    ...{ version: table.version ?? 0, revision: table.revision ?? 0 },
+    idleTimeoutMs: table.idleTimeoutMs ?? 0,
+    routes: (table.routes ?? []).map(({ name, address, port, targets }) => ({
+      ...{ name: name ?? '', address: address ?? 0, port: port ?? 0 },
+      targets: (targets ?? []).map(({ service, weight }) => ({
+        ...{ service: service ?? '', weight: weight ?? 0 },
+      })),
+    })),
+    services: (table.services ?? []).map(({ name, maxConnections }) => ({
+      ...{ name: name ?? '', maxConnections: maxConnections || Number.POSITIVE_INFINITY },
+    })),
+  };
+}
+
+function encodeBackend(backend: RoutedBackend, departed: boolean): sailquay.spreading.IBackend {
+  const { endpoint, ...rest } = backend;
+  return { ...rest, ...encodeEndpoint(endpoint), departed };
+}
+
+function decodeBackend(backend: sailquay.spreading.IBackend): RoutedBackend {
+  return {
+    ...{ id: backend.id ?? '', service: backend.service ?? '', zone: backend.zone ?? '' },
+    ...{ endpoint: decodeEndpoint(backend), capacity: backend.capacity ?? 1 },
+    ...{ draining: backend.draining ?? false, coldMs: backend.coldMs ?? 0 },
+    ...{ createdRevision: backend.createdRevision ?? 0, revision: backend.revision ?? 0 },
+  };
+}
+
+function encodeEndpoint({ host, port }: Endpoint): { readonly address: number; readonly port: number } {
+  return { address: parseIpv4(host), port };
+}
+
+function decodeEndpoint(at: { readonly address?: number | null; readonly port?: number | null }): Endpoint {
+  return { host: formatIpv4(at.address ?? 0), port: at.port ?? 0 };
+}
+
+function age(nowMs: number, atMs: number): number {
+  return Math.min(MAX_AGE_MS, Math.max(0, Math.ceil(nowMs - atMs)));
+}
+
+function keyOf<Key extends string>(
+  numbers: Readonly<Record<Key, number>>,
+  number: number | null | undefined,
+): Key | undefined {
+  return (Object.keys(numbers) as Key[]).find((key) => numbers[key] === number);
+}
--- /dev/null
+++ b/src/spreading/network-transport.ts
@@ -0,0 +1,120 @@
+/** Messages between daemons over the network: datagrams over UDP, the whole state over HTTP at the same port. */
+import { createSocket, type Socket } from 'node:dgram';
+import { createServer, get as httpGet, type IncomingMessage, type Server } from 'node:http';
+import Result from 'true-myth/result';
+import type { Endpoint } from '../common/types.js';
+import type { EventLog } from '../observability/event.js';
+import { FETCH_TIMEOUT_MS } from './constants.js';
+import { bindError, fetchError, type SpreadingError } from './errors.js';
+import { SPREADING_EVENTS } from './events.js';
+import type { PeerTransport } from './types.js';
+
+const STATE_PATH = '/state';
+const CONTENT_TYPE = 'application/x-protobuf';
+
+/** Longest state that is read. */
+const MAX_STATE_BYTES = 16_777_216;
+
+type LookupCallback = (error: Error | null, address: string, family: number) => void;
+
+/** Addresses are numeric: answers at once instead of asking the resolver for each send. */
+function numericLookup(host: string, _options: unknown, callback: LookupCallback): void {
+  callback(null, host, 4);
+}
+
+/** See the module. */
+export class NetworkTransport implements PeerTransport {
+  private receive: (bytes: Uint8Array, from: Endpoint) => void = () => undefined;
+  private provideState: () => Uint8Array = () => new Uint8Array();
+  private closed = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly server: Server,
+    readonly endpoint: Endpoint,
+    private readonly events: EventLog,
+  ) {
+    socket.on('message', (bytes, remote) => this.receive(bytes, { host: remote.address, port: remote.port }));
+    socket.on('error', (error) => this.report(error));
+    server.on('request', (request, response) => {
+      const found = request.url === STATE_PATH && request.method === 'GET';
+      response.writeHead(found ? 200 : 404, { 'content-type': CONTENT_TYPE, connection: 'close' });
+      response.end(found ? this.provideState() : undefined);
+    });
+  }
+
+  /** Binds both sockets; port 0 lets the kernel choose. Throws `spreading.bind`. */
+  static async open(address: Endpoint, events: EventLog): Promise<NetworkTransport> {
+    const server = createServer();
+    server.requestTimeout = FETCH_TIMEOUT_MS;
+    try {
+      await new Promise<void>((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(address.port, address.host, resolve);
+      });
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound ? bound.port : address.port;
+      const endpoint = { host: address.host, port };
+      const socket = createSocket({ type: 'udp4', lookup: numericLookup as never });
+      await new Promise<void>((resolve, reject) => {
+        socket.once('error', reject);
+        socket.bind(port, address.host, resolve);
+      });
+      socket.removeAllListeners('error');
+      return new NetworkTransport(socket, server, endpoint, events);
+    } catch (cause) {
+      server.close();
+      throw bindError(address, cause);
+    }
+  }
+
+  serve(receive: (bytes: Uint8Array, from: Endpoint) => void, provideState: () => Uint8Array): void {
+    this.receive = receive;
+    this.provideState = provideState;
+  }
+
+  send(to: Endpoint, bytes: Uint8Array): void {
+    if (this.closed) return;
+    this.socket.send(bytes, to.port, to.host, (error) => {
+      if (error) this.report(error);
+    });
+  }
+
+  async fetch(from: Endpoint): Promise<Result<Uint8Array, SpreadingError>> {
+    const signal = AbortSignal.timeout(FETCH_TIMEOUT_MS);
+    try {
+      const response = await new Promise<IncomingMessage>((resolve, reject) => {
+        const { host, port } = from;
+        httpGet({ host, port, path: STATE_PATH, signal, agent: false }, resolve).once('error', reject);
+      });
+      if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`);
+      return Result.ok(await readBody(response));
+    } catch (cause) {
+      return Result.err(fetchError(from, cause));
+    }
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    this.server.closeAllConnections();
+    await Promise.all([
+      new Promise<void>((resolve) => this.server.close(() => resolve())),
+      new Promise<void>((resolve) => this.socket.close(() => resolve())),
+    ]);
+  }
+
+  private report(error: Error): void {
+    this.events.emit(SPREADING_EVENTS.socketFailed, { error: error.message });
+  }
+}
+
+async function readBody(response: IncomingMessage): Promise<Uint8Array> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of response as AsyncIterable<Buffer>) {
+    bytes += part.length;
+    if (bytes > MAX_STATE_BYTES) throw new RangeError(`the state is longer than ${MAX_STATE_BYTES} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
--- /dev/null
+++ b/src/spreading/pb/spreading.js
@@ -0,0 +1,2527 @@
+/*eslint-disable block-scoped-var, id-length, no-control-regex, no-magic-numbers, no-mixed-operators, no-prototype-builtins, no-redeclare, no-shadow, no-var, sort-vars, default-case, jsdoc/require-param*/
+import $protobuf from "protobufjs/minimal.js";
+
+// Common aliases
+const $Reader = $protobuf.Reader, $Writer = $protobuf.Writer, $util = $protobuf.util;
+const $Object = $util.global.Object, $undefined = $util.global.undefined, $Error = $util.global.Error, $RangeError = $util.global.RangeError;
+
+// Exported root namespace
+const $root = $protobuf.roots["spreading"] || ($protobuf.roots["spreading"] = {});
+
+export const sailquay = $root.sailquay = (() => {
+
+    /**
+     * Namespace sailquay.
+     * @exports sailquay
+     * @namespace
+     */
+    const sailquay = {};
+
+    sailquay.spreading = (function() {
+
+        /**
+         * Namespace spreading.
+         * @memberof sailquay
+         * @namespace
+         */
+        const spreading = {};
+
+        /**
+         * MessageType enum.
+         * @name sailquay.spreading.MessageType
+         * @enum {number}
+         * @property {number} UNKNOWN_TYPE=0 UNKNOWN_TYPE value
+         * @property {number} NEWS=1 NEWS value
+         * @property {number} PULL=2 PULL value
+         * @property {number} STATE=3 STATE value
+         */
+        spreading.MessageType = (function() {
+            const valuesById = $Object.create(null), values = $Object.create(valuesById);
+            values[valuesById[0] = "UNKNOWN_TYPE"] = 0;
+            values[valuesById[1] = "NEWS"] = 1;
+            values[valuesById[2] = "PULL"] = 2;
+            values[valuesById[3] = "STATE"] = 3;
+            return values;
+        })();
+
+        /**
+         * Topic enum.
+         * @name sailquay.spreading.Topic
+         * @enum {number}
+         * @property {number} UNKNOWN_TOPIC=0 UNKNOWN_TOPIC value
+         * @property {number} ROUTES=1 ROUTES value
+         * @property {number} BACKENDS=2 BACKENDS value
+         */
+        spreading.Topic = (function() {
+            const valuesById = $Object.create(null), values = $Object.create(valuesById);
+            values[valuesById[0] = "UNKNOWN_TOPIC"] = 0;
+            values[valuesById[1] = "ROUTES"] = 1;
+            values[valuesById[2] = "BACKENDS"] = 2;
+            return values;
+        })();
+
+        spreading.Peer = (function() {
+
+            /**
+             * Properties of a Peer.
+             * @typedef {Object} sailquay.spreading.Peer.$Properties
+             * @property {number|null} [address] Peer address
+             * @property {number|null} [port] Peer port
+             * @property {string|null} [zone] Peer zone
+             * @property {number|null} [ageMs] Peer ageMs
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Peer.
+             * @memberof sailquay.spreading
+             * @interface IPeer
+             * @augments sailquay.spreading.Peer.$Properties
+             * @deprecated Use sailquay.spreading.Peer.$Properties instead.
+             */
+
+            /**
+             * Shape of a Peer.
+             * @typedef {sailquay.spreading.Peer.$Properties} sailquay.spreading.Peer.$Shape
+             */
+
+            /**
+             * Constructs a new Peer.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Peer.
+             * @constructor
+             * @param {sailquay.spreading.Peer.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Peer = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Peer address.
+             * @member {number} address
+             * @memberof sailquay.spreading.Peer
+             * @instance
+             */
+            Peer.prototype.address = 0;
+
+            /**
+             * Peer port.
+             * @member {number} port
+             * @memberof sailquay.spreading.Peer
+             * @instance
+             */
+            Peer.prototype.port = 0;
+
+            /**
+             * Peer zone.
+             * @member {string} zone
+             * @memberof sailquay.spreading.Peer
+             * @instance
+             */
+            Peer.prototype.zone = "";
+
+            /**
+             * Peer ageMs.
+             * @member {number} ageMs
+             * @memberof sailquay.spreading.Peer
+             * @instance
+             */
+            Peer.prototype.ageMs = 0;
+
+            /**
+             * Encodes the specified Peer message. Does not implicitly {@link sailquay.spreading.Peer.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Peer
+             * @static
+             * @param {sailquay.spreading.Peer.$Properties} message Peer message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Peer.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.address != null && $Object.hasOwnProperty.call(message, "address") && message.address !== 0)
+                    writer.uint32(/* id 1, wireType 5 =*/13).fixed32(message.address);
+                if (message.port != null && $Object.hasOwnProperty.call(message, "port") && message.port !== 0)
+                    writer.uint32(/* id 2, wireType 0 =*/16).uint32(message.port);
+                if (message.zone != null && $Object.hasOwnProperty.call(message, "zone") && message.zone !== "")
+                    writer.uint32(/* id 3, wireType 2 =*/26).string(message.zone);
+                if (message.ageMs != null && $Object.hasOwnProperty.call(message, "ageMs") && message.ageMs !== 0)
+                    writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.ageMs);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Peer message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Peer
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Peer & sailquay.spreading.Peer.$Shape} Peer
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Peer.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Peer();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.address = value;
+                            else
+                                delete message.address;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.port = value;
+                            else
+                                delete message.port;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.zone = value;
+                            else
+                                delete message.zone;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.ageMs = value;
+                            else
+                                delete message.ageMs;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Peer
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Peer
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Peer.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Peer";
+            };
+
+            return Peer;
+        })();
+
+        spreading.Proof = (function() {
+
+            /**
+             * Properties of a Proof.
+             * @typedef {Object} sailquay.spreading.Proof.$Properties
+             * @property {sailquay.spreading.Topic|null} [topic] Proof topic
+             * @property {number|null} [revision] Proof revision
+             * @property {number|null} [changedRevision] Proof changedRevision
+             * @property {number|null} [ageMs] Proof ageMs
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Proof.
+             * @memberof sailquay.spreading
+             * @interface IProof
+             * @augments sailquay.spreading.Proof.$Properties
+             * @deprecated Use sailquay.spreading.Proof.$Properties instead.
+             */
+
+            /**
+             * Shape of a Proof.
+             * @typedef {sailquay.spreading.Proof.$Properties} sailquay.spreading.Proof.$Shape
+             */
+
+            /**
+             * Constructs a new Proof.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Proof.
+             * @constructor
+             * @param {sailquay.spreading.Proof.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Proof = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Proof topic.
+             * @member {sailquay.spreading.Topic} topic
+             * @memberof sailquay.spreading.Proof
+             * @instance
+             */
+            Proof.prototype.topic = 0;
+
+            /**
+             * Proof revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.Proof
+             * @instance
+             */
+            Proof.prototype.revision = 0;
+
+            /**
+             * Proof changedRevision.
+             * @member {number} changedRevision
+             * @memberof sailquay.spreading.Proof
+             * @instance
+             */
+            Proof.prototype.changedRevision = 0;
+
+            /**
+             * Proof ageMs.
+             * @member {number} ageMs
+             * @memberof sailquay.spreading.Proof
+             * @instance
+             */
+            Proof.prototype.ageMs = 0;
+
+            /**
+             * Encodes the specified Proof message. Does not implicitly {@link sailquay.spreading.Proof.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Proof
+             * @static
+             * @param {sailquay.spreading.Proof.$Properties} message Proof message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Proof.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.topic != null && $Object.hasOwnProperty.call(message, "topic") && message.topic !== 0)
+                    writer.uint32(/* id 1, wireType 0 =*/8).int32(message.topic);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.revision);
+                if (message.changedRevision != null && $Object.hasOwnProperty.call(message, "changedRevision") && !$Object.is(message.changedRevision, 0))
+                    writer.uint32(/* id 3, wireType 1 =*/25).double(message.changedRevision);
+                if (message.ageMs != null && $Object.hasOwnProperty.call(message, "ageMs") && message.ageMs !== 0)
+                    writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.ageMs);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Proof message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Proof
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Proof & sailquay.spreading.Proof.$Shape} Proof
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Proof.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Proof();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.int32())
+                                message.topic = value;
+                            else
+                                delete message.topic;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.changedRevision = value;
+                            else
+                                delete message.changedRevision;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.ageMs = value;
+                            else
+                                delete message.ageMs;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Proof
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Proof
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Proof.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Proof";
+            };
+
+            return Proof;
+        })();
+
+        spreading.Reader = (function() {
+
+            /**
+             * Properties of a Reader.
+             * @typedef {Object} sailquay.spreading.Reader.$Properties
+             * @property {string|null} [id] Reader id
+             * @property {number|null} [ageMs] Reader ageMs
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Reader.
+             * @memberof sailquay.spreading
+             * @interface IReader
+             * @augments sailquay.spreading.Reader.$Properties
+             * @deprecated Use sailquay.spreading.Reader.$Properties instead.
+             */
+
+            /**
+             * Shape of a Reader.
+             * @typedef {sailquay.spreading.Reader.$Properties} sailquay.spreading.Reader.$Shape
+             */
+
+            /**
+             * Constructs a new Reader.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Reader.
+             * @constructor
+             * @param {sailquay.spreading.Reader.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Reader = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Reader id.
+             * @member {string} id
+             * @memberof sailquay.spreading.Reader
+             * @instance
+             */
+            Reader.prototype.id = "";
+
+            /**
+             * Reader ageMs.
+             * @member {number} ageMs
+             * @memberof sailquay.spreading.Reader
+             * @instance
+             */
+            Reader.prototype.ageMs = 0;
+
+            /**
+             * Encodes the specified Reader message. Does not implicitly {@link sailquay.spreading.Reader.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Reader
+             * @static
+             * @param {sailquay.spreading.Reader.$Properties} message Reader message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Reader.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.id != null && $Object.hasOwnProperty.call(message, "id") && message.id !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.id);
+                if (message.ageMs != null && $Object.hasOwnProperty.call(message, "ageMs") && message.ageMs !== 0)
+                    writer.uint32(/* id 2, wireType 0 =*/16).uint32(message.ageMs);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Reader message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Reader
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Reader & sailquay.spreading.Reader.$Shape} Reader
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Reader.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Reader();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.id = value;
+                            else
+                                delete message.id;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.ageMs = value;
+                            else
+                                delete message.ageMs;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Reader
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Reader
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Reader.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Reader";
+            };
+
+            return Reader;
+        })();
+
+        spreading.RouteTarget = (function() {
+
+            /**
+             * Properties of a RouteTarget.
+             * @typedef {Object} sailquay.spreading.RouteTarget.$Properties
+             * @property {string|null} [service] RouteTarget service
+             * @property {number|null} [weight] RouteTarget weight
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a RouteTarget.
+             * @memberof sailquay.spreading
+             * @interface IRouteTarget
+             * @augments sailquay.spreading.RouteTarget.$Properties
+             * @deprecated Use sailquay.spreading.RouteTarget.$Properties instead.
+             */
+
+            /**
+             * Shape of a RouteTarget.
+             * @typedef {sailquay.spreading.RouteTarget.$Properties} sailquay.spreading.RouteTarget.$Shape
+             */
+
+            /**
+             * Constructs a new RouteTarget.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a RouteTarget.
+             * @constructor
+             * @param {sailquay.spreading.RouteTarget.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const RouteTarget = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * RouteTarget service.
+             * @member {string} service
+             * @memberof sailquay.spreading.RouteTarget
+             * @instance
+             */
+            RouteTarget.prototype.service = "";
+
+            /**
+             * RouteTarget weight.
+             * @member {number} weight
+             * @memberof sailquay.spreading.RouteTarget
+             * @instance
+             */
+            RouteTarget.prototype.weight = 0;
+
+            /**
+             * Encodes the specified RouteTarget message. Does not implicitly {@link sailquay.spreading.RouteTarget.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.RouteTarget
+             * @static
+             * @param {sailquay.spreading.RouteTarget.$Properties} message RouteTarget message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            RouteTarget.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.service != null && $Object.hasOwnProperty.call(message, "service") && message.service !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.service);
+                if (message.weight != null && $Object.hasOwnProperty.call(message, "weight") && !$Object.is(message.weight, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.weight);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a RouteTarget message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.RouteTarget
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.RouteTarget & sailquay.spreading.RouteTarget.$Shape} RouteTarget
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            RouteTarget.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.RouteTarget();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.service = value;
+                            else
+                                delete message.service;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.weight = value;
+                            else
+                                delete message.weight;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for RouteTarget
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.RouteTarget
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            RouteTarget.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.RouteTarget";
+            };
+
+            return RouteTarget;
+        })();
+
+        spreading.Route = (function() {
+
+            /**
+             * Properties of a Route.
+             * @typedef {Object} sailquay.spreading.Route.$Properties
+             * @property {string|null} [name] Route name
+             * @property {number|null} [address] Route address
+             * @property {number|null} [port] Route port
+             * @property {Array.<sailquay.spreading.RouteTarget.$Properties>|null} [targets] Route targets
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Route.
+             * @memberof sailquay.spreading
+             * @interface IRoute
+             * @augments sailquay.spreading.Route.$Properties
+             * @deprecated Use sailquay.spreading.Route.$Properties instead.
+             */
+
+            /**
+             * Shape of a Route.
+             * @typedef {sailquay.spreading.Route.$Properties} sailquay.spreading.Route.$Shape
+             */
+
+            /**
+             * Constructs a new Route.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Route.
+             * @constructor
+             * @param {sailquay.spreading.Route.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Route = function (properties) {
+                this.targets = [];
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Route name.
+             * @member {string} name
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.name = "";
+
+            /**
+             * Route address.
+             * @member {number} address
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.address = 0;
+
+            /**
+             * Route port.
+             * @member {number} port
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.port = 0;
+
+            /**
+             * Route targets.
+             * @member {Array.<sailquay.spreading.RouteTarget.$Properties>} targets
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.targets = $util.emptyArray;
+
+            /**
+             * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Route
+             * @static
+             * @param {sailquay.spreading.Route.$Properties} message Route message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Route.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.name != null && $Object.hasOwnProperty.call(message, "name") && message.name !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.name);
+                if (message.address != null && $Object.hasOwnProperty.call(message, "address") && message.address !== 0)
+                    writer.uint32(/* id 2, wireType 5 =*/21).fixed32(message.address);
+                if (message.port != null && $Object.hasOwnProperty.call(message, "port") && message.port !== 0)
+                    writer.uint32(/* id 3, wireType 0 =*/24).uint32(message.port);
+                if (message.targets != null && message.targets.length)
+                    for (let i = 0; i < message.targets.length; ++i)
+                        $root.sailquay.spreading.RouteTarget.encode(message.targets[i], writer.uint32(/* id 4, wireType 2 =*/34).fork(), _depth + 1).ldelim();
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Route message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Route
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Route & sailquay.spreading.Route.$Shape} Route
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Route.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Route();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.name = value;
+                            else
+                                delete message.name;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.address = value;
+                            else
+                                delete message.address;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.port = value;
+                            else
+                                delete message.port;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.targets && message.targets.length))
+                                message.targets = [];
+                            message.targets.push($root.sailquay.spreading.RouteTarget.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Route
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Route
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Route.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Route";
+            };
+
+            return Route;
+        })();
+
+        spreading.Service = (function() {
+
+            /**
+             * Properties of a Service.
+             * @typedef {Object} sailquay.spreading.Service.$Properties
+             * @property {string|null} [name] Service name
+             * @property {number|null} [maxConnections] Service maxConnections
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Service.
+             * @memberof sailquay.spreading
+             * @interface IService
+             * @augments sailquay.spreading.Service.$Properties
+             * @deprecated Use sailquay.spreading.Service.$Properties instead.
+             */
+
+            /**
+             * Shape of a Service.
+             * @typedef {sailquay.spreading.Service.$Properties} sailquay.spreading.Service.$Shape
+             */
+
+            /**
+             * Constructs a new Service.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Service.
+             * @constructor
+             * @param {sailquay.spreading.Service.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Service = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Service name.
+             * @member {string} name
+             * @memberof sailquay.spreading.Service
+             * @instance
+             */
+            Service.prototype.name = "";
+
+            /**
+             * Service maxConnections.
+             * @member {number} maxConnections
+             * @memberof sailquay.spreading.Service
+             * @instance
+             */
+            Service.prototype.maxConnections = 0;
+
+            /**
+             * Encodes the specified Service message. Does not implicitly {@link sailquay.spreading.Service.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Service
+             * @static
+             * @param {sailquay.spreading.Service.$Properties} message Service message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Service.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.name != null && $Object.hasOwnProperty.call(message, "name") && message.name !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.name);
+                if (message.maxConnections != null && $Object.hasOwnProperty.call(message, "maxConnections") && !$Object.is(message.maxConnections, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.maxConnections);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Service message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Service
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Service & sailquay.spreading.Service.$Shape} Service
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Service.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Service();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.name = value;
+                            else
+                                delete message.name;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.maxConnections = value;
+                            else
+                                delete message.maxConnections;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Service
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Service
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Service.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Service";
+            };
+
+            return Service;
+        })();
+
+        spreading.RouteTable = (function() {
+
+            /**
+             * Properties of a RouteTable.
+             * @typedef {Object} sailquay.spreading.RouteTable.$Properties
+             * @property {number|null} [version] RouteTable version
+             * @property {number|null} [revision] RouteTable revision
+             * @property {number|null} [idleTimeoutMs] RouteTable idleTimeoutMs
+             * @property {Array.<sailquay.spreading.Route.$Properties>|null} [routes] RouteTable routes
+             * @property {Array.<sailquay.spreading.Service.$Properties>|null} [services] RouteTable services
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a RouteTable.
+             * @memberof sailquay.spreading
+             * @interface IRouteTable
+             * @augments sailquay.spreading.RouteTable.$Properties
+             * @deprecated Use sailquay.spreading.RouteTable.$Properties instead.
+             */
+
+            /**
+             * Shape of a RouteTable.
+             * @typedef {sailquay.spreading.RouteTable.$Properties} sailquay.spreading.RouteTable.$Shape
+             */
+
+            /**
+             * Constructs a new RouteTable.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a RouteTable.
+             * @constructor
+             * @param {sailquay.spreading.RouteTable.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const RouteTable = function (properties) {
+                this.routes = [];
+                this.services = [];
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * RouteTable version.
+             * @member {number} version
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.version = 0;
+
+            /**
+             * RouteTable revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.revision = 0;
+
+            /**
+             * RouteTable idleTimeoutMs.
+             * @member {number} idleTimeoutMs
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.idleTimeoutMs = 0;
+
+            /**
+             * RouteTable routes.
+             * @member {Array.<sailquay.spreading.Route.$Properties>} routes
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.routes = $util.emptyArray;
+
+            /**
+             * RouteTable services.
+             * @member {Array.<sailquay.spreading.Service.$Properties>} services
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.services = $util.emptyArray;
+
+            /**
+             * Encodes the specified RouteTable message. Does not implicitly {@link sailquay.spreading.RouteTable.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.RouteTable
+             * @static
+             * @param {sailquay.spreading.RouteTable.$Properties} message RouteTable message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            RouteTable.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.version != null && $Object.hasOwnProperty.call(message, "version") && !$Object.is(message.version, 0))
+                    writer.uint32(/* id 1, wireType 1 =*/9).double(message.version);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.revision);
+                if (message.idleTimeoutMs != null && $Object.hasOwnProperty.call(message, "idleTimeoutMs") && !$Object.is(message.idleTimeoutMs, 0))
+                    writer.uint32(/* id 3, wireType 1 =*/25).double(message.idleTimeoutMs);
+                if (message.routes != null && message.routes.length)
+                    for (let i = 0; i < message.routes.length; ++i)
+                        $root.sailquay.spreading.Route.encode(message.routes[i], writer.uint32(/* id 4, wireType 2 =*/34).fork(), _depth + 1).ldelim();
+                if (message.services != null && message.services.length)
+                    for (let i = 0; i < message.services.length; ++i)
+                        $root.sailquay.spreading.Service.encode(message.services[i], writer.uint32(/* id 5, wireType 2 =*/42).fork(), _depth + 1).ldelim();
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a RouteTable message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.RouteTable
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.RouteTable & sailquay.spreading.RouteTable.$Shape} RouteTable
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            RouteTable.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.RouteTable();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.version = value;
+                            else
+                                delete message.version;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.idleTimeoutMs = value;
+                            else
+                                delete message.idleTimeoutMs;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.routes && message.routes.length))
+                                message.routes = [];
+                            message.routes.push($root.sailquay.spreading.Route.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.services && message.services.length))
+                                message.services = [];
+                            message.services.push($root.sailquay.spreading.Service.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for RouteTable
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.RouteTable
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            RouteTable.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.RouteTable";
+            };
+
+            return RouteTable;
+        })();
+
+        spreading.Backend = (function() {
+
+            /**
+             * Properties of a Backend.
+             * @typedef {Object} sailquay.spreading.Backend.$Properties
+             * @property {string|null} [id] Backend id
+             * @property {string|null} [service] Backend service
+             * @property {number|null} [address] Backend address
+             * @property {number|null} [port] Backend port
+             * @property {string|null} [zone] Backend zone
+             * @property {number|null} [capacity] Backend capacity
+             * @property {boolean|null} [draining] Backend draining
+             * @property {number|null} [coldMs] Backend coldMs
+             * @property {number|null} [createdRevision] Backend createdRevision
+             * @property {number|null} [revision] Backend revision
+             * @property {boolean|null} [departed] Backend departed
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Backend.
+             * @memberof sailquay.spreading
+             * @interface IBackend
+             * @augments sailquay.spreading.Backend.$Properties
+             * @deprecated Use sailquay.spreading.Backend.$Properties instead.
+             */
+
+            /**
+             * Shape of a Backend.
+             * @typedef {sailquay.spreading.Backend.$Properties} sailquay.spreading.Backend.$Shape
+             */
+
+            /**
+             * Constructs a new Backend.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Backend.
+             * @constructor
+             * @param {sailquay.spreading.Backend.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Backend = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Backend id.
+             * @member {string} id
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.id = "";
+
+            /**
+             * Backend service.
+             * @member {string} service
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.service = "";
+
+            /**
+             * Backend address.
+             * @member {number} address
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.address = 0;
+
+            /**
+             * Backend port.
+             * @member {number} port
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.port = 0;
+
+            /**
+             * Backend zone.
+             * @member {string} zone
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.zone = "";
+
+            /**
+             * Backend capacity.
+             * @member {number} capacity
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.capacity = 0;
+
+            /**
+             * Backend draining.
+             * @member {boolean} draining
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.draining = false;
+
+            /**
+             * Backend coldMs.
+             * @member {number} coldMs
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.coldMs = 0;
+
+            /**
+             * Backend createdRevision.
+             * @member {number} createdRevision
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.createdRevision = 0;
+
+            /**
+             * Backend revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.revision = 0;
+
+            /**
+             * Backend departed.
+             * @member {boolean} departed
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.departed = false;
+
+            /**
+             * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Backend
+             * @static
+             * @param {sailquay.spreading.Backend.$Properties} message Backend message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Backend.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.id != null && $Object.hasOwnProperty.call(message, "id") && message.id !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.id);
+                if (message.service != null && $Object.hasOwnProperty.call(message, "service") && message.service !== "")
+                    writer.uint32(/* id 2, wireType 2 =*/18).string(message.service);
+                if (message.address != null && $Object.hasOwnProperty.call(message, "address") && message.address !== 0)
+                    writer.uint32(/* id 3, wireType 5 =*/29).fixed32(message.address);
+                if (message.port != null && $Object.hasOwnProperty.call(message, "port") && message.port !== 0)
+                    writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.port);
+                if (message.zone != null && $Object.hasOwnProperty.call(message, "zone") && message.zone !== "")
+                    writer.uint32(/* id 5, wireType 2 =*/42).string(message.zone);
+                if (message.capacity != null && $Object.hasOwnProperty.call(message, "capacity") && message.capacity !== 0)
+                    writer.uint32(/* id 6, wireType 0 =*/48).uint32(message.capacity);
+                if (message.draining != null && $Object.hasOwnProperty.call(message, "draining") && message.draining !== false)
+                    writer.uint32(/* id 7, wireType 0 =*/56).bool(message.draining);
+                if (message.coldMs != null && $Object.hasOwnProperty.call(message, "coldMs") && message.coldMs !== 0)
+                    writer.uint32(/* id 8, wireType 0 =*/64).uint32(message.coldMs);
+                if (message.createdRevision != null && $Object.hasOwnProperty.call(message, "createdRevision") && !$Object.is(message.createdRevision, 0))
+                    writer.uint32(/* id 9, wireType 1 =*/73).double(message.createdRevision);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 10, wireType 1 =*/81).double(message.revision);
+                if (message.departed != null && $Object.hasOwnProperty.call(message, "departed") && message.departed !== false)
+                    writer.uint32(/* id 11, wireType 0 =*/88).bool(message.departed);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Backend message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Backend
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Backend & sailquay.spreading.Backend.$Shape} Backend
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Backend.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Backend();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.id = value;
+                            else
+                                delete message.id;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.service = value;
+                            else
+                                delete message.service;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.address = value;
+                            else
+                                delete message.address;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.port = value;
+                            else
+                                delete message.port;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.zone = value;
+                            else
+                                delete message.zone;
+                            continue;
+                        }
+                    case 6: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.capacity = value;
+                            else
+                                delete message.capacity;
+                            continue;
+                        }
+                    case 7: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.draining = value;
+                            else
+                                delete message.draining;
+                            continue;
+                        }
+                    case 8: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.coldMs = value;
+                            else
+                                delete message.coldMs;
+                            continue;
+                        }
+                    case 9: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.createdRevision = value;
+                            else
+                                delete message.createdRevision;
+                            continue;
+                        }
+                    case 10: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    case 11: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.departed = value;
+                            else
+                                delete message.departed;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Backend
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Backend
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Backend.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Backend";
+            };
+
+            return Backend;
+        })();
+
+        spreading.Removal = (function() {
+
+            /**
+             * Properties of a Removal.
+             * @typedef {Object} sailquay.spreading.Removal.$Properties
+             * @property {string|null} [id] Removal id
+             * @property {number|null} [revision] Removal revision
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Removal.
+             * @memberof sailquay.spreading
+             * @interface IRemoval
+             * @augments sailquay.spreading.Removal.$Properties
+             * @deprecated Use sailquay.spreading.Removal.$Properties instead.
+             */
+
+            /**
+             * Shape of a Removal.
+             * @typedef {sailquay.spreading.Removal.$Properties} sailquay.spreading.Removal.$Shape
+             */
+
+            /**
+             * Constructs a new Removal.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Removal.
+             * @constructor
+             * @param {sailquay.spreading.Removal.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Removal = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Removal id.
+             * @member {string} id
+             * @memberof sailquay.spreading.Removal
+             * @instance
+             */
+            Removal.prototype.id = "";
+
+            /**
+             * Removal revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.Removal
+             * @instance
+             */
+            Removal.prototype.revision = 0;
+
+            /**
+             * Encodes the specified Removal message. Does not implicitly {@link sailquay.spreading.Removal.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Removal
+             * @static
+             * @param {sailquay.spreading.Removal.$Properties} message Removal message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Removal.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.id != null && $Object.hasOwnProperty.call(message, "id") && message.id !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.id);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.revision);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Removal message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Removal
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Removal & sailquay.spreading.Removal.$Shape} Removal
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Removal.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Removal();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.id = value;
+                            else
+                                delete message.id;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Removal
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Removal
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Removal.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Removal";
+            };
+
+            return Removal;
+        })();
+
+        spreading.Update = (function() {
+
+            /**
+             * Properties of an Update.
+             * @typedef {Object} sailquay.spreading.Update.$Properties
+             * @property {sailquay.spreading.Topic|null} [topic] Update topic
+             * @property {boolean|null} [complete] Update complete
+             * @property {number|null} [since] Update since
+             * @property {number|null} [revision] Update revision
+             * @property {sailquay.spreading.RouteTable.$Properties|null} [routes] Update routes
+             * @property {Array.<sailquay.spreading.Backend.$Properties>|null} [backends] Update backends
+             * @property {Array.<sailquay.spreading.Removal.$Properties>|null} [removals] Update removals
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of an Update.
+             * @memberof sailquay.spreading
+             * @interface IUpdate
+             * @augments sailquay.spreading.Update.$Properties
+             * @deprecated Use sailquay.spreading.Update.$Properties instead.
+             */
+
+            /**
+             * Shape of an Update.
+             * @typedef {sailquay.spreading.Update.$Properties} sailquay.spreading.Update.$Shape
+             */
+
+            /**
+             * Constructs a new Update.
+             * @memberof sailquay.spreading
+             * @classdesc Represents an Update.
+             * @constructor
+             * @param {sailquay.spreading.Update.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Update = function (properties) {
+                this.backends = [];
+                this.removals = [];
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Update topic.
+             * @member {sailquay.spreading.Topic} topic
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.topic = 0;
+
+            /**
+             * Update complete.
+             * @member {boolean} complete
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.complete = false;
+
+            /**
+             * Update since.
+             * @member {number} since
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.since = 0;
+
+            /**
+             * Update revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.revision = 0;
+
+            /**
+             * Update routes.
+             * @member {sailquay.spreading.RouteTable.$Properties|null|undefined} routes
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.routes = null;
+
+            /**
+             * Update backends.
+             * @member {Array.<sailquay.spreading.Backend.$Properties>} backends
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.backends = $util.emptyArray;
+
+            /**
+             * Update removals.
+             * @member {Array.<sailquay.spreading.Removal.$Properties>} removals
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.removals = $util.emptyArray;
+
+            /**
+             * Encodes the specified Update message. Does not implicitly {@link sailquay.spreading.Update.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Update
+             * @static
+             * @param {sailquay.spreading.Update.$Properties} message Update message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Update.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.topic != null && $Object.hasOwnProperty.call(message, "topic") && message.topic !== 0)
+                    writer.uint32(/* id 1, wireType 0 =*/8).int32(message.topic);
+                if (message.complete != null && $Object.hasOwnProperty.call(message, "complete") && message.complete !== false)
+                    writer.uint32(/* id 2, wireType 0 =*/16).bool(message.complete);
+                if (message.since != null && $Object.hasOwnProperty.call(message, "since") && !$Object.is(message.since, 0))
+                    writer.uint32(/* id 3, wireType 1 =*/25).double(message.since);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 4, wireType 1 =*/33).double(message.revision);
+                if (message.routes != null && $Object.hasOwnProperty.call(message, "routes"))
+                    $root.sailquay.spreading.RouteTable.encode(message.routes, writer.uint32(/* id 5, wireType 2 =*/42).fork(), _depth + 1).ldelim();
+                if (message.backends != null && message.backends.length)
+                    for (let i = 0; i < message.backends.length; ++i)
+                        $root.sailquay.spreading.Backend.encode(message.backends[i], writer.uint32(/* id 6, wireType 2 =*/50).fork(), _depth + 1).ldelim();
+                if (message.removals != null && message.removals.length)
+                    for (let i = 0; i < message.removals.length; ++i)
+                        $root.sailquay.spreading.Removal.encode(message.removals[i], writer.uint32(/* id 7, wireType 2 =*/58).fork(), _depth + 1).ldelim();
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes an Update message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Update
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Update & sailquay.spreading.Update.$Shape} Update
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Update.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Update();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.int32())
+                                message.topic = value;
+                            else
+                                delete message.topic;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.complete = value;
+                            else
+                                delete message.complete;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.since = value;
+                            else
+                                delete message.since;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            message.routes = $root.sailquay.spreading.RouteTable.decode(reader, reader.size(), $undefined, _depth + 1, message.routes);
+                            continue;
+                        }
+                    case 6: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.backends && message.backends.length))
+                                message.backends = [];
+                            message.backends.push($root.sailquay.spreading.Backend.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 7: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.removals && message.removals.length))
+                                message.removals = [];
+                            message.removals.push($root.sailquay.spreading.Removal.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Update
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Update
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Update.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Update";
+            };
+
+            return Update;
+        })();
+
+        spreading.PeerMessage = (function() {
+
+            /**
+             * Properties of a PeerMessage.
+             * @typedef {Object} sailquay.spreading.PeerMessage.$Properties
+             * @property {sailquay.spreading.MessageType|null} [type] PeerMessage type
+             * @property {string|null} [senderId] PeerMessage senderId
+             * @property {string|null} [senderZone] PeerMessage senderZone
+             * @property {boolean|null} [leaving] PeerMessage leaving
+             * @property {Array.<sailquay.spreading.Proof.$Properties>|null} [proofs] PeerMessage proofs
+             * @property {Array.<sailquay.spreading.Reader.$Properties>|null} [readers] PeerMessage readers
+             * @property {Array.<sailquay.spreading.Peer.$Properties>|null} [peers] PeerMessage peers
+             * @property {Array.<sailquay.spreading.Update.$Properties>|null} [updates] PeerMessage updates
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a PeerMessage.
+             * @memberof sailquay.spreading
+             * @interface IPeerMessage
+             * @augments sailquay.spreading.PeerMessage.$Properties
+             * @deprecated Use sailquay.spreading.PeerMessage.$Properties instead.
+             */
+
+            /**
+             * Shape of a PeerMessage.
+             * @typedef {sailquay.spreading.PeerMessage.$Properties} sailquay.spreading.PeerMessage.$Shape
+             */
+
+            /**
+             * Constructs a new PeerMessage.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a PeerMessage.
+             * @constructor
+             * @param {sailquay.spreading.PeerMessage.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const PeerMessage = function (properties) {
+                this.proofs = [];
+                this.readers = [];
+                this.peers = [];
+                this.updates = [];
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * PeerMessage type.
+             * @member {sailquay.spreading.MessageType} type
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.type = 0;
+
+            /**
+             * PeerMessage senderId.
+             * @member {string} senderId
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.senderId = "";
+
+            /**
+             * PeerMessage senderZone.
+             * @member {string} senderZone
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.senderZone = "";
+
+            /**
+             * PeerMessage leaving.
+             * @member {boolean} leaving
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.leaving = false;
+
+            /**
+             * PeerMessage proofs.
+             * @member {Array.<sailquay.spreading.Proof.$Properties>} proofs
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.proofs = $util.emptyArray;
+
+            /**
+             * PeerMessage readers.
+             * @member {Array.<sailquay.spreading.Reader.$Properties>} readers
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.readers = $util.emptyArray;
+
+            /**
+             * PeerMessage peers.
+             * @member {Array.<sailquay.spreading.Peer.$Properties>} peers
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.peers = $util.emptyArray;
+
+            /**
+             * PeerMessage updates.
+             * @member {Array.<sailquay.spreading.Update.$Properties>} updates
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.updates = $util.emptyArray;
+
+            /**
+             * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.PeerMessage
+             * @static
+             * @param {sailquay.spreading.PeerMessage.$Properties} message PeerMessage message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            PeerMessage.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.type != null && $Object.hasOwnProperty.call(message, "type") && message.type !== 0)
+                    writer.uint32(/* id 1, wireType 0 =*/8).int32(message.type);
+                if (message.senderId != null && $Object.hasOwnProperty.call(message, "senderId") && message.senderId !== "")
+                    writer.uint32(/* id 2, wireType 2 =*/18).string(message.senderId);
+                if (message.senderZone != null && $Object.hasOwnProperty.call(message, "senderZone") && message.senderZone !== "")
+                    writer.uint32(/* id 3, wireType 2 =*/26).string(message.senderZone);
+                if (message.leaving != null && $Object.hasOwnProperty.call(message, "leaving") && message.leaving !== false)
+                    writer.uint32(/* id 4, wireType 0 =*/32).bool(message.leaving);
+                if (message.proofs != null && message.proofs.length)
+                    for (let i = 0; i < message.proofs.length; ++i)
+                        $root.sailquay.spreading.Proof.encode(message.proofs[i], writer.uint32(/* id 5, wireType 2 =*/42).fork(), _depth + 1).ldelim();
+                if (message.readers != null && message.readers.length)
+                    for (let i = 0; i < message.readers.length; ++i)
+                        $root.sailquay.spreading.Reader.encode(message.readers[i], writer.uint32(/* id 6, wireType 2 =*/50).fork(), _depth + 1).ldelim();
+                if (message.peers != null && message.peers.length)
+                    for (let i = 0; i < message.peers.length; ++i)
+                        $root.sailquay.spreading.Peer.encode(message.peers[i], writer.uint32(/* id 7, wireType 2 =*/58).fork(), _depth + 1).ldelim();
+                if (message.updates != null && message.updates.length)
+                    for (let i = 0; i < message.updates.length; ++i)
+                        $root.sailquay.spreading.Update.encode(message.updates[i], writer.uint32(/* id 8, wireType 2 =*/66).fork(), _depth + 1).ldelim();
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a PeerMessage message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.PeerMessage
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.PeerMessage & sailquay.spreading.PeerMessage.$Shape} PeerMessage
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            PeerMessage.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.PeerMessage();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.int32())
+                                message.type = value;
+                            else
+                                delete message.type;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.senderId = value;
+                            else
+                                delete message.senderId;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.senderZone = value;
+                            else
+                                delete message.senderZone;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.leaving = value;
+                            else
+                                delete message.leaving;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.proofs && message.proofs.length))
+                                message.proofs = [];
+                            message.proofs.push($root.sailquay.spreading.Proof.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 6: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.readers && message.readers.length))
+                                message.readers = [];
+                            message.readers.push($root.sailquay.spreading.Reader.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 7: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.peers && message.peers.length))
+                                message.peers = [];
+                            message.peers.push($root.sailquay.spreading.Peer.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 8: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.updates && message.updates.length))
+                                message.updates = [];
+                            message.updates.push($root.sailquay.spreading.Update.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for PeerMessage
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.PeerMessage
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            PeerMessage.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.PeerMessage";
+            };
+
+            return PeerMessage;
+        })();
+
+        return spreading;
+    })();
+
+    return sailquay;
+})();
+
+export {
+  $root as default
+};
--- /dev/null
+++ b/src/spreading/peer-view.ts
@@ -0,0 +1,85 @@
+/** The peers that this daemon knows: some of them all in a large fleet, all of them in a small one. */
+import type { RandomSource } from '../common/random.js';
+import { formatEndpoint, type Endpoint } from '../common/types.js';
+import type { EventLog } from '../observability/event.js';
+import { MAX_PEERS, PEER_FORGET_MS } from './constants.js';
+import { SPREADING_EVENTS } from './events.js';
+import type { Peer } from './types.js';
+
+/** What a view needs. */
+export interface PeerViewOptions {
+  readonly self: Endpoint;
+  readonly zone: string;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+}
+
+/** See the module. */
+export class PeerView {
+  private readonly peers = new Map<string, Peer>();
+  private readonly selfText: string;
+
+  constructor(private readonly options: PeerViewOptions) {
+    this.selfText = formatEndpoint(options.self);
+  }
+
+  get size(): number {
+    return this.peers.size;
+  }
+
+  /** Notes that a peer was heard of at `heardAtMs`, directly or by another. */
+  note(endpoint: Endpoint, zone: string, heardAtMs: number): void {
+    const key = formatEndpoint(endpoint);
+    if (key === this.selfText) return;
+    const known = this.peers.get(key);
+    if (known?.zone === zone) {
+      known.heardAtMs = Math.max(known.heardAtMs, heardAtMs);
+      return;
+    }
+    if (!known && this.peers.size >= MAX_PEERS) this.makeRoom();
+    this.peers.set(key, { endpoint, zone, heardAtMs });
+    if (!known) this.options.events.emit(SPREADING_EVENTS.peerKnown, { peer: key, zone, peers: this.size });
+  }
+
+  /** Removes a peer that said that it stops. */
+  remove(endpoint: Endpoint): void {
+    this.peers.delete(formatEndpoint(endpoint));
+  }
+
+  /** Forgets peers of which nobody heard for long. */
+  prune(nowMs: number): void {
+    for (const [key, { heardAtMs }] of this.peers) {
+      if (nowMs - heardAtMs < PEER_FORGET_MS) continue;
+      this.peers.delete(key);
+      this.options.events.emit(SPREADING_EVENTS.peerForgotten, { peer: key, peers: this.size });
+    }
+  }
+
+  /** Up to `inZone` random peers of the own zone and `elsewhere` of any other. */
+  choose(inZone: number, elsewhere: number): Peer[] {
+    const near: Peer[] = [];
+    const far: Peer[] = [];
+    for (const peer of this.peers.values()) (peer.zone === this.options.zone ? near : far).push(peer);
+    return [...this.draw(near, inZone), ...this.draw(far, elsewhere)];
+  }
+
+  /** Up to `count` random peers. */
+  sample(count: number): Peer[] {
+    return this.draw([...this.peers.values()], count);
+  }
+
+  /** Moves up to `count` random entries to the front and returns them. */
+  private draw(peers: Peer[], count: number): Peer[] {
+    const taken = Math.min(count, peers.length);
+    for (let index = 0; index < taken; index += 1) {
+      const other = index + Math.floor(this.options.random() * (peers.length - index));
+      [peers[index], peers[other]] = [peers[other] as Peer, peers[index] as Peer];
+    }
+    return peers.slice(0, taken);
+  }
+
+  private makeRoom(): void {
+    const [victim] = this.sample(1);
+    if (victim) this.peers.delete(formatEndpoint(victim.endpoint));
+  }
+}
--- /dev/null
+++ b/src/spreading/spreader.ts
@@ -0,0 +1,312 @@
+/**
+ * Keeps the knowledge of all daemons alike: changes and proofs of the few that read the source travel from peer to peer;
+ * who lags asks, and who has no proof for too long reads the source itself.
+ */
+import type { Clock, TimerHandle } from '../common/clock.js';
+import { jitter, type RandomSource } from '../common/random.js';
+import { formatEndpoint, type Endpoint } from '../common/types.js';
+import type { EventLog } from '../observability/event.js';
+import type { AppliedUpdate, RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
+import {
+  FANOUT_ELSEWHERE,
+  FANOUT_IN_ZONE,
+  FETCH_INTERVAL_MS,
+  GREETING_JITTER,
+  GREETING_MAX_MS,
+  GREETING_MIN_MS,
+  MAX_DATAGRAM_BYTES,
+  PEERS_A_MESSAGE,
+  PROOF_GATHER_MS,
+  PROOF_STEP_MS,
+  PULL_AFTER_MS,
+  PULL_FANOUT,
+  PULL_INTERVAL_MS,
+  TICK_MS,
+} from './constants.js';
+import { SPREADING_EVENTS } from './events.js';
+import { decodePeerMessage, encodePeerMessage } from './message-codec.js';
+import { PeerView } from './peer-view.js';
+import { ReaderRole, type RoleReason } from './reader-role.js';
+import { ROUTING_TOPICS, type PeerMessage, type PeerTransport, type SpreadUpdate } from './types.js';
+import { completeUpdate, UpdateLog } from './update-log.js';
+
+/** What a spreader needs. */
+export interface SpreaderOptions {
+  readonly selfId: string;
+  readonly zone: string;
+  readonly seeds: readonly Endpoint[];
+  readonly transport: PeerTransport;
+  readonly knowledge: RoutingKnowledge;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  /** Starts or stops reading the source. */
+  readonly setReading: (reading: boolean) => void;
+  /** True while what arrives may have waited through a pause of this process, so that its age is unknown. */
+  readonly mayBeOld: () => boolean;
+  /** True while records may vanish because their owners cannot write. */
+  readonly recordsMayLapse: () => boolean;
+}
+
+/** Counters since start. */
+export interface SpreadingStatistics {
+  messagesSent: number;
+  messagesReceived: number;
+  bytesSent: number;
+  bytesReceived: number;
+  pulls: number;
+  fetches: number;
+  malformed: number;
+}
+
+/** See the module. Call `start` once, and `leave` before the transport closes. */
+export class Spreader {
+  readonly statistics: SpreadingStatistics = {
+    ...{ messagesSent: 0, messagesReceived: 0, bytesSent: 0, bytesReceived: 0 },
+    ...{ pulls: 0, fetches: 0, malformed: 0 },
+  };
+  private readonly peers: PeerView;
+  private readonly role: ReaderRole;
+  private readonly log = new UpdateLog();
+  private timer: TimerHandle | undefined;
+  private proofTimer: TimerHandle | undefined;
+  private lastPullMs = Number.NEGATIVE_INFINITY;
+  private lastFetchMs = Number.NEGATIVE_INFINITY;
+  private fetching = false;
+  private nextGreetingMs = 0;
+  private overdue = false;
+  /** Monotonic ms of the last proof that this daemon read itself. */
+  private ownProofMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: SpreaderOptions) {
+    const { selfId, zone, transport, random, events, knowledge } = options;
+    this.peers = new PeerView({ self: transport.endpoint, zone, random, events });
+    this.role = new ReaderRole(selfId, random);
+    knowledge.subscribe((applied) => this.onApplied(applied));
+    transport.serve(
+      (bytes, from) => this.receive(bytes, from),
+      () => this.encodeState(),
+    );
+  }
+
+  /** Peers known now. */
+  get peerCount(): number {
+    return this.peers.size;
+  }
+
+  get isReading(): boolean {
+    return this.role.isReading;
+  }
+
+  /** Greets the seeds, asks one of them for what it knows, and runs until `signal` aborts. */
+  start(signal: AbortSignal): void {
+    this.options.setReading(true);
+    this.reportRole('start');
+    this.greetSeeds(this.options.clock.now());
+    const arm = (): void => {
+      this.timer = this.options.clock.schedule(TICK_MS, () => {
+        this.tick();
+        arm();
+      });
+    };
+    arm();
+    signal.addEventListener('abort', () => {
+      this.timer?.cancel();
+      this.proofTimer?.cancel();
+    });
+  }
+
+  /** Tells some peers that this daemon stops. */
+  leave(): void {
+    this.push({ ...this.message('news', []), leaving: true });
+  }
+
+  /** To be called after each answer of the source: what it proved is passed on. */
+  noteOwnProof(): void {
+    this.ownProofMs = this.options.clock.now();
+    this.pushSoon();
+  }
+
+  private onApplied({ topic, update, since }: AppliedUpdate): void {
+    const entry: SpreadUpdate = { topic, since: update.complete ? -1 : since, update };
+    this.log.note(entry);
+    this.push(this.message('news', update.complete ? [] : [entry]));
+  }
+
+  private tick(): void {
+    const { clock, knowledge } = this.options;
+    const nowMs = clock.now();
+    const ageMs = knowledge.age();
+    this.peers.prune(nowMs);
+    this.reportAge(ageMs);
+    if (ageMs >= PULL_AFTER_MS) this.pull(nowMs);
+    if (nowMs >= this.nextGreetingMs) this.greetSeeds(nowMs);
+    const reason = this.role.decide(nowMs, ageMs, knowledge.isComplete());
+    if (!reason) return;
+    this.options.setReading(this.role.isReading);
+    this.reportRole(reason);
+  }
+
+  /** Seeds may be down or stale at first; later they keep groups from losing each other. */
+  private greetSeeds(nowMs: number): void {
+    const { seeds, random } = this.options;
+    const intervalMs = this.peers.size < seeds.length ? GREETING_MIN_MS : GREETING_MAX_MS;
+    this.nextGreetingMs = nowMs + jitter(intervalMs, GREETING_JITTER, random);
+    for (const seed of seeds) this.send(seed, this.message('pull', []));
+  }
+
+  private receive(bytes: Uint8Array, from: Endpoint): void {
+    const { clock, events } = this.options;
+    const nowMs = clock.now();
+    this.statistics.messagesReceived += 1;
+    this.statistics.bytesReceived += bytes.length;
+    const message = decodePeerMessage(bytes, nowMs);
+    if (!message) {
+      this.statistics.malformed += 1;
+      events.emit(SPREADING_EVENTS.malformedMessage, { from: formatEndpoint(from), bytes: bytes.length });
+      return;
+    }
+    if (message.leaving) this.peers.remove(from);
+    else this.peers.note(from, message.senderZone, nowMs);
+    for (const { endpoint, zone, heardAtMs } of message.peers) this.peers.note(endpoint, zone, heardAtMs);
+    if (message.type === 'pull') return this.answer(message, from);
+    this.take(message, from);
+  }
+
+  /** Applies news; asks the sender for what is missing. */
+  private take(message: PeerMessage, from: Endpoint): void {
+    const { knowledge } = this.options;
+    const mayBeOld = this.options.mayBeOld();
+    const mayHaveLapsed = this.options.recordsMayLapse();
+    const ageBeforeMs = knowledge.age();
+    for (const { topic, since, update } of message.updates) {
+      knowledge.apply(topic, update, { since, provedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
+    }
+    if (mayBeOld) return;
+    message.readers.forEach((reader) => this.role.note(reader));
+    const missing = ROUTING_TOPICS.filter((topic) => {
+      const proof = message.proofs[topic];
+      return proof !== undefined && !knowledge.acceptProof(topic, proof);
+    });
+    if (missing.length > 0) this.fill(missing, message, from);
+    else if (ageBeforeMs - knowledge.age() >= PROOF_STEP_MS) this.pushSoon();
+  }
+
+  /** Small gaps are asked for, and answered from the peer's log; who knows nothing fetches everything. */
+  private fill(missing: readonly RoutingTopic[], message: PeerMessage, from: Endpoint): void {
+    const { knowledge } = this.options;
+    const isNew = missing.some((topic) => knowledge.revisionOf(topic) < 0);
+    const wasAnswer = message.updates.length === 0 && message.type === 'news' && this.overdue;
+    if (isNew || wasAnswer || missing.includes('routes')) void this.fetch(from);
+    else this.askOne(from);
+  }
+
+  private askOne(from: Endpoint): void {
+    this.statistics.pulls += 1;
+    this.send(from, this.message('pull', []));
+  }
+
+  /** Answers with what the asker lacks, as far as it fits into a datagram. */
+  private answer(question: PeerMessage, from: Endpoint): void {
+    const updates = ROUTING_TOPICS.flatMap((topic) => {
+      const known = question.proofs[topic]?.revision ?? -1;
+      if (known >= this.options.knowledge.proofOf(topic).changedRevision) return [];
+      return this.log.since(topic, known) ?? [];
+    });
+    this.send(from, this.message('news', updates));
+  }
+
+  private async fetch(from: Endpoint): Promise<void> {
+    const { clock, transport, events, knowledge } = this.options;
+    if (this.fetching || clock.now() - this.lastFetchMs < FETCH_INTERVAL_MS) return;
+    this.fetching = true;
+    this.lastFetchMs = clock.now();
+    this.statistics.fetches += 1;
+    const answer = await transport.fetch(from);
+    this.fetching = false;
+    const peer = formatEndpoint(from);
+    if (answer.isErr) return events.emit(SPREADING_EVENTS.fetchFailed, { peer, error: answer.error.message });
+    const askedAtMs = this.lastFetchMs;
+    const message = decodePeerMessage(answer.value, askedAtMs);
+    if (!message) return events.emit(SPREADING_EVENTS.malformedMessage, { from: peer });
+    events.emit(SPREADING_EVENTS.fetched, {
+      peer,
+      bytes: answer.value.length,
+      ageMs: round(knowledge.age()),
+    });
+    this.take(message, from);
+  }
+
+  private pull(nowMs: number): void {
+    if (nowMs - this.lastPullMs < PULL_INTERVAL_MS) return;
+    this.lastPullMs = nowMs;
+    const chosen = this.peers.sample(PULL_FANOUT).map(({ endpoint }) => endpoint);
+    for (const endpoint of chosen.length > 0 ? chosen : this.options.seeds) this.askOne(endpoint);
+  }
+
+  /** Sends news to some peers at once. */
+  private push(message: PeerMessage): void {
+    this.proofTimer?.cancel();
+    this.proofTimer = undefined;
+    for (const { endpoint } of this.peers.choose(FANOUT_IN_ZONE, FANOUT_ELSEWHERE))
+      this.send(endpoint, message);
+  }
+
+  /** Sends proofs after a moment, together with those that come meanwhile. */
+  private pushSoon(): void {
+    this.proofTimer ??= this.options.clock.schedule(PROOF_GATHER_MS, () => {
+      this.proofTimer = undefined;
+      this.push(this.message('news', []));
+    });
+  }
+
+  private send(to: Endpoint, message: PeerMessage): void {
+    const nowMs = this.options.clock.now();
+    let bytes = encodePeerMessage(message, nowMs);
+    if (bytes.length > MAX_DATAGRAM_BYTES) bytes = encodePeerMessage({ ...message, updates: [] }, nowMs);
+    this.statistics.messagesSent += 1;
+    this.statistics.bytesSent += bytes.length;
+    this.options.transport.send(to, bytes);
+  }
+
+  private message(type: PeerMessage['type'], updates: readonly SpreadUpdate[]): PeerMessage {
+    const { selfId, zone, knowledge, clock } = this.options;
+    const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
+    for (const topic of ROUTING_TOPICS) {
+      const proof = knowledge.proofOf(topic);
+      if (proof.revision >= 0) proofs[topic] = proof;
+    }
+    const others = this.role.freshReaders(clock.now());
+    const self = this.role.isReading ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
+    return {
+      ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates },
+      readers: [...self, ...others],
+      peers: this.peers.sample(PEERS_A_MESSAGE),
+    };
+  }
+
+  private encodeState(): Uint8Array {
+    const updates = ROUTING_TOPICS.flatMap((topic) => completeUpdate(this.options.knowledge, topic) ?? []);
+    return encodePeerMessage(this.message('state', updates), this.options.clock.now());
+  }
+
+  private reportAge(ageMs: number): void {
+    const overdue = ageMs >= PULL_AFTER_MS;
+    if (overdue === this.overdue) return;
+    this.overdue = overdue;
+    const event = overdue ? SPREADING_EVENTS.overdue : SPREADING_EVENTS.currentAgain;
+    this.options.events.emit(event, { ageMs: round(ageMs), peers: this.peers.size });
+  }
+
+  private reportRole(reason: RoleReason): void {
+    const { clock, knowledge, events } = this.options;
+    const event = this.role.isReading ? SPREADING_EVENTS.reading : SPREADING_EVENTS.standingDown;
+    const otherReaders = this.role.freshReaders(clock.now()).length;
+    events.emit(event, { reason, otherReaders, ageMs: round(knowledge.age()), peers: this.peers.size });
+  }
+}
+
+/** Whole milliseconds; undefined before the first proof. */
+function round(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
--- /dev/null
+++ b/src/spreading/update-log.ts
@@ -0,0 +1,53 @@
+/** Recent changes, so that a daemon that lags a little gets them instead of everything. */
+import type { RoutingKnowledge, RoutingTopic, RoutingUpdate } from '../routing/index.js';
+import { MAX_LOGGED_UPDATES } from './constants.js';
+import type { SpreadUpdate } from './types.js';
+
+/** See the module. */
+export class UpdateLog {
+  private readonly entries: Readonly<Record<RoutingTopic, SpreadUpdate[]>> = { routes: [], backends: [] };
+
+  /** Notes a change that was just applied. A complete update starts the log anew. */
+  note(entry: SpreadUpdate): void {
+    const log = this.entries[entry.topic];
+    if (entry.update.complete) log.length = 0;
+    else log.push(entry);
+    if (log.length > MAX_LOGGED_UPDATES) log.shift();
+  }
+
+  /** The changes after `revision`, or undefined when they are not all here. */
+  since(topic: RoutingTopic, revision: number): SpreadUpdate | undefined {
+    const log = this.entries[topic];
+    const first = log.findLastIndex(({ since }) => since <= revision);
+    const needed = first < 0 ? [] : log.slice(first);
+    const last = needed.at(-1);
+    if (!needed[0] || !last) return undefined;
+    return { topic, since: needed[0].since, update: merge(needed.map(({ update }) => update)) };
+  }
+}
+
+/** Records of back ends are ordered by their revisions, so it does no harm to list older ones as well. */
+function merge(updates: readonly RoutingUpdate[]): RoutingUpdate {
+  return {
+    revision: updates.at(-1)?.revision ?? 0,
+    complete: false,
+    routes: updates.flatMap(({ routes }) => routes).slice(-1),
+    backends: updates.flatMap(({ backends }) => backends),
+    removals: updates.flatMap(({ removals }) => removals),
+  };
+}
+
+/** Everything that is known of a topic, back ends that left included; undefined before it is known. */
+export function completeUpdate(knowledge: RoutingKnowledge, topic: RoutingTopic): SpreadUpdate | undefined {
+  const { revision } = knowledge.proofOf(topic);
+  const table = knowledge.routes()?.table;
+  if (revision < 0 || (topic === 'routes' && !table)) return undefined;
+  const all = topic === 'backends' ? [...knowledge.backends.all()] : [];
+  const update: RoutingUpdate = {
+    ...{ revision, complete: true, removals: [] },
+    routes: topic === 'routes' && table ? [table] : [],
+    backends: all.filter(({ departed }) => !departed).map(({ record }) => record),
+    departed: all.filter(({ departed }) => departed).map(({ record }) => record),
+  };
+  return { topic, since: -1, update };
+}
