--- a/src/flow/cookie/backend-state.ts
+++ b/src/flow/cookie/backend-state.ts
@@ -20,6 +20,8 @@
   private failures = 0;
   private firstFailureMs = 0;
   private lastFailureMs = 0;
+  /** The last failure that led to a judgement; only a later one leads to another. */
+  private judgedFailureMs = Number.NEGATIVE_INFINITY;
   private ejectedUntilMs = 0;
   private ejectForMs = EJECT_MIN_MS;
   private trialMs = Number.NEGATIVE_INFINITY;
@@ -46,29 +48,34 @@
     return true;
   }
 
+  /** Counts a failure that began at `sinceMs`, unless a sign of life came after that. */
+  noteFailure(nowMs: number, sinceMs: number): void {
+    if (this.lastProofMs >= sinceMs) return;
+    if (this.failures === 0) this.firstFailureMs = sinceMs;
+    this.failures += 1;
+    this.lastFailureMs = nowMs;
+  }
+
   /**
-   * Counts a failure that began at `sinceMs`; true when the back end is ejected by it.
+   * Ejects the back end when enough speaks against it; true when it was not ejected before.
    *
    * @param othersProvedMs monotonic ms of the last sign of life of any other back end
    */
-  noteFailure(nowMs: number, sinceMs: number, othersProvedMs: number): boolean {
-    if (this.lastProofMs >= sinceMs) return false;
-    if (this.failures === 0) this.firstFailureMs = sinceMs;
-    this.failures += 1;
-    this.lastFailureMs = nowMs;
+  tryEject(nowMs: number, othersProvedMs: number): boolean {
     if (this.failures < EJECT_AFTER_FAILURES || othersProvedMs <= this.firstFailureMs) return false;
+    if (this.lastFailureMs <= this.judgedFailureMs) return false;
+    this.judgedFailureMs = this.lastFailureMs;
     if (nowMs < this.ejectedUntilMs) return false;
     this.ejectedUntilMs = nowMs + this.ejectForMs;
     this.ejectForMs = Math.min(EJECT_MAX_MS, this.ejectForMs * 2);
+    this.trialMs = Number.NEGATIVE_INFINITY;
     return true;
   }
 
   liveness(nowMs: number): Liveness {
     if (this.failures === 0) return 'alive';
     if (nowMs < this.ejectedUntilMs) return 'ejected';
-    if (this.failures >= EJECT_AFTER_FAILURES && this.ejectedUntilMs > 0) {
-      return nowMs - this.trialMs < this.ejectForMs ? 'ejected' : 'trial';
-    }
+    if (this.ejectedUntilMs > 0) return nowMs - this.trialMs < EJECT_MIN_MS ? 'ejected' : 'trial';
     return nowMs - this.lastFailureMs < SUSPECT_MS ? 'suspect' : 'alive';
   }
 
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -58,6 +58,8 @@
   private newestProof: { state?: BackendState; atMs: number } = { atMs: Number.NEGATIVE_INFINITY };
   private otherProofMs = Number.NEGATIVE_INFINITY;
   private nextExpiryMs = 0;
+  /** Back ends without a sign of life since a failure. */
+  private readonly failing = new Set<BackendState>();
 
   constructor(private readonly options: CookieForwarderOptions) {
     const { knowledge, random, zone, zoneMargin, maxFlows } = options;
@@ -251,15 +253,22 @@
     if (this.newestProof.state !== state) this.otherProofMs = this.newestProof.atMs;
     this.newestProof = { state, atMs: nowMs };
     if (!state.noteProof(nowMs)) return;
+    this.failing.delete(state);
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
   }
 
   private noteFailure(flow: Flow, sinceMs: number, nowMs: number): void {
     if (flow.failureNoted) return;
     flow.failureNoted = true;
-    const { state } = flow;
+    flow.state.noteFailure(nowMs, sinceMs);
+    this.failing.add(flow.state);
+    this.judge(flow.state, nowMs);
+  }
+
+  /** Ejects a back end that gives no sign of life while others do. */
+  private judge(state: BackendState, nowMs: number): void {
     const othersMs = this.newestProof.state === state ? this.otherProofMs : this.newestProof.atMs;
-    if (!state.noteFailure(nowMs, sinceMs, othersMs)) return;
+    if (!state.tryEject(nowMs, othersMs)) return;
     this.statistics.ejections += 1;
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendEjected, {
       ...{ backend: state.backend.id, service: state.backend.record.service },
@@ -278,6 +287,7 @@
       this.pending = [];
     }
     this.checkOpenings(nowMs);
+    for (const state of this.failing) this.judge(state, nowMs);
     if (nowMs >= this.nextExpiryMs) this.expire(nowMs);
   }
 
@@ -304,6 +314,8 @@
 
   private forget(backend: KnownBackend): void {
     this.cookies.remove(backend);
+    const state = this.states.get(backend);
+    if (state) this.failing.delete(state);
     this.states.delete(backend);
   }
 
--- a/src/flow/cookie/cookie-registry.ts
+++ b/src/flow/cookie/cookie-registry.ts
@@ -2,15 +2,15 @@
  * Which cookie names which back end. A cookie is a hash of the back end's id, so that every balancer finds it alone. Where
  * two ids have the same hash, the back end that was recorded later takes a second hash; both are understood.
  */
-import { combine32, hashString } from '../../common/hash.js';
+import { hashString } from '../../common/hash.js';
 import type { KnownBackend } from '../../routing/index.js';
 
-/** Salts of the first and second hash. */
-const SALTS = [0x53514c31, 0x53514c32] as const;
+/** Put before the id for the second hash. Behind it, ids with equal hashes would have equal second hashes as well. */
+const SECOND_PREFIX = '2:';
 
-/** Cookie of a back end with the given salt; never 0, which means "none yet". */
-function hashId(id: string, salt: number): number {
-  return combine32(hashString(id), salt) || 1;
+/** A cookie is never 0, which means "none yet". */
+function cookieFrom(text: string): number {
+  return hashString(text) || 1;
 }
 
 /** See the module. */
@@ -57,7 +57,7 @@
 }
 
 function cookiesOf(id: string): readonly [number, number] {
-  return [hashId(id, SALTS[0]), hashId(id, SALTS[1])];
+  return [cookieFrom(id), cookieFrom(SECOND_PREFIX + id)];
 }
 
 /** The back end that was recorded first keeps the cookie; equal revisions are ordered by id. */
--- /dev/null
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -0,0 +1,123 @@
+/** A cookie forwarder on a virtual clock, with an edge that only notes what is sent. */
+import { VirtualClock } from '../../common/clock.js';
+import { PauseDetector } from '../../common/pause-detector.js';
+import { seededRandom } from '../../common/random.js';
+import type { Endpoint } from '../../common/types.js';
+import type { CookieEdgePort, CookiePacket } from '../../fabric/cookie-edge.js';
+import type { EventDefinition, EventFields } from '../../observability/event.js';
+import { RoutingKnowledge, type RoutedBackend, type RouteTable } from '../../routing/index.js';
+import {
+  backendAt,
+  SERVICE_ADDRESS,
+  SERVICE_PORT,
+  tableAt,
+  updateAt,
+} from '../../routing/routing-test-support.js';
+import { TICK_MS } from './constants.js';
+import { CookieForwarder } from './cookie-forwarder.js';
+
+/** What the edge was asked to send. */
+export interface SentPacket {
+  /** Undefined for a reset. */
+  readonly backend: string | undefined;
+  readonly endpoint?: Endpoint;
+  readonly cookie: number;
+}
+
+/** One balancer under test. */
+export class ForwarderHarness {
+  readonly sent: SentPacket[] = [];
+  readonly logged: { readonly event: EventDefinition; readonly fields: EventFields }[] = [];
+  readonly knowledge: RoutingKnowledge;
+  readonly forwarder: CookieForwarder;
+  private readonly abort = new AbortController();
+
+  constructor(
+    readonly clock = new VirtualClock(),
+    seed = 1,
+  ) {
+    const events = {
+      emit: (event: EventDefinition, fields: EventFields = {}): void => {
+        this.logged.push({ event, fields });
+      },
+    };
+    this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
+    const edge: CookieEdgePort = {
+      sendToBackend: (backend, endpoint, cookie) => this.sent.push({ backend, endpoint, cookie }),
+      sendReset: () => this.sent.push({ backend: undefined, cookie: 0 }),
+    };
+    this.forwarder = new CookieForwarder({
+      ...{ clock, events, knowledge: this.knowledge, edge, zone: 'north', zoneMargin: 0.5 },
+      random: seededRandom(seed),
+      pauses: new PauseDetector(clock.now(), TICK_MS),
+      maxFlowAgeMs: 60_000,
+      maxFlows: () => 1_000,
+    });
+    this.forwarder.start(this.abort.signal);
+  }
+
+  /** Makes a complete list of back ends known, as of the highest revision so far. */
+  know(backends: readonly RoutedBackend[], table: Partial<RouteTable> = {}, revision = 10): this {
+    const origin = { since: -1, provedAtMs: this.clock.now(), mayHaveLapsed: false };
+    const tables = [tableAt(revision, table)];
+    this.knowledge.apply('routes', updateAt(revision, { complete: true, routes: tables }), origin);
+    this.knowledge.apply('backends', updateAt(revision, { complete: true, backends }), origin);
+    return this;
+  }
+
+  /** Removes a back end's record at `revision`. */
+  depart(id: string, revision: number, mayHaveLapsed = false): void {
+    const origin = { since: revision - 1, provedAtMs: this.clock.now(), mayHaveLapsed };
+    this.knowledge.apply('backends', updateAt(revision, { removals: [{ id, revision }] }), origin);
+  }
+
+  /** Delivers a packet; returns what was sent for it, or undefined. */
+  deliver(packet: Partial<CookiePacket>): SentPacket | undefined {
+    const before = this.sent.length;
+    this.forwarder.onPacket({ ...EMPTY_PACKET, ...packet });
+    return this.sent[before];
+  }
+
+  /** Delivers the SYN of a caller's flow; `copy` counts its repetitions. */
+  open(port: number, copy = 0): SentPacket | undefined {
+    return this.deliver({ sourcePort: port, syn: true, acknowledgement: copy });
+  }
+
+  /** Opens a flow and lets the caller go on with it. */
+  establish(port: number): SentPacket {
+    const opened = this.open(port);
+    if (!opened?.backend) throw new Error('the opening was not placed');
+    this.goOn(port, opened.cookie);
+    return opened;
+  }
+
+  /** Delivers a packet of an open flow. */
+  goOn(port: number, cookie: number, packet: Partial<CookiePacket> = {}): SentPacket | undefined {
+    return this.deliver({ sourcePort: port, ack: true, cookie, acknowledgement: 1, ...packet });
+  }
+
+  /** Numbers of the events that were logged. */
+  events(): number[] {
+    return this.logged.map(({ event }) => event.number);
+  }
+
+  stop(): void {
+    this.abort.abort();
+  }
+}
+
+const EMPTY_PACKET: CookiePacket = {
+  ...{ sourceAddress: 0x64400007, sourcePort: 40_001 },
+  ...{ destinationAddress: SERVICE_ADDRESS, destinationPort: SERVICE_PORT },
+  ...{ syn: false, ack: false, fin: false, rst: false },
+  ...{ sequence: 1, acknowledgement: 0, payloadBytes: 0, cookie: 0 },
+};
+
+/** Back ends `a`, `b`, ... of the service `alpha`. */
+export function backends(count: number): RoutedBackend[] {
+  return Array.from({ length: count }, (_unused, index) =>
+    backendAt(String.fromCharCode(97 + index), index + 1, {
+      endpoint: { host: `10.128.0.${index + 1}`, port: 8080 },
+    }),
+  );
+}
--- a/src/routing/backend-registry.ts
+++ b/src/routing/backend-registry.ts
@@ -17,6 +17,8 @@
   departed: boolean;
   /** It departed while its record may only have lapsed, and had not said that it leaves. */
   lapsed: boolean;
+  /** Highest revision of a removal of it; records up to it do not bring it back. */
+  removedRevision: number;
   /** Monotonic ms at which it departed; undefined while it is recorded. */
   departedAtMs: number | undefined;
   /** Monotonic ms until which it is slow from its start. */
@@ -78,7 +80,7 @@
       if (record.revision <= knownRevision) this.remove(record, false);
       return true;
     }
-    if (record.revision <= known.record.revision) return false;
+    if (record.revision <= Math.max(known.record.revision, known.removedRevision)) return false;
     this.change(known, record);
     return true;
   }
@@ -91,7 +93,9 @@
   /** Takes a removal in; false when it is not newer than what is known. `mayHaveLapsed`: see `KnownBackend.lapsed`. */
   remove(removal: BackendRemoval, mayHaveLapsed: boolean): boolean {
     const known = this.byId.get(removal.id);
-    if (!known || known.departed || removal.revision < known.record.revision) return false;
+    if (!known || removal.revision < known.record.revision) return false;
+    known.removedRevision = Math.max(known.removedRevision, removal.revision);
+    if (known.departed) return false;
     known.departed = true;
     known.departedAtMs = this.options.clock.now();
     known.lapsed = mayHaveLapsed && !known.record.draining;
@@ -110,7 +114,7 @@
     let changed = false;
     for (const known of this.byId.values()) {
       if (ids.has(known.id) || known.departed || known.record.revision > revision) continue;
-      changed = this.remove({ id: known.id, revision: known.record.revision }, mayHaveLapsed) || changed;
+      changed = this.remove({ id: known.id, revision }, mayHaveLapsed) || changed;
     }
     return changed;
   }
@@ -126,7 +130,14 @@
 
   private add(record: RoutedBackend): void {
     const backend: KnownBackend = {
-      ...{ id: record.id, record, departed: false, lapsed: false, departedAtMs: undefined },
+      ...{
+        id: record.id,
+        record,
+        departed: false,
+        lapsed: false,
+        removedRevision: -1,
+        departedAtMs: undefined,
+      },
       coldUntilMs: this.options.clock.now() + record.coldMs,
     };
     this.byId.set(record.id, backend);
--- /dev/null
+++ b/src/routing/routing-test-support.ts
@@ -0,0 +1,70 @@
+/** Routes, back ends and a scripted source for tests. */
+import Result from 'true-myth/result';
+import { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
+import type { RoutedBackend, RouteTable, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
+
+/** 198.18.0.1 */
+export const SERVICE_ADDRESS = 0xc6120001;
+export const SERVICE_PORT = 8443;
+
+/** A table with one route to `alpha` at `SERVICE_ADDRESS`. */
+export function tableAt(revision: number, change: Partial<RouteTable> = {}): RouteTable {
+  const targets = [{ service: 'alpha', weight: 1 }];
+  return {
+    ...{ version: revision, revision, idleTimeoutMs: 15_000 },
+    routes: [{ name: 'route-1', address: SERVICE_ADDRESS, port: SERVICE_PORT, targets }],
+    services: [{ name: 'alpha', maxConnections: 2_000 }],
+    ...change,
+  };
+}
+
+/** A back end of `alpha` that was recorded at `revision`. */
+export function backendAt(id: string, revision: number, change: Partial<RoutedBackend> = {}): RoutedBackend {
+  return {
+    ...{ id, service: 'alpha', endpoint: { host: '10.128.0.9', port: 8080 }, zone: 'north', capacity: 2 },
+    ...{ draining: false, coldMs: 0, createdRevision: revision, revision },
+    ...change,
+  };
+}
+
+/** An update without content. */
+export function updateAt(revision: number, change: Partial<RoutingUpdate> = {}): RoutingUpdate {
+  return { revision, complete: false, routes: [], backends: [], removals: [], ...change };
+}
+
+/** A call that a scripted source answers. */
+export interface SourceCall {
+  readonly kind: 'read' | 'watch';
+  readonly topic: RoutingTopic;
+  readonly revision: number;
+  readonly waitMs: number;
+}
+
+/** Answers each call as `answer` says; the promise may stay open. */
+export class ScriptedSource implements RoutingSource {
+  readonly calls: SourceCall[] = [];
+
+  constructor(
+    private readonly answer: (call: SourceCall) => Promise<RoutingUpdate | RoutingSourceErrorKind>,
+  ) {}
+
+  read(topic: RoutingTopic): Promise<Result<RoutingUpdate, RoutingSourceError>> {
+    return this.call({ kind: 'read', topic, revision: -1, waitMs: 0 });
+  }
+
+  watch(
+    topic: RoutingTopic,
+    revision: number,
+    waitMs: number,
+  ): Promise<Result<RoutingUpdate, RoutingSourceError>> {
+    return this.call({ kind: 'watch', topic, revision, waitMs });
+  }
+
+  private async call(call: SourceCall): Promise<Result<RoutingUpdate, RoutingSourceError>> {
+    this.calls.push(call);
+    const answer = await this.answer(call);
+    return typeof answer === 'string'
+      ? Result.err(new RoutingSourceError(answer, 'scripted'))
+      : Result.ok(answer);
+  }
+}
