Let calls and bytes stay flat with the number of daemons, as a simulated cluster shows

Cause, seen by a cluster of daemons on a virtual clock: calls to the source grew with the daemons (3.4, 5.6 and 9 a second at 7, 30 and 60), since a reader counted as missed 2.5 s after its last proof although not each of its proofs travels far; bytes a daemon grew from 448 to 877 a second, since messages listed every reader ever heard of; the one wave of a change missed a few of 60 daemons.

Ruled out: the spreading itself (nine faults with three seeds each and twelve schedules of random faults kept the age bound and no version went back, before and after).

--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -6,9 +6,15 @@
 /** Daemons that read the source at the same time. One would do; the second bridges the loss of the first. */
 export const TARGET_READERS = 2;
 
-/** A reader counts as reading this long after its last proof; a watch proves something every 1.5 s. */
+/** A daemon stands down only for readers that proved something within this time; a watch proves something every 1.5 s. */
 export const READER_FRESH_MS = 2_500;
 
+/**
+ * A reader is missed this long after its last proof. Not each of its proofs travels far, because another reader's may just
+ * have done so; and nothing hangs on it, since daemons without any proof read for themselves much earlier.
+ */
+export const READER_MISSED_MS = 6_000;
+
 /** A daemon that misses a reader volunteers after a random wait of up to this, longer while there is another reader. */
 export const VOLUNTEER_ALONE_MS = 400;
 export const VOLUNTEER_SECOND_MS = 3_000;
@@ -48,6 +54,9 @@
 /** Peers told about in one message. */
 export const PEERS_A_MESSAGE = 4;
 
+/** Readers told about in one message, besides the sender. */
+export const READERS_A_MESSAGE = 3;
+
 /** Peers that are remembered at once; beyond, random ones make room. */
 export const MAX_PEERS = 128;
 
--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -10,6 +10,7 @@
   READ_AFTER_MS,
   READ_SPREAD_MS,
   READER_FRESH_MS,
+  READER_MISSED_MS,
   TARGET_READERS,
   VOLUNTEER_ALONE_MS,
   VOLUNTEER_SECOND_MS,
@@ -46,14 +47,20 @@
     this.sightings.set(id, Math.max(this.sightings.get(id) ?? Number.NEGATIVE_INFINITY, provedAtMs));
   }
 
-  /** Other readers heard of lately. */
-  freshReaders(nowMs: number): ReaderSighting[] {
-    const fresh: ReaderSighting[] = [];
+  /** Other readers that are not missed yet. */
+  otherReaders(nowMs: number): ReaderSighting[] {
+    const others: ReaderSighting[] = [];
     for (const [id, provedAtMs] of this.sightings) {
-      if (nowMs - provedAtMs < READER_FRESH_MS) fresh.push({ id, provedAtMs });
+      if (nowMs - provedAtMs < READER_MISSED_MS) others.push({ id, provedAtMs });
       else this.sightings.delete(id);
     }
-    return fresh;
+    return others;
+  }
+
+  /** Up to `count` other readers that proved something last. */
+  newestReaders(nowMs: number, count: number): ReaderSighting[] {
+    const others = this.otherReaders(nowMs);
+    return others.sort((left, right) => right.provedAtMs - left.provedAtMs).slice(0, count);
   }
 
   /**
@@ -63,13 +70,20 @@
    * @param isComplete whether everything is known
    */
   decide(nowMs: number, ageMs: number, isComplete: boolean): RoleReason | undefined {
-    const others = this.freshReaders(nowMs);
+    const others = this.otherReaders(nowMs);
     const isCurrent = isComplete && ageMs < PULL_AFTER_MS;
-    return this.reading ? this.decideToStop(others, isCurrent) : this.decideToRead(others, nowMs, ageMs);
+    return this.reading
+      ? this.decideToStop(others, nowMs, isCurrent)
+      : this.decideToRead(others, nowMs, ageMs);
   }
 
-  private decideToStop(others: readonly ReaderSighting[], isCurrent: boolean): RoleReason | undefined {
-    const before = others.filter(({ id }) => hashString(id) > this.rank);
+  private decideToStop(
+    others: readonly ReaderSighting[],
+    nowMs: number,
+    isCurrent: boolean,
+  ): RoleReason | undefined {
+    const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < READER_FRESH_MS);
+    const before = fresh.filter(({ id }) => hashString(id) > this.rank);
     if (!isCurrent || before.length < TARGET_READERS) return undefined;
     this.reading = false;
     this.volunteerAtMs = undefined;
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -21,6 +21,7 @@
   PULL_AFTER_MS,
   PULL_FANOUT,
   PULL_INTERVAL_MS,
+  READERS_A_MESSAGE,
   TICK_MS,
 } from './constants.js';
 import { SPREADING_EVENTS } from './events.js';
@@ -127,10 +128,12 @@
     this.pushSoon();
   }
 
+  /** A second round, of proofs only, reaches most of those that the first one missed: they ask for the change. */
   private onApplied({ topic, update, since }: AppliedUpdate): void {
     const entry: SpreadUpdate = { topic, since: update.complete ? -1 : since, update };
     this.log.note(entry);
     this.push(this.message('news', update.complete ? [] : [entry]));
+    this.pushSoon();
   }
 
   private tick(): void {
@@ -276,7 +279,7 @@
       const proof = knowledge.proofOf(topic);
       if (proof.revision >= 0) proofs[topic] = proof;
     }
-    const others = this.role.freshReaders(clock.now());
+    const others = this.role.newestReaders(clock.now(), READERS_A_MESSAGE);
     const self = this.role.isReading ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
     return {
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates },
@@ -301,7 +304,7 @@
   private reportRole(reason: RoleReason): void {
     const { clock, knowledge, events } = this.options;
     const event = this.role.isReading ? SPREADING_EVENTS.reading : SPREADING_EVENTS.standingDown;
-    const otherReaders = this.role.freshReaders(clock.now()).length;
+    const otherReaders = this.role.otherReaders(clock.now()).length;
     events.emit(event, { reason, otherReaders, ageMs: round(knowledge.age()), peers: this.peers.size });
   }
 }
--- /dev/null
+++ b/src/spreading/spreading.test.ts
@@ -0,0 +1,220 @@
+import test from 'ava';
+import { READ_AFTER_MS, READ_SPREAD_MS, TARGET_READERS } from './constants.js';
+import { SpreadingCluster, type SimulatedDaemon, type SourceFault } from './spreading-test-support.js';
+
+/** A change must be in force within 3 s; what is older than this is read anew. */
+const AGE_BOUND_MS = READ_AFTER_MS + READ_SPREAD_MS + 300;
+const SETTLE_MS = 4_000;
+
+async function settled(size: number, seed = 1): Promise<SpreadingCluster> {
+  const cluster = new SpreadingCluster(size, seed);
+  await cluster.clock.advanceAsync(SETTLE_MS, 10);
+  return cluster;
+}
+
+/** Time until every daemon of `daemons` has this version in force. */
+function timeOfVersion(
+  cluster: SpreadingCluster,
+  version: number,
+  daemons: readonly SimulatedDaemon[] = cluster.daemons,
+): Promise<number> {
+  return cluster.timeUntil(() => daemons.every((daemon) => daemon.version === version), 10_000);
+}
+
+/** The two waves of a change miss very few; they learn of it from the next proof. */
+const MOST_WITHIN_MS = 400;
+const ALL_WITHIN_MS = 1_800;
+const MOST = 0.95;
+
+for (const size of [1, 2, 7, 30, 60]) {
+  test(`${size} daemons: a change is everywhere soon, and two of them read the source`, async (t) => {
+    const cluster = await settled(size);
+    t.is(cluster.readers().length, Math.min(size, TARGET_READERS));
+    for (let round = 0; round < 4; round += 1) {
+      const version = cluster.source.changeRoutes();
+      const share = (): number =>
+        cluster.daemons.filter((daemon) => daemon.version === version).length / size;
+      const mostMs = await cluster.timeUntil(() => share() >= MOST, 5_000);
+      t.true(mostMs <= MOST_WITHIN_MS, `most after ${mostMs} ms`);
+      const restMs = await timeOfVersion(cluster, version);
+      t.true(mostMs + restMs <= ALL_WITHIN_MS, `all after ${mostMs + restMs} ms`);
+      const backendRevision = cluster.source.changeBackend('b');
+      const known = (): boolean =>
+        cluster.daemons.every(
+          ({ knowledge }) => knowledge.backends.get('b')?.record.revision === backendRevision,
+        );
+      t.true((await cluster.timeUntil(known, 5_000)) <= ALL_WITHIN_MS);
+    }
+  });
+}
+
+test('calls to the source do not grow with the number of daemons', async (t) => {
+  const rates: number[] = [];
+  for (const size of [7, 30, 60]) {
+    const cluster = await settled(size);
+    const before = cluster.source.calls;
+    await cluster.clock.advanceAsync(10_000, 10);
+    rates.push((cluster.source.calls - before) / 10);
+  }
+  for (const rate of rates) t.true(rate <= 4, `${rates.join(', ')} calls a second`);
+});
+
+test('bytes for each daemon do not grow with the number of daemons', async (t) => {
+  const rates: number[] = [];
+  for (const size of [7, 60]) {
+    const cluster = await settled(size);
+    const before = cluster.network.bytes;
+    await cluster.clock.advanceAsync(10_000, 10);
+    rates.push((cluster.network.bytes - before) / 10 / size);
+  }
+  t.true(rates[1]! <= 1.5 * rates[0]!, rates.join(', '));
+  t.true(rates[1]! <= 4_000, rates.join(', '));
+});
+
+/** What happens to the source or its readers just before a change, and to which daemons the bound then applies. */
+const FAULTS: readonly (readonly [string, (cluster: SpreadingCluster) => void])[] = [
+  ['both readers are killed', (cluster) => cluster.readers().forEach((reader) => cluster.kill(reader))],
+  ['the source refuses the readers', (cluster) => faultReaders(cluster, 'refuse')],
+  ['the source throttles the readers', (cluster) => faultReaders(cluster, 'throttle')],
+  ['the source falls silent for the readers', (cluster) => faultReaders(cluster, 'silent')],
+  ['the source falls silent for all but one', silentForAllButOne],
+  ['the source forgets its history', (cluster) => cluster.source.forgetHistory()],
+  ['a third of the datagrams is lost', (cluster) => (cluster.network.lossRate = 1 / 3)],
+  ['the readers are cut off from other daemons', cutReaders],
+  ['all daemons are cut off from each other', cutAll],
+];
+
+function faultReaders(cluster: SpreadingCluster, fault: SourceFault): void {
+  for (const { id } of cluster.readers()) cluster.source.faults.set(id, fault);
+}
+
+function silentForAllButOne(cluster: SpreadingCluster): void {
+  for (const { id } of cluster.daemons.slice(1)) cluster.source.faults.set(id, 'silent');
+}
+
+function cutReaders(cluster: SpreadingCluster): void {
+  for (const { endpoint } of cluster.readers()) cluster.network.cut.add(`${endpoint.host}:${endpoint.port}`);
+}
+
+function cutAll(cluster: SpreadingCluster): void {
+  for (const { endpoint } of cluster.daemons) cluster.network.cut.add(`${endpoint.host}:${endpoint.port}`);
+}
+
+for (const [name, strike] of FAULTS) {
+  for (const seed of [1, 2, 3]) {
+    test(`a change right after it is in force everywhere within 3 s: ${name}, seed ${seed}`, async (t) => {
+      const cluster = await settled(9, seed);
+      strike(cluster);
+      const tookMs = await timeOfVersion(cluster, cluster.source.changeRoutes());
+      t.true(tookMs <= 2_900, `${tookMs} ms`);
+      await cluster.clock.advanceAsync(5_000, 10);
+      t.true(cluster.maxAge() <= AGE_BOUND_MS, `${cluster.maxAge()} ms old`);
+    });
+  }
+}
+
+test('a removal in a gap of the history reaches everybody', async (t) => {
+  const cluster = await settled(7);
+  cluster.source.faults.set('*', 'silent');
+  cluster.source.removeBackend('a');
+  cluster.source.forgetHistory();
+  cluster.source.faults.clear();
+  const gone = (): boolean => cluster.daemons.every(({ knowledge }) => knowledge.backends.get('a')?.departed);
+  t.true((await cluster.timeUntil(gone, 5_000)) <= 2_900);
+});
+
+test('a newcomer knows everything from its peers while the source is down, departed back ends included', async (t) => {
+  const cluster = await settled(7);
+  cluster.source.changeBackend('b');
+  cluster.source.removeBackend('a');
+  await cluster.clock.advanceAsync(1_000, 10);
+  cluster.source.faults.set('*', 'refuse');
+  const newcomer = cluster.add();
+  const tookMs = await cluster.timeUntil(() => newcomer.knowledge.isComplete(), 3_000);
+  t.true(tookMs <= 200, `${tookMs} ms`);
+  t.true(newcomer.knowledge.backends.get('a')?.departed);
+  t.false(newcomer.knowledge.backends.get('b')?.departed);
+});
+
+test('after an outage of the source everybody is current soon, without a herd of calls', async (t) => {
+  const cluster = await settled(30);
+  cluster.source.faults.set('*', 'refuse');
+  await cluster.clock.advanceAsync(12_000, 10);
+  const before = cluster.source.calls;
+  const version = cluster.source.changeRoutes();
+  cluster.source.faults.clear();
+  const tookMs = await timeOfVersion(cluster, version);
+  t.true(tookMs <= 1_500, `${tookMs} ms`);
+  t.true(cluster.source.calls - before <= 2 * 30 * 3, `${cluster.source.calls - before} calls`);
+  await cluster.clock.advanceAsync(SETTLE_MS, 10);
+  t.is(cluster.readers().length, TARGET_READERS);
+});
+
+test('when all are killed at once, those that start again found the knowledge anew', async (t) => {
+  const cluster = await settled(7);
+  for (const daemon of [...cluster.daemons]) cluster.kill(daemon);
+  for (let index = 0; index < 7; index += 1) cluster.add();
+  const complete = (): boolean => cluster.daemons.every(({ knowledge }) => knowledge.isComplete());
+  t.true((await cluster.timeUntil(complete, 3_000)) <= 100);
+});
+
+test('a daemon without seeds and peers serves from the source alone', async (t) => {
+  const cluster = new SpreadingCluster(0);
+  const daemon = cluster.add();
+  await cluster.clock.advanceAsync(2_000, 10);
+  t.true(daemon.knowledge.isComplete());
+  t.true((await timeOfVersion(cluster, cluster.source.changeRoutes())) <= 100);
+});
+
+/** A model check: random faults, cuts and changes; no version goes back, and nobody who can reach the source is old. */
+for (let seed = 1; seed <= 12; seed += 1) {
+  test(`random faults: no version goes back, and whoever has a path is current, seed ${seed}`, async (t) => {
+    const cluster = await settled(8, seed);
+    const random = randomOf(seed);
+    const highest = new Map<SimulatedDaemon, number>();
+    const reachableSinceMs = new Map<SimulatedDaemon, number>();
+    for (let step = 0; step < 120; step += 1) {
+      disturb(cluster, random);
+      await cluster.clock.advanceAsync(100, 10);
+      for (const daemon of cluster.daemons) {
+        t.true(daemon.version >= (highest.get(daemon) ?? 0), `${daemon.id} went back to ${daemon.version}`);
+        highest.set(daemon, daemon.version);
+        const reachable = !cluster.source.faults.has(daemon.id) && !cluster.source.faults.has('*');
+        if (!reachable) reachableSinceMs.set(daemon, Number.POSITIVE_INFINITY);
+        else if (!Number.isFinite(reachableSinceMs.get(daemon) ?? Infinity)) {
+          reachableSinceMs.set(daemon, cluster.clock.now());
+        }
+        const sinceMs = cluster.clock.now() - (reachableSinceMs.get(daemon) ?? cluster.clock.now());
+        const ageMs = daemon.knowledge.age();
+        if (sinceMs >= 4_000)
+          t.true(ageMs <= AGE_BOUND_MS, `${daemon.id} is ${ageMs} ms old at step ${step}`);
+      }
+    }
+  });
+}
+
+function randomOf(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+function disturb(cluster: SpreadingCluster, random: () => number): void {
+  const { source, network, daemons } = cluster;
+  const daemon = daemons[Math.floor(random() * daemons.length)]!;
+  const address = `${daemon.endpoint.host}:${daemon.endpoint.port}`;
+  const faults: readonly SourceFault[] = ['refuse', 'throttle', 'silent'];
+  const choice = random();
+  if (choice < 0.2) source.changeRoutes();
+  else if (choice < 0.3) source.changeBackend(`b${Math.floor(random() * 5)}`);
+  else if (choice < 0.38) source.removeBackend(`b${Math.floor(random() * 5)}`);
+  else if (choice < 0.48) source.faults.set(daemon.id, faults[Math.floor(random() * 3)]!);
+  else if (choice < 0.6) source.faults.clear();
+  else if (choice < 0.64) network.cut.add(address);
+  else if (choice < 0.72) network.cut.clear();
+  else if (choice < 0.76) source.forgetHistory();
+  else if (choice < 0.79) cluster.kill(daemon);
+  if (daemons.length < 8 && random() < 0.5) cluster.add();
+}
