Test the platform's adapter against stand-ins of its own; the store's client is src/store

Cause: platform/ had no tests; src/platform/ was the client of the product's own store interface and clashed with it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,6 +23,22 @@
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/../platform/**', '!**/standin/platform/**'],
+              message: 'Only platform/ knows the platform.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: {
--- a/src/cli/fleet-options.ts
+++ b/src/cli/fleet-options.ts
@@ -5,7 +5,7 @@
 import { seededRandom } from '../common/random.js';
 import { SailquayError, type Endpoint } from '../common/types.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { createPlatformClient, type ConnectedPlatformClient } from '../platform/index.js';
+import { createStoreClient, type ConnectedStoreClient } from '../store/index.js';
 
 /** Environment variables for when the flags are not given. */
 export const PLATFORM_VARIABLE = 'SAILQUAY_PLATFORM';
@@ -50,7 +50,7 @@
 }
 
 /** A client of the platform that the options or the environment name. Throws `NoFleetError`. */
-export function connectPlatform(options: FleetOptions): ConnectedPlatformClient {
+export function connectPlatform(options: FleetOptions): ConnectedStoreClient {
   const baseUrl = options.platform ?? process.env[PLATFORM_VARIABLE];
   if (baseUrl === undefined) {
     throw new NoFleetError(
@@ -60,7 +60,7 @@
   }
   const clock = new SystemClock();
   const random = seededRandom(clock.wall() % MAX_PORT);
-  return createPlatformClient({ baseUrl, clock, random, events: SILENT_EVENT_LOG, caller: 'sailquay-cli' });
+  return createStoreClient({ baseUrl, clock, random, events: SILENT_EVENT_LOG, caller: 'sailquay-cli' });
 }
 
 function parseAdmin(text: string): Endpoint {
--- a/src/cli/tree-command.ts
+++ b/src/cli/tree-command.ts
@@ -5,8 +5,8 @@
 import { SystemClock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { createPlatformClient } from '../platform/index.js';
-import type { PlatformClient } from '../platform/types.js';
+import { createStoreClient } from '../store/index.js';
+import type { StoreClient } from '../store/types.js';
 import {
   fieldNamed,
   moveNode,
@@ -46,13 +46,13 @@
 /** What the commands use of their surroundings; tests pass their own. */
 export interface TreeCommandEnvironment {
   readonly output: CommandOutput;
-  connect(baseUrl: string): PlatformClient & { close?(): Promise<void> };
+  connect(baseUrl: string): StoreClient & { close?(): Promise<void> };
 }
 
 const PROCESS_ENVIRONMENT: TreeCommandEnvironment = {
   output: PROCESS_OUTPUT,
   connect: (baseUrl) =>
-    createPlatformClient({
+    createStoreClient({
       baseUrl,
       clock: new SystemClock(),
       random: seededRandom(randomInt(MAX_SEED)),
--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -4,7 +4,7 @@
 import type { UdpControlChannel } from '../control/index.js';
 import type { BoundEdgePort } from '../fabric/index.js';
 import type { AdminServer, EventLog } from '../observability/index.js';
-import type { ConnectedPlatformClient } from '../platform/index.js';
+import type { ConnectedStoreClient } from '../store/index.js';
 import type { BalancerIdentity, ControlPlane } from './control-plane.js';
 import type { DataPlane, EdgeGate } from './data-plane.js';
 import type { FaultInjection } from './fault-injection.js';
@@ -31,7 +31,7 @@
 /** The wired parts of a running daemon. */
 export interface Components extends DaemonEnvironment, DaemonSockets {
   readonly identity: BalancerIdentity;
-  readonly platform: ConnectedPlatformClient | undefined;
+  readonly platform: ConnectedStoreClient | undefined;
   readonly controlPlane: ControlPlane;
   readonly dataPlane: DataPlane;
   /** Guards of resident memory and of open flows. */
--- a/src/daemon/control-plane.ts
+++ b/src/daemon/control-plane.ts
@@ -11,7 +11,7 @@
 import { SwimMembership } from '../membership/index.js';
 import type { EventLog } from '../observability/event.js';
 import type { LoadView } from '../placement/types.js';
-import type { PlatformClient } from '../platform/index.js';
+import type { StoreClient } from '../store/index.js';
 
 /** Who this balancer is and where it is reached; all ports are bound already. */
 export interface BalancerIdentity {
@@ -33,7 +33,7 @@
   readonly events: EventLog;
   readonly control: ControlChannel;
   /** Absent: settings and members are learnt from peers only. */
-  readonly platform?: PlatformClient;
+  readonly platform?: StoreClient;
   /** Control addresses of some other members. */
   readonly seeds: readonly Endpoint[];
   /** Flows kept per back end; a hollow daemon keeps none. */
--- a/src/daemon/whole-path.test.ts
+++ b/src/daemon/whole-path.test.ts
@@ -7,7 +7,7 @@
 import { seededRandom } from '../common/random.js';
 import { formatEndpoint } from '../common/types.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { createPlatformClient } from '../platform/index.js';
+import { createStoreClient } from '../store/index.js';
 import { parseTree, setFields, TREE_OBJECT_KEY, TreeEditor } from '../settings/index.js';
 import { startBackendStandin, type BackendStandin } from '../standin/backend/index.js';
 import { startCallerStandin } from '../standin/caller/index.js';
@@ -148,7 +148,7 @@
     giveUpMs: PATIENCE_MS,
     stopTimeoutMs: STOP_PATIENCE_MS,
   });
-  const client = createPlatformClient({
+  const client = createStoreClient({
     baseUrl: platform.url,
     clock: new SystemClock(),
     random: seededRandom(9),
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from '../observability/event.js';
 import { UdpControlChannel } from '../control/index.js';
 import { AdminServer, type AdminSource } from '../observability/index.js';
-import { createPlatformClient, type ConnectedPlatformClient } from '../platform/index.js';
+import { createStoreClient, type ConnectedStoreClient } from '../store/index.js';
 import type { Components, DaemonEnvironment, DaemonSockets } from './components.js';
 import type { DaemonConfig } from './config.js';
 import { createControlPlane, type BalancerIdentity } from './control-plane.js';
@@ -125,9 +125,9 @@
 function connectPlatform(
   { platform, id }: DaemonConfig,
   { clock, random, events }: DaemonEnvironment,
-): ConnectedPlatformClient | undefined {
+): ConnectedStoreClient | undefined {
   if (platform === undefined) return undefined;
-  return createPlatformClient({ baseUrl: platform, clock, random, events, caller: id });
+  return createStoreClient({ baseUrl: platform, clock, random, events, caller: id });
 }
 
 function createMemoryGuard(
--- a/src/dissemination/distributor.ts
+++ b/src/dissemination/distributor.ts
@@ -5,7 +5,7 @@
 import type { ControlChannel } from '../control/types.js';
 import type { MembershipFeed } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
-import type { PlatformClient, StoredObject } from '../platform/index.js';
+import type { StoreClient, StoredObject } from '../store/index.js';
 import { TREE_OBJECT_KEY, type EffectiveSettings } from '../settings/index.js';
 import * as limits from './constants.js';
 import {
@@ -39,7 +39,7 @@
   readonly channel: ControlChannel;
   readonly membership: MembershipFeed;
   /** Absent: this balancer never reads the store itself. */
-  readonly platform?: PlatformClient | undefined;
+  readonly platform?: StoreClient | undefined;
   readonly treeKey?: string;
   readonly codec?: TreeCodec;
 }
@@ -139,7 +139,7 @@
     };
   }
 
-  private createReader(platform: PlatformClient): StoreReader {
+  private createReader(platform: StoreClient): StoreReader {
     const { membership, region, clock, random, events } = this.options;
     return new StoreReader({
       platform,
--- a/src/dissemination/store-reader.ts
+++ b/src/dissemination/store-reader.ts
@@ -6,7 +6,7 @@
 import { jitter, type RandomSource } from '../common/random.js';
 import type { MembershipFeed } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
-import { pause, type Lease, type PlatformClient, type StoredObject } from '../platform/index.js';
+import { pause, type Lease, type StoreClient, type StoredObject } from '../store/index.js';
 import {
   CANDIDATE_PAUSE_MS,
   PAUSE_SPREAD,
@@ -23,7 +23,7 @@
 
 /** What a reader needs. */
 export interface StoreReaderOptions {
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly membership: MembershipFeed;
   readonly region: string;
   readonly treeKey: string;
--- a/src/experiment/operator.ts
+++ b/src/experiment/operator.ts
@@ -4,7 +4,7 @@
 import { seededRandom } from '../common/random.js';
 import { hashString } from '../common/hash.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { createPlatformClient, type ConnectedPlatformClient } from '../platform/index.js';
+import { createStoreClient, type ConnectedStoreClient } from '../store/index.js';
 import type { TreeEdit } from '../settings/index.js';
 import { TreeEditor } from '../settings/index.js';
 import type { EditRecord } from './document.js';
@@ -25,7 +25,7 @@
 }
 
 interface Connection {
-  readonly client: ConnectedPlatformClient;
+  readonly client: ConnectedStoreClient;
   readonly editor: TreeEditor;
 }
 
@@ -73,7 +73,7 @@
     if (existing) return existing;
     const clock = new SystemClock();
     const random = seededRandom(this.seed ^ hashString(operator));
-    const client = createPlatformClient({
+    const client = createStoreClient({
       baseUrl: this.platformUrl,
       clock,
       random,
--- a/src/experiment/scale/gated-platform.ts
+++ b/src/experiment/scale/gated-platform.ts
@@ -1,16 +1,16 @@
 /** A platform client that can be cut off, as a region is that has lost contact with the platform. */
 import Result from 'true-myth/result';
-import { PlatformError, pause, type PlatformClient, type StoredObject } from '../../platform/index.js';
+import { StoreError, pause, type StoreClient, type StoredObject } from '../../store/index.js';
 import type { Clock } from '../../common/clock.js';
 
 const RETRY_MS = 250;
 
-export class GatedPlatform implements PlatformClient {
+export class GatedPlatform implements StoreClient {
   private blocked = false;
   private interrupted = new AbortController();
 
   constructor(
-    private readonly inner: PlatformClient,
+    private readonly inner: StoreClient,
     private readonly clock: Clock,
   ) {}
 
@@ -23,16 +23,16 @@
 
   get<T>(
     key: string,
-  ): ReturnType<PlatformClient['get']> & Promise<Result<StoredObject<T> | undefined, PlatformError>> {
-    return this.pass(() => this.inner.get<T>(key)) as ReturnType<PlatformClient['get']> &
-      Promise<Result<StoredObject<T> | undefined, PlatformError>>;
+  ): ReturnType<StoreClient['get']> & Promise<Result<StoredObject<T> | undefined, StoreError>> {
+    return this.pass(() => this.inner.get<T>(key)) as ReturnType<StoreClient['get']> &
+      Promise<Result<StoredObject<T> | undefined, StoreError>>;
   }
 
   putIfVersion<T>(
     key: string,
     value: T,
     expectedVersion: number,
-  ): Promise<Result<StoredObject<T>, PlatformError>> {
+  ): Promise<Result<StoredObject<T>, StoreError>> {
     return this.pass(() => this.inner.putIfVersion(key, value, expectedVersion));
   }
 
@@ -51,24 +51,24 @@
     }
   }
 
-  acquireLease(name: string, holder: string, durationMs: number): ReturnType<PlatformClient['acquireLease']> {
+  acquireLease(name: string, holder: string, durationMs: number): ReturnType<StoreClient['acquireLease']> {
     return this.pass(() => this.inner.acquireLease(name, holder, durationMs));
   }
 
   releaseLease(
-    ...parameters: Parameters<PlatformClient['releaseLease']>
-  ): ReturnType<PlatformClient['releaseLease']> {
+    ...parameters: Parameters<StoreClient['releaseLease']>
+  ): ReturnType<StoreClient['releaseLease']> {
     return this.pass(() => this.inner.releaseLease(...parameters));
   }
 
-  listMachines(): ReturnType<PlatformClient['listMachines']> {
+  listMachines(): ReturnType<StoreClient['listMachines']> {
     return this.pass(() => this.inner.listMachines());
   }
 
-  private async pass<T>(call: () => Promise<Result<T, PlatformError>>): Promise<Result<T, PlatformError>> {
+  private async pass<T>(call: () => Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> {
     if (!this.blocked) return call();
     return Result.err(
-      new PlatformError(
+      new StoreError(
         'platform.unreachable',
         'The platform is cut off by the experiment',
         'Heal the partition',
--- a/src/experiment/scale/hollow-daemon.ts
+++ b/src/experiment/scale/hollow-daemon.ts
@@ -15,7 +15,7 @@
   DEFAULT_EXCEPTION_BYTES_PER_SECOND,
   ExceptionBudget,
 } from '../../placement/index.js';
-import type { PlatformClient } from '../../platform/index.js';
+import type { StoreClient } from '../../store/index.js';
 import { flowPacket, type FlowPool } from './flow-generator.js';
 import { GatedPlatform } from './gated-platform.js';
 import { NullEdge } from './null-edge.js';
@@ -35,7 +35,7 @@
 /** What a hollow daemon shares with the others of its process. */
 export interface HollowSurroundings {
   readonly keyFile: string;
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly seed: number;
   readonly seeds: readonly Endpoint[];
   readonly pool: FlowPool;
--- a/src/experiment/scale/hollow-host.ts
+++ b/src/experiment/scale/hollow-host.ts
@@ -8,7 +8,7 @@
 import { seededRandom } from '../../common/random.js';
 import type { Endpoint } from '../../common/types.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
-import { createPlatformClient } from '../../platform/index.js';
+import { createStoreClient } from '../../store/index.js';
 import { FlowPool, numericEndpoint } from './flow-generator.js';
 import { HollowDaemon, type HollowSurroundings } from './hollow-daemon.js';
 import { IDLE_LOAD } from './stub-probe.js';
@@ -81,7 +81,7 @@
   private surroundings(id: string, seeds: readonly Endpoint[]): HollowSurroundings {
     const { keyFile, platformUrl, seed } = this.configuration;
     const ownSeed = hashString(`${id} ${seed}`);
-    const platform = createPlatformClient({
+    const platform = createStoreClient({
       baseUrl: platformUrl,
       clock: new SystemClock(),
       random: seededRandom(ownSeed),
--- a/src/experiment/scale/operator-cost.ts
+++ b/src/experiment/scale/operator-cost.ts
@@ -2,7 +2,7 @@
 import { SystemClock } from '../../common/clock.js';
 import { seededRandom } from '../../common/random.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
-import { createPlatformClient } from '../../platform/index.js';
+import { createStoreClient } from '../../store/index.js';
 import { setFields, TREE_OBJECT_KEY, TreeEditor, type TreeDocument } from '../../settings/index.js';
 import { startPlatformStandin } from '../../standin/platform/index.js';
 import { quantile } from './step-figures.js';
@@ -25,7 +25,7 @@
   const platform = await startPlatformStandin({ port: 0, objects: { [TREE_OBJECT_KEY]: tree } });
   const clock = new SystemClock();
   const random = seededRandom(seed);
-  const client = createPlatformClient({
+  const client = createStoreClient({
     ...{ baseUrl: platform.url, clock, random, events: SILENT_EVENT_LOG, caller: 'operator' },
   });
   try {
--- a/src/experiment/scale/scale-cluster.ts
+++ b/src/experiment/scale/scale-cluster.ts
@@ -4,7 +4,7 @@
 import { seededRandom, type RandomSource } from '../../common/random.js';
 import type { Endpoint } from '../../common/types.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
-import { createPlatformClient, type ConnectedPlatformClient } from '../../platform/index.js';
+import { createStoreClient, type ConnectedStoreClient } from '../../store/index.js';
 import { setFields, TREE_OBJECT_KEY, TreeEditor, type TreeDocument } from '../../settings/index.js';
 import { startPlatformStandin, type PlatformStandin } from '../../standin/platform/index.js';
 import { ExperimentError } from '../errors.js';
@@ -55,7 +55,7 @@
     private readonly launcher: ProcessLauncher,
     private readonly directory: RunDirectory,
     readonly platform: PlatformStandin,
-    private readonly platformClient: ConnectedPlatformClient,
+    private readonly platformClient: ConnectedStoreClient,
   ) {
     this.random = seededRandom(options.seed);
   }
@@ -67,7 +67,7 @@
     directory: RunDirectory,
   ): Promise<ScaleCluster> {
     const platform = await startPlatformStandin({ port: 0, objects: { [TREE_OBJECT_KEY]: options.tree } });
-    const client = createPlatformClient({
+    const client = createStoreClient({
       baseUrl: platform.url,
       clock: new SystemClock(),
       random: seededRandom(options.seed),
--- a/src/membership/joiner.ts
+++ b/src/membership/joiner.ts
@@ -3,7 +3,7 @@
 import { jitter, type RandomSource } from '../common/random.js';
 import { formatEndpoint, sameEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
-import type { PlatformClient } from '../platform/types.js';
+import type { StoreClient } from '../store/types.js';
 import { JOIN_FANOUT, JOIN_RETRY_MAX_MS, JOIN_RETRY_MIN_MS, type MembershipTiming } from './constants.js';
 import { MEMBERSHIP_EVENTS } from './events.js';
 import type { GuardedTimers } from './guarded-timers.js';
@@ -17,7 +17,7 @@
   readonly random: RandomSource;
   readonly timing: MembershipTiming;
   readonly seeds: readonly Endpoint[];
-  readonly platform: Pick<PlatformClient, 'listMachines'> | undefined;
+  readonly platform: Pick<StoreClient, 'listMachines'> | undefined;
   readonly events: EventLog;
   /** Asks whoever is at an address for its state. */
   readonly contact: (endpoint: Endpoint) => void;
--- a/src/membership/membership-options.ts
+++ b/src/membership/membership-options.ts
@@ -4,12 +4,12 @@
 import type { Endpoint } from '../common/types.js';
 import type { ControlChannel } from '../control/types.js';
 import type { EventLog } from '../observability/event.js';
-import type { PlatformClient } from '../platform/types.js';
+import type { StoreClient } from '../store/types.js';
 import type { MembershipTiming } from './constants.js';
 import type { MemberIdentity } from './member-record.js';
 
 /** The part of the platform client that is used. */
-export type MembershipPlatform = Pick<PlatformClient, 'listMachines' | 'acquireLease' | 'releaseLease'>;
+export type MembershipPlatform = Pick<StoreClient, 'listMachines' | 'acquireLease' | 'releaseLease'>;
 
 /** What membership needs. */
 export interface SwimMembershipOptions {
--- a/src/membership/quorum-lease.ts
+++ b/src/membership/quorum-lease.ts
@@ -5,10 +5,10 @@
  * survivor tries only after witnessWaitMs, which is longer than the lease: a majority elsewhere comes first.
  */
 import type { Clock, TimerHandle } from '../common/clock.js';
-import type { Lease, PlatformClient } from '../platform/types.js';
+import type { Lease, StoreClient } from '../store/types.js';
 
 /** The part of the platform client that is used. */
-export type LeasePlatform = Pick<PlatformClient, 'acquireLease' | 'releaseLease'>;
+export type LeasePlatform = Pick<StoreClient, 'acquireLease' | 'releaseLease'>;
 
 /** `unknown`: not asked yet or trust has run out. `unavailable`: the platform did not answer. */
 export type LeaseStanding = 'unknown' | 'held' | 'held-by-other' | 'unavailable';
--- a/src/membership/quorum.test.ts
+++ b/src/membership/quorum.test.ts
@@ -2,7 +2,7 @@
 import Result from 'true-myth/result';
 import type { VirtualClock } from '../common/clock.js';
 import { seededRandom, pick } from '../common/random.js';
-import { PlatformError } from '../platform/errors.js';
+import { StoreError } from '../store/errors.js';
 import { SimulatedCluster } from './simulated-cluster.js';
 import type { MembershipPlatform } from './membership-options.js';
 
@@ -15,9 +15,9 @@
   private token = 0;
 
   client(memberId: string, clock: VirtualClock): MembershipPlatform {
-    const failure = (): PlatformError | undefined =>
+    const failure = (): StoreError | undefined =>
       this.down || this.unreachable.has(memberId)
-        ? new PlatformError('platform.unreachable', 'no answer', 'Wait')
+        ? new StoreError('platform.unreachable', 'no answer', 'Wait')
         : undefined;
     return {
       listMachines: async () => Result.ok([]),
@@ -26,7 +26,7 @@
         if (failed) return Result.err(failed);
         const nowMs = clock.now();
         if (this.holder !== holder && nowMs < this.untilMs) {
-          return Result.err(new PlatformError('platform.lease-held', 'held', 'Wait'));
+          return Result.err(new StoreError('platform.lease-held', 'held', 'Wait'));
         }
         if (this.holder !== holder) this.token += 1;
         this.holder = holder;
@@ -42,7 +42,7 @@
         const failed = failure();
         if (failed) return Result.err(failed);
         if (this.holder === lease.holder) this.untilMs = 0;
-        return Result.ok<void, PlatformError>(undefined);
+        return Result.ok<void, StoreError>(undefined);
       },
     };
   }
--- a/src/observability/event.ts
+++ b/src/observability/event.ts
@@ -15,7 +15,7 @@
   membership: 1400,
   dissemination: 1500,
   settings: 1600,
-  platform: 1700,
+  store: 1700,
   control: 1800,
   health: 1900,
   routing: 2000,
--- a/src/settings/stored-tree.ts
+++ b/src/settings/stored-tree.ts
@@ -1,6 +1,6 @@
 /** Reading of the stored form of the tree. */
 import Result from 'true-myth/result';
-import type { StoredObject } from '../platform/types.js';
+import type { StoredObject } from '../store/types.js';
 import { TreeError } from './errors.js';
 import { EMPTY_TREE, withNodes, type EditRecord, type VersionedTree } from './tree.js';
 import { asTreeDocument } from './validate.js';
--- a/src/settings/testing/fake-platform.ts
+++ b/src/settings/testing/fake-platform.ts
@@ -1,7 +1,7 @@
 /** An in-memory platform for tests, with faults of single writes and a hook for races. */
 import Result from 'true-myth/result';
-import { PlatformError, type PlatformErrorKind } from '../../platform/errors.js';
-import type { PlatformClient, StoredObject } from '../../platform/types.js';
+import { StoreError, type StoreErrorKind } from '../../store/errors.js';
+import type { StoreClient, StoredObject } from '../../store/types.js';
 
 /**
  * Fate of one write. `none`: as it should be. `lost-answer`: takes effect, the answer is lost. `lost-request`: has no effect and no answer.
@@ -9,14 +9,14 @@
  */
 export type WriteFault = 'none' | 'lost-answer' | 'lost-request' | 'late' | 'unreachable';
 
-type PutResult<T> = Result<StoredObject<T>, PlatformError>;
+type PutResult<T> = Result<StoredObject<T>, StoreError>;
 
-function failure<T>(kind: PlatformErrorKind): Result<T, PlatformError> {
-  return Result.err(new PlatformError(kind, `fake ${kind}`, 'none'));
+function failure<T>(kind: StoreErrorKind): Result<T, StoreError> {
+  return Result.err(new StoreError(kind, `fake ${kind}`, 'none'));
 }
 
 /** Objects with versions; values pass through JSON as they do on the way to the real platform. */
-export class FakePlatform implements PlatformClient {
+export class FakePlatform implements StoreClient {
   /** Fates of the next writes, the first for the next one. */
   readonly writeFaults: WriteFault[] = [];
   /** Number of reads that fail from now on. */
@@ -29,7 +29,7 @@
   private readonly objects = new Map<string, StoredObject>();
   private lateWrite: (() => void) | undefined;
 
-  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>> {
+  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, StoreError>> {
     if (this.failingReads > 0) {
       this.failingReads -= 1;
       return failure('platform.unreachable');
@@ -62,15 +62,15 @@
     yield* [];
   }
 
-  async acquireLease(): Promise<Result<never, PlatformError>> {
+  async acquireLease(): Promise<Result<never, StoreError>> {
     return failure('platform.unreachable');
   }
 
-  async releaseLease(): Promise<Result<void, PlatformError>> {
+  async releaseLease(): Promise<Result<void, StoreError>> {
     return Result.ok(undefined);
   }
 
-  async listMachines(): Promise<Result<readonly [], PlatformError>> {
+  async listMachines(): Promise<Result<readonly [], StoreError>> {
     return Result.ok([]);
   }
 
--- a/src/settings/tree-editor.ts
+++ b/src/settings/tree-editor.ts
@@ -6,8 +6,8 @@
 import type { Clock } from '../common/clock.js';
 import { jitter, type RandomSource } from '../common/random.js';
 import { SILENT_EVENT_LOG, type EventLog } from '../observability/event.js';
-import type { PlatformError } from '../platform/errors.js';
-import type { PlatformClient } from '../platform/types.js';
+import type { StoreError } from '../store/errors.js';
+import type { StoreClient } from '../store/types.js';
 import { findConflicts } from './conflicts.js';
 import * as limits from './constants.js';
 import { applyChanges, diffTrees } from './diff.js';
@@ -20,7 +20,7 @@
 
 /** What a `TreeEditor` needs. */
 export interface TreeEditorOptions {
-  readonly platform: PlatformClient;
+  readonly platform: StoreClient;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events?: EventLog;
@@ -165,7 +165,7 @@
     return { nodes: target.nodes, edits: [...target.edits, record].slice(-limits.EDIT_HISTORY_LENGTH) };
   }
 
-  private noteFailure(error: PlatformError, run: EditRun): void {
+  private noteFailure(error: StoreError, run: EditRun): void {
     if (error.kind === 'platform.version-conflict' || error.kind === 'platform.unreachable') return;
     run.outcomeOpen = true;
     const fields = { token: run.request.token, reason: error.kind };
@@ -236,13 +236,13 @@
   return Result.ok({ version: record.version, changes: record.changes, outcome: 'replayed', attempts: 0 });
 }
 
-function unavailable(error: PlatformError): TreeError {
+function unavailable(error: StoreError): TreeError {
   const message = `The platform did not answer: ${error.problem}`;
   const remedy = 'Check the platform and its URL, then repeat; nothing was written';
   return new TreeError('settings.platform-unavailable', message, remedy, { cause: error });
 }
 
-function gaveUp(run: EditRun, error: PlatformError): TreeError {
+function gaveUp(run: EditRun, error: StoreError): TreeError {
   if (run.outcomeOpen) {
     const message = `It is not known whether the edit took effect: ${error.problem}`;
     const remedy = `Repeat it with the same token (${run.request.token}); it is applied at most once`;
--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -7,10 +7,10 @@
   unknownOutcome,
   unreachable,
   versionConflict,
-  type PlatformError,
-} from '../../platform/errors.js';
-import { pause, trustedDurationMs } from '../../platform/index.js';
-import type { Lease, MachineEntry, PlatformClient, StoredObject } from '../../platform/types.js';
+  type StoreError,
+} from '../../store/errors.js';
+import { pause, trustedDurationMs } from '../../store/index.js';
+import type { Lease, MachineEntry, StoreClient, StoredObject } from '../../store/types.js';
 import { LeaseTable } from './lease-table.js';
 import { MachineList } from './machine-list.js';
 import { ObjectStore, type StoreEntry } from './object-store.js';
@@ -65,7 +65,7 @@
   }
 
   /** A client for one caller; `clock` is the caller's own, which may be paused. */
-  client(caller: string, clock: Clock = this.clock): PlatformClient {
+  client(caller: string, clock: Clock = this.clock): StoreClient {
     return new InMemoryClient(this, caller, clock);
   }
 
@@ -75,14 +75,14 @@
   }
 }
 
-class InMemoryClient implements PlatformClient {
+class InMemoryClient implements StoreClient {
   constructor(
     private readonly platform: InMemoryPlatform,
     private readonly caller: string,
     private readonly clock: Clock,
   ) {}
 
-  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>> {
+  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, StoreError>> {
     if (!this.admit('get')) return Result.err(unreachable(`read object ${key}`));
     return Result.ok(this.platform.store.get(key) as StoredObject<T> | undefined);
   }
@@ -91,7 +91,7 @@
     key: string,
     value: T,
     expectedVersion: number,
-  ): Promise<Result<StoredObject<T>, PlatformError>> {
+  ): Promise<Result<StoredObject<T>, StoreError>> {
     if (!this.admit('put')) return Result.err(unreachable(`write object ${key}`));
     const outcome = this.platform.store.put(key, value, expectedVersion);
     if (!outcome.accepted) return Result.err(versionConflict(key, expectedVersion, outcome.version));
@@ -116,7 +116,7 @@
     name: string,
     holder: string,
     durationMs: number,
-  ): Promise<Result<Lease, PlatformError>> {
+  ): Promise<Result<Lease, StoreError>> {
     const requestedAtMs = this.clock.now();
     if (!this.admit('lease')) return Result.err(unreachable(`take lease ${name}`));
     const outcome = this.platform.leases.acquire(name, holder, durationMs, this.caller);
@@ -126,13 +126,13 @@
     return Result.ok({ name, holder, fencingToken: outcome.fencingToken, trustedUntilMs });
   }
 
-  async releaseLease(lease: Lease): Promise<Result<void, PlatformError>> {
+  async releaseLease(lease: Lease): Promise<Result<void, StoreError>> {
     if (!this.admit('release')) return Result.err(unreachable(`release lease ${lease.name}`));
     this.platform.leases.release(lease.name, lease.fencingToken);
     return Result.ok(undefined);
   }
 
-  async listMachines(): Promise<Result<readonly MachineEntry[], PlatformError>> {
+  async listMachines(): Promise<Result<readonly MachineEntry[], StoreError>> {
     if (!this.admit('machines')) return Result.err(unreachable('list the machines'));
     return Result.ok(this.platform.machines.list());
   }
--- a/src/standin/platform/machine-list.ts
+++ b/src/standin/platform/machine-list.ts
@@ -1,6 +1,6 @@
 /** The machine list: what is written becomes visible only after a lag. */
 import type { Clock } from '../../common/clock.js';
-import type { MachineEntry } from '../../platform/types.js';
+import type { MachineEntry } from '../../store/types.js';
 
 export class MachineList {
   private visible: readonly MachineEntry[] = [];
--- a/src/standin/platform/server.ts
+++ b/src/standin/platform/server.ts
@@ -3,8 +3,8 @@
 import { z } from 'zod';
 import { SystemClock, type Clock } from '../../common/clock.js';
 import { seededRandom, type RandomSource } from '../../common/random.js';
-import { CALLER_HEADER, WATCH_HEARTBEAT_MS } from '../../platform/constants.js';
-import { MACHINES } from '../../platform/wire.js';
+import { CALLER_HEADER, WATCH_HEARTBEAT_MS } from '../../store/constants.js';
+import { MACHINES } from '../../store/wire.js';
 import { FAULT_SETTINGS, FaultState, type FaultSettings } from './faults.js';
 import { LeaseTable } from './lease-table.js';
 import { MachineList } from './machine-list.js';
--- a/src/platform/client-contract.test.ts
+++ b/src/store/client-contract.test.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from '../common/clock.js';
 import { InMemoryPlatform } from '../standin/platform/index.js';
 import { eventually, kindOf, withStandin } from './client-test-support.js';
-import type { PlatformClient, StoredObject } from './types.js';
+import type { StoreClient, StoredObject } from './types.js';
 
 const KEY = 'settings/tree';
 const LEASE = 'readers/region-1/0';
@@ -12,8 +12,8 @@
   readonly name: string;
   readonly run: (
     t: ExecutionContext,
-    first: PlatformClient,
-    second: PlatformClient,
+    first: StoreClient,
+    second: StoreClient,
     clock: VirtualClock,
   ) => Promise<void>;
 }
--- a/src/platform/client-test-support.ts
+++ b/src/store/client-test-support.ts
@@ -4,25 +4,25 @@
 import { seededRandom } from '../common/random.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
 import { startPlatformStandin, type PlatformStandin } from '../standin/platform/index.js';
-import { createPlatformClient, type ConnectedPlatformClient, type PlatformClientOptions } from './client.js';
+import { createStoreClient, type ConnectedStoreClient, type StoreClientOptions } from './client.js';
 
 const POLL_LIMIT = 20_000;
 
 /** A client with a fixed seed that logs nothing. */
-export function connect(baseUrl: string, more: Partial<PlatformClientOptions> = {}): ConnectedPlatformClient {
+export function connect(baseUrl: string, more: Partial<StoreClientOptions> = {}): ConnectedStoreClient {
   const defaults = {
     clock: new SystemClock(),
     random: seededRandom(1),
     events: SILENT_EVENT_LOG,
     caller: 'member-1',
   };
-  return createPlatformClient({ baseUrl, ...defaults, ...more });
+  return createStoreClient({ baseUrl, ...defaults, ...more });
 }
 
 /** Runs a test with a stand-in and a client of it, on `clock` or the process's own, and closes both. */
 export async function withStandin(
-  run: (standin: PlatformStandin, client: ConnectedPlatformClient) => Promise<void>,
-  more: Partial<PlatformClientOptions> = {},
+  run: (standin: PlatformStandin, client: ConnectedStoreClient) => Promise<void>,
+  more: Partial<StoreClientOptions> = {},
   clock?: Clock,
 ): Promise<void> {
   const standin = await startPlatformStandin({ port: 0, heartbeatMs: 20, clock });
--- a/src/platform/client.ts
+++ b/src/store/client.ts
@@ -10,15 +10,15 @@
 import { CircuitBreaker, type CircuitState } from './circuit-breaker.js';
 import * as limits from './constants.js';
 import * as errors from './errors.js';
-import type { PlatformError } from './errors.js';
-import { PLATFORM_EVENTS } from './events.js';
+import type { StoreError } from './errors.js';
+import { STORE_EVENTS } from './events.js';
 import { PlatformTransport, type Exchange, type ExchangeOutcome } from './transport.js';
-import type { Lease, MachineEntry, PlatformClient, StoredObject } from './types.js';
+import type { Lease, MachineEntry, StoreClient, StoredObject } from './types.js';
 import { pause, watchObject } from './watch.js';
 import * as wire from './wire.js';
 
 /** Settings of a client; times in ms, defaults in constants.ts. */
-export interface PlatformClientOptions {
+export interface StoreClientOptions {
   /** e.g. `http://127.0.0.1:9000`. */
   readonly baseUrl: string;
   readonly clock: Clock;
@@ -32,20 +32,20 @@
 }
 
 /** A client with its connections. */
-export interface ConnectedPlatformClient extends PlatformClient {
+export interface ConnectedStoreClient extends StoreClient {
   circuitState(): CircuitState;
   /** Closes the connections; calls under way fail. */
   close(): Promise<void>;
 }
 
 /** Creates a client; nothing is sent before the first call. */
-export function createPlatformClient(options: PlatformClientOptions): ConnectedPlatformClient {
+export function createStoreClient(options: StoreClientOptions): ConnectedStoreClient {
   return new HttpPlatformClient(options);
 }
 
 type Answer = Extract<ExchangeOutcome, { kind: 'answered' }>;
 
-class HttpPlatformClient implements ConnectedPlatformClient {
+class HttpPlatformClient implements ConnectedStoreClient {
   private readonly transport: PlatformTransport;
   private readonly circuit: CircuitBreaker;
   private readonly clock: Clock;
@@ -53,36 +53,36 @@
   private readonly attemptDeadlineMs: number;
   private readonly closing = new AbortController();
 
-  constructor(private readonly options: PlatformClientOptions) {
+  constructor(private readonly options: StoreClientOptions) {
     this.clock = options.clock;
     this.callDeadlineMs = options.callDeadlineMs ?? limits.CALL_DEADLINE_MS;
     this.attemptDeadlineMs = options.attemptDeadlineMs ?? limits.ATTEMPT_DEADLINE_MS;
     this.transport = new PlatformTransport(options.baseUrl, options.caller ?? 'unnamed', options.clock);
     this.circuit = new CircuitBreaker(options.clock, options.random, (state) => {
-      const event = state === 'open' ? PLATFORM_EVENTS.circuitOpened : PLATFORM_EVENTS.circuitClosed;
+      const event = state === 'open' ? STORE_EVENTS.circuitOpened : STORE_EVENTS.circuitClosed;
       options.events.emit(event, { platform: options.baseUrl });
     });
   }
 
-  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>> {
+  async get<T>(key: string): Promise<Result<StoredObject<T> | undefined, StoreError>> {
     const action = `read object ${key}`;
     const answer = await this.repeat(action, { method: 'GET', path: wire.resourcePath('objects', key) });
     if (answer.isErr) return Result.err(answer.error);
     if (answer.value.status === 404) return Result.ok(undefined);
-    return this.parse(action, answer.value, wire.STORED_OBJECT) as Result<StoredObject<T>, PlatformError>;
+    return this.parse(action, answer.value, wire.STORED_OBJECT) as Result<StoredObject<T>, StoreError>;
   }
 
   async putIfVersion<T>(
     key: string,
     value: T,
     expectedVersion: number,
-  ): Promise<Result<StoredObject<T>, PlatformError>> {
+  ): Promise<Result<StoredObject<T>, StoreError>> {
     const action = `write object ${key}`;
     const path = `${wire.resourcePath('objects', key)}?expectedVersion=${expectedVersion}`;
     const answer = await this.sendOnce(action, { method: 'PUT', path, body: { value } });
     if (answer.isErr) return Result.err(answer.error);
     if (answer.value.status !== 409) {
-      return this.parse(action, answer.value, wire.STORED_OBJECT) as Result<StoredObject<T>, PlatformError>;
+      return this.parse(action, answer.value, wire.STORED_OBJECT) as Result<StoredObject<T>, StoreError>;
     }
     const conflict = this.parse(action, { ...answer.value, status: 200 }, wire.VERSION_CONFLICT);
     return conflict.andThen(({ version }) =>
@@ -108,7 +108,7 @@
     name: string,
     holder: string,
     durationMs: number,
-  ): Promise<Result<Lease, PlatformError>> {
+  ): Promise<Result<Lease, StoreError>> {
     const action = `take lease ${name}`;
     let requestedAtMs = this.clock.now();
     const exchange: Exchange = {
@@ -131,7 +131,7 @@
     }));
   }
 
-  async releaseLease(lease: Lease): Promise<Result<void, PlatformError>> {
+  async releaseLease(lease: Lease): Promise<Result<void, StoreError>> {
     const action = `release lease ${lease.name}`;
     const path = `${wire.resourcePath('leases', lease.name)}?fencingToken=${lease.fencingToken}`;
     const answer = await this.repeat(action, { method: 'DELETE', path });
@@ -141,7 +141,7 @@
     return Result.err(this.badAnswer(action, `status ${status}`));
   }
 
-  async listMachines(): Promise<Result<readonly MachineEntry[], PlatformError>> {
+  async listMachines(): Promise<Result<readonly MachineEntry[], StoreError>> {
     const action = 'list the machines';
     const answer = await this.repeat(action, { method: 'GET', path: '/machines' });
     if (answer.isErr) return Result.err(answer.error);
@@ -162,7 +162,7 @@
     action: string,
     exchange: Exchange,
     beforeAttempt: () => void = () => undefined,
-  ): Promise<Result<Answer, PlatformError>> {
+  ): Promise<Result<Answer, StoreError>> {
     return keepingProcessAlive(() => this.repeatUntilDeadline(action, exchange, beforeAttempt));
   }
 
@@ -170,7 +170,7 @@
     action: string,
     exchange: Exchange,
     beforeAttempt: () => void,
-  ): Promise<Result<Answer, PlatformError>> {
+  ): Promise<Result<Answer, StoreError>> {
     const deadlineAtMs = this.clock.now() + this.callDeadlineMs;
     for (let attempt = 0; ; attempt += 1) {
       if (!this.circuit.tryPass()) return Result.err(errors.unreachable(action));
@@ -188,21 +188,21 @@
   }
 
   /** Sends a write; repeats it only while no connection could be made. */
-  private sendOnce(action: string, exchange: Exchange): Promise<Result<Answer, PlatformError>> {
+  private sendOnce(action: string, exchange: Exchange): Promise<Result<Answer, StoreError>> {
     return keepingProcessAlive(() => this.sendUntilConnected(action, exchange));
   }
 
   private async sendUntilConnected(
     action: string,
     exchange: Exchange,
-  ): Promise<Result<Answer, PlatformError>> {
+  ): Promise<Result<Answer, StoreError>> {
     const deadlineAtMs = this.clock.now() + this.callDeadlineMs;
     for (let attempt = 0; ; attempt += 1) {
       if (!this.circuit.tryPass()) return Result.err(errors.unreachable(action));
       const outcome = await this.attempt(exchange, deadlineAtMs - this.clock.now());
       if (outcome.kind === 'answered' && outcome.status < 500) return Result.ok(outcome);
       if (outcome.kind !== 'not-sent') {
-        this.options.events.emit(PLATFORM_EVENTS.unknownOutcome, { action });
+        this.options.events.emit(STORE_EVENTS.unknownOutcome, { action });
         return Result.err(errors.unknownOutcome(action, 'cause' in outcome ? outcome.cause : undefined));
       }
       const pauseMs = this.backoffMs(attempt);
@@ -221,7 +221,7 @@
     return outcome;
   }
 
-  private failure(action: string, outcome: ExchangeOutcome): PlatformError {
+  private failure(action: string, outcome: ExchangeOutcome): StoreError {
     if (outcome.kind === 'lost' && outcome.timedOut) {
       return errors.deadlineExceeded(action, this.callDeadlineMs, outcome.cause);
     }
@@ -237,15 +237,15 @@
     action: string,
     answer: Answer,
     schema: S,
-  ): Result<z.output<S>, PlatformError> {
+  ): Result<z.output<S>, StoreError> {
     if (answer.status !== 200) return Result.err(this.badAnswer(action, `status ${answer.status}`));
     const parsed = schema.safeParse(answer.answer);
     if (parsed.success) return Result.ok(parsed.data);
     return Result.err(this.badAnswer(action, parsed.error.issues[0]?.message ?? 'unexpected shape'));
   }
 
-  private badAnswer(action: string, detail: string): PlatformError {
-    this.options.events.emit(PLATFORM_EVENTS.badAnswer, { action, detail });
+  private badAnswer(action: string, detail: string): StoreError {
+    this.options.events.emit(STORE_EVENTS.badAnswer, { action, detail });
     return errors.badAnswer(action, detail);
   }
 }
--- a/src/platform/errors.ts
+++ b/src/store/errors.ts
@@ -1,7 +1,7 @@
 /** Error kinds of the platform client. */
 import { SailquayError } from '../common/types.js';
 
-export type PlatformErrorKind =
+export type StoreErrorKind =
   | 'platform.unreachable'
   | 'platform.deadline'
   | 'platform.version-conflict'
@@ -10,9 +10,9 @@
   | 'platform.unknown-outcome';
 
 /** A failed call to the platform. `unknown-outcome`: a write may or may not have taken effect; read back. */
-export class PlatformError extends SailquayError {
+export class StoreError extends SailquayError {
   constructor(
-    readonly kind: PlatformErrorKind,
+    readonly kind: StoreErrorKind,
     message: string,
     remedy: string,
     options?: ErrorOptions,
@@ -22,8 +22,8 @@
 }
 
 /** No attempt reached the platform, or the circuit is open. */
-export function unreachable(action: string, cause?: unknown): PlatformError {
-  return new PlatformError(
+export function unreachable(action: string, cause?: unknown): StoreError {
+  return new StoreError(
     'platform.unreachable',
     `the platform cannot be reached to ${action}`,
     'Check the platform address and its health, then retry',
@@ -32,8 +32,8 @@
 }
 
 /** The platform did not answer in time; only for calls that change nothing or can be repeated. */
-export function deadlineExceeded(action: string, deadlineMs: number, cause?: unknown): PlatformError {
-  return new PlatformError(
+export function deadlineExceeded(action: string, deadlineMs: number, cause?: unknown): StoreError {
+  return new StoreError(
     'platform.deadline',
     `the platform did not ${action} within ${deadlineMs} ms`,
     'Check the load and health of the platform, then retry',
@@ -42,8 +42,8 @@
 }
 
 /** The write may or may not have taken effect. */
-export function unknownOutcome(action: string, cause?: unknown): PlatformError {
-  return new PlatformError(
+export function unknownOutcome(action: string, cause?: unknown): StoreError {
+  return new StoreError(
     'platform.unknown-outcome',
     `the answer was lost after the request to ${action} was sent`,
     'Read the object back to see whether the write took effect before writing again',
@@ -52,8 +52,8 @@
 }
 
 /** The answer has an unexpected status or shape. */
-export function badAnswer(action: string, detail: string, cause?: unknown): PlatformError {
-  return new PlatformError(
+export function badAnswer(action: string, detail: string, cause?: unknown): StoreError {
+  return new StoreError(
     'platform.bad-answer',
     `the platform gave an answer that cannot be understood to the request to ${action}: ${detail}`,
     'Check that the platform address names the object API described in docs/PLATFORM.md',
@@ -62,8 +62,8 @@
 }
 
 /** Another write came first. */
-export function versionConflict(key: string, expected: number, actual: number): PlatformError {
-  return new PlatformError(
+export function versionConflict(key: string, expected: number, actual: number): StoreError {
+  return new StoreError(
     'platform.version-conflict',
     `object ${key} has version ${actual}, not ${expected}`,
     'Read the object again and repeat the change on its new version',
@@ -71,8 +71,8 @@
 }
 
 /** Another holder has the lease. */
-export function leaseHeld(name: string, holder: string): PlatformError {
-  return new PlatformError(
+export function leaseHeld(name: string, holder: string): StoreError {
+  return new StoreError(
     'platform.lease-held',
     `lease ${name} is held by ${holder}`,
     'Retry after the lease has expired or was released',
--- a/src/platform/events.ts
+++ b/src/store/events.ts
@@ -1,7 +1,7 @@
-/** Log events of the platform client. */
+/** Log events of the store client. */
 import { defineEvents } from '../observability/event.js';
 
-export const PLATFORM_EVENTS = defineEvents({
+export const STORE_EVENTS = defineEvents({
   circuitOpened: {
     number: 1700,
     level: 'warn',
--- a/src/platform/types.ts
+++ b/src/store/types.ts
@@ -4,7 +4,7 @@
  */
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../common/types.js';
-import type { PlatformError } from './errors.js';
+import type { StoreError } from './errors.js';
 
 /** A stored object. `value` is JSON. */
 export interface StoredObject<T = unknown> {
@@ -34,21 +34,21 @@
 }
 
 /** Client of the platform. All calls have deadlines and retry with jittered backoff only where safe. */
-export interface PlatformClient {
-  get<T>(key: string): Promise<Result<StoredObject<T> | undefined, PlatformError>>;
+export interface StoreClient {
+  get<T>(key: string): Promise<Result<StoredObject<T> | undefined, StoreError>>;
   /** Writes if the object's version is still `expectedVersion` (0: must not exist). */
   putIfVersion<T>(
     key: string,
     value: T,
     expectedVersion: number,
-  ): Promise<Result<StoredObject<T>, PlatformError>>;
+  ): Promise<Result<StoredObject<T>, StoreError>>;
   /**
    * Yields newer versions of the object than `afterVersion`, in order, until `signal` aborts; reconnects by itself. A slow
    * reader may miss versions in between, never the newest.
    */
   watch<T>(key: string, afterVersion: number, signal: AbortSignal): AsyncIterable<StoredObject<T>>;
   /** Takes or renews a lease; err `platform.lease-held` when another holder has it. */
-  acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, PlatformError>>;
-  releaseLease(lease: Lease): Promise<Result<void, PlatformError>>;
-  listMachines(): Promise<Result<readonly MachineEntry[], PlatformError>>;
+  acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, StoreError>>;
+  releaseLease(lease: Lease): Promise<Result<void, StoreError>>;
+  listMachines(): Promise<Result<readonly MachineEntry[], StoreError>>;
 }
--- a/src/platform/watch.ts
+++ b/src/store/watch.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../observability/event.js';
 import type { CircuitBreaker } from './circuit-breaker.js';
 import { BACKOFF_BASE_MS, BACKOFF_MAX_MS, BACKOFF_SPREAD, MAX_ANSWER_BYTES } from './constants.js';
-import { PLATFORM_EVENTS } from './events.js';
+import { STORE_EVENTS } from './events.js';
 import type { PlatformTransport } from './transport.js';
 import type { StoredObject } from './types.js';
 import { resourcePath, STORED_OBJECT } from './wire.js';
@@ -54,7 +54,7 @@
       }
       if (signal.aborted) return;
       if (context.clock.now() - openedAtMs > context.silenceMs) attempt = 0;
-      context.events.emit(PLATFORM_EVENTS.watchReopened, { key, version: lastVersion });
+      context.events.emit(STORE_EVENTS.watchReopened, { key, version: lastVersion });
     }
     const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** attempt);
     attempt += 1;
@@ -112,7 +112,7 @@
 
 function reportBadLine(context: WatchContext, key: string, cause: unknown): void {
   const broken = cause instanceof SyntaxError || (cause instanceof Error && cause.name === 'ZodError');
-  if (broken) context.events.emit(PLATFORM_EVENTS.badAnswer, { key, detail: cause.message });
+  if (broken) context.events.emit(STORE_EVENTS.badAnswer, { key, detail: cause.message });
 }
 
 /** Decompresses a body as it arrives; a fault of the body ends the result with the same fault. */
--- /dev/null
+++ b/tools/bundle-options.d.mts
@@ -0,0 +1,3 @@
+import type { BuildOptions } from 'esbuild';
+
+export declare const bundleOptions: BuildOptions;
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -14,10 +14,11 @@
 
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const MAX_KNOWN_RED = 3;
-const TEST_ROOT = 'src';
+const TEST_ROOTS = ['src', 'platform'];
 
 /** Files that run one at a time, beside no other. */
 const SERIAL_FILES = [
+  'platform/whole-path.test.ts',
   'src/cli/commands.test.ts',
   'src/daemon/whole-path.test.ts',
   'src/experiment/forwarding/forwarding-workers.test.ts',
@@ -35,9 +36,11 @@
 /** The arguments of each run of ava. */
 function planRuns(argumentList) {
   if (argumentList.length > 0) return [argumentList];
-  const files = readdirSync(TEST_ROOT, { recursive: true })
-    .filter((name) => name.endsWith('.test.ts'))
-    .map((name) => join(TEST_ROOT, name));
+  const files = TEST_ROOTS.flatMap((root) =>
+    readdirSync(root, { recursive: true })
+      .filter((name) => name.endsWith('.test.ts'))
+      .map((name) => join(root, name)),
+  );
   const missing = SERIAL_FILES.filter((file) => !files.includes(file));
   if (missing.length > 0) throw new Error(`no such test file: ${missing.join(', ')}`);
   return [files.filter((file) => !SERIAL_FILES.includes(file)), ['--concurrency=1', ...SERIAL_FILES]];
