Write the last log lines also to a slow reader, and an uncaught error to standard error as well

Change: the last lines are tried for 50 ms; the error goes to standard error too.

Conclusion: the exit itself is still open; its next occurrence leaves its cause.

--- a/src/cookie-daemon/run.ts
+++ b/src/cookie-daemon/run.ts
@@ -90,6 +90,7 @@
 function reportUncaught(events: EventLog, writer: LineWriter): void {
   const end = (error: unknown): void => {
     const { message, stack } = error instanceof Error ? error : new Error(String(error));
+    process.stderr.write(`sailquay: uncaught error: ${message}\n`);
     events.emit(COOKIE_DAEMON_EVENTS.uncaughtError, { error: message, stack });
     writer.flush();
     process.exit(EXIT_FAILED);
--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -11,6 +11,9 @@
 /** Characters that may wait; more are left out. */
 const MAX_WAITING = 262_144;
 
+/** The last lines are tried to be written for this long, as long as their reader takes none. */
+const FLUSH_LIMIT_MS = 50;
+
 /** See the module. */
 export class LineWriter {
   private waiting: string[] = [];
@@ -39,13 +42,20 @@
     this.arm();
   };
 
-  /** Writes what waits before the process ends. */
+  /** Writes what waits before the process ends, also to a reader that is slow, within a bound. */
   flush(): void {
     if (this.waiting.length === 0) return;
+    let bytes = Buffer.from(this.take());
+    const endMs = this.clock.now() + FLUSH_LIMIT_MS;
+    while (bytes.length > 0 && this.clock.now() < endMs) bytes = bytes.subarray(this.writeSome(bytes));
+  }
+
+  /** Bytes written; 0 when the reader takes none now or is gone. */
+  private writeSome(bytes: Buffer): number {
     try {
-      writeSync(this.descriptor, this.take());
+      return writeSync(this.descriptor, bytes);
     } catch {
-      // Nobody reads the log any more; there is nowhere left to say so.
+      return 0;
     }
   }
 
