Pass over objects of another form instead of ending on them

Cause: found by reading for the open exit: a spec that is null, or a configuration without limits, threw out of the task that follows the store, and an unhandled rejection ends the process.

--- a/src/routing/source-follower.test.ts
+++ b/src/routing/source-follower.test.ts
@@ -122,3 +122,16 @@
   await clock.advanceAsync(5_000, 10);
   t.true(source.calls.length <= length + 1);
 });
+
+test('a source that throws does not end the follower', async (t) => {
+  let reads = 0;
+  const { clock, knowledge, stop } = follow((call, virtual) => {
+    if (call.kind === 'watch') return NEVER;
+    reads += 1;
+    if (reads === 1) throw new TypeError('unforeseen');
+    return after(virtual, 4, LIST);
+  });
+  await clock.advanceAsync(500, 5);
+  t.truthy(knowledge.backends.get('a'));
+  stop();
+});
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -1,7 +1,7 @@
 /** One task that follows one topic of the source: read everything, then watch for changes, and again after a gap. */
 import type { Clock } from '../common/clock.js';
 import { WATCH_WAIT_AFTER_CHANGE_MS, WATCH_WAIT_MS } from './constants.js';
-import type { RoutingSourceError } from './errors.js';
+import { RoutingSourceError } from './errors.js';
 import type { RoutingKnowledge } from './knowledge.js';
 import type { SourceCircuit } from './source-circuit.js';
 import type { RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
@@ -37,11 +37,22 @@
     const { knowledge } = this.options;
     let readAll = knowledge.revisionOf(this.topic) < 0;
     while (!signal.aborted) {
-      const complete = readAll ? await this.readAll(signal) : await this.watchOnce(signal);
+      const complete = await this.step(readAll, signal);
       readAll = !complete;
     }
   }
 
+  /** One call; false when everything must be read next. An answer that nobody foresaw counts as malformed. */
+  private async step(readAll: boolean, signal: AbortSignal): Promise<boolean> {
+    try {
+      return readAll ? await this.readAll(signal) : await this.watchOnce(signal);
+    } catch (cause) {
+      const problem = `an answer could not be taken in: ${(cause as Error).message}`;
+      await this.waitAfter(new RoutingSourceError('routing.malformed', problem, { cause }), signal);
+      return false;
+    }
+  }
+
   /** Reads the topic; false when that failed. */
   private async readAll(signal: AbortSignal): Promise<boolean> {
     const { source, clock } = this.options;
