--- a/src/cookie-daemon/status.ts
+++ b/src/cookie-daemon/status.ts
@@ -48,10 +48,9 @@
   reading,
   spreader,
 }: CookieDaemonComponents): Record<string, number | string> {
-  const { packets, forwarded, opened, takenOver, placedAnew, ejections, drops, refusals } =
-    forwarder.statistics;
+  const { packets, forwarded, opened, takenOver, placedAnew, drops, refusals } = forwarder.statistics;
   return {
-    ...{ packets, forwarded, opened, takenOver, placedAnew, ejections },
+    ...{ packets, forwarded, opened, takenOver, placedAnew, ejections: forwarder.ejections },
     drops: JSON.stringify(drops),
     refusals: JSON.stringify(refusals),
     sourceCalls: reading.calls,
@@ -81,7 +80,7 @@
     ),
     counter('flows_refused_total', 'Openings refused', (p) => p.forwarder.statistics.refusals, 'reason'),
     counter('packets_dropped_total', 'Packets dropped', (p) => p.forwarder.statistics.drops, 'reason'),
-    counter('backend_ejections_total', 'Back ends ejected', (parts) => parts.forwarder.statistics.ejections),
+    counter('backend_ejections_total', 'Back ends ejected', (parts) => parts.forwarder.ejections),
     gauge('backends', 'Back ends, by condition', (parts) => countBackends(parts), 'condition'),
     gauge('routes_version', 'Version of the routes in force', (p) => p.knowledge.routes()?.table.version),
     gauge('knowledge_age_seconds', 'Time since nothing newer was proved', (p) => ages(p), 'topic'),
--- /dev/null
+++ b/src/flow/cookie/backend-states.ts
@@ -0,0 +1,81 @@
+/** What this balancer has seen of all back ends, so that one is judged by how the others answer. */
+import type { EventLog } from '../../observability/event.js';
+import type { KnownBackend } from '../../routing/index.js';
+import { BackendState } from './backend-state.js';
+import { COOKIE_FLOW_EVENTS } from './events.js';
+
+/** A back end's last sign of life. */
+interface Proof {
+  readonly state: BackendState | undefined;
+  readonly atMs: number;
+}
+
+const NO_PROOF: Proof = { state: undefined, atMs: Number.NEGATIVE_INFINITY };
+
+/** See the module. Times are monotonic ms. */
+export class BackendStates {
+  private readonly states = new Map<KnownBackend, BackendState>();
+  /** Back ends without a sign of life since a failure. */
+  private readonly failing = new Set<BackendState>();
+  /** The newest sign of life, and the newest one of another back end than that. */
+  private newest = NO_PROOF;
+  private newestOfOthersMs = Number.NEGATIVE_INFINITY;
+  private ejectionCount = 0;
+
+  constructor(private readonly events: EventLog) {}
+
+  /** Ejections since start. */
+  get ejections(): number {
+    return this.ejectionCount;
+  }
+
+  of(backend: KnownBackend): BackendState {
+    let state = this.states.get(backend);
+    if (!state) {
+      state = new BackendState(backend);
+      this.states.set(backend, state);
+    }
+    return state;
+  }
+
+  forget(backend: KnownBackend): void {
+    const state = this.states.get(backend);
+    if (state) this.failing.delete(state);
+    this.states.delete(backend);
+  }
+
+  /** Notes a sign of life. */
+  noteProof(state: BackendState, nowMs: number): void {
+    if (this.newest.state !== state) this.newestOfOthersMs = this.newest.atMs;
+    this.newest = { state, atMs: nowMs };
+    if (!state.noteProof(nowMs)) return;
+    this.failing.delete(state);
+    this.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
+  }
+
+  /** Notes a failure that began at `sinceMs`. */
+  noteFailure(state: BackendState, sinceMs: number, nowMs: number): void {
+    state.noteFailure(nowMs, sinceMs);
+    this.failing.add(state);
+    this.judge(state, nowMs);
+  }
+
+  /** Judges all that failed anew: others may have given signs of life since. */
+  judgeFailing(nowMs: number): void {
+    for (const state of this.failing) this.judge(state, nowMs);
+  }
+
+  /** Ejects a back end that gives no sign of life while others do. */
+  private judge(state: BackendState, nowMs: number): void {
+    const othersMs = this.newest.state === state ? this.newestOfOthersMs : this.newest.atMs;
+    if (!state.tryEject(nowMs, othersMs)) return;
+    this.ejectionCount += 1;
+    this.events.emit(COOKIE_FLOW_EVENTS.backendEjected, {
+      ...{ backend: state.backend.id, service: state.backend.record.service },
+      failures: state.failuresInRow,
+      lastSignOfLifeMs: Number.isFinite(state.lastProofMs)
+        ? Math.round(nowMs - state.lastProofMs)
+        : undefined,
+    });
+  }
+}
--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -152,7 +152,7 @@
   harness.clock.advance(100);
   for (let port = 100; port < 130; port += 1) harness.open(port);
   harness.clock.advance(1_000);
-  t.is(harness.forwarder.statistics.ejections, 0);
+  t.is(harness.forwarder.ejections, 0);
 });
 
 test('an ejected back end gets one opening on trial, and comes back when it is answered', (t) => {
@@ -163,7 +163,7 @@
   harness.clock.advance(200);
   harness.establish(500);
   harness.clock.advance(TICK_MS);
-  t.is(harness.forwarder.statistics.ejections, 1);
+  t.is(harness.forwarder.ejections, 1);
   harness.clock.advance(1_100);
   const placed = Array.from({ length: 6 }, (_unused, index) => harness.establish(700 + index).backend);
   t.true(placed.includes('a'));
@@ -182,7 +182,7 @@
   harness.clock.advance(200);
   harness.establish(300);
   for (const { port, opened } of atA) harness.goOn(port, opened.cookie, { sequence: 50, payloadBytes: 9 });
-  t.is(harness.forwarder.statistics.ejections, 1);
+  t.is(harness.forwarder.ejections, 1);
   const [{ port, opened } = flows[0]!] = atA;
   harness.goOn(port, opened.cookie, { acknowledgement: 400 });
   t.true(
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -10,7 +10,7 @@
 import type { EdgeDropReason } from '../../fabric/types.js';
 import type { EventLog } from '../../observability/event.js';
 import type { KnownBackend, Route, RoutingKnowledge } from '../../routing/index.js';
-import { BackendState } from './backend-state.js';
+import { BackendStates } from './backend-states.js';
 import {
   CLOSING_MS,
   EXPIRY_INTERVAL_MS,
@@ -48,21 +48,17 @@
 export class CookieForwarder implements CookieEdgeHandler {
   readonly statistics = new CookieStatistics();
   private readonly cookies = new CookieRegistry();
-  private readonly states = new Map<KnownBackend, BackendState>();
+  private readonly states: BackendStates;
   private readonly cache: FlowCache;
   private readonly splitter: TrafficSplitter;
   private readonly placement: OpeningPlacement;
   /** Openings without an answer yet, oldest first. */
   private pending: Flow[] = [];
-  /** The two newest signs of life of different back ends. */
-  private newestProof: { state?: BackendState; atMs: number } = { atMs: Number.NEGATIVE_INFINITY };
-  private otherProofMs = Number.NEGATIVE_INFINITY;
   private nextExpiryMs = 0;
-  /** Back ends without a sign of life since a failure. */
-  private readonly failing = new Set<BackendState>();
 
   constructor(private readonly options: CookieForwarderOptions) {
     const { knowledge, random, zone, zoneMargin, maxFlows } = options;
+    this.states = new BackendStates(options.events);
     this.cache = new FlowCache(maxFlows);
     this.splitter = new TrafficSplitter(random);
     this.placement = new OpeningPlacement(zone, zoneMargin);
@@ -71,6 +67,11 @@
     knowledge.backends.onForget((backend) => this.forget(backend));
   }
 
+  /** Back ends ejected since start. */
+  get ejections(): number {
+    return this.states.ejections;
+  }
+
   /** Flows remembered now. */
   get flowCount(): number {
     return this.cache.size;
@@ -158,16 +159,16 @@
 
   /** Compares a packet with what the flow's earlier ones said. */
   private follow(packet: CookiePacket, flow: Flow, backend: KnownBackend, nowMs: number): void {
-    if (flow.state.backend !== backend) this.cache.move(flow, this.stateOf(backend));
+    if (flow.state.backend !== backend) this.cache.move(flow, this.states.of(backend));
     flow.lastPacketMs = nowMs;
     if (flow.phase === 'opening') {
       flow.phase = 'open';
       flow.acknowledgement = packet.acknowledgement;
       this.statistics.handshake.observe(nowMs - flow.openedAtMs);
-      this.noteProof(flow.state, nowMs);
+      this.states.noteProof(flow.state, nowMs);
     } else if (packet.ack && isAfter(packet.acknowledgement, flow.acknowledgement)) {
       flow.acknowledgement = packet.acknowledgement;
-      this.noteProof(flow.state, nowMs);
+      this.states.noteProof(flow.state, nowMs);
     }
     if (packet.payloadBytes > 0) this.followData(packet, flow, nowMs);
     if (packet.fin || packet.rst) this.cache.close(flow);
@@ -191,7 +192,7 @@
       service: backend.record.service,
       departed: backend.departed,
     });
-    return this.cache.add(packet, this.stateOf(backend), 'open', nowMs);
+    return this.cache.add(packet, this.states.of(backend), 'open', nowMs);
   }
 
   private dropUnknown(packet: CookiePacket): void {
@@ -219,7 +220,7 @@
     const chooseIn = (service: string): Placement | undefined =>
       this.placement.choose({
         ...{ backends: knowledge.backends.ofService(service), flowHash, nowMs },
-        stateOf: (backend) => this.stateOf(backend),
+        stateOf: (backend) => this.states.of(backend),
         maxConnections: knowledge.routes()?.maxConnectionsOf(service) ?? 0,
       });
     const choices = new Map<string, Placement | undefined>();
@@ -240,43 +241,11 @@
     this.options.edge.sendToBackend(backend.id, backend.record.endpoint, cookie);
   }
 
-  private stateOf(backend: KnownBackend): BackendState {
-    let state = this.states.get(backend);
-    if (!state) {
-      state = new BackendState(backend);
-      this.states.set(backend, state);
-    }
-    return state;
-  }
-
-  private noteProof(state: BackendState, nowMs: number): void {
-    if (this.newestProof.state !== state) this.otherProofMs = this.newestProof.atMs;
-    this.newestProof = { state, atMs: nowMs };
-    if (!state.noteProof(nowMs)) return;
-    this.failing.delete(state);
-    this.options.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
-  }
-
+  /** Counts once against the flow's back end in each phase. */
   private noteFailure(flow: Flow, sinceMs: number, nowMs: number): void {
     if (flow.failureNoted) return;
     flow.failureNoted = true;
-    flow.state.noteFailure(nowMs, sinceMs);
-    this.failing.add(flow.state);
-    this.judge(flow.state, nowMs);
-  }
-
-  /** Ejects a back end that gives no sign of life while others do. */
-  private judge(state: BackendState, nowMs: number): void {
-    const othersMs = this.newestProof.state === state ? this.otherProofMs : this.newestProof.atMs;
-    if (!state.tryEject(nowMs, othersMs)) return;
-    this.statistics.ejections += 1;
-    this.options.events.emit(COOKIE_FLOW_EVENTS.backendEjected, {
-      ...{ backend: state.backend.id, service: state.backend.record.service },
-      failures: state.failuresInRow,
-      lastSignOfLifeMs: Number.isFinite(state.lastProofMs)
-        ? Math.round(nowMs - state.lastProofMs)
-        : undefined,
-    });
+    this.states.noteFailure(flow.state, sinceMs, nowMs);
   }
 
   private tick(): void {
@@ -287,7 +256,7 @@
       this.pending = [];
     }
     this.checkOpenings(nowMs);
-    for (const state of this.failing) this.judge(state, nowMs);
+    this.states.judgeFailing(nowMs);
     if (nowMs >= this.nextExpiryMs) this.expire(nowMs);
   }
 
@@ -314,9 +283,7 @@
 
   private forget(backend: KnownBackend): void {
     this.cookies.remove(backend);
-    const state = this.states.get(backend);
-    if (state) this.failing.delete(state);
-    this.states.delete(backend);
+    this.states.forget(backend);
   }
 
   private logPlacement(packet: CookiePacket, route: Route, placement: Placement): void {
--- a/src/flow/cookie/cookie-statistics.ts
+++ b/src/flow/cookie/cookie-statistics.ts
@@ -8,7 +8,6 @@
   opened = 0;
   placedAnew = 0;
   takenOver = 0;
-  ejections = 0;
   /** Milliseconds from the SYN to the caller's next packet. */
   readonly handshake = new LatencyHistogram();
   private readonly dropCounts = new Map<string, number>();
