--- a/src/cli/config-command.ts
+++ b/src/cli/config-command.ts
@@ -1,6 +1,8 @@
 /** `sailquay config`: checks settings files and prints their schema. Nothing is sent to the platform. */
 import { readFile } from 'node:fs/promises';
 import type { Command } from 'commander';
+import { loadCookieDaemonConfig } from '../cookie-daemon/config.js';
+import { CookieDaemonError } from '../cookie-daemon/errors.js';
 import {
   fileJsonSchema,
   formatFault,
@@ -42,6 +44,12 @@
     .option('--json', 'write the result as JSON')
     .addHelpText('after', CHECK_HELP)
     .action((file: string, options: { json?: boolean }) => check(file, options.json ?? false, output));
+  config
+    .command('check-daemon')
+    .argument('<file>', 'configuration of a daemon on a cookie edge, in JSON or YAML')
+    .description('check the configuration of a daemon on a cookie edge and report every fault')
+    .addHelpText('after', '\nExample:\n  $ sailquay config check-daemon /etc/sailquay/daemon.json\n')
+    .action((file: string) => checkDaemon(file, output));
   config
     .command('schema')
     .description('print the JSON Schema of settings files')
@@ -61,6 +69,17 @@
   }
 }
 
+async function checkDaemon(file: string, output: CommandOutput): Promise<void> {
+  try {
+    const { id, zone, seeds } = await loadCookieDaemonConfig(file);
+    output.write(`${file}: valid, daemon ${id} in zone ${zone} with ${seeds.length} seed(s)`);
+  } catch (error) {
+    if (!(error instanceof CookieDaemonError)) throw error;
+    output.writeError(`sailquay: ${error.message}`);
+    output.exit(ExitCode.InvalidSettings);
+  }
+}
+
 /** Reads a file; reports why not and gives undefined when it cannot be read. */
 export async function readText(file: string, output: CommandOutput): Promise<string | undefined> {
   try {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -34,6 +34,11 @@
     description: 'show all balancers: settings in force, members, flows, back ends with reasons',
     register: async (program) => (await import('./status-command.js')).registerStatusCommand(program),
   },
+  {
+    name: 'explain',
+    description: "print what the balancers' logs say about one flow",
+    register: async (program) => (await import('./explain-command.js')).registerExplainCommand(program),
+  },
   {
     name: 'backend',
     description: 'drain a back end, or take it back into service',
