Avoid a back end while an opening there waits unusually long

Cause: a back end that crashed answers SYNs with a reset that no balancer sees; the caller's two retries come within milliseconds, long before 150 ms without an answer count as a failure, and meet the same back end, which has few flows now.

Ruled out: counting a waiting opening as three flows (a test with an empty back end showed that it only shifts the tie).

Change: while an opening waits longer than twice the moving average of the answers' times and 5 ms, its back end is avoided.

--- a/src/flow/cookie/backend-state.ts
+++ b/src/flow/cookie/backend-state.ts
@@ -14,6 +14,9 @@
 export class BackendState {
   /** Flows of this balancer that are open there, openings in progress included. */
   openFlows = 0;
+  /** Openings among them that were not answered yet, and monotonic ms at which the first of them was placed. */
+  pendingOpenings = 0;
+  pendingSinceMs = 0;
   /** Monotonic ms of the last sign of life; -Infinity before the first. */
   lastProofMs = Number.NEGATIVE_INFINITY;
   /** Failures since the last sign of life, and the time of the first and the last of them. */
@@ -79,6 +82,11 @@
     return nowMs - this.lastFailureMs < SUSPECT_MS ? 'suspect' : 'alive';
   }
 
+  /** True while an opening waits longer than openings do usually. */
+  isSlowToAnswer(nowMs: number, usualMs: number): boolean {
+    return this.pendingOpenings > 0 && nowMs - this.pendingSinceMs > usualMs;
+  }
+
   /** Notes that an opening is tried at a back end that was ejected. */
   noteTrial(nowMs: number): void {
     this.trialMs = nowMs;
--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -30,3 +30,12 @@
 
 /** A back end that is slow from its start counts as this part of its capacity. */
 export const COLD_CAPACITY_SHARE = 0.5;
+
+/**
+ * An opening waits unusually long after the moving average of the answers' times, times the factor, plus the minimum. Each
+ * answer moves the average by the share.
+ */
+export const USUAL_ANSWER_MIN_MS = 5;
+export const USUAL_ANSWER_FACTOR = 2;
+export const USUAL_ANSWER_SHARE = 0.05;
+export const USUAL_ANSWER_START_MS = 20;
--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -208,3 +208,21 @@
   harness.depart('a', 11, true);
   t.is(harness.open(1)?.backend, undefined);
 });
+
+test('the next tries of a caller go elsewhere while an opening waits unusually long', (t) => {
+  const harness = new ForwarderHarness().know(backends(2));
+  for (let port = 1; port <= 40; port += 1) {
+    const opened = harness.open(port)!;
+    harness.clock.advance(4);
+    harness.goOn(port, opened.cookie);
+  }
+  harness.know([...backends(2), backendAt('c', 20)], {}, 20);
+  t.is(harness.open(100)?.backend, 'c', 'the emptiest');
+  harness.clock.advance(4);
+  t.is(harness.open(101)?.backend, 'c', 'answers take that long');
+  harness.clock.advance(30);
+  t.not(harness.open(102)?.backend, 'c');
+  harness.goOn(100, harness.sent.find(({ backend }) => backend === 'c')!.cookie);
+  harness.goOn(101, harness.sent.find(({ backend }) => backend === 'c')!.cookie);
+  t.is(harness.open(103)?.backend, 'c', 'it answered after all');
+});
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -24,6 +24,7 @@
 import { FlowCache, type Flow } from './flow-cache.js';
 import { formatFlowId } from './flow-id.js';
 import { OpeningPlacement, type Placement } from './opening-placement.js';
+import { PendingOpenings } from './pending-openings.js';
 import { TrafficSplitter } from './traffic-splitter.js';
 
 /** What a cookie forwarder needs. */
@@ -53,7 +54,7 @@
   private readonly splitter: TrafficSplitter;
   private readonly placement: OpeningPlacement;
   /** Openings without an answer yet, oldest first. */
-  private pending: Flow[] = [];
+  private readonly pending = new PendingOpenings();
   private nextExpiryMs = 0;
 
   constructor(private readonly options: CookieForwarderOptions) {
@@ -116,7 +117,7 @@
     const placement = this.place(packet, route, nowMs);
     if (!placement) return this.refuse(packet, 'no-backend', route);
     const opened = this.cache.add(packet, placement.state, 'opening', nowMs);
-    if (opened) this.pending.push(opened);
+    if (opened) this.pending.add(opened);
     this.statistics.opened += 1;
     this.logPlacement(packet, route, placement);
     this.forward(placement.state.backend);
@@ -125,7 +126,10 @@
   /** A copy goes where the first SYN went, unless that back end is held dead. */
   private onSynCopy(packet: CookiePacket, flow: Flow, nowMs: number): void {
     flow.lastPacketMs = nowMs;
-    if (flow.phase === 'opening') this.noteFailure(flow, flow.openedAtMs, nowMs);
+    if (flow.phase === 'opening') {
+      this.pending.settle(flow);
+      this.noteFailure(flow, flow.openedAtMs, nowMs);
+    }
     if (flow.phase === 'opening' && flow.state.liveness(nowMs) === 'ejected') {
       const route = this.options.knowledge.routes()?.find(packet.destinationAddress, packet.destinationPort);
       const placement = route && this.place(packet, route, nowMs);
@@ -142,10 +146,11 @@
       failures: flow.state.failuresInRow,
     });
     this.statistics.placedAnew += 1;
+    this.pending.settle(flow);
     this.cache.move(flow, placement.state);
     flow.openedAtMs = nowMs;
     flow.failureNoted = false;
-    this.pending.push(flow);
+    this.pending.add(flow);
   }
 
   private onMidFlow(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
@@ -159,12 +164,14 @@
 
   /** Compares a packet with what the flow's earlier ones said. */
   private follow(packet: CookiePacket, flow: Flow, backend: KnownBackend, nowMs: number): void {
+    this.pending.settle(flow);
     if (flow.state.backend !== backend) this.cache.move(flow, this.states.of(backend));
     flow.lastPacketMs = nowMs;
     if (flow.phase === 'opening') {
       flow.phase = 'open';
       flow.acknowledgement = packet.acknowledgement;
       this.statistics.handshake.observe(nowMs - flow.openedAtMs);
+      this.pending.noteAnswer(nowMs - flow.openedAtMs);
       this.states.noteProof(flow.state, nowMs);
     } else if (packet.ack && isAfter(packet.acknowledgement, flow.acknowledgement)) {
       flow.acknowledgement = packet.acknowledgement;
@@ -220,6 +227,7 @@
     const chooseIn = (service: string): Placement | undefined =>
       this.placement.choose({
         ...{ backends: knowledge.backends.ofService(service), flowHash, nowMs },
+        usualAnswerMs: this.pending.usualMs,
         stateOf: (backend) => this.states.of(backend),
         maxConnections: knowledge.routes()?.maxConnectionsOf(service) ?? 0,
       });
@@ -253,7 +261,7 @@
     const pausedMs = this.options.pauses.noteTick(nowMs);
     if (pausedMs > 0) {
       this.options.events.emit(COOKIE_FLOW_EVENTS.paused, { pausedMs: Math.round(pausedMs) });
-      this.pending = [];
+      this.pending.clear();
     }
     this.checkOpenings(nowMs);
     this.states.judgeFailing(nowMs);
@@ -261,13 +269,10 @@
   }
 
   private checkOpenings(nowMs: number): void {
-    let looked = 0;
-    for (const flow of this.pending) {
-      if (nowMs - flow.openedAtMs < OPENING_ANSWER_MS) break;
-      looked += 1;
-      if (flow.phase === 'opening') this.noteFailure(flow, flow.openedAtMs, nowMs);
+    for (const flow of this.pending.takeOlder(nowMs - OPENING_ANSWER_MS)) {
+      this.pending.settle(flow);
+      this.noteFailure(flow, flow.openedAtMs, nowMs);
     }
-    if (looked > 0) this.pending = this.pending.slice(looked);
   }
 
   private expire(nowMs: number): void {
--- a/src/flow/cookie/cookie-parts.test.ts
+++ b/src/flow/cookie/cookie-parts.test.ts
@@ -109,7 +109,7 @@
   for (let flow = 0; flow < 140; flow += 1) {
     const choice = placement.choose({
       ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
-      ...{ flowHash: combine32(flow, 7), nowMs: 0 },
+      ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
     });
     choice!.state.openFlows += 1;
   }
@@ -127,7 +127,7 @@
   for (let flow = 0; flow < 20; flow += 1) {
     const choice = placement.choose({
       ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
-      ...{ flowHash: combine32(flow, 7), nowMs: 0 },
+      ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
     });
     choice!.state.openFlows += 1;
   }
--- a/src/flow/cookie/flow-cache.ts
+++ b/src/flow/cookie/flow-cache.ts
@@ -23,6 +23,8 @@
   acknowledgement: number;
   /** True when the present phase has counted against the back end already. */
   failureNoted: boolean;
+  /** True from the SYN until the caller goes on or the opening counts as failed; kept by `PendingOpenings`. */
+  awaitsAnswer: boolean;
 }
 
 /** Flows by service address and caller. */
@@ -49,7 +51,8 @@
     const callerKey = addressKey(packet.sourceAddress, packet.sourcePort);
     const flow: Flow = {
       ...{ callerKey, serviceKey, state, phase, openedAtMs: nowMs, lastPacketMs: nowMs },
-      ...{ dataSequence: -1, dataAtMs: 0, acknowledgement: packet.acknowledgement, failureNoted: false },
+      ...{ dataSequence: -1, dataAtMs: 0, acknowledgement: packet.acknowledgement },
+      ...{ failureNoted: false, awaitsAnswer: false },
     };
     this.flowsOf(serviceKey).set(callerKey, flow);
     this.count += 1;
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -17,6 +17,8 @@
   /** 32-bit hash of the flow. */
   readonly flowHash: number;
   readonly nowMs: number;
+  /** Back ends at which an opening waits longer than this are avoided. */
+  readonly usualAnswerMs: number;
 }
 
 /** Why a back end was chosen, from the best class to the last resort. */
@@ -102,7 +104,7 @@
     if (backend.record.draining || (backend.departed && !backend.lapsed)) continue;
     const state = question.stateOf(backend);
     if (state.openFlows >= question.maxConnections) continue;
-    const liveness = state.liveness(question.nowMs);
+    const liveness = livenessOf(state, question);
     if (backend.departed) addLapsed(classes, state, liveness);
     else if (liveness === 'trial') {
       classes.trial ??= state;
@@ -112,6 +114,11 @@
   return classes;
 }
 
+function livenessOf(state: BackendState, { nowMs, usualAnswerMs }: PlacementQuestion): Liveness {
+  const liveness = state.liveness(nowMs);
+  return liveness === 'alive' && state.isSlowToAnswer(nowMs, usualAnswerMs) ? 'suspect' : liveness;
+}
+
 /** A record that may only have lapsed counts while packets show that its back end lives. */
 function addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness): void {
   if (liveness === 'alive' && state.lastProofMs > (state.backend.departedAtMs ?? 0))
