Tell other daemons of back ends that were ejected

Cause: each daemon found a dead back end for itself: two failures at each of seven daemons.

Change: an ejection spreads like news; others avoid the back end for 2 s where there are others, unless it gives signs of life. It is a hint only: no back end is shut out by it.

--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -55,10 +55,12 @@
     setReading: (isReading) => reading.set(isReading),
     mayBeOld: () => pauses.mayBeOld(clock.now()),
     recordsMayLapse: () => circuit.recordsMayLapse(),
+    noteSuspicion: ({ backendId, atMs }) => forwarder.noteSuspicion(backendId, atMs),
   });
   const forwarder = new CookieForwarder({
     ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs },
     maxFlows: () => config().limits.maxFlows,
+    onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
   gate.open(forwarder);
   return { ...environment, edge, transport, knowledge, circuit, reading, spreader, forwarder };
--- a/src/flow/cookie/backend-state.ts
+++ b/src/flow/cookie/backend-state.ts
@@ -1,7 +1,13 @@
 /** What this balancer has seen of each back end: its own open flows there, and signs of life in callers' packets. */
 import { hashString } from '../../common/hash.js';
 import type { KnownBackend } from '../../routing/index.js';
-import { EJECT_AFTER_FAILURES, EJECT_MAX_MS, EJECT_MIN_MS, SUSPECT_MS } from './constants.js';
+import {
+  EJECT_AFTER_FAILURES,
+  EJECT_MAX_MS,
+  EJECT_MIN_MS,
+  SHARED_SUSPECT_MS,
+  SUSPECT_MS,
+} from './constants.js';
 
 /** Whether a back end should get new flows, as far as packets tell. */
 export type Liveness = 'alive' | 'suspect' | 'trial' | 'ejected';
@@ -28,6 +34,8 @@
   private ejectedUntilMs = 0;
   private ejectForMs = EJECT_MIN_MS;
   private trialMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic ms at which another balancer last ejected it. */
+  private suspectedElsewhereMs = Number.NEGATIVE_INFINITY;
 
   /** Hash of the back end's id, for the order among equal loads. */
   readonly idHash: number;
@@ -75,13 +83,26 @@
     return true;
   }
 
+  /** Notes that another balancer ejected it at `atMs`; false when that is known or a sign of life came since. */
+  noteSuspicion(atMs: number): boolean {
+    if (this.lastProofMs >= atMs || atMs - this.suspectedElsewhereMs < SUSPECT_MS) return false;
+    this.suspectedElsewhereMs = atMs;
+    return true;
+  }
+
   liveness(nowMs: number): Liveness {
-    if (this.failures === 0) return 'alive';
+    if (this.failures === 0) return this.isSuspectedElsewhere(nowMs) ? 'suspect' : 'alive';
     if (nowMs < this.ejectedUntilMs) return 'ejected';
     if (this.ejectedUntilMs > 0) return nowMs - this.trialMs < EJECT_MIN_MS ? 'ejected' : 'trial';
     return nowMs - this.lastFailureMs < SUSPECT_MS ? 'suspect' : 'alive';
   }
 
+  private isSuspectedElsewhere(nowMs: number): boolean {
+    return (
+      this.lastProofMs < this.suspectedElsewhereMs && nowMs - this.suspectedElsewhereMs < SHARED_SUSPECT_MS
+    );
+  }
+
   /** True while an opening waits longer than openings do usually. */
   isSlowToAnswer(nowMs: number, usualMs: number): boolean {
     return this.pendingOpenings > 0 && nowMs - this.pendingSinceMs > usualMs;
--- a/src/flow/cookie/backend-states.ts
+++ b/src/flow/cookie/backend-states.ts
@@ -22,7 +22,11 @@
   private newestOfOthersMs = Number.NEGATIVE_INFINITY;
   private ejectionCount = 0;
 
-  constructor(private readonly events: EventLog) {}
+  /** @param onEject called with each back end that is ejected */
+  constructor(
+    private readonly events: EventLog,
+    private readonly onEject: (state: BackendState, nowMs: number) => void,
+  ) {}
 
   /** Ejections since start. */
   get ejections(): number {
@@ -70,6 +74,7 @@
     const othersMs = this.newest.state === state ? this.newestOfOthersMs : this.newest.atMs;
     if (!state.tryEject(nowMs, othersMs)) return;
     this.ejectionCount += 1;
+    this.onEject(state, nowMs);
     this.events.emit(COOKIE_FLOW_EVENTS.backendEjected, {
       ...{ backend: state.backend.id, service: state.backend.record.service },
       failures: state.failuresInRow,
--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -16,6 +16,9 @@
 /** A back end with one failure and no sign of life is avoided this long where there are others. */
 export const SUSPECT_MS = 1_000;
 
+/** A back end that another balancer ejected is avoided this long where there are others, unless it gives signs of life. */
+export const SHARED_SUSPECT_MS = 2_000;
+
 /** Largest share of a service's back ends that may be ejected at once. */
 export const MAX_EJECTED_SHARE = 0.6;
 
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -43,6 +43,8 @@
   readonly maxFlowAgeMs: number;
   /** Flows that are remembered at once. */
   readonly maxFlows: () => number;
+  /** Called with each back end that is ejected, to tell other balancers. */
+  readonly onEject?: (backendId: string, nowMs: number) => void;
 }
 
 /** See the module. Call `start` once. */
@@ -59,7 +61,9 @@
 
   constructor(private readonly options: CookieForwarderOptions) {
     const { knowledge, random, zone, zoneMargin, maxFlows } = options;
-    this.states = new BackendStates(options.events);
+    this.states = new BackendStates(options.events, (state, nowMs) =>
+      options.onEject?.(state.backend.id, nowMs),
+    );
     this.cache = new FlowCache(maxFlows);
     this.splitter = new TrafficSplitter(random);
     this.placement = new OpeningPlacement(zone, zoneMargin);
@@ -78,6 +82,12 @@
     return this.cache.size;
   }
 
+  /** Notes that another balancer ejected a back end at `atMs`; true when that was not known. */
+  noteSuspicion(backendId: string, atMs: number): boolean {
+    const backend = this.options.knowledge.backends.get(backendId);
+    return backend !== undefined && this.states.of(backend).noteSuspicion(atMs);
+  }
+
   /** Runs the housekeeping until `signal` aborts. */
   start(signal: AbortSignal): void {
     let timer: TimerHandle;
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -35,6 +35,7 @@
       ...{ ...encodeEndpoint(endpoint), zone, ageMs: age(nowMs, heardAtMs) },
     })),
     updates: message.updates.map(encodeUpdate),
+    suspicions: message.suspicions.map(({ backendId, atMs }) => ({ backendId, ageMs: age(nowMs, atMs) })),
   }).finish();
 }
 
@@ -69,6 +70,9 @@
       ...{ endpoint: decodeEndpoint(at), zone: zone ?? '', heardAtMs: arrivedMs - (ageMs ?? 0) },
     })),
     updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update) ?? []),
+    suspicions: (message.suspicions ?? []).map(({ backendId, ageMs }) => ({
+      ...{ backendId: backendId ?? '', atMs: arrivedMs - (ageMs ?? 0) },
+    })),
   };
 }
 
--- a/src/spreading/pb/spreading.d.ts
+++ b/src/spreading/pb/spreading.d.ts
@@ -874,6 +874,76 @@
             type $Shape = sailquay.spreading.Update.$Properties;
         }
 
+        /**
+         * Properties of a Suspicion.
+         * @deprecated Use sailquay.spreading.Suspicion.$Properties instead.
+         */
+        interface ISuspicion extends sailquay.spreading.Suspicion.$Properties {
+        }
+
+        /** Represents a Suspicion. */
+        class Suspicion {
+
+            /**
+             * Constructs a new Suspicion.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.spreading.Suspicion.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** Suspicion backendId. */
+            backendId: string;
+
+            /** Suspicion ageMs. */
+            ageMs: number;
+
+            /**
+             * Encodes the specified Suspicion message. Does not implicitly {@link sailquay.spreading.Suspicion.verify|verify} messages.
+             * @param message Suspicion message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.spreading.Suspicion.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes a Suspicion message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Suspicion & sailquay.spreading.Suspicion.$Shape} Suspicion
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.Suspicion & sailquay.spreading.Suspicion.$Shape;
+
+            /**
+             * Gets the type url for Suspicion
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace Suspicion {
+
+            /** Properties of a Suspicion. */
+            interface $Properties {
+
+                /** Suspicion backendId */
+                backendId?: (string|null);
+
+                /** Suspicion ageMs */
+                ageMs?: (number|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of a Suspicion. */
+            type $Shape = sailquay.spreading.Suspicion.$Properties;
+        }
+
         /**
          * Properties of a PeerMessage.
          * @deprecated Use sailquay.spreading.PeerMessage.$Properties instead.
@@ -917,6 +987,9 @@
             /** PeerMessage updates. */
             updates: sailquay.spreading.Update.$Properties[];
 
+            /** PeerMessage suspicions. */
+            suspicions: sailquay.spreading.Suspicion.$Properties[];
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @param message PeerMessage message or plain object to encode
@@ -972,6 +1045,9 @@
                 /** PeerMessage updates */
                 updates?: (sailquay.spreading.Update.$Properties[]|null);
 
+                /** PeerMessage suspicions */
+                suspicions?: (sailquay.spreading.Suspicion.$Properties[]|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/spreading/pb/spreading.js
+++ b/src/spreading/pb/spreading.js
@@ -2222,6 +2222,176 @@
             return Update;
         })();
 
+        spreading.Suspicion = (function() {
+
+            /**
+             * Properties of a Suspicion.
+             * @typedef {Object} sailquay.spreading.Suspicion.$Properties
+             * @property {string|null} [backendId] Suspicion backendId
+             * @property {number|null} [ageMs] Suspicion ageMs
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Suspicion.
+             * @memberof sailquay.spreading
+             * @interface ISuspicion
+             * @augments sailquay.spreading.Suspicion.$Properties
+             * @deprecated Use sailquay.spreading.Suspicion.$Properties instead.
+             */
+
+            /**
+             * Shape of a Suspicion.
+             * @typedef {sailquay.spreading.Suspicion.$Properties} sailquay.spreading.Suspicion.$Shape
+             */
+
+            /**
+             * Constructs a new Suspicion.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Suspicion.
+             * @constructor
+             * @param {sailquay.spreading.Suspicion.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Suspicion = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Suspicion backendId.
+             * @member {string} backendId
+             * @memberof sailquay.spreading.Suspicion
+             * @instance
+             */
+            Suspicion.prototype.backendId = "";
+
+            /**
+             * Suspicion ageMs.
+             * @member {number} ageMs
+             * @memberof sailquay.spreading.Suspicion
+             * @instance
+             */
+            Suspicion.prototype.ageMs = 0;
+
+            /**
+             * Encodes the specified Suspicion message. Does not implicitly {@link sailquay.spreading.Suspicion.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Suspicion
+             * @static
+             * @param {sailquay.spreading.Suspicion.$Properties} message Suspicion message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Suspicion.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.backendId != null && $Object.hasOwnProperty.call(message, "backendId") && message.backendId !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.backendId);
+                if (message.ageMs != null && $Object.hasOwnProperty.call(message, "ageMs") && message.ageMs !== 0)
+                    writer.uint32(/* id 2, wireType 0 =*/16).uint32(message.ageMs);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Suspicion message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Suspicion
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Suspicion & sailquay.spreading.Suspicion.$Shape} Suspicion
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Suspicion.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Suspicion();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.backendId = value;
+                            else
+                                delete message.backendId;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.ageMs = value;
+                            else
+                                delete message.ageMs;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Suspicion
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Suspicion
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Suspicion.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Suspicion";
+            };
+
+            return Suspicion;
+        })();
+
         spreading.PeerMessage = (function() {
 
             /**
@@ -2235,6 +2405,7 @@
              * @property {Array.<sailquay.spreading.Reader.$Properties>|null} [readers] PeerMessage readers
              * @property {Array.<sailquay.spreading.Peer.$Properties>|null} [peers] PeerMessage peers
              * @property {Array.<sailquay.spreading.Update.$Properties>|null} [updates] PeerMessage updates
+             * @property {Array.<sailquay.spreading.Suspicion.$Properties>|null} [suspicions] PeerMessage suspicions
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2264,6 +2435,7 @@
                 this.readers = [];
                 this.peers = [];
                 this.updates = [];
+                this.suspicions = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -2334,6 +2506,14 @@
              */
             PeerMessage.prototype.updates = $util.emptyArray;
 
+            /**
+             * PeerMessage suspicions.
+             * @member {Array.<sailquay.spreading.Suspicion.$Properties>} suspicions
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.suspicions = $util.emptyArray;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @function encode
@@ -2370,6 +2550,9 @@
                 if (message.updates != null && message.updates.length)
                     for (let i = 0; i < message.updates.length; ++i)
                         $root.sailquay.spreading.Update.encode(message.updates[i], writer.uint32(/* id 8, wireType 2 =*/66).fork(), _depth + 1).ldelim();
+                if (message.suspicions != null && message.suspicions.length)
+                    for (let i = 0; i < message.suspicions.length; ++i)
+                        $root.sailquay.spreading.Suspicion.encode(message.suspicions[i], writer.uint32(/* id 9, wireType 2 =*/74).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2482,6 +2665,14 @@
                             message.updates.push($root.sailquay.spreading.Update.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 9: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.suspicions && message.suspicions.length))
+                                message.suspicions = [];
+                            message.suspicions.push($root.sailquay.spreading.Suspicion.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -28,7 +28,13 @@
 import { decodePeerMessage, encodePeerMessage } from './message-codec.js';
 import { PeerView } from './peer-view.js';
 import { ReaderRole, type RoleReason } from './reader-role.js';
-import { ROUTING_TOPICS, type PeerMessage, type PeerTransport, type SpreadUpdate } from './types.js';
+import {
+  ROUTING_TOPICS,
+  type BackendSuspicion,
+  type PeerMessage,
+  type PeerTransport,
+  type SpreadUpdate,
+} from './types.js';
 import { completeUpdate, UpdateLog } from './update-log.js';
 
 /** What a spreader needs. */
@@ -47,6 +53,8 @@
   readonly mayBeOld: () => boolean;
   /** True while records may vanish because their owners cannot write. */
   readonly recordsMayLapse: () => boolean;
+  /** Takes in what another daemon found; true when it was new here, so that it is passed on. */
+  readonly noteSuspicion?: (suspicion: BackendSuspicion) => boolean;
 }
 
 /** Counters since start. */
@@ -122,6 +130,11 @@
     this.push({ ...this.message('news', []), leaving: true });
   }
 
+  /** Tells other daemons of a back end that was ejected here. */
+  tellSuspicion(suspicion: BackendSuspicion): void {
+    this.push({ ...this.message('news', []), suspicions: [suspicion] });
+  }
+
   /** To be called after each answer of the source: what it proved is passed on. */
   noteOwnProof(): void {
     this.ownProofMs = this.options.clock.now();
@@ -187,6 +200,9 @@
     }
     if (mayBeOld) return;
     message.readers.forEach((reader) => this.role.note(reader));
+    for (const suspicion of message.suspicions) {
+      if (this.options.noteSuspicion?.(suspicion)) this.tellSuspicion(suspicion);
+    }
     const missing = ROUTING_TOPICS.filter((topic) => {
       const proof = message.proofs[topic];
       return proof !== undefined && !knowledge.acceptProof(topic, proof);
@@ -282,7 +298,7 @@
     const others = this.role.newestReaders(clock.now(), READERS_A_MESSAGE);
     const self = this.role.isReading ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
     return {
-      ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates },
+      ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates, suspicions: [] },
       readers: [...self, ...others],
       peers: this.peers.sample(PEERS_A_MESSAGE),
     };
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -231,6 +231,8 @@
   readonly knowledge: RoutingKnowledge;
   readonly spreader: Spreader;
   readonly endpoint: Endpoint;
+  /** Back ends that others suspected, each once. */
+  readonly suspicions: string[] = [];
   private readonly abort = new AbortController();
   private reading: AbortController | undefined;
 
@@ -260,6 +262,11 @@
       },
       mayBeOld: () => false,
       recordsMayLapse: () => circuit.recordsMayLapse(),
+      noteSuspicion: ({ backendId }) => {
+        if (this.suspicions.includes(backendId)) return false;
+        this.suspicions.push(backendId);
+        return true;
+      },
     });
     this.spreader.start(this.abort.signal);
   }
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -166,6 +166,15 @@
   t.true((await timeOfVersion(cluster, cluster.source.changeRoutes())) <= 100);
 });
 
+test('a suspicion reaches nearly everybody once, and does not go round', async (t) => {
+  const cluster = await settled(20);
+  cluster.daemons[0]!.spreader.tellSuspicion({ backendId: 'a', atMs: cluster.clock.now() });
+  await cluster.clock.advanceAsync(500, 5);
+  const heard = cluster.daemons.filter(({ suspicions }) => suspicions.length > 0);
+  t.true(heard.length >= 17, `${heard.length} of 20`);
+  for (const { suspicions } of cluster.daemons) t.true(suspicions.length <= 1);
+});
+
 /** A model check: random faults, cuts and changes; no version goes back, and nobody who can reach the source is old. */
 for (let seed = 1; seed <= 12; seed += 1) {
   test(`random faults: no version goes back, and whoever has a path is current, seed ${seed}`, async (t) => {
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -28,6 +28,13 @@
   readonly update: RoutingUpdate;
 }
 
+/** A back end that gave some daemon no sign of life while others did. */
+export interface BackendSuspicion {
+  readonly backendId: string;
+  /** Monotonic ms at which it was ejected there. */
+  readonly atMs: number;
+}
+
 /** What a message says; times are this process's monotonic ms. */
 export interface PeerMessage {
   readonly type: 'news' | 'pull' | 'state';
@@ -39,6 +46,7 @@
   readonly readers: readonly ReaderSighting[];
   readonly peers: readonly Peer[];
   readonly updates: readonly SpreadUpdate[];
+  readonly suspicions: readonly BackendSuspicion[];
 }
 
 /** Carries messages between daemons: datagrams, and everything at once over a connection. */
