--- /dev/null
+++ b/src/observability/line-writer.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { VirtualClock } from '../common/clock.js';
+import { LineWriter } from './line-writer.js';
+
+/** A stream whose reader takes nothing until it is told to. */
+class SlowStream {
+  readonly taken: string[] = [];
+  writableLength = 0;
+
+  readonly write = (text: string): boolean => {
+    this.taken.push(text);
+    this.writableLength += text.length;
+    return false;
+  };
+}
+
+test('lines gather and are written together, in order', (t) => {
+  const clock = new VirtualClock();
+  const stream = new SlowStream();
+  const writer = new LineWriter(clock, stream);
+  writer.write('one');
+  writer.write('two');
+  t.deepEqual(stream.taken, []);
+  clock.advance(300);
+  t.deepEqual(stream.taken, ['one\ntwo\n']);
+  writer.write('three');
+  writer.flush();
+  clock.advance(300);
+  t.deepEqual(stream.taken, ['one\ntwo\n', 'three\n']);
+});
+
+test('what a slow reader leaves behind is bounded; lines beyond are counted, and later ones written again', (t) => {
+  const clock = new VirtualClock();
+  const stream = new SlowStream();
+  const writer = new LineWriter(clock, stream);
+  const line = 'x'.repeat(1_000);
+  for (let count = 0; count < 1_000; count += 1) {
+    writer.write(line);
+    clock.advance(10);
+  }
+  t.true(stream.writableLength <= 262_144 + 2_000, String(stream.writableLength));
+  t.true(writer.leftOutCount >= 700, String(writer.leftOutCount));
+  stream.writableLength = 0;
+  const before = stream.taken.length;
+  writer.write(line);
+  clock.advance(300);
+  t.is(stream.taken.length, before + 1);
+});
