--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -112,11 +112,7 @@
     }
   }
 
-  async acquireLease(
-    name: string,
-    holder: string,
-    durationMs: number,
-  ): Promise<Result<Lease, StoreError>> {
+  async acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, StoreError>> {
     const requestedAtMs = this.clock.now();
     if (!this.admit('lease')) return Result.err(unreachable(`take lease ${name}`));
     const outcome = this.platform.leases.acquire(name, holder, durationMs, this.caller);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -104,11 +104,7 @@
     return watchObject<T>(context, key, afterVersion, AbortSignal.any([signal, this.closing.signal]));
   }
 
-  async acquireLease(
-    name: string,
-    holder: string,
-    durationMs: number,
-  ): Promise<Result<Lease, StoreError>> {
+  async acquireLease(name: string, holder: string, durationMs: number): Promise<Result<Lease, StoreError>> {
     const action = `take lease ${name}`;
     let requestedAtMs = this.clock.now();
     const exchange: Exchange = {
@@ -192,10 +188,7 @@
     return keepingProcessAlive(() => this.sendUntilConnected(action, exchange));
   }
 
-  private async sendUntilConnected(
-    action: string,
-    exchange: Exchange,
-  ): Promise<Result<Answer, StoreError>> {
+  private async sendUntilConnected(action: string, exchange: Exchange): Promise<Result<Answer, StoreError>> {
     const deadlineAtMs = this.clock.now() + this.callDeadlineMs;
     for (let attempt = 0; ; attempt += 1) {
       if (!this.circuit.tryPass()) return Result.err(errors.unreachable(action));
