--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -51,7 +51,7 @@
     onProof: () => spreader.noteOwnProof(),
   });
   const spreader = new Spreader({
-    ...{ selfId: id, zone, seeds: seedsOf(config()), transport, knowledge, clock, random, events },
+    ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
     setReading: (isReading) => reading.set(isReading),
     mayBeOld: () => pauses.mayBeOld(clock.now()),
     recordsMayLapse: () => circuit.recordsMayLapse(),
--- a/src/cookie-daemon/config.ts
+++ b/src/cookie-daemon/config.ts
@@ -83,7 +83,7 @@
 export type CookieDaemonConfig = z.output<typeof cookieDaemonConfigSchema>;
 
 /** Fields that a reread puts in force at once; the others need a restart. */
-const RELOADABLE: ReadonlySet<string> = new Set(['limits', 'drain', 'log']);
+const RELOADABLE: ReadonlySet<string> = new Set(['limits', 'drain', 'log', 'seeds', 'seedPort']);
 
 /** Reads a configuration file. Throws `CookieDaemonError`. */
 export async function loadCookieDaemonConfig(path: string): Promise<CookieDaemonConfig> {
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -47,8 +47,8 @@
   /** Puts a new configuration in force as far as possible. */
   reload(config: CookieDaemonConfig): void {
     const { changed, needsRestart } = compareConfigs(this.current.config, config);
-    const { limits, drain, log } = config;
-    this.current.config = { ...this.current.config, limits, drain, log };
+    const { limits, drain, log, seeds, seedPort } = config;
+    this.current.config = { ...this.current.config, limits, drain, log, seeds, seedPort };
     this.components.events.emit(COOKIE_DAEMON_EVENTS.configReread, {
       changed: changed.join(',') || 'nothing',
       needsRestart: needsRestart.join(',') || 'nothing',
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -41,7 +41,8 @@
 export interface SpreaderOptions {
   readonly selfId: string;
   readonly zone: string;
-  readonly seeds: readonly Endpoint[];
+  /** Asked at each greeting, since a reread of the configuration may change them. */
+  readonly seeds: () => readonly Endpoint[];
   readonly transport: PeerTransport;
   readonly knowledge: RoutingKnowledge;
   readonly clock: Clock;
@@ -165,7 +166,8 @@
 
   /** Seeds may be down or stale at first; later they keep groups from losing each other. */
   private greetSeeds(nowMs: number): void {
-    const { seeds, random } = this.options;
+    const { random } = this.options;
+    const seeds = this.options.seeds();
     const intervalMs = this.peers.size < seeds.length ? GREETING_MIN_MS : GREETING_MAX_MS;
     this.nextGreetingMs = nowMs + jitter(intervalMs, GREETING_JITTER, random);
     for (const seed of seeds) this.send(seed, this.message('pull', []));
@@ -260,7 +262,7 @@
     if (nowMs - this.lastPullMs < PULL_INTERVAL_MS) return;
     this.lastPullMs = nowMs;
     const chosen = this.peers.sample(PULL_FANOUT).map(({ endpoint }) => endpoint);
-    for (const endpoint of chosen.length > 0 ? chosen : this.options.seeds) this.askOne(endpoint);
+    for (const endpoint of chosen.length > 0 ? chosen : this.options.seeds()) this.askOne(endpoint);
   }
 
   /** Sends news to some peers at once. */
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -253,7 +253,7 @@
     };
     const followers = ROUTING_TOPICS.map((topic) => new SourceFollower(topic, following));
     this.spreader = new Spreader({
-      ...{ selfId: id, zone: `zone-${index % 3}`, seeds: cluster.seeds, knowledge: this.knowledge },
+      ...{ selfId: id, zone: `zone-${index % 3}`, seeds: () => cluster.seeds, knowledge: this.knowledge },
       ...{ transport: network.open(this.endpoint), clock, random, events },
       setReading: (isReading) => {
         this.reading?.abort();
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -158,6 +158,18 @@
   t.true((await cluster.timeUntil(complete, 3_000)) <= 100);
 });
 
+test('seeds that are all stale are replaced by a reread, and the daemon finds the others', async (t) => {
+  const cluster = await settled(7);
+  const valid = [...cluster.seeds];
+  cluster.seeds.splice(0, cluster.seeds.length, { host: '10.9.0.1', port: 7_720 });
+  const newcomer = cluster.add();
+  await cluster.clock.advanceAsync(2_000, 10);
+  t.is(newcomer.spreader.peerCount, 0);
+  t.true(newcomer.knowledge.isComplete(), 'it serves from the source alone meanwhile');
+  cluster.seeds.splice(0, cluster.seeds.length, ...valid);
+  t.true((await cluster.timeUntil(() => newcomer.spreader.peerCount >= 3, 3_000)) <= 1_000);
+});
+
 test('a daemon without seeds and peers serves from the source alone', async (t) => {
   const cluster = new SpreadingCluster(0);
   const daemon = cluster.add();
