--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -1,7 +1,7 @@
 /** Times and sizes of cookie forwarding. */
 
 /** Housekeeping: pending openings, pauses and expiry are looked at this often. */
-export const TICK_MS = 100;
+export const TICK_MS = 150;
 
 /** An opening that its caller does not go on with after this long is unanswered. Callers repeat a SYN after 200 ms. */
 export const OPENING_ANSWER_MS = 150;
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -1,7 +1,7 @@
 /** Times and sizes of spreading knowledge between daemons. */
 
 /** Overdue knowledge, roles and peers are looked at this often. */
-export const TICK_MS = 100;
+export const TICK_MS = 200;
 
 /** Daemons that read the source at the same time. One would do; the second bridges the loss of the first. */
 export const TARGET_READERS = 2;
