--- a/src/fabric/data-sockets.ts
+++ b/src/fabric/data-sockets.ts
@@ -5,6 +5,7 @@
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import type { Clock } from '../common/clock.js';
+import { numericLookup } from '../common/numeric-lookup.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import { MAX_CONNECTED_SOCKETS, SOCKET_BUFFER_BYTES } from './constants.js';
@@ -15,13 +16,6 @@
 /** Receives every datagram of every socket. */
 export type DatagramListener = (datagram: Buffer, source: RemoteInfo) => void;
 
-type LookupCallback = (error: Error | null, address: string, family: number) => void;
-
-/** Addresses are numeric: answers at once instead of asking the resolver for each send. */
-function numericLookup(host: string, _options: unknown, callback: LookupCallback): void {
-  callback(null, host, 4);
-}
-
 function openSocket(): Socket {
   return createSocket({ type: 'udp4', reuseAddr: true, lookup: numericLookup as never });
 }
--- a/src/spreading/network-transport.ts
+++ b/src/spreading/network-transport.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { createServer, get as httpGet, type IncomingMessage, type Server } from 'node:http';
 import Result from 'true-myth/result';
+import { numericLookup } from '../common/numeric-lookup.js';
 import type { Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import { FETCH_TIMEOUT_MS } from './constants.js';
@@ -15,13 +16,6 @@
 /** Longest state that is read. */
 const MAX_STATE_BYTES = 16_777_216;
 
-type LookupCallback = (error: Error | null, address: string, family: number) => void;
-
-/** Addresses are numeric: answers at once instead of asking the resolver for each send. */
-function numericLookup(host: string, _options: unknown, callback: LookupCallback): void {
-  callback(null, host, 4);
-}
-
 /** See the module. */
 export class NetworkTransport implements PeerTransport {
   private receive: (bytes: Uint8Array, from: Endpoint) => void = () => undefined;
