Send changes that follow each other together, and fetch what does not fit into an answer

Each change was sent to three peers by each daemon at once; and a gap that did not fit into a datagram was asked for again and again without end, since each answer came without its updates.

Change: changes within 100 ms after the last ones sent go out together; who still lacks something 200 ms after it asked fetches.

--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -45,6 +45,12 @@
 /** Proofs gather this long before they are sent; changes are sent at once. */
 export const PROOF_GATHER_MS = 50;
 
+/** Changes that come within this time after the last ones were sent go out together. */
+export const CHANGE_GATHER_MS = 100;
+
+/** Who still lacks something this soon after it asked fetches everything: what it lacks does not fit into an answer. */
+export const ASK_AGAIN_MS = 200;
+
 /** Added to the age of what arrives, for its way. */
 export const TRANSIT_MS = 5;
 
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -8,6 +8,8 @@
 import type { EventLog } from '../observability/event.js';
 import type { AppliedUpdate, RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
 import {
+  ASK_AGAIN_MS,
+  CHANGE_GATHER_MS,
   FANOUT_ELSEWHERE,
   FANOUT_IN_ZONE,
   FETCH_INTERVAL_MS,
@@ -80,6 +82,11 @@
   private readonly log = new UpdateLog();
   private timer: TimerHandle | undefined;
   private proofTimer: TimerHandle | undefined;
+  private changeTimer: TimerHandle | undefined;
+  private changesSentMs = Number.NEGATIVE_INFINITY;
+  /** Revisions up to which changes were sent. */
+  private readonly sentRevisions: Record<RoutingTopic, number> = { routes: -1, backends: -1 };
+  private lastAskMs = Number.NEGATIVE_INFINITY;
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private lastFetchMs = Number.NEGATIVE_INFINITY;
   private fetching = false;
@@ -123,6 +130,7 @@
     signal.addEventListener('abort', () => {
       this.timer?.cancel();
       this.proofTimer?.cancel();
+      this.changeTimer?.cancel();
     });
   }
 
@@ -142,11 +150,24 @@
     this.pushSoon();
   }
 
-  /** A second round, of proofs only, reaches most of those that the first one missed: they ask for the change. */
+  /** A change goes out at once, those that follow it closely go out together. */
   private onApplied({ topic, update, since }: AppliedUpdate): void {
-    const entry: SpreadUpdate = { topic, since: update.complete ? -1 : since, update };
-    this.log.note(entry);
-    this.push(this.message('news', update.complete ? [] : [entry]));
+    this.log.note({ topic, since: update.complete ? -1 : since, update });
+    const nowMs = this.options.clock.now();
+    const waitMs = this.changesSentMs + CHANGE_GATHER_MS - nowMs;
+    if (waitMs <= 0) return this.pushChanges();
+    this.changeTimer ??= this.options.clock.schedule(waitMs, () => this.pushChanges());
+  }
+
+  /** A second round, of proofs only, reaches most of those that the first one missed: they ask for the changes. */
+  private pushChanges(): void {
+    const { clock, knowledge } = this.options;
+    this.changeTimer?.cancel();
+    this.changeTimer = undefined;
+    this.changesSentMs = clock.now();
+    const updates = ROUTING_TOPICS.flatMap((topic) => this.log.since(topic, this.sentRevisions[topic]) ?? []);
+    for (const topic of ROUTING_TOPICS) this.sentRevisions[topic] = knowledge.revisionOf(topic);
+    this.push(this.message('news', updates));
     this.pushSoon();
   }
 
@@ -209,17 +230,20 @@
       const proof = message.proofs[topic];
       return proof !== undefined && !knowledge.acceptProof(topic, proof);
     });
-    if (missing.length > 0) this.fill(missing, message, from);
+    if (missing.length > 0) this.fill(missing, from);
     else if (ageBeforeMs - knowledge.age() >= PROOF_STEP_MS) this.pushSoon();
   }
 
-  /** Small gaps are asked for, and answered from the peer's log; who knows nothing fetches everything. */
-  private fill(missing: readonly RoutingTopic[], message: PeerMessage, from: Endpoint): void {
-    const { knowledge } = this.options;
-    const isNew = missing.some((topic) => knowledge.revisionOf(topic) < 0);
-    const wasAnswer = message.updates.length === 0 && message.type === 'news' && this.overdue;
-    if (isNew || wasAnswer || missing.includes('routes')) void this.fetch(from);
-    else this.askOne(from);
+  /** Small gaps are asked for and answered from the peer's log; who knows nothing, or still lacks something, fetches. */
+  private fill(missing: readonly RoutingTopic[], from: Endpoint): void {
+    const nowMs = this.options.clock.now();
+    const isNew = missing.some((topic) => this.options.knowledge.revisionOf(topic) < 0);
+    const wasAsked = nowMs - this.lastAskMs < ASK_AGAIN_MS;
+    if (isNew || wasAsked || missing.includes('routes')) void this.fetch(from);
+    else {
+      this.lastAskMs = nowMs;
+      this.askOne(from);
+    }
   }
 
   private askOne(from: Endpoint): void {
