Read the source once and possibly old at a start, listen who follows it, and watch as long as the bound allows

Each start read both topics in full and watched until it had heard of two readers. Change: the first reading is a list that may be stale (a tenth of the price); nobody follows the source before it has listened who does, in the order of ranks; the first watch is answered at once, so that others hear of it; watches wait as long as the age of what is known allows, by the deployment's bounds (changeBoundsMs); changes in a row come together (120 ms). Found on the way, with tests that failed first: a complete update older than what is known brought back who had left.

--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../observability/event.js';
 import { PauseDetector } from '../common/pause-detector.js';
 import { TICK_MS } from '../flow/cookie/constants.js';
-import { RoutingKnowledge, SourceCircuit } from '../routing/index.js';
+import { freshnessTimings, RoutingKnowledge, SourceCircuit } from '../routing/index.js';
 import { NetworkTransport, Spreader } from '../spreading/index.js';
 import type { BoundCookieEdge, DeploymentAdapters } from './adapters.js';
 import type { CookieDaemonConfig } from './config.js';
@@ -38,20 +38,22 @@
   environment: CookieDaemonEnvironment,
 ): Promise<CookieDaemonComponents> {
   const { clock, random, events, adapters } = environment;
-  const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs } = config();
+  const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs, changeBoundsMs } = config();
   const gate = new EdgeGate();
   const edge = await adapters.openEdge({ data, handler: gate, events, clock });
   const transport = await NetworkTransport.open(control, events);
   const knowledge = new RoutingKnowledge({ clock, events, retentionMs: maxFlowAgeMs });
+  const timings = freshnessTimings(Math.min(...changeBoundsMs));
   const circuit = new SourceCircuit(clock, random, events);
   const pauses = new PauseDetector(clock.now(), TICK_MS);
   const source = adapters.createSource(address, clock);
   const reading = new SourceReading({
-    ...{ clock, source, knowledge, circuit },
+    ...{ clock, source, knowledge, circuit, timings },
     onProof: () => spreader.noteOwnProof(),
   });
   const spreader = new Spreader({
     ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
+    timings,
     setReading: (isReading) => reading.set(isReading),
     mayBeOld: () => pauses.mayBeOld(clock.now()),
     recordsMayLapse: () => circuit.recordsMayLapse(),
--- a/src/cookie-daemon/config.test.ts
+++ b/src/cookie-daemon/config.test.ts
@@ -26,6 +26,8 @@
   [{ seeds: ['10.0.0.1:1', 'x'] }, /seeds\.1: /],
   [{ seedPort: 0 }, /seedPort: /],
   [{ maxFlowAgeMs: -1 }, /maxFlowAgeMs: /],
+  [{ changeBoundsMs: [] }, /changeBoundsMs: /],
+  [{ changeBoundsMs: [3_000, 0] }, /changeBoundsMs\.1: /],
   [{ zoneMargin: -0.5 }, /zoneMargin: /],
   [{ limits: { maxFlows: 1.5 } }, /limits\.maxFlows: /],
   [{ drain: { minMs: 'long' } }, /drain\.minMs: /],
--- a/src/cookie-daemon/config.ts
+++ b/src/cookie-daemon/config.ts
@@ -6,6 +6,7 @@
 import * as z from 'zod/mini';
 import { parseEndpoint } from '../common/endpoint-text.js';
 import type { Endpoint } from '../common/types.js';
+import { DEFAULT_FRESHNESS_BOUND_MS } from '../routing/freshness.js';
 import * as defaults from './constants.js';
 import { CookieDaemonError } from './errors.js';
 
@@ -50,6 +51,8 @@
   seedPort: z.optional(z.int().check(z.positive(), z.maximum(MAX_PORT))),
   /** Address of the source of routes and back ends. */
   source: otherAddress,
+  /** Each kind of change must be in force everywhere this many ms after it was made; the tightest bound counts. */
+  changeBoundsMs: z._default(z.array(milliseconds).check(z.minLength(1)), [DEFAULT_FRESHNESS_BOUND_MS]),
   /** Longest life of a flow, in ms. */
   maxFlowAgeMs: z._default(milliseconds, defaults.DEFAULT_MAX_FLOW_AGE_MS),
   /** See `OpeningPlacement`; 0 turns the preference of the own zone off. */
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -63,7 +63,8 @@
 
   private async run(): Promise<void> {
     const { components, running } = this;
-    const { forwarder, spreader, edge, events } = components;
+    const { forwarder, spreader, reading, edge, events } = components;
+    reading.readFirst();
     forwarder.start(running.signal);
     spreader.start(running.signal);
     this.admin = await AdminServer.listen(this.current.config.admin, {
--- a/src/cookie-daemon/source-reading.ts
+++ b/src/cookie-daemon/source-reading.ts
@@ -1,4 +1,4 @@
-/** Starts and stops the two tasks that follow the source. */
+/** Reads the source once at the start, and starts and stops the two tasks that follow it. */
 import { SourceFollower, type RoutingTopic } from '../routing/index.js';
 import type { SourceFollowerOptions } from '../routing/source-follower.js';
 
@@ -8,6 +8,7 @@
 export class SourceReading {
   private readonly followers: readonly SourceFollower[];
   private running: AbortController | undefined;
+  private readonly life = new AbortController();
 
   constructor(options: SourceFollowerOptions) {
     this.followers = TOPICS.map((topic) => new SourceFollower(topic, options));
@@ -18,16 +19,27 @@
     return this.followers.reduce((sum, { calls }) => sum + calls, 0);
   }
 
-  /** Starts reading, or ends it together with the calls under way. */
+  /** Learns what there is, if nobody else tells it sooner. */
+  readFirst(): void {
+    for (const follower of this.followers) void follower.readFirst(this.life.signal);
+  }
+
+  /** Starts following, or ends it together with the calls under way. */
   set(isReading: boolean): void {
     if (isReading === (this.running !== undefined)) return;
-    if (!isReading) return this.stop();
+    if (!isReading) return this.stopFollowing();
     const running = new AbortController();
     this.running = running;
     for (const follower of this.followers) void follower.run(running.signal);
   }
 
+  /** Ends everything. */
   stop(): void {
+    this.life.abort();
+    this.stopFollowing();
+  }
+
+  private stopFollowing(): void {
     this.running?.abort();
     this.running = undefined;
   }
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -1,13 +1,10 @@
 /** Times of following a routing source. */
 
-/** A watch is answered after this long at the latest, so that a dead connection is noticed soon. */
-export const WATCH_WAIT_MS = 1_500;
+/** The first watch of a new reader is answered at once: its proof tells others that somebody reads. */
+export const FIRST_WATCH_WAIT_MS = 1;
 
-/**
- * A watch that follows an answer with changes waits this long only: such an answer may have been on its way for long, so it
- * proves no more than that nothing newer existed when it was asked for.
- */
-export const WATCH_WAIT_AFTER_CHANGE_MS = 300;
+/** After an answer with changes the next watch is asked for this much later, so that changes in a row come together. */
+export const CHANGE_GATHER_MS = 120;
 
 /** First wait after a failed call, and the largest; waits are jittered and doubled. */
 export const RETRY_MIN_MS = 100;
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,14 +3,16 @@
  *
  * ```ts
  * const knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
+ * const timings = freshnessTimings(3_000);
  * const circuit = new SourceCircuit(clock, random, events);
- * void new SourceFollower('routes', { clock, source, knowledge, circuit }).run(signal);
+ * void new SourceFollower('routes', { clock, source, knowledge, circuit, timings }).run(signal);
  * ```
  */
 export type * from './types.js';
 export { BackendRegistry, type KnownBackend } from './backend-registry.js';
 export { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
 export { ROUTING_EVENTS } from './events.js';
+export { DEFAULT_FRESHNESS_BOUND_MS, freshnessTimings, type FreshnessTimings } from './freshness.js';
 export { RoutingKnowledge, type AppliedUpdate, type UpdateOrigin } from './knowledge.js';
 export { addressKey, RouteIndex } from './route-index.js';
 export { SourceCircuit } from './source-circuit.js';
--- a/src/routing/knowledge.test.ts
+++ b/src/routing/knowledge.test.ts
@@ -131,6 +131,15 @@
   t.true(knowledge.backends.get('b')?.departed);
 });
 
+test('a complete update older than what is known brings nobody back, and tells of those who left in between', (t) => {
+  const { knowledge } = createKnowledge();
+  knowledge.apply('backends', list(9, backendAt('a', 3)), origin(-1));
+  knowledge.apply('backends', list(5, backendAt('a', 3), backendAt('b', 4)), origin(-1));
+  t.deepEqual(present(knowledge), ['a']);
+  t.true(knowledge.backends.get('b')?.departed);
+  t.is(knowledge.revisionOf('backends'), 9);
+});
+
 test('the same updates in any order and number lead to the same back ends', (t) => {
   const record = fc.record({ id: fc.constantFrom('a', 'b', 'c'), revision: fc.nat(20) });
   const step = fc.oneof(
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -149,7 +149,9 @@
   }
 
   private applyBackends(update: RoutingUpdate, mayHaveLapsed: boolean): void {
-    const knownRevision = update.complete ? UNKNOWN_REVISION : this.progress.backends.revision;
+    const { revision: known } = this.progress.backends;
+    const isNewest = update.complete && update.revision >= known;
+    const knownRevision = isNewest ? UNKNOWN_REVISION : known;
     update.backends.forEach((record) => this.backends.put(record, knownRevision));
     update.departed?.forEach((record) => this.backends.putDeparted(record));
     update.removals.forEach((removal) => this.backends.remove(removal, mayHaveLapsed));
--- a/src/routing/routing-test-support.ts
+++ b/src/routing/routing-test-support.ts
@@ -1,7 +1,14 @@
 /** Routes, back ends and a scripted source for tests. */
 import Result from 'true-myth/result';
 import { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
-import type { RoutedBackend, RouteTable, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
+import type {
+  ReadFreshness,
+  RoutedBackend,
+  RouteTable,
+  RoutingSource,
+  RoutingTopic,
+  RoutingUpdate,
+} from './types.js';
 
 /** 198.18.0.1 */
 export const SERVICE_ADDRESS = 0xc6120001;
@@ -38,6 +45,8 @@
   readonly topic: RoutingTopic;
   readonly revision: number;
   readonly waitMs: number;
+  /** Only of a read. */
+  readonly freshness?: ReadFreshness;
 }
 
 /** Answers each call as `answer` says; the promise may stay open. */
@@ -48,8 +57,8 @@
     private readonly answer: (call: SourceCall) => Promise<RoutingUpdate | RoutingSourceErrorKind>,
   ) {}
 
-  read(topic: RoutingTopic): Promise<Result<RoutingUpdate, RoutingSourceError>> {
-    return this.call({ kind: 'read', topic, revision: -1, waitMs: 0 });
+  read(topic: RoutingTopic, freshness: ReadFreshness): Promise<Result<RoutingUpdate, RoutingSourceError>> {
+    return this.call({ kind: 'read', topic, revision: -1, waitMs: 0, freshness });
   }
 
   watch(
--- a/src/routing/source-follower.test.ts
+++ b/src/routing/source-follower.test.ts
@@ -2,8 +2,9 @@
 import { VirtualClock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { RETRY_MAX_MS, WATCH_WAIT_AFTER_CHANGE_MS, WATCH_WAIT_MS } from './constants.js';
+import { CHANGE_GATHER_MS, FIRST_WATCH_WAIT_MS, RETRY_MAX_MS } from './constants.js';
 import type { RoutingSourceErrorKind } from './errors.js';
+import { freshnessTimings } from './freshness.js';
 import { RoutingKnowledge } from './knowledge.js';
 import { backendAt, ScriptedSource, updateAt, type SourceCall } from './routing-test-support.js';
 import { SourceCircuit } from './source-circuit.js';
@@ -12,6 +13,8 @@
 
 type Answer = RoutingUpdate | RoutingSourceErrorKind;
 
+const TIMINGS = freshnessTimings(3_000);
+
 /** A follower of back ends on a virtual clock, whose source answers as the script says. */
 function follow(script: (call: SourceCall, clock: VirtualClock) => Promise<Answer>) {
   const clock = new VirtualClock();
@@ -19,7 +22,9 @@
   const knowledge = new RoutingKnowledge({ clock, events: SILENT_EVENT_LOG, retentionMs: 60_000 });
   const circuit = new SourceCircuit(clock, seededRandom(1), SILENT_EVENT_LOG);
   const abort = new AbortController();
-  void new SourceFollower('backends', { clock, source, knowledge, circuit }).run(abort.signal);
+  void new SourceFollower('backends', { clock, source, knowledge, circuit, timings: TIMINGS }).run(
+    abort.signal,
+  );
   return { clock, source, knowledge, circuit, stop: () => abort.abort() };
 }
 
@@ -34,28 +39,76 @@
   const { clock, knowledge, stop } = follow((call, virtual) =>
     call.kind === 'read' ? after(virtual, 4, LIST) : after(virtual, call.waitMs + 4, updateAt(6)),
   );
-  await clock.advanceAsync(1_530, 1);
+  await clock.advanceAsync(TIMINGS.watchWaitMs + 30, 1);
   t.true(knowledge.ageOf('backends') < 40, String(knowledge.ageOf('backends')));
-  await clock.advanceAsync(1_400, 1);
-  t.true(knowledge.ageOf('backends') <= 1_450, String(knowledge.ageOf('backends')));
+  await clock.advanceAsync(TIMINGS.watchWaitMs - 100, 1);
+  t.true(knowledge.ageOf('backends') <= TIMINGS.watchWaitMs - 50, String(knowledge.ageOf('backends')));
+  stop();
+});
+
+test('a watch waits as long as the age of what is known allows, since an answer with changes proves little', async (t) => {
+  const CHANGE_AFTER_MS = [1_000, 500, 100];
+  let revision = 6;
+  const { clock, source, knowledge, stop } = follow((call, virtual) => {
+    if (call.kind === 'read') return after(virtual, 4, LIST);
+    if (call.waitMs === FIRST_WATCH_WAIT_MS) return after(virtual, 4, updateAt(6));
+    const changeMs = CHANGE_AFTER_MS.shift();
+    if (changeMs === undefined) return NEVER;
+    revision += 1;
+    return after(virtual, changeMs, updateAt(revision, { backends: [backendAt('b', revision)] }));
+  });
+  await clock.advanceAsync(2_500, 1);
+  t.is(knowledge.backends.get('b')?.record.revision, 9);
+  const waits = source.calls.filter(({ kind }) => kind === 'watch').map(({ waitMs }) => waitMs);
+  t.is(waits[0], FIRST_WATCH_WAIT_MS);
+  t.is(waits[1], TIMINGS.watchWaitMs);
+  const lefts = [1_000, 500, 100].map((ms) =>
+    Math.min(TIMINGS.watchWaitMs, TIMINGS.readerAgeMs - ms - CHANGE_GATHER_MS),
+  );
+  waits.slice(2).forEach((waitMs, index) => t.true(Math.abs(waitMs - lefts[index]!) <= 10, waits.join()));
   stop();
 });
 
-test('an answer with changes proves no more than when it was asked for, so the next watch is short', async (t) => {
+test('a reader keeps what it knows young enough for the others, whenever changes come', async (t) => {
+  for (const gapMs of [30, 200, 700, 1_300, 1_349, 1_500, 2_600]) {
+    let madeRevision = 6;
+    let changedAtMs = 0;
+    const { clock, knowledge, source, stop } = follow(async (call, virtual) => {
+      if (call.kind === 'read') return after(virtual, 4, LIST);
+      const endMs = virtual.now() + call.waitMs;
+      while (virtual.now() < endMs && madeRevision <= call.revision) await after(virtual, 5, undefined);
+      const hasChange = madeRevision > call.revision;
+      return updateAt(madeRevision, hasChange ? { backends: [backendAt('b', madeRevision)] } : {});
+    });
+    let oldestMs = 0;
+    for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 5) {
+      await clock.advanceAsync(5, 5);
+      if (clock.now() - changedAtMs >= gapMs) {
+        madeRevision += 1;
+        changedAtMs = clock.now();
+      }
+      if (elapsedMs > 500) oldestMs = Math.max(oldestMs, knowledge.ageOf('backends'));
+    }
+    t.true(oldestMs < TIMINGS.pullAfterMs, `${oldestMs} ms with a change each ${gapMs} ms`);
+    t.true(source.calls.length <= 20_000 / CHANGE_GATHER_MS + 3, `${source.calls.length} calls`);
+    stop();
+  }
+});
+
+test('the reading of a start may be old and proves nothing; one after a gap must be current', async (t) => {
   let watches = 0;
   const { clock, source, knowledge, stop } = follow((call, virtual) => {
     if (call.kind === 'read') return after(virtual, 4, LIST);
     watches += 1;
-    if (watches > 1) return NEVER;
-    return after(virtual, 1_000, updateAt(7, { backends: [backendAt('b', 7)] }));
+    return watches === 1 ? after<Answer>(virtual, 4, 'routing.history-gone') : NEVER;
   });
-  await clock.advanceAsync(1_010, 1);
-  t.truthy(knowledge.backends.get('b'));
-  t.true(knowledge.ageOf('backends') >= 1_000);
-  t.deepEqual(
-    source.calls.map(({ waitMs }) => waitMs),
-    [0, WATCH_WAIT_MS, WATCH_WAIT_AFTER_CHANGE_MS],
-  );
+  await clock.advanceAsync(6, 1);
+  t.truthy(knowledge.backends.get('a'));
+  t.is(knowledge.ageOf('backends'), Number.POSITIVE_INFINITY);
+  await clock.advanceAsync(50, 1);
+  const reads = source.calls.filter(({ kind }) => kind === 'read').map(({ freshness }) => freshness);
+  t.deepEqual(reads, ['any', 'current']);
+  t.true(knowledge.ageOf('backends') < 100);
   stop();
 });
 
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -1,10 +1,14 @@
-/** One task that follows one topic of the source: read everything, then watch for changes, and again after a gap. */
+/**
+ * One task that follows one topic of the source. A start needs one reading of everything, which may be seconds old; who
+ * follows the source then watches for changes, and reads everything anew after a gap.
+ */
 import type { Clock } from '../common/clock.js';
-import { WATCH_WAIT_AFTER_CHANGE_MS, WATCH_WAIT_MS } from './constants.js';
+import { CHANGE_GATHER_MS, FIRST_WATCH_WAIT_MS } from './constants.js';
 import { RoutingSourceError } from './errors.js';
+import type { FreshnessTimings } from './freshness.js';
 import type { RoutingKnowledge } from './knowledge.js';
 import type { SourceCircuit } from './source-circuit.js';
-import type { RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
+import type { ReadFreshness, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
 
 /** What a follower needs. */
 export interface SourceFollowerOptions {
@@ -12,15 +16,19 @@
   readonly source: RoutingSource;
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
-  /** Called after each answer that was taken in. */
+  readonly timings: FreshnessTimings;
+  /** Called after each answer that proved something. */
   readonly onProof?: () => void;
 }
 
+/** Nothing is proved by an answer that may be old. */
+const PROVES_NOTHING_MS = Number.NEGATIVE_INFINITY;
+
 /** See the module. */
 export class SourceFollower {
   private reads = 0;
   private watches = 0;
-  private lastBroughtChange = false;
+  private firstReading: Promise<void> | undefined;
 
   constructor(
     private readonly topic: RoutingTopic,
@@ -32,20 +40,41 @@
     return this.reads + this.watches;
   }
 
+  /** Reads everything once, unless it becomes known otherwise, as of some seconds ago at the worst. Never throws. */
+  readFirst(signal: AbortSignal): Promise<void> {
+    this.firstReading ??= this.readUntilKnown(signal);
+    return this.firstReading;
+  }
+
   /** Follows until `signal` aborts. Never throws. */
   async run(signal: AbortSignal): Promise<void> {
-    const { knowledge } = this.options;
-    let readAll = knowledge.revisionOf(this.topic) < 0;
+    await this.readFirst(signal);
+    let hasGap = !this.isKnown();
     while (!signal.aborted) {
-      const complete = await this.step(readAll, signal);
-      readAll = !complete;
+      const complete = await this.step(hasGap, signal);
+      hasGap = !complete;
+    }
+  }
+
+  private isKnown(): boolean {
+    return this.options.knowledge.revisionOf(this.topic) >= 0;
+  }
+
+  private async readUntilKnown(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.isKnown()) {
+      await this.guarded(() => this.readAll('any', signal), signal);
     }
   }
 
-  /** One call; false when everything must be read next. An answer that nobody foresaw counts as malformed. */
-  private async step(readAll: boolean, signal: AbortSignal): Promise<boolean> {
+  /** One call; false when everything must be read next. */
+  private step(hasGap: boolean, signal: AbortSignal): Promise<boolean> {
+    return this.guarded(() => (hasGap ? this.readAll('current', signal) : this.watchOnce(signal)), signal);
+  }
+
+  /** An answer that nobody foresaw counts as malformed. */
+  private async guarded(call: () => Promise<boolean>, signal: AbortSignal): Promise<boolean> {
     try {
-      return readAll ? await this.readAll(signal) : await this.watchOnce(signal);
+      return await call();
     } catch (cause) {
       const problem = `an answer could not be taken in: ${(cause as Error).message}`;
       await this.waitAfter(new RoutingSourceError('routing.malformed', problem, { cause }), signal);
@@ -54,16 +83,16 @@
   }
 
   /** Reads the topic; false when that failed. */
-  private async readAll(signal: AbortSignal): Promise<boolean> {
+  private async readAll(freshness: ReadFreshness, signal: AbortSignal): Promise<boolean> {
     const { source, clock } = this.options;
     const askedAtMs = clock.now();
     this.reads += 1;
-    const answer = await source.read(this.topic, signal);
+    const answer = await source.read(this.topic, freshness, signal);
     if (answer.isErr) {
       await this.waitAfter(answer.error, signal);
       return false;
     }
-    return this.take(answer.value, -1, askedAtMs);
+    return this.take(answer.value, -1, freshness === 'current' ? askedAtMs : PROVES_NOTHING_MS);
   }
 
   /** Watches once; false when everything must be read again. */
@@ -72,16 +101,30 @@
     const since = knowledge.revisionOf(this.topic);
     const askedAtMs = clock.now();
     this.watches += 1;
-    const waitMs = this.lastBroughtChange ? WATCH_WAIT_AFTER_CHANGE_MS : WATCH_WAIT_MS;
+    const waitMs = this.watchWaitMs();
     const answer = await source.watch(this.topic, since, waitMs, signal);
-    if (answer.isOk) {
-      this.lastBroughtChange = hasChanges(answer.value);
-      const heldMs = this.lastBroughtChange ? 0 : waitMs;
-      return this.take(answer.value, since, Math.min(askedAtMs + heldMs, clock.now()));
+    if (answer.isErr) {
+      if (answer.error.kind === 'routing.history-gone') return false;
+      await this.waitAfter(answer.error, signal);
+      return true;
     }
-    if (answer.error.kind === 'routing.history-gone') return false;
-    await this.waitAfter(answer.error, signal);
-    return true;
+    const broughtChange = hasChanges(answer.value);
+    const heldMs = broughtChange ? 0 : waitMs;
+    const complete = this.take(answer.value, since, Math.min(askedAtMs + heldMs, clock.now()));
+    if (broughtChange) await pause(clock, CHANGE_GATHER_MS, signal);
+    return complete;
+  }
+
+  /**
+   * As long as the age of what is known allows: an answer with changes may have been on its way for long, so it proves no
+   * more than that nothing newer existed when it was asked for.
+   */
+  private watchWaitMs(): number {
+    const { knowledge, timings } = this.options;
+    const ageMs = knowledge.ageOf(this.topic);
+    if (!Number.isFinite(ageMs)) return FIRST_WATCH_WAIT_MS;
+    const leftMs = Math.floor(timings.readerAgeMs - ageMs);
+    return Math.max(timings.watchMinWaitMs, Math.min(timings.watchWaitMs, leftMs));
   }
 
   private take(update: RoutingUpdate, since: number, provedAtMs: number): boolean {
@@ -89,7 +132,7 @@
     const mayHaveLapsed = circuit.recordsMayLapse();
     circuit.noteAnswer();
     const complete = knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
-    this.options.onProof?.();
+    if (Number.isFinite(provedAtMs)) this.options.onProof?.();
     return complete;
   }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -94,10 +94,17 @@
   readonly provedAtMs: number;
 }
 
+/** How new an answer must be. `any`: it may be seconds old, which costs the source less. */
+export type ReadFreshness = 'current' | 'any';
+
 /** Where routes and back ends are recorded. All calls end when `signal` aborts. */
 export interface RoutingSource {
   /** Reads the whole topic. */
-  read(topic: RoutingTopic, signal: AbortSignal): Promise<Result<RoutingUpdate, RoutingSourceError>>;
+  read(
+    topic: RoutingTopic,
+    freshness: ReadFreshness,
+    signal: AbortSignal,
+  ): Promise<Result<RoutingUpdate, RoutingSourceError>>;
   /** Waits up to `waitMs` for changes after `revision`; an update without changes says that there were none. */
   watch(
     topic: RoutingTopic,
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -6,32 +6,16 @@
 /** Daemons that read the source at the same time. One would do; the second bridges the loss of the first. */
 export const TARGET_READERS = 2;
 
-/** A daemon stands down only for readers that proved something within this time; a watch proves something every 1.5 s. */
-export const READER_FRESH_MS = 2_500;
-
-/**
- * A reader is missed this long after its last proof. Not each of its proofs travels far, because another reader's may just
- * have done so; and nothing hangs on it, since daemons without any proof read for themselves much earlier.
- */
-export const READER_MISSED_MS = 6_000;
-
-/** A daemon that misses a reader volunteers after a random wait of up to this, longer while there is another reader. */
+/** A daemon that misses a reader volunteers after a wait of up to this, longer while there is another reader. */
 export const VOLUNTEER_ALONE_MS = 400;
 export const VOLUNTEER_SECOND_MS = 3_000;
 
-/** Without a proof for this long a daemon asks peers. */
-export const PULL_AFTER_MS = 1_900;
+/** Just after its start a daemon waits up to this long: where all start together, the first volunteers must be heard of. */
+export const VOLUNTEER_AT_START_MS = 1_600;
 
 /** Least time between two rounds of asking. */
 export const PULL_INTERVAL_MS = 250;
 
-/**
- * Without a proof for this long, and a random part of the spread more, it reads the source itself. The sum stays well
- * below the 3 s in which a change must be in force; whoever succeeds first saves the others their calls.
- */
-export const READ_AFTER_MS = 2_000;
-export const READ_SPREAD_MS = 500;
-
 /** Peers that get news: in the own zone, and anywhere. */
 export const FANOUT_IN_ZONE = 2;
 export const FANOUT_ELSEWHERE = 1;
@@ -45,6 +29,9 @@
 /** Proofs gather this long before they are sent; changes are sent at once. */
 export const PROOF_GATHER_MS = 50;
 
+/** After a change proofs are sent once more this much later, so that hardly anybody has to wait for the next proof. */
+export const LAST_WAVE_MS = 200;
+
 /** Changes that come within this time after the last ones were sent go out together. */
 export const CHANGE_GATHER_MS = 100;
 
--- a/src/spreading/peer-view.ts
+++ b/src/spreading/peer-view.ts
@@ -14,9 +14,15 @@
   readonly events: EventLog;
 }
 
+/** A peer with its turn: who has the lowest gets the next news. */
+interface ListedPeer extends Peer {
+  turn: number;
+}
+
 /** See the module. */
 export class PeerView {
-  private readonly peers = new Map<string, Peer>();
+  private readonly peers = new Map<string, ListedPeer>();
+  private turns = 0;
   private readonly selfText: string;
 
   constructor(private readonly options: PeerViewOptions) {
@@ -37,7 +43,7 @@
       return;
     }
     if (!known && this.peers.size >= MAX_PEERS) this.makeRoom();
-    this.peers.set(key, { endpoint, zone, heardAtMs });
+    this.peers.set(key, { endpoint, zone, heardAtMs, turn: this.turns + this.options.random() });
     if (!known) this.options.events.emit(SPREADING_EVENTS.peerKnown, { peer: key, zone, peers: this.size });
   }
 
@@ -55,12 +61,12 @@
     }
   }
 
-  /** Up to `inZone` random peers of the own zone and `elsewhere` of any other. */
+  /** Up to `inZone` peers of the own zone and `elsewhere` of any other: those that were not chosen for longest. */
   choose(inZone: number, elsewhere: number): Peer[] {
-    const near: Peer[] = [];
-    const far: Peer[] = [];
+    const near: ListedPeer[] = [];
+    const far: ListedPeer[] = [];
     for (const peer of this.peers.values()) (peer.zone === this.options.zone ? near : far).push(peer);
-    return [...this.draw(near, inZone), ...this.draw(far, elsewhere)];
+    return [...this.takeTurns(near, inZone), ...this.takeTurns(far, elsewhere)];
   }
 
   /** Up to `count` random peers. */
@@ -68,6 +74,16 @@
     return this.draw([...this.peers.values()], count);
   }
 
+  /** The peers whose turn it is; equal turns do not occur, since each starts with a random part. */
+  private takeTurns(peers: readonly ListedPeer[], count: number): Peer[] {
+    const chosen = [...peers].sort((left, right) => left.turn - right.turn).slice(0, count);
+    for (const peer of chosen) {
+      this.turns += 1;
+      peer.turn = this.turns + this.options.random();
+    }
+    return chosen;
+  }
+
   /** Moves up to `count` random entries to the front and returns them. */
   private draw(peers: Peer[], count: number): Peer[] {
     const taken = Math.min(count, peers.length);
--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -1,24 +1,28 @@
 /**
- * Decides whether this daemon reads the source. Nobody is elected: who hears of too few readers volunteers after a random
- * wait, who hears of enough readers that go before it stands down, and who has no proof for too long reads in any case.
- * Two readers too many do no harm, so no agreement is needed.
+ * Decides whether this daemon reads the source. Nobody is elected: who hears of too few readers volunteers after a wait,
+ * shorter for higher ranks; who hears of enough readers that go before it stands down, and who has no proof for too long
+ * reads in any case. Two readers too many do no harm, so no agreement is needed. A daemon that starts first listens who
+ * reads already.
  */
 import { hashString } from '../common/hash.js';
 import type { RandomSource } from '../common/random.js';
+import type { FreshnessTimings } from '../routing/index.js';
 import {
-  PULL_AFTER_MS,
-  READ_AFTER_MS,
-  READ_SPREAD_MS,
-  READER_FRESH_MS,
-  READER_MISSED_MS,
   TARGET_READERS,
   VOLUNTEER_ALONE_MS,
+  VOLUNTEER_AT_START_MS,
   VOLUNTEER_SECOND_MS,
 } from './constants.js';
 import type { ReaderSighting } from './types.js';
 
+/** Ranks are 32-bit hashes. */
+const RANKS = 2 ** 32;
+
+/** Part of a wait that is random, so that daemons of nearly equal rank do not act together for ever. */
+const TURN_RANDOM_SHARE = 0.1;
+
 /** Why a daemon starts or stops reading. */
-export type RoleReason = 'start' | 'too-few-readers' | 'overdue' | 'enough-readers';
+export type RoleReason = 'too-few-readers' | 'overdue' | 'enough-readers';
 
 /** See the module. Times are monotonic ms. */
 export class ReaderRole {
@@ -26,17 +30,20 @@
   private readonly rank: number;
   private volunteerAtMs: number | undefined;
   private readAfterMs: number;
-  private reading = true;
+  private reading = false;
+  private startedAtMs: number | undefined;
+  private hasHeardOfReaders = false;
 
   constructor(
     private readonly selfId: string,
     private readonly random: RandomSource,
+    private readonly timings: FreshnessTimings,
   ) {
     this.rank = hashString(selfId);
     this.readAfterMs = this.drawReadAfter();
   }
 
-  /** True while this daemon reads; it starts with reading. */
+  /** True while this daemon reads. */
   get isReading(): boolean {
     return this.reading;
   }
@@ -44,6 +51,7 @@
   /** Notes what was heard of another reader. */
   note({ id, provedAtMs }: ReaderSighting): void {
     if (id === this.selfId) return;
+    this.hasHeardOfReaders = true;
     this.sightings.set(id, Math.max(this.sightings.get(id) ?? Number.NEGATIVE_INFINITY, provedAtMs));
   }
 
@@ -51,7 +59,7 @@
   otherReaders(nowMs: number): ReaderSighting[] {
     const others: ReaderSighting[] = [];
     for (const [id, provedAtMs] of this.sightings) {
-      if (nowMs - provedAtMs < READER_MISSED_MS) others.push({ id, provedAtMs });
+      if (nowMs - provedAtMs < this.timings.readerMissedMs) others.push({ id, provedAtMs });
       else this.sightings.delete(id);
     }
     return others;
@@ -62,7 +70,8 @@
    * a reader knows that it may stand down; readers without a fresh proof come last.
    */
   leadingReaders(nowMs: number, count: number): ReaderSighting[] {
-    const isFresh = ({ provedAtMs }: ReaderSighting): boolean => nowMs - provedAtMs < READER_FRESH_MS;
+    const isFresh = ({ provedAtMs }: ReaderSighting): boolean =>
+      nowMs - provedAtMs < this.timings.readerFreshMs;
     const byRank = this.otherReaders(nowMs).sort((left, right) => hashString(right.id) - hashString(left.id));
     const stale = byRank.filter((reader) => !isFresh(reader));
     return [...byRank.filter(isFresh), ...stale].slice(0, count);
@@ -76,7 +85,8 @@
    */
   decide(nowMs: number, ageMs: number, isComplete: boolean): RoleReason | undefined {
     const others = this.otherReaders(nowMs);
-    const isCurrent = isComplete && ageMs < PULL_AFTER_MS;
+    const isCurrent = isComplete && ageMs < this.timings.pullAfterMs;
+    this.startedAtMs ??= nowMs;
     return this.reading
       ? this.decideToStop(others, nowMs, isCurrent)
       : this.decideToRead(others, nowMs, ageMs);
@@ -87,7 +97,7 @@
     nowMs: number,
     isCurrent: boolean,
   ): RoleReason | undefined {
-    const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < READER_FRESH_MS);
+    const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < this.timings.readerFreshMs);
     const before = fresh.filter(({ id }) => hashString(id) > this.rank);
     if (!isCurrent || before.length < TARGET_READERS) return undefined;
     this.reading = false;
@@ -101,13 +111,15 @@
     nowMs: number,
     ageMs: number,
   ): RoleReason | undefined {
-    if (ageMs >= this.readAfterMs) return this.startReading('overdue');
+    const unprovedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
+    if (unprovedMs >= this.readAfterMs) return this.startReading('overdue');
     if (others.length >= TARGET_READERS) {
       this.volunteerAtMs = undefined;
       return undefined;
     }
-    const spreadMs = others.length === 0 ? VOLUNTEER_ALONE_MS : VOLUNTEER_SECOND_MS;
-    this.volunteerAtMs = Math.min(this.volunteerAtMs ?? Infinity, nowMs + this.random() * spreadMs);
+    const aloneMs = this.hasHeardOfReaders ? VOLUNTEER_ALONE_MS : VOLUNTEER_AT_START_MS;
+    const spreadMs = others.length === 0 ? aloneMs : VOLUNTEER_SECOND_MS;
+    this.volunteerAtMs = Math.min(this.volunteerAtMs ?? Infinity, nowMs + this.turn() * spreadMs);
     return nowMs >= this.volunteerAtMs ? this.startReading('too-few-readers') : undefined;
   }
 
@@ -116,7 +128,12 @@
     return reason;
   }
 
+  /** Part of a spread after which it is this daemon's turn: whoever goes before others does so here, too. */
+  private turn(): number {
+    return (1 - TURN_RANDOM_SHARE) * (1 - this.rank / RANKS) + TURN_RANDOM_SHARE * this.random();
+  }
+
   private drawReadAfter(): number {
-    return READ_AFTER_MS + this.random() * READ_SPREAD_MS;
+    return this.timings.readAfterMs + this.random() * this.timings.readSpreadMs;
   }
 }
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -6,7 +6,13 @@
 import { jitter, type RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
-import type { AppliedUpdate, RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
+import type {
+  AppliedUpdate,
+  FreshnessTimings,
+  RoutingKnowledge,
+  RoutingTopic,
+  TopicProof,
+} from '../routing/index.js';
 import {
   ASK_AGAIN_MS,
   CHANGE_GATHER_MS,
@@ -16,11 +22,11 @@
   GREETING_JITTER,
   GREETING_MAX_MS,
   GREETING_MIN_MS,
+  LAST_WAVE_MS,
   MAX_DATAGRAM_BYTES,
   PEERS_A_MESSAGE,
   PROOF_GATHER_MS,
   PROOF_STEP_MS,
-  PULL_AFTER_MS,
   PULL_FANOUT,
   PULL_INTERVAL_MS,
   READERS_A_MESSAGE,
@@ -50,6 +56,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventLog;
+  readonly timings: FreshnessTimings;
   /** Starts or stops reading the source. */
   readonly setReading: (reading: boolean) => void;
   /** True while what arrives may have waited through a pause of this process, so that its age is unknown. */
@@ -83,6 +90,7 @@
   private timer: TimerHandle | undefined;
   private proofTimer: TimerHandle | undefined;
   private changeTimer: TimerHandle | undefined;
+  private lastWaveTimer: TimerHandle | undefined;
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
   private readonly sentRevisions: Record<RoutingTopic, number> = { routes: -1, backends: -1 };
@@ -96,9 +104,9 @@
   private ownProofMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: SpreaderOptions) {
-    const { selfId, zone, transport, random, events, knowledge } = options;
+    const { selfId, zone, transport, random, events, knowledge, timings } = options;
     this.peers = new PeerView({ self: transport.endpoint, zone, random, events });
-    this.role = new ReaderRole(selfId, random);
+    this.role = new ReaderRole(selfId, random, timings);
     knowledge.subscribe((applied) => this.onApplied(applied));
     transport.serve(
       (bytes, from) => this.receive(bytes, from),
@@ -117,8 +125,6 @@
 
   /** Greets the seeds, asks one of them for what it knows, and runs until `signal` aborts. */
   start(signal: AbortSignal): void {
-    this.options.setReading(true);
-    this.reportRole('start');
     this.greetSeeds(this.options.clock.now());
     const arm = (): void => {
       this.timer = this.options.clock.schedule(TICK_MS, () => {
@@ -131,6 +137,7 @@
       this.timer?.cancel();
       this.proofTimer?.cancel();
       this.changeTimer?.cancel();
+      this.lastWaveTimer?.cancel();
     });
   }
 
@@ -159,7 +166,7 @@
     this.changeTimer ??= this.options.clock.schedule(waitMs, () => this.pushChanges());
   }
 
-  /** A second round, of proofs only, reaches most of those that the first one missed: they ask for the changes. */
+  /** Two more rounds, of proofs only, reach those that the first one missed: they ask for the changes. */
   private pushChanges(): void {
     const { clock, knowledge } = this.options;
     this.changeTimer?.cancel();
@@ -169,6 +176,8 @@
     for (const topic of ROUTING_TOPICS) this.sentRevisions[topic] = knowledge.revisionOf(topic);
     this.push(this.message('news', updates));
     this.pushSoon();
+    this.lastWaveTimer?.cancel();
+    this.lastWaveTimer = clock.schedule(LAST_WAVE_MS, () => this.pushSoon());
   }
 
   private tick(): void {
@@ -177,7 +186,7 @@
     const ageMs = knowledge.age();
     this.peers.prune(nowMs);
     this.reportAge(ageMs);
-    if (ageMs >= PULL_AFTER_MS) this.pull(nowMs);
+    if (ageMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
     if (nowMs >= this.nextGreetingMs) this.greetSeeds(nowMs);
     const reason = this.role.decide(nowMs, ageMs, knowledge.isComplete());
     if (!reason) return;
@@ -336,7 +345,7 @@
   }
 
   private reportAge(ageMs: number): void {
-    const overdue = ageMs >= PULL_AFTER_MS;
+    const overdue = ageMs >= this.options.timings.pullAfterMs;
     if (overdue === this.overdue) return;
     this.overdue = overdue;
     const event = overdue ? SPREADING_EVENTS.overdue : SPREADING_EVENTS.currentAgain;
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -5,6 +5,7 @@
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
 import {
+  freshnessTimings,
   RoutingKnowledge,
   RoutingSourceError,
   SourceCircuit,
@@ -25,6 +26,9 @@
 const HOP_MS = 2;
 const CALL_TIMEOUT_MS = 1_000;
 
+/** The times of all daemons. */
+export const TIMINGS = freshnessTimings(3_000);
+
 /** How the source treats a daemon. */
 export type SourceFault = 'refuse' | 'throttle' | 'silent';
 
@@ -78,7 +82,7 @@
   /** The source as the daemon `id` sees it. */
   for(id: string): RoutingSource {
     return {
-      read: (topic, signal) => this.call(id, signal, () => Promise.resolve(this.snapshot(topic))),
+      read: (topic, _freshness, signal) => this.call(id, signal, () => Promise.resolve(this.snapshot(topic))),
       watch: (topic, revision, waitMs, signal) =>
         this.call(id, signal, () => this.waitForChange(topic, revision, waitMs, signal)),
     };
@@ -248,13 +252,14 @@
     this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
     const circuit = new SourceCircuit(clock, random, events);
     const following = {
-      ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit },
+      ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit, timings: TIMINGS },
       onProof: () => this.spreader.noteOwnProof(),
     };
     const followers = ROUTING_TOPICS.map((topic) => new SourceFollower(topic, following));
     this.spreader = new Spreader({
       ...{ selfId: id, zone: `zone-${index % 3}`, seeds: () => cluster.seeds, knowledge: this.knowledge },
       ...{ transport: network.open(this.endpoint), clock, random, events },
+      timings: TIMINGS,
       setReading: (isReading) => {
         this.reading?.abort();
         this.reading = isReading ? new AbortController() : undefined;
@@ -268,6 +273,7 @@
         return true;
       },
     });
+    for (const follower of followers) void follower.readFirst(this.abort.signal);
     this.spreader.start(this.abort.signal);
   }
 
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -1,9 +1,14 @@
 import test from 'ava';
-import { READ_AFTER_MS, READ_SPREAD_MS, TARGET_READERS } from './constants.js';
-import { SpreadingCluster, type SimulatedDaemon, type SourceFault } from './spreading-test-support.js';
+import { TARGET_READERS } from './constants.js';
+import {
+  SpreadingCluster,
+  TIMINGS,
+  type SimulatedDaemon,
+  type SourceFault,
+} from './spreading-test-support.js';
 
 /** A change must be in force within 3 s; what is older than this is read anew. */
-const AGE_BOUND_MS = READ_AFTER_MS + READ_SPREAD_MS + 300;
+const AGE_BOUND_MS = TIMINGS.readAfterMs + TIMINGS.readSpreadMs + 300;
 const SETTLE_MS = 4_000;
 
 async function settled(size: number, seed = 1): Promise<SpreadingCluster> {
