Let newcomers learn of back ends that left, and remember those from when they left

Cause: since a start reads the source at once, its list often comes before a peer's state, and the source lists no back ends that left: their open flows were dropped by newcomers. Change: messages count the departed back ends their sender remembers; who knows none asks one peer for everything; the time since a departure travels with it.

--- a/src/routing/backend-registry.ts
+++ b/src/routing/backend-registry.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from '../observability/event.js';
 import { formatEndpoint } from '../common/types.js';
 import { ROUTING_EVENTS } from './events.js';
-import type { BackendRemoval, RoutedBackend } from './types.js';
+import type { BackendRemoval, DepartedBackend, RoutedBackend } from './types.js';
 
 /** A back end as this balancer sees it. One object for each id, changed in place. */
 export interface KnownBackend {
@@ -37,7 +37,7 @@
 export class BackendRegistry {
   private readonly byId = new Map<string, KnownBackend>();
   private readonly byService = new Map<string, Set<KnownBackend>>();
-  /** Departed back ends in the order in which they departed. */
+  /** Departed back ends. */
   private readonly departed = new Set<KnownBackend>();
   private readonly addListeners: ((backend: KnownBackend) => void)[] = [];
   private readonly forgetListeners: ((backend: KnownBackend) => void)[] = [];
@@ -48,6 +48,11 @@
     return this.byId.get(id);
   }
 
+  /** Back ends that left and are remembered. */
+  get departedCount(): number {
+    return this.departed.size;
+  }
+
   /** Every back end, departed ones included. */
   all(): IterableIterator<KnownBackend> {
     return this.byId.values();
@@ -85,9 +90,16 @@
     return true;
   }
 
-  /** Takes in the last record of a back end that left, unless that back end is known. */
-  putDeparted(record: RoutedBackend): void {
-    if (!this.byId.has(record.id)) this.put(record, record.revision);
+  /**
+   * Takes in a back end that left, unless it is known or left so long ago that no flow to it can be open. It is remembered
+   * from when it left, not from now: otherwise newcomers would pass it on to each other for ever.
+   */
+  putDeparted({ record, departedAtMs }: DepartedBackend): void {
+    if (this.byId.has(record.id)) return;
+    if (this.options.clock.now() - departedAtMs >= this.options.retentionMs) return;
+    this.put(record, record.revision);
+    const known = this.byId.get(record.id);
+    if (known) known.departedAtMs = departedAtMs;
   }
 
   /** Takes a removal in; false when it is not newer than what is known. `mayHaveLapsed`: see `KnownBackend.lapsed`. */
@@ -123,8 +135,7 @@
   prune(): void {
     const nowMs = this.options.clock.now();
     for (const backend of this.departed) {
-      if (nowMs - (backend.departedAtMs ?? nowMs) < this.options.retentionMs) return;
-      this.forget(backend);
+      if (nowMs - (backend.departedAtMs ?? nowMs) >= this.options.retentionMs) this.forget(backend);
     }
   }
 
--- a/src/routing/knowledge.test.ts
+++ b/src/routing/knowledge.test.ts
@@ -125,12 +125,28 @@
 
 test('one who never knew departed back ends learns them from another', (t) => {
   const { knowledge } = createKnowledge();
-  const update = { ...list(9, backendAt('a', 3)), departed: [backendAt('b', 5)] };
+  const departed = [{ record: backendAt('b', 5), departedAtMs: 0 }];
+  const update = { ...list(9, backendAt('a', 3)), departed };
   knowledge.apply('backends', update, origin(-1));
   t.deepEqual(present(knowledge), ['a']);
   t.true(knowledge.backends.get('b')?.departed);
 });
 
+test('a back end that left is forgotten everywhere when it left long enough ago, however often it is told of', (t) => {
+  const { clock, knowledge } = createKnowledge();
+  clock.advance(RETENTION_MS);
+  const departed = [
+    { record: backendAt('b', 5), departedAtMs: 1 },
+    { record: backendAt('c', 5), departedAtMs: 0 },
+  ];
+  knowledge.apply('backends', { ...list(9), departed }, origin(-1));
+  t.true(knowledge.backends.get('b')?.departed);
+  t.is(knowledge.backends.get('c'), undefined);
+  clock.advance(1);
+  knowledge.backends.prune();
+  t.is(knowledge.backends.get('b'), undefined);
+});
+
 test('a complete update older than what is known brings nobody back, and tells of those who left in between', (t) => {
   const { knowledge } = createKnowledge();
   knowledge.apply('backends', list(9, backendAt('a', 3)), origin(-1));
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -173,7 +173,7 @@
     const isNewest = update.complete && update.revision >= known;
     const knownRevision = isNewest ? UNKNOWN_REVISION : known;
     update.backends.forEach((record) => this.backends.put(record, knownRevision));
-    update.departed?.forEach((record) => this.backends.putDeparted(record));
+    update.departed?.forEach((departed) => this.backends.putDeparted(departed));
     update.removals.forEach((removal) => this.backends.remove(removal, mayHaveLapsed));
     if (!update.complete) return true;
     const listed = new Set(update.backends.map(({ id }) => id));
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -69,6 +69,14 @@
   readonly revision: number;
 }
 
+/** A back end that left, as another balancer remembers it. */
+export interface DepartedBackend {
+  /** Its last record. */
+  readonly record: RoutedBackend;
+  /** Monotonic ms at which it left. */
+  readonly departedAtMs: number;
+}
+
 /** The two things that a source tells separately. */
 export type RoutingTopic = 'routes' | 'backends';
 
@@ -84,7 +92,7 @@
   readonly backends: readonly RoutedBackend[];
   readonly removals: readonly BackendRemoval[];
   /** Last records of back ends that left, for those who never knew them; only from other balancers. */
-  readonly departed?: readonly RoutedBackend[];
+  readonly departed?: readonly DepartedBackend[];
 }
 
 /** How far a topic is known, and when that was last proved. */
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -43,7 +43,8 @@
     peers: message.peers.map(({ endpoint, zone, heardAtMs }) => ({
       ...{ ...encodeEndpoint(endpoint), zone, ageMs: age(nowMs, heardAtMs) },
     })),
-    updates: message.updates.map(encodeUpdate),
+    updates: message.updates.map((update) => encodeUpdate(update, nowMs)),
+    departedCount: message.departedCount,
     suspicions: message.suspicions.map(({ backendId, atMs }) => ({ backendId, ageMs: age(nowMs, atMs) })),
   }).finish();
 }
@@ -78,14 +79,15 @@
     peers: (message.peers ?? []).map(({ zone, ageMs, ...at }): Peer => ({
       ...{ endpoint: decodeEndpoint(at), zone: zone ?? '', heardAtMs: arrivedMs - (ageMs ?? 0) },
     })),
-    updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update) ?? []),
+    updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update, arrivedMs) ?? []),
+    departedCount: message.departedCount ?? 0,
     suspicions: (message.suspicions ?? []).map(({ backendId, ageMs }) => ({
       ...{ backendId: backendId ?? '', atMs: arrivedMs - (ageMs ?? 0) },
     })),
   };
 }
 
-function encodeUpdate({ topic, since, update }: SpreadUpdate): sailquay.spreading.IUpdate {
+function encodeUpdate({ topic, since, update }: SpreadUpdate, nowMs: number): sailquay.spreading.IUpdate {
   const table = update.routes.at(-1);
   const departed = update.departed ?? [];
   return {
@@ -93,14 +95,16 @@
     routes: table && encodeTable(table),
     routeChange: update.routeChange && encodeTableChange(update.routeChange),
     backends: [
-      ...update.backends.map((backend) => encodeBackend(backend, false)),
-      ...departed.map((backend) => encodeBackend(backend, true)),
+      ...update.backends.map(encodeBackend),
+      ...departed.map(({ record, departedAtMs }) => ({
+        ...{ ...encodeBackend(record), departed: true, departedAgeMs: age(nowMs, departedAtMs) },
+      })),
     ],
     removals: update.removals.map(({ id, revision }) => ({ id, revision })),
   };
 }
 
-function decodeUpdate(update: sailquay.spreading.IUpdate): SpreadUpdate | undefined {
+function decodeUpdate(update: sailquay.spreading.IUpdate, arrivedMs: number): SpreadUpdate | undefined {
   const topic = keyOf(TOPIC_NUMBERS, update.topic);
   if (!topic) return undefined;
   const backends = update.backends ?? [];
@@ -109,7 +113,12 @@
     routes: update.routes ? [decodeTable(update.routes)] : [],
     routeChange: update.routeChange ? decodeTableChange(update.routeChange) : undefined,
     backends: backends.filter(({ departed }) => !departed).map(decodeBackend),
-    departed: backends.filter(({ departed }) => departed).map(decodeBackend),
+    departed: backends
+      .filter(({ departed }) => departed)
+      .map((backend) => ({
+        record: decodeBackend(backend),
+        departedAtMs: arrivedMs - (backend.departedAgeMs ?? 0),
+      })),
     removals: (update.removals ?? []).map(({ id, revision }) => ({ id: id ?? '', revision: revision ?? 0 })),
   };
   return { topic, since: update.since ?? 0, update: decoded };
@@ -174,9 +183,9 @@
   return { name: name ?? '', maxConnections: maxConnections || Number.POSITIVE_INFINITY };
 }
 
-function encodeBackend(backend: RoutedBackend, departed: boolean): sailquay.spreading.IBackend {
+function encodeBackend(backend: RoutedBackend): sailquay.spreading.IBackend {
   const { endpoint, ...rest } = backend;
-  return { ...rest, ...encodeEndpoint(endpoint), departed };
+  return { ...rest, ...encodeEndpoint(endpoint) };
 }
 
 function decodeBackend(backend: sailquay.spreading.IBackend): RoutedBackend {
--- a/src/spreading/pb/spreading.d.ts
+++ b/src/spreading/pb/spreading.d.ts
@@ -732,6 +732,9 @@
             /** Backend departed. */
             departed: boolean;
 
+            /** Backend departedAgeMs. */
+            departedAgeMs: number;
+
             /**
              * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
              * @param message Backend message or plain object to encode
@@ -796,6 +799,9 @@
                 /** Backend departed */
                 departed?: (boolean|null);
 
+                /** Backend departedAgeMs */
+                departedAgeMs?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1096,6 +1102,9 @@
             /** PeerMessage suspicions. */
             suspicions: sailquay.spreading.Suspicion.$Properties[];
 
+            /** PeerMessage departedCount. */
+            departedCount: number;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @param message PeerMessage message or plain object to encode
@@ -1154,6 +1163,9 @@
                 /** PeerMessage suspicions */
                 suspicions?: (sailquay.spreading.Suspicion.$Properties[]|null);
 
+                /** PeerMessage departedCount */
+                departedCount?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/spreading/pb/spreading.js
+++ b/src/spreading/pb/spreading.js
@@ -1722,6 +1722,7 @@
              * @property {number|null} [createdRevision] Backend createdRevision
              * @property {number|null} [revision] Backend revision
              * @property {boolean|null} [departed] Backend departed
+             * @property {number|null} [departedAgeMs] Backend departedAgeMs
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1841,6 +1842,14 @@
              */
             Backend.prototype.departed = false;
 
+            /**
+             * Backend departedAgeMs.
+             * @member {number} departedAgeMs
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.departedAgeMs = 0;
+
             /**
              * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
              * @function encode
@@ -1879,6 +1888,8 @@
                     writer.uint32(/* id 10, wireType 1 =*/81).double(message.revision);
                 if (message.departed != null && $Object.hasOwnProperty.call(message, "departed") && message.departed !== false)
                     writer.uint32(/* id 11, wireType 0 =*/88).bool(message.departed);
+                if (message.departedAgeMs != null && $Object.hasOwnProperty.call(message, "departedAgeMs") && message.departedAgeMs !== 0)
+                    writer.uint32(/* id 12, wireType 0 =*/96).uint32(message.departedAgeMs);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2022,6 +2033,15 @@
                                 delete message.departed;
                             continue;
                         }
+                    case 12: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.departedAgeMs = value;
+                            else
+                                delete message.departedAgeMs;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -2696,6 +2716,7 @@
              * @property {Array.<sailquay.spreading.Peer.$Properties>|null} [peers] PeerMessage peers
              * @property {Array.<sailquay.spreading.Update.$Properties>|null} [updates] PeerMessage updates
              * @property {Array.<sailquay.spreading.Suspicion.$Properties>|null} [suspicions] PeerMessage suspicions
+             * @property {number|null} [departedCount] PeerMessage departedCount
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2804,6 +2825,14 @@
              */
             PeerMessage.prototype.suspicions = $util.emptyArray;
 
+            /**
+             * PeerMessage departedCount.
+             * @member {number} departedCount
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.departedCount = 0;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @function encode
@@ -2843,6 +2872,8 @@
                 if (message.suspicions != null && message.suspicions.length)
                     for (let i = 0; i < message.suspicions.length; ++i)
                         $root.sailquay.spreading.Suspicion.encode(message.suspicions[i], writer.uint32(/* id 9, wireType 2 =*/74).fork(), _depth + 1).ldelim();
+                if (message.departedCount != null && $Object.hasOwnProperty.call(message, "departedCount") && message.departedCount !== 0)
+                    writer.uint32(/* id 10, wireType 0 =*/80).uint32(message.departedCount);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2963,6 +2994,15 @@
                             message.suspicions.push($root.sailquay.spreading.Suspicion.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 10: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.departedCount = value;
+                            else
+                                delete message.departedCount;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -48,6 +48,9 @@
 } from './types.js';
 import { completeUpdate, UpdateLog } from './update-log.js';
 
+/** Revision of a topic of which nothing is known. */
+const NOTHING_KNOWN = -1;
+
 /** What a spreader needs. */
 export interface SpreaderOptions {
   readonly selfId: string;
@@ -104,6 +107,8 @@
   private fetching = false;
   private nextGreetingMs = 0;
   private overdue = false;
+  /** Back ends that left before the start of this daemon are known, or there were none. */
+  private knowsDeparted = false;
   /** Monotonic ms of the last proof that this daemon read itself. */
   private ownProofMs = Number.NEGATIVE_INFINITY;
 
@@ -244,10 +249,21 @@
       const proof = message.proofs[topic];
       return proof !== undefined && !knowledge.acceptProof(topic, proof);
     });
+    if (message.departedCount > 0) this.learnDeparted(from);
     if (missing.length > 0) this.fill(missing, message, from);
     else if (ageBeforeMs - knowledge.age() >= PROOF_STEP_MS) this.pushSoon();
   }
 
+  /** The source lists no back ends that left; flows to them may be open all the same. Asked for once after the start. */
+  private learnDeparted(from: Endpoint): void {
+    const { knowledge } = this.options;
+    if (this.knowsDeparted || knowledge.backends.departedCount > 0) {
+      this.knowsDeparted = true;
+      return;
+    }
+    void this.fetch(from, { routes: knowledge.revisionOf('routes'), backends: NOTHING_KNOWN });
+  }
+
   /** Small gaps are asked for and answered from the peer's log; who knows nothing, or still lacks something, fetches. */
   private fill(missing: readonly RoutingTopic[], { senderZone, proofs }: PeerMessage, from: Endpoint): void {
     const { clock, knowledge, zone } = this.options;
@@ -289,13 +305,12 @@
     this.send(from, this.message('news', updates));
   }
 
-  private async fetch(from: Endpoint): Promise<void> {
+  private async fetch(from: Endpoint, known = this.knownRevisions()): Promise<void> {
     const { clock, transport, events, knowledge } = this.options;
     if (this.fetching || clock.now() - this.lastFetchMs < FETCH_INTERVAL_MS) return;
     this.fetching = true;
     this.lastFetchMs = clock.now();
     this.statistics.fetches += 1;
-    const known = { routes: knowledge.revisionOf('routes'), backends: knowledge.revisionOf('backends') };
     const answer = await transport.fetch(from, known);
     this.fetching = false;
     const peer = formatEndpoint(from);
@@ -311,6 +326,11 @@
     this.take(message, from);
   }
 
+  private knownRevisions(): KnownRevisions {
+    const { knowledge } = this.options;
+    return { routes: knowledge.revisionOf('routes'), backends: knowledge.revisionOf('backends') };
+  }
+
   private pull(nowMs: number): void {
     if (nowMs - this.lastPullMs < PULL_INTERVAL_MS) return;
     this.lastPullMs = nowMs;
@@ -354,6 +374,7 @@
     const self = this.role.isReading ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
     return {
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates, suspicions: [] },
+      departedCount: knowledge.backends.departedCount,
       readers: [...self, ...others],
       peers: this.peers.sample(PEERS_A_MESSAGE),
     };
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -212,6 +212,23 @@
   t.false(newcomer.knowledge.backends.get('b')?.departed);
 });
 
+test('a newcomer that reads the source itself learns of departed back ends as well', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const cluster = await settled(7, seed);
+    cluster.source.changeBackend('b');
+    cluster.source.removeBackend('a');
+    await cluster.clock.advanceAsync(1_000, 10);
+    const newcomer = cluster.add();
+    const address = `${newcomer.endpoint.host}:${newcomer.endpoint.port}`;
+    cluster.network.cut.add(address);
+    await cluster.clock.advanceAsync(30, 1);
+    t.true(newcomer.knowledge.isComplete(), 'the source answered first');
+    cluster.network.cut.clear();
+    const known = (): boolean => newcomer.knowledge.backends.get('a')?.departed === true;
+    t.true((await cluster.timeUntil(known, 3_000)) <= 1_000, `seed ${seed}`);
+  }
+});
+
 test('after an outage of the source everybody is current soon, without a herd of calls', async (t) => {
   const cluster = await settled(30);
   cluster.source.faults.set('*', 'refuse');
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -47,6 +47,8 @@
   readonly peers: readonly Peer[];
   readonly updates: readonly SpreadUpdate[];
   readonly suspicions: readonly BackendSuspicion[];
+  /** Back ends that left and that the sender remembers. */
+  readonly departedCount: number;
 }
 
 /** Revisions up to which a daemon knows each topic; -1 for nothing. */
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -60,7 +60,9 @@
     ...{ revision, complete: true, removals: [] },
     routes: topic === 'routes' && table ? [table] : [],
     backends: all.filter(({ departed }) => !departed).map(({ record }) => record),
-    departed: all.filter(({ departed }) => departed).map(({ record }) => record),
+    departed: all.flatMap(({ record, departedAtMs }) =>
+      departedAtMs === undefined ? [] : [{ record, departedAtMs }],
+    ),
   };
   return { topic, since: -1, update };
 }
