--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -18,6 +18,7 @@
 
 /** Files that run one at a time, beside no other. */
 const SERIAL_FILES = [
+  'platform/soak/soak.test.ts',
   'platform/whole-path.test.ts',
   'src/cli/commands.test.ts',
   'src/daemon/whole-path.test.ts',
