--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -24,9 +24,18 @@
 /** Why a daemon starts or stops reading. */
 export type RoleReason = 'too-few-readers' | 'overdue' | 'enough-readers';
 
+/** A reader with its rank: among readers, the highest ranks stay. */
+interface RankedSighting extends ReaderSighting {
+  readonly rank: number;
+}
+
+function rankOf(id: string): number {
+  return hashString(id);
+}
+
 /** See the module. Times are monotonic ms. */
 export class ReaderRole {
-  private readonly sightings = new Map<string, number>();
+  private readonly sightings = new Map<string, RankedSighting>();
   private readonly rank: number;
   private volunteerAtMs: number | undefined;
   private readAfterMs: number;
@@ -39,7 +48,7 @@
     private readonly random: RandomSource,
     private readonly timings: FreshnessTimings,
   ) {
-    this.rank = hashString(selfId);
+    this.rank = rankOf(selfId);
     this.readAfterMs = this.drawReadAfter();
   }
 
@@ -52,17 +61,17 @@
   note({ id, provedAtMs }: ReaderSighting): void {
     if (id === this.selfId) return;
     this.hasHeardOfReaders = true;
-    this.sightings.set(id, Math.max(this.sightings.get(id) ?? Number.NEGATIVE_INFINITY, provedAtMs));
+    const known = this.sightings.get(id);
+    const newestMs = Math.max(known?.provedAtMs ?? Number.NEGATIVE_INFINITY, provedAtMs);
+    this.sightings.set(id, { id, provedAtMs: newestMs, rank: known?.rank ?? rankOf(id) });
   }
 
   /** Other readers that are not missed yet. */
-  otherReaders(nowMs: number): ReaderSighting[] {
-    const others: ReaderSighting[] = [];
-    for (const [id, provedAtMs] of this.sightings) {
-      if (nowMs - provedAtMs < this.timings.readerMissedMs) others.push({ id, provedAtMs });
-      else this.sightings.delete(id);
+  otherReaders(nowMs: number): RankedSighting[] {
+    for (const { id, provedAtMs } of this.sightings.values()) {
+      if (nowMs - provedAtMs >= this.timings.readerMissedMs) this.sightings.delete(id);
     }
-    return others;
+    return [...this.sightings.values()];
   }
 
   /**
@@ -72,7 +81,7 @@
   leadingReaders(nowMs: number, count: number): ReaderSighting[] {
     const isFresh = ({ provedAtMs }: ReaderSighting): boolean =>
       nowMs - provedAtMs < this.timings.readerFreshMs;
-    const byRank = this.otherReaders(nowMs).sort((left, right) => hashString(right.id) - hashString(left.id));
+    const byRank = this.otherReaders(nowMs).sort((left, right) => right.rank - left.rank);
     const stale = byRank.filter((reader) => !isFresh(reader));
     return [...byRank.filter(isFresh), ...stale].slice(0, count);
   }
@@ -93,12 +102,12 @@
   }
 
   private decideToStop(
-    others: readonly ReaderSighting[],
+    others: readonly RankedSighting[],
     nowMs: number,
     isCurrent: boolean,
   ): RoleReason | undefined {
     const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < this.timings.readerFreshMs);
-    const before = fresh.filter(({ id }) => hashString(id) > this.rank);
+    const before = fresh.filter(({ rank }) => rank > this.rank);
     if (!isCurrent || before.length < TARGET_READERS) return undefined;
     this.reading = false;
     this.volunteerAtMs = undefined;
@@ -107,7 +116,7 @@
   }
 
   private decideToRead(
-    others: readonly ReaderSighting[],
+    others: readonly RankedSighting[],
     nowMs: number,
     ageMs: number,
   ): RoleReason | undefined {
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -371,7 +371,8 @@
       if (proof.revision >= 0) proofs[topic] = proof;
     }
     const others = this.role.leadingReaders(clock.now(), READERS_A_MESSAGE);
-    const self = this.role.isReading ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
+    const hasProved = this.role.isReading && Number.isFinite(this.ownProofMs);
+    const self = hasProved ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
     return {
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates, suspicions: [] },
       departedCount: knowledge.backends.departedCount,
