--- a/src/flow/backup-sync.ts
+++ b/src/flow/backup-sync.ts
@@ -6,7 +6,8 @@
 import type { ReplicaPeers } from './replica-peers.js';
 import type { KeptShard } from './shard-holding.js';
 import type { ShardReceiver } from './shard-receiver.js';
-import type { ShardSender, ShardSnapshot } from './shard-sender.js';
+import type { ShardSnapshot } from './outgoing-shard.js';
+import type { ShardSender } from './shard-sender.js';
 import { snapshotKept } from './shard-snapshot.js';
 
 const { ShardPurpose } = sailquay.flow;
--- a/src/flow/ownership.ts
+++ b/src/flow/ownership.ts
@@ -18,7 +18,8 @@
 import { ReplicaRecovery } from './replica-recovery.js';
 import { ShardInstaller } from './shard-installer.js';
 import type { IncomingShard, InstallOutcome, ShardReceiver } from './shard-receiver.js';
-import type { ShardSender, ShardSnapshot } from './shard-sender.js';
+import type { ShardSnapshot } from './outgoing-shard.js';
+import type { ShardSender } from './shard-sender.js';
 import { snapshotKept, snapshotReplica } from './shard-snapshot.js';
 
 const { ShardPurpose } = sailquay.flow;
--- a/src/flow/replica-recovery.ts
+++ b/src/flow/replica-recovery.ts
@@ -4,7 +4,8 @@
 import { sailquay } from './pb/flow.js';
 import type { ReplicaHolder } from './replica-holder.js';
 import type { ReplicaShard } from './shard-holding.js';
-import type { ShardSender, ShardSnapshot } from './shard-sender.js';
+import type { ShardSnapshot } from './outgoing-shard.js';
+import type { ShardSender } from './shard-sender.js';
 import { snapshotReplica } from './shard-snapshot.js';
 
 const { ShardPurpose } = sailquay.flow;
--- a/src/flow/shard-parts.ts
+++ b/src/flow/shard-parts.ts
@@ -3,7 +3,7 @@
 import type { sailquay } from './pb/flow.js';
 import { packPart, type ShardRecord } from './record-codec.js';
 import { ShardGroupBuilder, type GroupedShard } from './shard-group.js';
-import type { OutgoingShard, ShardSnapshot } from './shard-sender.js';
+import type { OutgoingShard, ShardSnapshot } from './outgoing-shard.js';
 
 type Part = sailquay.flow.ShardPart.$Properties;
 
--- a/src/flow/shard-snapshot.ts
+++ b/src/flow/shard-snapshot.ts
@@ -3,7 +3,7 @@
 import { FlowFlag, type FlowTable } from './flow-table.js';
 import type { ShardRecord } from './record-codec.js';
 import type { KeptShard, ReplicaShard } from './shard-holding.js';
-import type { ShardSnapshot } from './shard-sender.js';
+import type { ShardSnapshot } from './outgoing-shard.js';
 
 /**
  * A kept shard: all open flows for the next keeper, or only the exceptions for a backup. While a rebase is being
--- a/src/routing/route-table-change.ts
+++ b/src/routing/route-table-change.ts
@@ -1,19 +1,5 @@
 /** What differs between two route tables, so that a change of few routes travels as few routes. */
-import type { Route, RoutedService, RouteTable } from './types.js';
-
-/** Leads from a table of `fromRevision`, or any table between it and `revision`, to the table of `revision`. */
-export interface RouteTableChange {
-  readonly fromRevision: number;
-  readonly version: number;
-  readonly revision: number;
-  readonly idleTimeoutMs: number;
-  /** All services of the new table: they are few. */
-  readonly services: readonly RoutedService[];
-  /** Routes that are new or differ. */
-  readonly routes: readonly Route[];
-  /** Names of routes that are gone. */
-  readonly removedRoutes: readonly string[];
-}
+import type { Route, RouteTable, RouteTableChange } from './types.js';
 
 /** The change that leads from one table to a later one. */
 export function compareTables(before: RouteTable, after: RouteTable): RouteTableChange {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -5,7 +5,6 @@
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../common/types.js';
 import type { RoutingSourceError } from './errors.js';
-import type { RouteTableChange } from './route-table-change.js';
 
 /** One part of a route's traffic. */
 export interface RouteTarget {
@@ -43,6 +42,20 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Leads from a table of `fromRevision`, or any table between it and `revision`, to the table of `revision`. */
+export interface RouteTableChange {
+  readonly fromRevision: number;
+  readonly version: number;
+  readonly revision: number;
+  readonly idleTimeoutMs: number;
+  /** All services of the new table: they are few. */
+  readonly services: readonly RoutedService[];
+  /** Routes that are new or differ. */
+  readonly routes: readonly Route[];
+  /** Names of routes that are gone. */
+  readonly removedRoutes: readonly string[];
+}
+
 /** One start of a back end process; a restart is another back end with another id. */
 export interface RoutedBackend {
   /** Unique for each start. */
