Begin and end the belief in an outage of the source with the reading of it

Cause: found by rereading. Most daemons call the source seldom now. One failed call after minutes without any counted as an outage at once, since the silence was measured from the last answer; and who had seen an outage and then left the source to others believed in it for ever, so that records that vanished later counted as lapsed. Change: silence counts from the begin of a reading; its end ends the belief, with the usual time after it in which records may lapse.

--- a/src/cookie-daemon/source-reading.ts
+++ b/src/cookie-daemon/source-reading.ts
@@ -10,7 +10,7 @@
   private running: AbortController | undefined;
   private readonly life = new AbortController();
 
-  constructor(options: SourceFollowerOptions) {
+  constructor(private readonly options: SourceFollowerOptions) {
     this.followers = TOPICS.map((topic) => new SourceFollower(topic, options));
   }
 
@@ -21,7 +21,10 @@
 
   /** Learns what there is, if nobody else tells it sooner. */
   readFirst(): void {
-    for (const follower of this.followers) void follower.readFirst(this.life.signal);
+    const readings = this.followers.map((follower) => follower.readFirst(this.life.signal));
+    void Promise.all(readings).then(() => {
+      if (!this.running) this.options.circuit.end();
+    });
   }
 
   /** Starts following, or ends it together with the calls under way. */
@@ -30,6 +33,7 @@
     if (!isReading) return this.stopFollowing();
     const running = new AbortController();
     this.running = running;
+    this.options.circuit.begin();
     for (const follower of this.followers) void follower.run(running.signal);
   }
 
@@ -40,6 +44,7 @@
   }
 
   private stopFollowing(): void {
+    this.options.circuit.end();
     this.running?.abort();
     this.running = undefined;
   }
--- a/src/routing/source-circuit.ts
+++ b/src/routing/source-circuit.ts
@@ -38,6 +38,18 @@
     return this.lost || this.clock.now() - this.regainedAtMs < LAPSE_AFTER_OUTAGE_MS;
   }
 
+  /** To be called when this balancer begins to call the source: silence counts from now. */
+  begin(): void {
+    this.lastAnswerMs = this.clock.now();
+    this.failuresInRow = 0;
+  }
+
+  /** To be called when it leaves the source to others: whether an outage goes on is for them to see. */
+  end(): void {
+    if (this.lost) this.regainedAtMs = this.clock.now();
+    this.lost = false;
+  }
+
   noteAnswer(): void {
     const nowMs = this.clock.now();
     if (this.lost) {
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -289,6 +289,8 @@
       setReading: (isReading) => {
         this.reading?.abort();
         this.reading = isReading ? new AbortController() : undefined;
+        if (isReading) circuit.begin();
+        else circuit.end();
         for (const follower of followers) if (this.reading) void follower.run(this.reading.signal);
       },
       mayBeOld: () => false,
