--- a/src/flow/model/model-cluster.ts
+++ b/src/flow/model/model-cluster.ts
@@ -10,30 +10,14 @@
 import { ModelFlow } from './model-flow.js';
 import { ModelNode, type ModelWire } from './model-node.js';
 import { ModelPartition } from './model-partition.js';
+import { GONE_AFTER_MS, SUSPECT_AFTER_MS, type ModelOptions, type ModelWorld } from './model-world.js';
 import { SettingsScript } from './settings-script.js';
 
-/** Knobs of one run. */
-export interface ModelOptions {
-  readonly seed: number;
-  readonly nodes: number;
-  readonly lossRate: number;
-  /** Largest time until a node learns a change of membership or settings, ms. */
-  readonly spreadMs: number;
-  /** Share (0–1) of openings that a back end resets. */
-  readonly resetRate: number;
-  /** Share (0–1) of SYNs that reach two balancers. */
-  readonly sprayRate: number;
-  /** Control bytes that a node may send in a second. */
-  readonly budgetBytesPerSecond: number;
-}
-
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const PACKET_DELAY_MS = [0.5, 4] as const;
-export const SUSPECT_AFTER_MS = 1_200;
-export const GONE_AFTER_MS = 3_500;
 
 /** The world of the model check. */
-export class ModelCluster implements ModelWire {
+export class ModelCluster implements ModelWire, ModelWorld {
   readonly clock = new VirtualClock();
   readonly random: RandomSource;
   readonly nodes: ModelNode[] = [];
--- a/src/flow/model/model-flow.ts
+++ b/src/flow/model/model-flow.ts
@@ -1,8 +1,8 @@
 /** One flow of the model check, with its caller, its back end and the rules about it. */
 import type { Endpoint } from '../../common/types.js';
 import type { PacketView } from '../../fabric/types.js';
-import type { ModelCluster } from './model-cluster.js';
 import type { ModelNode } from './model-node.js';
+import type { ModelWorld } from './model-world.js';
 import { serviceAddress } from './settings-script.js';
 
 const SYN_RETRY_MS = 1_000;
@@ -27,7 +27,7 @@
   private synAttempts = 0;
 
   constructor(
-    private readonly cluster: ModelCluster,
+    private readonly cluster: ModelWorld,
     readonly index: number,
     readonly serviceIndex: number,
   ) {}
--- a/src/flow/model/model-partition.ts
+++ b/src/flow/model/model-partition.ts
@@ -3,8 +3,8 @@
  * cut-off side loses its quorum. Callers and back ends still reach both sides.
  */
 import type { MemberState } from '../../membership/types.js';
-import { GONE_AFTER_MS, SUSPECT_AFTER_MS, type ModelCluster } from './model-cluster.js';
 import type { ModelNode } from './model-node.js';
+import { GONE_AFTER_MS, SUSPECT_AFTER_MS, type ModelWorld } from './model-world.js';
 
 /** Least time until a node learns that the cut is healed. */
 const REJOIN_AFTER_MS = 100;
@@ -15,7 +15,7 @@
   readonly outside: readonly ModelNode[];
 
   constructor(
-    private readonly cluster: ModelCluster,
+    private readonly cluster: ModelWorld,
     zone: string,
   ) {
     this.inside = cluster.liveNodes().filter((node) => node.parts.zone === zone);
