--- a/src/routing/backend-registry.ts
+++ b/src/routing/backend-registry.ts
@@ -73,6 +73,14 @@
     this.forgetListeners.push(listener);
   }
 
+  /** Takes the first list in, with one log line for all. */
+  fill(records: readonly RoutedBackend[], revision: number): void {
+    const added = records.filter(({ id }) => !this.byId.has(id));
+    for (const record of added) this.add(record);
+    const draining = added.filter((record) => record.draining).length;
+    this.options.events.emit(ROUTING_EVENTS.backendsKnown, { backends: added.length, draining, revision });
+  }
+
   /**
    * Takes a record in; false when it is not newer than what is known.
    *
@@ -82,6 +90,7 @@
     const known = this.byId.get(record.id);
     if (!known) {
       this.add(record);
+      this.options.events.emit(ROUTING_EVENTS.backendKnown, describe(record));
       if (record.revision <= knownRevision) this.remove(record, false);
       return true;
     }
@@ -153,7 +162,6 @@
     };
     this.byId.set(record.id, backend);
     this.serviceSet(record.service).add(backend);
-    this.options.events.emit(ROUTING_EVENTS.backendKnown, describe(record));
     this.addListeners.forEach((listener) => listener(backend));
   }
 
--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -22,6 +22,12 @@
     message: 'A back end that left is forgotten; no flow to it can be open any more',
     action: 'none',
   },
+  backendsKnown: {
+    number: 2009,
+    level: 'info',
+    message: 'The back ends are known for the first time; further ones are told one by one',
+    action: 'none',
+  },
   sourceLost: {
     number: 2005,
     level: 'warn',
--- a/src/routing/knowledge.test.ts
+++ b/src/routing/knowledge.test.ts
@@ -80,6 +80,22 @@
   });
 }
 
+test('the first list of back ends is one log line, further ones are a line each', (t) => {
+  const events: string[] = [];
+  const log = { emit: (event: { readonly message: string }) => void events.push(event.message) };
+  const knowledge = new RoutingKnowledge({
+    clock: new VirtualClock(),
+    events: log,
+    retentionMs: RETENTION_MS,
+  });
+  const many = Array.from({ length: 50 }, (_, index) => backendAt(`b-${index}`, 3));
+  knowledge.apply('backends', list(3, ...many), origin(-1));
+  t.is(events.length, 1);
+  t.is(present(knowledge).length, 50);
+  knowledge.apply('backends', change(4, backendAt('c', 4), backendAt('d', 4)), origin(3));
+  t.is(events.length, 3);
+});
+
 test('a back end that left is remembered as long as a flow to it may be open', (t) => {
   const { clock, knowledge } = createKnowledge();
   knowledge.apply('backends', list(3, backendAt('a', 3)), origin(-1));
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -170,6 +170,7 @@
 
   private applyBackends(update: RoutingUpdate, { mayHaveLapsed }: UpdateOrigin): true {
     const { revision: known } = this.progress.backends;
+    if (update.complete && known === UNKNOWN_REVISION) this.backends.fill(update.backends, update.revision);
     const isNewest = update.complete && update.revision >= known;
     const knownRevision = isNewest ? UNKNOWN_REVISION : known;
     update.backends.forEach((record) => this.backends.put(record, knownRevision));
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -35,8 +35,8 @@
 /** Changes that come within this time after the last ones were sent go out together. */
 export const CHANGE_GATHER_MS = 100;
 
-/** Who still lacks something this soon after it asked fetches everything: what it lacks does not fit into an answer. */
-export const ASK_AGAIN_MS = 200;
+/** An answer to a question for missing changes is waited for this long before another peer is asked. */
+export const ANSWER_WAIT_MS = 100;
 
 /** Added to the age of what arrives, for its way. */
 export const TRANSIT_MS = 5;
--- a/src/spreading/events.ts
+++ b/src/spreading/events.ts
@@ -26,7 +26,7 @@
     message: 'What is known is proved to be current again',
     action: 'none',
   },
-  peerKnown: { number: 2204, level: 'info', message: 'A peer is known', action: 'none' },
+  peerKnown: { number: 2204, level: 'debug', message: 'A peer is known', action: 'none' },
   peerForgotten: {
     number: 2205,
     level: 'info',
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -3,7 +3,7 @@
  * who lags asks, and who has no proof for too long reads the source itself.
  */
 import type { Clock, TimerHandle } from '../common/clock.js';
-import { jitter, type RandomSource } from '../common/random.js';
+import { jitter, pick, type RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import type {
@@ -14,7 +14,7 @@
   TopicProof,
 } from '../routing/index.js';
 import {
-  ASK_AGAIN_MS,
+  ANSWER_WAIT_MS,
   CHANGE_GATHER_MS,
   FAR_FETCH_SPREAD_MS,
   FAR_FETCH_WAIT_MS,
@@ -101,7 +101,9 @@
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
   private readonly sentRevisions: Record<RoutingTopic, number> = { routes: -1, backends: -1 };
-  private lastAskMs = Number.NEGATIVE_INFINITY;
+  /** The question for missing changes that is under way. */
+  private question: { readonly peer: string; readonly atMs: number } | undefined;
+  private startedAtMs = 0;
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private lastFetchMs = Number.NEGATIVE_INFINITY;
   private fetching = false;
@@ -134,7 +136,8 @@
 
   /** Greets the seeds, asks one of them for what it knows, and runs until `signal` aborts. */
   start(signal: AbortSignal): void {
-    this.greetSeeds(this.options.clock.now());
+    this.startedAtMs = this.options.clock.now();
+    this.greetSeeds(this.startedAtMs);
     const arm = (): void => {
       this.timer = this.options.clock.schedule(TICK_MS, () => {
         this.tick();
@@ -196,7 +199,8 @@
     const ageMs = knowledge.age();
     this.peers.prune(nowMs);
     this.reportAge(ageMs);
-    if (ageMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
+    const unprovedMs = Math.min(ageMs, nowMs - this.startedAtMs);
+    if (unprovedMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
     if (nowMs >= this.nextGreetingMs) this.greetSeeds(nowMs);
     const reason = this.role.decide(nowMs, ageMs, knowledge.isComplete());
     if (!reason) return;
@@ -208,9 +212,11 @@
   private greetSeeds(nowMs: number): void {
     const { random } = this.options;
     const seeds = this.options.seeds();
-    const intervalMs = this.peers.size < seeds.length ? GREETING_MIN_MS : GREETING_MAX_MS;
-    this.nextGreetingMs = nowMs + jitter(intervalMs, GREETING_JITTER, random);
-    for (const seed of seeds) this.send(seed, this.message('pull', []));
+    const isAlone = this.peers.size < seeds.length;
+    this.nextGreetingMs =
+      nowMs + jitter(isAlone ? GREETING_MIN_MS : GREETING_MAX_MS, GREETING_JITTER, random);
+    const greeted = isAlone || seeds.length === 0 ? seeds : [pick(seeds, random)];
+    for (const seed of greeted) this.send(seed, this.message('pull', []));
   }
 
   private receive(bytes: Uint8Array, from: Endpoint): void {
@@ -250,6 +256,7 @@
       return proof !== undefined && !knowledge.acceptProof(topic, proof);
     });
     if (message.departedCount > 0) this.learnDeparted(from);
+    if (missing.length === 0 && this.question?.peer === formatEndpoint(from)) this.question = undefined;
     if (missing.length > 0) this.fill(missing, message, from);
     else if (ageBeforeMs - knowledge.age() >= PROOF_STEP_MS) this.pushSoon();
   }
@@ -264,22 +271,32 @@
     void this.fetch(from, { routes: knowledge.revisionOf('routes'), backends: NOTHING_KNOWN });
   }
 
-  /** Small gaps are asked for and answered from the peer's log; who knows nothing, or still lacks something, fetches. */
+  /**
+   * Asks for what is missing; the answer comes from the peer's log if it fits. One question is under way at a time, since
+   * many tell of the same change at once. Who knows nothing, or lacks something after an answer, fetches.
+   */
   private fill(missing: readonly RoutingTopic[], { senderZone, proofs }: PeerMessage, from: Endpoint): void {
     const { clock, knowledge, zone } = this.options;
     const nowMs = clock.now();
     const isNew = missing.some((topic) => knowledge.revisionOf(topic) < 0);
-    const wasAsked = nowMs - this.lastAskMs < ASK_AGAIN_MS;
-    if (!isNew && !wasAsked) {
-      this.lastAskMs = nowMs;
-      return this.askOne(from);
+    const wasAnswered = this.question?.peer === formatEndpoint(from);
+    const isWaiting = this.question !== undefined && nowMs - this.question.atMs < ANSWER_WAIT_MS;
+    if (!isNew && !wasAnswered) {
+      if (!isWaiting) this.ask(from, nowMs);
+      return;
     }
+    this.question = undefined;
     if (senderZone === zone) return void this.fetch(from);
     const isMissing = (): boolean =>
       missing.some((topic) => knowledge.revisionOf(topic) < (proofs[topic]?.changedRevision ?? 0));
     this.fetchFar(from, isNew, isMissing);
   }
 
+  private ask(from: Endpoint, nowMs: number): void {
+    this.question = { peer: formatEndpoint(from), atMs: nowMs };
+    this.askOne(from);
+  }
+
   /** Fetches from a peer of another zone, unless a nearer one makes that needless meanwhile. */
   private fetchFar(from: Endpoint, isNew: boolean, isMissing: () => boolean): void {
     const { clock, random } = this.options;
--- /dev/null
+++ b/src/spreading/update-log.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { UpdateLog } from './update-log.js';
+
+function logged(...revisions: readonly number[]): UpdateLog {
+  const log = new UpdateLog();
+  let since = 0;
+  for (const revision of revisions) {
+    const backends = [backendAt(`b-${revision}`, revision), backendAt('often', revision)];
+    log.note({ topic: 'backends', since, update: updateAt(revision, { backends }) });
+    since = revision;
+  }
+  return log;
+}
+
+function ids(log: UpdateLog, revision: number): string[] | undefined {
+  return log.since('backends', revision)?.update.backends.map(({ id, revision: at }) => `${id}@${at}`);
+}
+
+test('who lags gets each back end once, as it was recorded last', (t) => {
+  t.deepEqual(ids(logged(5, 7, 9), 5), ['b-7@7', 'often@9', 'b-9@9']);
+});
+
+test('who knows a part of a long change gets only the rest', (t) => {
+  const log = new UpdateLog();
+  const backends = [3, 5, 7, 9].map((revision) => backendAt(`b-${revision}`, revision));
+  const removals = [{ id: 'gone', revision: 2 }];
+  log.note({ topic: 'backends', since: 1, update: updateAt(9, { backends, removals }) });
+  t.deepEqual(ids(log, 6), ['b-7@7', 'b-9@9']);
+  t.deepEqual(log.since('backends', 6)?.update.removals, removals, 'removals carry older revisions');
+  t.is(log.since('backends', 6)?.update.revision, 9);
+});
+
+test('what the log does not reach back to is not told', (t) => {
+  t.is(logged(5, 7).since('backends', -1), undefined);
+});
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -1,6 +1,7 @@
 /** Recent changes, so that a daemon that lags a little gets them instead of everything. */
 import {
   joinTableChanges,
+  type RoutedBackend,
   type RouteTableChange,
   type RoutingKnowledge,
   type RoutingTopic,
@@ -21,18 +22,20 @@
     if (log.length > MAX_LOGGED_UPDATES) log.shift();
   }
 
-  /** The changes after `revision`, or undefined when they are not all here. */
+  /** The changes after `revision`, and nothing that its knower has; undefined when they are not all here. */
   since(topic: RoutingTopic, revision: number): SpreadUpdate | undefined {
     const log = this.entries[topic];
     const first = log.findLastIndex(({ since }) => since <= revision);
     const needed = first < 0 ? [] : log.slice(first);
     const last = needed.at(-1);
     if (!needed[0] || !last) return undefined;
-    return { topic, since: needed[0].since, update: merge(needed.map(({ update }) => update)) };
+    const update = merge(needed.map((entry) => entry.update));
+    const backends = update.backends.filter((record) => record.revision > revision);
+    return { topic, since: needed[0].since, update: { ...update, backends } };
   }
 }
 
-/** Records of back ends are ordered by their revisions, so it does no harm to list older ones as well. */
+/** One update that does what all do; of each back end only the last record. */
 function merge(updates: readonly RoutingUpdate[]): RoutingUpdate {
   return {
     revision: updates.at(-1)?.revision ?? 0,
@@ -41,11 +44,19 @@
     routeChange: updates
       .flatMap(({ routeChange }) => routeChange ?? [])
       .reduce<RouteTableChange | undefined>(joinAfter, undefined),
-    backends: updates.flatMap(({ backends }) => backends),
+    backends: lastOfEach(updates.flatMap(({ backends }) => backends)),
     removals: updates.flatMap(({ removals }) => removals),
   };
 }
 
+function lastOfEach(records: readonly RoutedBackend[]): RoutedBackend[] {
+  const byId = new Map<string, RoutedBackend>();
+  for (const record of records) {
+    if (record.revision >= (byId.get(record.id)?.revision ?? 0)) byId.set(record.id, record);
+  }
+  return [...byId.values()];
+}
+
 function joinAfter(first: RouteTableChange | undefined, second: RouteTableChange): RouteTableChange {
   return first ? joinTableChanges(first, second) : second;
 }
