Take what waited through a pause as old until the sockets were read empty

A balancer that had stood still for 3.7 s placed a SYN from its socket 62 ms after it woke; the flow had opened through another copy 2.4 s before. What is read after a pause counted as old for 50 ms only, and copies of known SYNs not at all. Change: old is everything until a turn of the event loop reads fewer than the 32 datagrams that node reads from a socket in a turn, for callers' packets and for messages between daemons.

--- a/src/common/pause-detector.ts
+++ b/src/common/pause-detector.ts
@@ -6,18 +6,31 @@
 /** A tick this late means that the process stood still. */
 const PAUSE_MS = 150;
 
-/** What is read this long after a pause may have waited through it. */
-const BACKLOG_MS = 50;
+/**
+ * Datagrams that node reads from one socket in one turn of its event loop, at most; a turn that reads fewer has read the
+ * socket empty. Source: `uv__udp_recvmsg` of libuv, which stops after 32 or at the first read without a datagram.
+ */
+export const READS_A_TURN = 32;
+
+/** Sockets whose datagrams wait through a pause. */
+export type PausedSocket = 'edge' | 'peers';
+
+/** Calls back at the end of the turn of the event loop, after what could be read was read. */
+export type AfterReads = (callback: () => void) => void;
 
 /** See the module. Times are monotonic ms. */
 export class PauseDetector {
   private lastTickMs: number;
-  private backlogUntilMs = Number.NEGATIVE_INFINITY;
+  /** True from the end of a pause until all that waited through it has been read. */
+  private isCatchingUp = false;
+  /** Datagrams read in this turn, by socket. */
+  private readonly reads: Record<PausedSocket, number> = { edge: 0, peers: 0 };
 
   /** @param tickMs time between two calls of `noteTick` */
   constructor(
     nowMs: number,
     private readonly tickMs: number,
+    private readonly afterReads: AfterReads = setImmediate,
   ) {
     this.lastTickMs = nowMs;
   }
@@ -26,13 +39,30 @@
   noteTick(nowMs: number): number {
     const pausedMs = this.pausedFor(nowMs);
     this.lastTickMs = nowMs;
-    if (pausedMs > 0) this.backlogUntilMs = nowMs + BACKLOG_MS;
+    if (pausedMs > 0 && !this.isCatchingUp) this.catchUp();
     return pausedMs;
   }
 
-  /** True when a packet that is read now may have waited through a pause. */
+  /** Notes that a datagram was read. */
+  noteRead(socket: PausedSocket): void {
+    if (this.isCatchingUp) this.reads[socket] += 1;
+  }
+
+  /** True when a datagram that is read now may have waited through a pause. */
   mayBeOld(nowMs: number): boolean {
-    return nowMs < this.backlogUntilMs || this.pausedFor(nowMs) > 0;
+    return this.isCatchingUp || this.pausedFor(nowMs) > 0;
+  }
+
+  /** Goes on from turn to turn until one has read both sockets empty. */
+  private catchUp(): void {
+    this.isCatchingUp = true;
+    this.reads.edge = 0;
+    this.reads.peers = 0;
+    this.afterReads(() => {
+      const isEmpty = Math.max(this.reads.edge, this.reads.peers) < READS_A_TURN;
+      this.isCatchingUp = false;
+      if (!isEmpty) this.catchUp();
+    });
   }
 
   private pausedFor(nowMs: number): number {
--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -55,6 +55,7 @@
     ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
     timings,
     setReading: (isReading) => reading.set(isReading),
+    noteArrival: () => pauses.noteRead('peers'),
     mayBeOld: () => pauses.mayBeOld(clock.now()),
     recordsMayLapse: () => circuit.recordsMayLapse(),
     noteSuspicion: ({ backendId, atMs }) => forwarder.noteSuspicion(backendId, atMs),
--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { backendAt, SERVICE_PORT } from '../../routing/routing-test-support.js';
+import { READS_A_TURN } from '../../common/pause-detector.js';
 import { TICK_MS } from './constants.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -60,6 +61,27 @@
   t.truthy(harness.goOn(1, opened.cookie), 'open flows go on');
 });
 
+test('a copy of a SYN that waited while the process stood still goes nowhere', (t) => {
+  const harness = new ForwarderHarness().know(backends(3));
+  t.truthy(harness.open(1));
+  harness.stop();
+  harness.clock.advance(5_000);
+  t.is(harness.open(1, 1), undefined);
+  t.deepEqual(harness.forwarder.statistics.drops, { 'old-opening': 1 });
+});
+
+test('a long backlog is old to its end, and what comes after it is not', (t) => {
+  const harness = new ForwarderHarness().know(backends(3));
+  harness.standStill(4_000);
+  for (let read = 1; read <= 3 * READS_A_TURN; read += 1) {
+    t.is(harness.open(read), undefined, `datagram ${read}`);
+    if (read % READS_A_TURN === 0) harness.endTurn();
+  }
+  t.is(harness.open(4_000), undefined, 'the last turn has not ended');
+  harness.endTurn();
+  t.truthy(harness.open(4_001));
+});
+
 test('a late tick opens a short time in which SYNs are too old, and then it is over', (t) => {
   const harness = new ForwarderHarness().know(backends(3));
   harness.clock.advance(3 * TICK_MS);
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -102,11 +102,14 @@
   }
 
   onDrop(reason: EdgeDropReason): void {
+    this.options.pauses.noteRead('edge');
     this.statistics.countDrop(reason);
   }
 
   onPacket(packet: CookiePacket): void {
-    const nowMs = this.options.clock.now();
+    const { clock, pauses } = this.options;
+    const nowMs = clock.now();
+    pauses.noteRead('edge');
     this.statistics.packets += 1;
     const flow = this.cache.find(packet);
     if (packet.syn && !packet.ack) this.onSyn(packet, flow, nowMs);
@@ -114,12 +117,12 @@
   }
 
   private onSyn(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
-    if (flow) return this.onSynCopy(packet, flow, nowMs);
     if (this.options.pauses.mayBeOld(nowMs)) {
       this.statistics.countDrop('old-opening');
       this.options.events.emit(COOKIE_FLOW_EVENTS.oldOpening, { flow: formatFlowId(packet) });
       return;
     }
+    if (flow) return this.onSynCopy(packet, flow, nowMs);
     const routes = this.options.knowledge.routes();
     if (!routes || !this.options.knowledge.isComplete()) return this.statistics.countDrop('starting');
     const route = routes.find(packet.destinationAddress, packet.destinationPort);
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -30,7 +30,8 @@
   readonly logged: { readonly event: EventDefinition; readonly fields: EventFields }[] = [];
   readonly knowledge: RoutingKnowledge;
   readonly forwarder: CookieForwarder;
-  private readonly abort = new AbortController();
+  private abort = new AbortController();
+  private readonly turns: (() => void)[] = [];
 
   constructor(
     readonly clock = new VirtualClock(),
@@ -49,13 +50,27 @@
     this.forwarder = new CookieForwarder({
       ...{ clock, events, knowledge: this.knowledge, edge, zone: 'north', zoneMargin: 0.5 },
       random: seededRandom(seed),
-      pauses: new PauseDetector(clock.now(), TICK_MS),
+      pauses: new PauseDetector(clock.now(), TICK_MS, (callback) => this.turns.push(callback)),
       maxFlowAgeMs: 60_000,
       maxFlows: () => 1_000,
     });
     this.forwarder.start(this.abort.signal);
   }
 
+  /** The process stands still for `milliseconds`; then its timers go on with a late tick. */
+  standStill(milliseconds: number): void {
+    this.stop();
+    this.clock.advance(milliseconds);
+    this.abort = new AbortController();
+    this.forwarder.start(this.abort.signal);
+    this.clock.advance(TICK_MS);
+  }
+
+  /** Ends a turn of the event loop. */
+  endTurn(): void {
+    for (const callback of this.turns.splice(0)) callback();
+  }
+
   /** Makes a complete list of back ends known, as of the highest revision so far. */
   know(backends: readonly RoutedBackend[], table: Partial<RouteTable> = {}, revision = 10): this {
     const origin = { since: -1, provedAtMs: this.clock.now(), mayHaveLapsed: false };
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -65,6 +65,8 @@
   readonly timings: FreshnessTimings;
   /** Starts or stops reading the source. */
   readonly setReading: (reading: boolean) => void;
+  /** Called with each datagram that arrives. */
+  readonly noteArrival: () => void;
   /** True while what arrives may have waited through a pause of this process, so that its age is unknown. */
   readonly mayBeOld: () => boolean;
   /** True while records may vanish because their owners cannot write. */
@@ -222,6 +224,7 @@
   private receive(bytes: Uint8Array, from: Endpoint): void {
     const { clock, events } = this.options;
     const nowMs = clock.now();
+    this.options.noteArrival();
     this.statistics.messagesReceived += 1;
     this.statistics.bytesReceived += bytes.length;
     const message = decodePeerMessage(bytes, nowMs);
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -293,6 +293,7 @@
         else circuit.end();
         for (const follower of followers) if (this.reading) void follower.run(this.reading.signal);
       },
+      noteArrival: () => undefined,
       mayBeOld: () => false,
       recordsMayLapse: () => circuit.recordsMayLapse(),
       noteSuspicion: ({ backendId }) => {
