--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -61,6 +61,19 @@
   t.truthy(harness.goOn(1, opened.cookie), 'open flows go on');
 });
 
+test('a SYN with the ports of a flow that was closed opens a new flow, not at a back end that leaves', (t) => {
+  const harness = new ForwarderHarness().know(backends(3));
+  const opened = harness.establish(1);
+  harness.goOn(1, opened.cookie, { fin: true });
+  const leaving = backends(3).map((record) =>
+    record.id === opened.backend ? { ...record, draining: true, revision: 20 } : record,
+  );
+  harness.know(leaving, {}, 20);
+  const again = harness.open(1);
+  t.truthy(again?.backend);
+  t.not(again?.backend, opened.backend);
+});
+
 test('a copy of a SYN that waited while the process stood still goes nowhere', (t) => {
   const harness = new ForwarderHarness().know(backends(3));
   t.truthy(harness.open(1));
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -122,7 +122,8 @@
       this.options.events.emit(COOKIE_FLOW_EVENTS.oldOpening, { flow: formatFlowId(packet) });
       return;
     }
-    if (flow) return this.onSynCopy(packet, flow, nowMs);
+    if (flow && !isAnew(packet, flow)) return this.onSynCopy(packet, flow, nowMs);
+    if (flow) this.cache.remove(flow);
     const routes = this.options.knowledge.routes();
     if (!routes || !this.options.knowledge.isComplete()) return this.statistics.countDrop('starting');
     const route = routes.find(packet.destinationAddress, packet.destinationPort);
@@ -317,6 +318,11 @@
   }
 }
 
+/** True for the first SYN of a caller that uses the ports of a flow again which it had closed. */
+function isAnew(packet: CookiePacket, flow: Flow): boolean {
+  return flow.phase === 'closing' && packet.acknowledgement === 0;
+}
+
 /** True when sequence number `left` comes after `right`, modulo 2^32. */
 function isAfter(left: number, right: number): boolean {
   return ((left - right) | 0) > 0;
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -25,7 +25,7 @@
 } as const;
 const TOPIC_NUMBERS = { routes: wire.Topic.ROUTES, backends: wire.Topic.BACKENDS } as const;
 
-/** Ages beyond this are all the same. */
+/** Ages beyond this are all the same; of a proof it means that there is none yet. */
 const MAX_AGE_MS = 0xffff_ffff;
 
 /** Encodes a message as of `nowMs`. */
@@ -66,7 +66,7 @@
   for (const { topic, revision, changedRevision, ageMs } of message.proofs ?? []) {
     const name = keyOf(TOPIC_NUMBERS, topic);
     if (!name) continue;
-    const provedAtMs = arrivedMs - (ageMs ?? 0);
+    const provedAtMs = ageMs === MAX_AGE_MS ? Number.NEGATIVE_INFINITY : arrivedMs - (ageMs ?? 0);
     proofs[name] = { revision: revision ?? 0, changedRevision: changedRevision ?? 0, provedAtMs };
   }
   return {
--- a/src/spreading/peer-view.ts
+++ b/src/spreading/peer-view.ts
@@ -61,12 +61,16 @@
     }
   }
 
-  /** Up to `inZone` peers of the own zone and `elsewhere` of any other: those that were not chosen for longest. */
+  /**
+   * Up to `inZone` peers of the own zone and `elsewhere` of any other, more where the own zone has too few: those that were
+   * not chosen for longest. Otherwise who is alone in its zone would hear of little.
+   */
   choose(inZone: number, elsewhere: number): Peer[] {
     const near: ListedPeer[] = [];
     const far: ListedPeer[] = [];
     for (const peer of this.peers.values()) (peer.zone === this.options.zone ? near : far).push(peer);
-    return [...this.takeTurns(near, inZone), ...this.takeTurns(far, elsewhere)];
+    const chosen = this.takeTurns(near, inZone);
+    return [...chosen, ...this.takeTurns(far, elsewhere + inZone - chosen.length)];
   }
 
   /** Up to `count` random peers. */
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -189,6 +189,26 @@
   t.true(bytes <= 8 * each, `${bytes} of ${cluster.network.fetchedBytes} bytes`);
 });
 
+for (const seed of [1, 2, 3, 4]) {
+  test(`whoever counts as knowing a revision knows every change up to it, in bursts with loss, seed ${seed}`, async (t) => {
+    const cluster = await settled(12, seed);
+    cluster.network.lossRate = 0.3;
+    const changes: (readonly [string, number])[] = [];
+    for (let index = 0; index < 200; index += 1) {
+      const id = `burst-${index}`;
+      changes.push([id, cluster.source.changeBackend(id)]);
+      await cluster.clock.advanceAsync(10 + 10 * (index % 5), 5);
+      for (const { id: daemon, knowledge } of cluster.daemons) {
+        const known = knowledge.revisionOf('backends');
+        const lacking = changes.filter(
+          ([backend, revision]) => revision <= known && !knowledge.backends.get(backend),
+        );
+        t.deepEqual(lacking, [], `${daemon} at ${known}`);
+      }
+    }
+  });
+}
+
 test('a removal in a gap of the history reaches everybody', async (t) => {
   const cluster = await settled(7);
   cluster.source.faults.set('*', 'silent');
--- a/src/spreading/update-log.test.ts
+++ b/src/spreading/update-log.test.ts
@@ -31,6 +31,14 @@
   t.is(log.since('backends', 6)?.update.revision, 9);
 });
 
+test('what is told begins where its content begins, so that whoever knows less sees the gap', (t) => {
+  const log = new UpdateLog();
+  const backends = [3, 5, 7, 9].map((revision) => backendAt(`b-${revision}`, revision));
+  log.note({ topic: 'backends', since: 1, update: updateAt(9, { backends }) });
+  t.is(log.since('backends', 6)?.since, 6);
+  t.is(log.since('backends', 1)?.since, 1);
+});
+
 test('what the log does not reach back to is not told', (t) => {
   t.is(logged(5, 7).since('backends', -1), undefined);
 });
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -31,7 +31,7 @@
     if (!needed[0] || !last) return undefined;
     const update = merge(needed.map((entry) => entry.update));
     const backends = update.backends.filter((record) => record.revision > revision);
-    return { topic, since: needed[0].since, update: { ...update, backends } };
+    return { topic, since: Math.max(needed[0].since, revision), update: { ...update, backends } };
   }
 }
 
