Join no changes of the route table over one that was never logged

Cause: found on rereading. A table that comes across a gap is put in force but not logged. A reader's next change was compared with that table, and the log joined it to the one before the gap: a receiver got the newest routes without those between. Ruled out: names of routes that are not unique (the platform's examples have none). Change: such a run of changes counts as not in the log, so everything is sent. The test failed first; 72 tests of src/spreading, the compiler and ESLint pass.

--- a/src/spreading/update-log.test.ts
+++ b/src/spreading/update-log.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
 import { UpdateLog } from './update-log.js';
 
 function logged(...revisions: readonly number[]): UpdateLog {
@@ -39,6 +39,16 @@
   t.is(log.since('backends', 1)?.since, 1);
 });
 
+test('changes of the table between which one was never logged are not joined', (t) => {
+  const log = new UpdateLog();
+  const change = (fromRevision: number, revision: number) =>
+    updateAt(revision, { routeChange: { ...tableAt(revision), fromRevision, removedRoutes: [] } });
+  log.note({ topic: 'routes', since: 3, update: change(3, 7) });
+  log.note({ topic: 'routes', since: 7, update: change(9, 12) });
+  t.is(log.since('routes', 3), undefined);
+  t.is(log.since('routes', 7)?.update.routeChange?.fromRevision, 9);
+});
+
 test('what the log does not reach back to is not told', (t) => {
   t.is(logged(5, 7).since('backends', -1), undefined);
 });
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -28,7 +28,7 @@
     const first = log.findLastIndex(({ since }) => since <= revision);
     const needed = first < 0 ? [] : log.slice(first);
     const last = needed.at(-1);
-    if (!needed[0] || !last) return undefined;
+    if (!needed[0] || !last || !areJoined(needed)) return undefined;
     const update = merge(needed.map((entry) => entry.update));
     const backends = update.backends.filter((record) => record.revision > revision);
     return { topic, since: Math.max(needed[0].since, revision), update: { ...update, backends } };
@@ -57,6 +57,14 @@
   return [...byId.values()];
 }
 
+/** False when a change of the table between two logged ones is not among them, because it came across a gap. */
+function areJoined(entries: readonly SpreadUpdate[]): boolean {
+  const changes = entries.flatMap(({ update }) => update.routeChange ?? []);
+  return changes.every(
+    ({ fromRevision }, index) => fromRevision <= (changes[index - 1]?.revision ?? fromRevision),
+  );
+}
+
 function joinAfter(first: RouteTableChange | undefined, second: RouteTableChange): RouteTableChange {
   return first ? joinTableChanges(first, second) : second;
 }
