Apply a change of the route table only to exactly the table that it starts from

Version 8 splits a route, version 12 takes the split back. A daemon that went from version 2 straight to 12 compared those two, so the route is not in its change; a daemon at version 8 took the change all the same, because any table not older than the start was accepted, and kept the split under the name of version 12. Change: a change names the tables that it starts from, all of them where changes were joined, and a digest of the table that it leads to; it is applied to no other table and to no other outcome. Who asks says which table it has; who does not log a chain from it sends the whole table. Tests: three in route-table-change.test.ts failed first.

--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -46,6 +46,13 @@
     message: 'A call to the source of routes and back ends failed and is repeated',
     action: 'none when it is rare; otherwise see the error',
   },
+  tableDoubted: {
+    number: 2010,
+    level: 'error',
+    message: 'A change made for the table of routes in force does not lead to the table that it should',
+    action:
+      'Report it with the logs of this daemon and of the one that sent the change; the whole table is fetched',
+  },
   olderIgnored: {
     number: 2008,
     level: 'info',
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -6,7 +6,7 @@
 import { ROUTING_EVENTS } from './events.js';
 import { RouteIndex } from './route-index.js';
 import { applyTableChange, compareTables } from './route-table-change.js';
-import type { RouteTable, RoutingTopic, RoutingUpdate, TopicProof } from './types.js';
+import type { RouteTable, RouteTableChange, RoutingTopic, RoutingUpdate, TopicProof } from './types.js';
 
 /** An update that changed what is known, for those who pass it on. */
 export interface AppliedUpdate {
@@ -45,6 +45,8 @@
 export class RoutingKnowledge {
   readonly backends: BackendRegistry;
   private index: RouteIndex | undefined;
+  /** A change that was made for the table in force did not lead to the table that it should. */
+  private isTableDoubted = false;
   private readonly progress: Record<RoutingTopic, TopicProof> = {
     routes: NOTHING_KNOWN,
     backends: NOTHING_KNOWN,
@@ -70,6 +72,11 @@
     return this.progress[topic].revision;
   }
 
+  /** Revision of the table in force; -1 before the first one, and while a change showed that it is not the source's. */
+  get tableRevision(): number {
+    return this.isTableDoubted ? UNKNOWN_REVISION : (this.index?.table.revision ?? UNKNOWN_REVISION);
+  }
+
   /** Milliseconds since it was proved that nothing newer exists; Infinity before the first proof. */
   ageOf(topic: RoutingTopic): number {
     return this.options.clock.now() - this.progress[topic].provedAtMs;
@@ -99,8 +106,10 @@
   apply(topic: RoutingTopic, update: RoutingUpdate, origin: UpdateOrigin): boolean {
     const { revision: before, changedRevision: changedBefore } = this.progress[topic];
     const tableBefore = this.index?.table;
-    const isTaken = topic === 'routes' ? this.applyRoutes(update) : this.applyBackends(update, origin);
-    if (!isTaken || (!update.complete && origin.since > before)) return false;
+    const hasGap = !update.complete && origin.since > before;
+    const isKnown =
+      topic === 'routes' ? this.applyRoutes(update, hasGap) : this.applyBackends(update, origin, hasGap);
+    if (!isKnown) return false;
     const changed = update.complete ? update.revision > before : hasContent(update);
     const { revision } = update;
     const changedRevision = changed ? revision : changedBefore;
@@ -130,16 +139,29 @@
     };
   }
 
-  /** False when a change starts from a later table than the known one. */
-  private applyRoutes({ routes, routeChange }: RoutingUpdate): boolean {
+  /** False when the table is not known up to the update's revision. A change that fits the table leaves no gap. */
+  private applyRoutes({ routes, routeChange }: RoutingUpdate, hasGap: boolean): boolean {
     routes.forEach((table) => this.applyTable(table));
     const table = this.index?.table;
-    if (!routeChange || (table && routeChange.revision <= table.revision)) return true;
-    const changed = table && applyTableChange(table, routeChange);
+    if (!routeChange) return !hasGap;
+    if (!table) return false;
+    if (routeChange.revision < table.revision) return !hasGap;
+    return this.applyRouteChange(table, routeChange);
+  }
+
+  private applyRouteChange(table: RouteTable, change: RouteTableChange): boolean {
+    const changed = applyTableChange(table, change);
     if (changed) this.applyTable(changed);
+    else if (change.fromRevisions.includes(table.revision)) this.doubtTable(table, change);
     return changed !== undefined;
   }
 
+  /** The whole table is fetched then; until it comes, this one stays in force. */
+  private doubtTable({ version, revision }: RouteTable, change: RouteTableChange): void {
+    this.isTableDoubted = true;
+    this.options.events.emit(ROUTING_EVENTS.tableDoubted, { version, revision, changeTo: change.revision });
+  }
+
   /** The update in the form in which others get it: what changed in the table that they know as well. */
   private asTableChange(update: RoutingUpdate, before: RouteTable | undefined): RoutingUpdate {
     const after = this.index?.table;
@@ -159,6 +181,7 @@
       return;
     }
     this.index = new RouteIndex(table);
+    this.isTableDoubted = false;
     this.options.events.emit(ROUTING_EVENTS.routesInForce, {
       version: table.version,
       revision: table.revision,
@@ -168,7 +191,8 @@
     });
   }
 
-  private applyBackends(update: RoutingUpdate, { mayHaveLapsed }: UpdateOrigin): true {
+  /** False when records before the update's may be missing; those that it brings are taken all the same. */
+  private applyBackends(update: RoutingUpdate, { mayHaveLapsed }: UpdateOrigin, hasGap: boolean): boolean {
     const { revision: known } = this.progress.backends;
     if (update.complete && known === UNKNOWN_REVISION) this.backends.fill(update.backends, update.revision);
     const isNewest = update.complete && update.revision >= known;
@@ -176,7 +200,7 @@
     update.backends.forEach((record) => this.backends.put(record, knownRevision));
     update.departed?.forEach((departed) => this.backends.putDeparted(departed));
     update.removals.forEach((removal) => this.backends.remove(removal, mayHaveLapsed));
-    if (!update.complete) return true;
+    if (!update.complete) return !hasGap;
     const listed = new Set(update.backends.map(({ id }) => id));
     this.backends.removeAllBut(listed, update.revision, mayHaveLapsed);
     return true;
--- a/src/routing/route-table-change.test.ts
+++ b/src/routing/route-table-change.test.ts
@@ -38,10 +38,27 @@
   );
 });
 
-test('a change does not lead from a table older than the one it starts from', (t) => {
+test('a change leads from no table but those that it was made for', (t) => {
   const change = compareTables(tableAt(5), tableAt(7, { routes: [] }));
   t.is(applyTableChange(tableAt(4), change), undefined);
-  t.deepEqual(applyTableChange(tableAt(6), change)?.routes, []);
+  t.is(applyTableChange(tableAt(6), change), undefined, 'whoever compared 5 and 7 never saw 6');
+  t.deepEqual(applyTableChange(tableAt(5), change)?.routes, []);
+});
+
+test('a change that a later one took back is not kept under the name of the later table', (t) => {
+  const plain = tableAt(2);
+  const split = [
+    { ...plain.routes[0]!, targets: [...plain.routes[0]!.targets, { service: 'beta', weight: 1 }] },
+  ];
+  const change = compareTables(plain, tableAt(111));
+  t.is(applyTableChange(tableAt(108, { routes: split }), change), undefined);
+});
+
+test('a change whose outcome differs from the table that it was made from is not applied', (t) => {
+  const plain = tableAt(2);
+  const other = [{ ...plain.routes[0]!, name: 'unknown-to-the-change', port: 1 }];
+  const change = compareTables(plain, tableAt(7));
+  t.is(applyTableChange(tableAt(2, { routes: [...plain.routes, ...other] }), change), undefined);
 });
 
 test('a change carries only what differs', (t) => {
--- a/src/routing/route-table-change.ts
+++ b/src/routing/route-table-change.ts
@@ -1,4 +1,5 @@
 /** What differs between two route tables, so that a change of few routes travels as few routes. */
+import { combine32, hashString } from '../common/hash.js';
 import type { Route, RouteTable, RouteTableChange } from './types.js';
 
 /** The change that leads from one table to a later one. */
@@ -8,20 +9,34 @@
   const present = new Set(after.routes.map(({ name }) => name));
   const removedRoutes = before.routes.filter(({ name }) => !present.has(name)).map(({ name }) => name);
   const { version, revision, idleTimeoutMs, services } = after;
-  return { fromRevision: before.revision, version, revision, idleTimeoutMs, services, routes, removedRoutes };
+  return {
+    ...{ fromRevisions: [before.revision], version, revision, idleTimeoutMs, services },
+    ...{ routes, removedRoutes, digest: digestOfRoutes(after.routes) },
+  };
 }
 
-/** The table that a change leads to; undefined when the change starts from a later table than this. */
+/**
+ * The table that a change leads to; undefined when the change was not made for this table, or leads to another one than
+ * it was made from. A table between two that were compared does not do: what changed there and back is not in the change.
+ */
 export function applyTableChange(table: RouteTable, change: RouteTableChange): RouteTable | undefined {
-  if (table.revision < change.fromRevision) return undefined;
+  if (table.revision === change.revision) return table;
+  if (!change.fromRevisions.includes(table.revision)) return undefined;
   const routes = byName(table.routes);
   for (const name of change.removedRoutes) routes.delete(name);
   for (const route of change.routes) routes.set(route.name, route);
-  const { version, revision, idleTimeoutMs, services } = change;
-  return { version, revision, idleTimeoutMs, services, routes: [...routes.values()] };
+  const { version, revision, idleTimeoutMs, services, digest } = change;
+  const changed = [...routes.values()];
+  if (digestOfRoutes(changed) !== digest) return undefined;
+  return { version, revision, idleTimeoutMs, services, routes: changed };
 }
 
-/** One change that does what `first` and then `second` do. */
+/** True when `second` goes on from the table that `first` leads to. */
+export function isNextChange(first: RouteTableChange, second: RouteTableChange): boolean {
+  return second.fromRevisions.includes(first.revision);
+}
+
+/** One change that does what `first` and then `second` do, of which `isNextChange` must hold. */
 export function joinTableChanges(first: RouteTableChange, second: RouteTableChange): RouteTableChange {
   const routes = byName(first.routes);
   const removed = new Set(first.removedRoutes);
@@ -33,8 +48,21 @@
     routes.set(route.name, route);
     removed.delete(route.name);
   }
-  const { fromRevision } = first;
-  return { ...second, fromRevision, routes: [...routes.values()], removedRoutes: [...removed] };
+  const fromRevisions = [...new Set([...first.fromRevisions, ...second.fromRevisions])];
+  return { ...second, fromRevisions, routes: [...routes.values()], removedRoutes: [...removed] };
+}
+
+/** 32-bit digest of routes that does not depend on their order. */
+export function digestOfRoutes(routes: readonly Route[]): number {
+  return routes.reduce((sum, route) => (sum + digestOfRoute(route)) >>> 0, 0);
+}
+
+function digestOfRoute({ name, address, port, targets }: Route): number {
+  const start = combine32(hashString(name), combine32(address, port));
+  return targets.reduce(
+    (digest, { service, weight }) => combine32(digest, hashString(`${service} ${weight}`)),
+    start,
+  );
 }
 
 function byName(routes: readonly Route[]): Map<string, Route> {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -42,9 +42,10 @@
   readonly idleTimeoutMs: number;
 }
 
-/** Leads from a table of `fromRevision`, or any table between it and `revision`, to the table of `revision`. */
+/** Leads from each table of `fromRevisions`, and from no other, to the table of `revision`. */
 export interface RouteTableChange {
-  readonly fromRevision: number;
+  /** Tables between which the joined changes lead; one for a single change. */
+  readonly fromRevisions: readonly number[];
   readonly version: number;
   readonly revision: number;
   readonly idleTimeoutMs: number;
@@ -54,6 +55,8 @@
   readonly routes: readonly Route[];
   /** Names of routes that are gone. */
   readonly removedRoutes: readonly string[];
+  /** `digestOfRoutes` of the new table, by which the outcome is checked. */
+  readonly digest: number;
 }
 
 /** One start of a back end process; a restart is another back end with another id. */
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -1,5 +1,8 @@
 /** Times and sizes of spreading knowledge between daemons. */
 
+/** Revision of a topic, or of the table of routes, of which nothing is known. */
+export const NOTHING_KNOWN = -1;
+
 /** Overdue knowledge, roles and peers are looked at this often. */
 export const TICK_MS = 200;
 
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -11,7 +11,7 @@
   RoutingUpdate,
   TopicProof,
 } from '../routing/index.js';
-import { TRANSIT_MS } from './constants.js';
+import { NOTHING_KNOWN, TRANSIT_MS } from './constants.js';
 import { sailquay } from './pb/spreading.js';
 import type { Peer, PeerMessage, ReaderSighting, SpreadUpdate } from './types.js';
 
@@ -45,6 +45,7 @@
     })),
     updates: message.updates.map((update) => encodeUpdate(update, nowMs)),
     departedCount: message.departedCount,
+    tableRevision: message.tableRevision,
     suspicions: message.suspicions.map(({ backendId, atMs }) => ({ backendId, ageMs: age(nowMs, atMs) })),
   }).finish();
 }
@@ -81,6 +82,7 @@
     })),
     updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update, arrivedMs) ?? []),
     departedCount: message.departedCount ?? 0,
+    tableRevision: message.tableRevision ?? NOTHING_KNOWN,
     suspicions: (message.suspicions ?? []).map(({ backendId, ageMs }) => ({
       ...{ backendId: backendId ?? '', atMs: arrivedMs - (ageMs ?? 0) },
     })),
@@ -143,9 +145,9 @@
 }
 
 function encodeTableChange(change: RouteTableChange): sailquay.spreading.IRouteTableChange {
-  const { fromRevision, version, revision, idleTimeoutMs, routes, removedRoutes, services } = change;
+  const { fromRevisions, version, revision, idleTimeoutMs, routes, removedRoutes, services } = change;
   return {
-    ...{ fromRevision, version, revision, idleTimeoutMs },
+    ...{ fromRevisions: [...fromRevisions], version, revision, idleTimeoutMs, digest: change.digest },
     routes: routes.map(encodeRoute),
     removedRoutes: [...removedRoutes],
     services: services.map(encodeService),
@@ -154,7 +156,11 @@
 
 function decodeTableChange(change: sailquay.spreading.IRouteTableChange): RouteTableChange {
   return {
-    ...{ fromRevision: change.fromRevision ?? 0, version: change.version ?? 0 },
+    ...{
+      fromRevisions: change.fromRevisions ?? [],
+      version: change.version ?? 0,
+      digest: change.digest ?? 0,
+    },
     ...{ revision: change.revision ?? 0, idleTimeoutMs: change.idleTimeoutMs ?? 0 },
     routes: (change.routes ?? []).map(decodeRoute),
     removedRoutes: change.removedRoutes ?? [],
--- a/src/spreading/network-transport.ts
+++ b/src/spreading/network-transport.ts
@@ -5,7 +5,7 @@
 import { numericLookup } from '../common/numeric-lookup.js';
 import type { Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
-import { FETCH_TIMEOUT_MS } from './constants.js';
+import { FETCH_TIMEOUT_MS, NOTHING_KNOWN } from './constants.js';
 import { bindError, fetchError, type SpreadingError } from './errors.js';
 import { SPREADING_EVENTS } from './events.js';
 import type { DatagramReceiver, KnownRevisions, PeerTransport, StateProvider } from './types.js';
@@ -14,8 +14,6 @@
 const STATE_PATH = '/state';
 const CONTENT_TYPE = 'application/x-protobuf';
 
-const NOTHING_KNOWN = -1;
-
 /** Longest state that is read. */
 const MAX_STATE_BYTES = 16_777_216;
 
@@ -105,8 +103,8 @@
   }
 }
 
-function statePath({ routes, backends }: KnownRevisions): string {
-  return `${STATE_PATH}?routes=${routes}&backends=${backends}`;
+function statePath({ routes, backends, table }: KnownRevisions): string {
+  return `${STATE_PATH}?routes=${routes}&backends=${backends}&table=${table}`;
 }
 
 /** What the asker of a path knows; undefined for another path. Who names no revision knows nothing. */
@@ -115,7 +113,7 @@
   if (name !== STATE_PATH) return undefined;
   const parameters = new URLSearchParams(query);
   const revision = (topic: string): number => Number(parameters.get(topic) ?? NOTHING_KNOWN);
-  return { routes: revision('routes'), backends: revision('backends') };
+  return { routes: revision('routes'), backends: revision('backends'), table: revision('table') };
 }
 
 async function readBody(response: IncomingMessage): Promise<Uint8Array> {
--- a/src/spreading/pb/spreading.d.ts
+++ b/src/spreading/pb/spreading.d.ts
@@ -599,9 +599,6 @@
             /** Unknown fields preserved while decoding when enabled */
             $unknowns?: Uint8Array[];
 
-            /** RouteTableChange fromRevision. */
-            fromRevision: number;
-
             /** RouteTableChange version. */
             version: number;
 
@@ -620,6 +617,12 @@
             /** RouteTableChange services. */
             services: sailquay.spreading.Service.$Properties[];
 
+            /** RouteTableChange fromRevisions. */
+            fromRevisions: number[];
+
+            /** RouteTableChange digest. */
+            digest: number;
+
             /**
              * Encodes the specified RouteTableChange message. Does not implicitly {@link sailquay.spreading.RouteTableChange.verify|verify} messages.
              * @param message RouteTableChange message or plain object to encode
@@ -651,9 +654,6 @@
             /** Properties of a RouteTableChange. */
             interface $Properties {
 
-                /** RouteTableChange fromRevision */
-                fromRevision?: (number|null);
-
                 /** RouteTableChange version */
                 version?: (number|null);
 
@@ -672,6 +672,12 @@
                 /** RouteTableChange services */
                 services?: (sailquay.spreading.Service.$Properties[]|null);
 
+                /** RouteTableChange fromRevisions */
+                fromRevisions?: (number[]|null);
+
+                /** RouteTableChange digest */
+                digest?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1105,6 +1111,9 @@
             /** PeerMessage departedCount. */
             departedCount: number;
 
+            /** PeerMessage tableRevision. */
+            tableRevision: number;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @param message PeerMessage message or plain object to encode
@@ -1166,6 +1175,9 @@
                 /** PeerMessage departedCount */
                 departedCount?: (number|null);
 
+                /** PeerMessage tableRevision */
+                tableRevision?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/spreading/pb/spreading.js
+++ b/src/spreading/pb/spreading.js
@@ -1438,13 +1438,14 @@
             /**
              * Properties of a RouteTableChange.
              * @typedef {Object} sailquay.spreading.RouteTableChange.$Properties
-             * @property {number|null} [fromRevision] RouteTableChange fromRevision
              * @property {number|null} [version] RouteTableChange version
              * @property {number|null} [revision] RouteTableChange revision
              * @property {number|null} [idleTimeoutMs] RouteTableChange idleTimeoutMs
              * @property {Array.<sailquay.spreading.Route.$Properties>|null} [routes] RouteTableChange routes
              * @property {Array.<string>|null} [removedRoutes] RouteTableChange removedRoutes
              * @property {Array.<sailquay.spreading.Service.$Properties>|null} [services] RouteTableChange services
+             * @property {Array.<number>|null} [fromRevisions] RouteTableChange fromRevisions
+             * @property {number|null} [digest] RouteTableChange digest
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1473,20 +1474,13 @@
                 this.routes = [];
                 this.removedRoutes = [];
                 this.services = [];
+                this.fromRevisions = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
                             this[keys[i]] = properties[keys[i]];
             };
 
-            /**
-             * RouteTableChange fromRevision.
-             * @member {number} fromRevision
-             * @memberof sailquay.spreading.RouteTableChange
-             * @instance
-             */
-            RouteTableChange.prototype.fromRevision = 0;
-
             /**
              * RouteTableChange version.
              * @member {number} version
@@ -1535,6 +1529,22 @@
              */
             RouteTableChange.prototype.services = $util.emptyArray;
 
+            /**
+             * RouteTableChange fromRevisions.
+             * @member {Array.<number>} fromRevisions
+             * @memberof sailquay.spreading.RouteTableChange
+             * @instance
+             */
+            RouteTableChange.prototype.fromRevisions = $util.emptyArray;
+
+            /**
+             * RouteTableChange digest.
+             * @member {number} digest
+             * @memberof sailquay.spreading.RouteTableChange
+             * @instance
+             */
+            RouteTableChange.prototype.digest = 0;
+
             /**
              * Encodes the specified RouteTableChange message. Does not implicitly {@link sailquay.spreading.RouteTableChange.verify|verify} messages.
              * @function encode
@@ -1551,8 +1561,6 @@
                     _depth = 0;
                 if (_depth > $util.recursionLimit)
                     throw $Error("max depth exceeded");
-                if (message.fromRevision != null && $Object.hasOwnProperty.call(message, "fromRevision") && !$Object.is(message.fromRevision, 0))
-                    writer.uint32(/* id 1, wireType 1 =*/9).double(message.fromRevision);
                 if (message.version != null && $Object.hasOwnProperty.call(message, "version") && !$Object.is(message.version, 0))
                     writer.uint32(/* id 2, wireType 1 =*/17).double(message.version);
                 if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
@@ -1568,6 +1576,10 @@
                 if (message.services != null && message.services.length)
                     for (let i = 0; i < message.services.length; ++i)
                         $root.sailquay.spreading.Service.encode(message.services[i], writer.uint32(/* id 7, wireType 2 =*/58).fork(), _depth + 1).ldelim();
+                if (message.fromRevisions != null && message.fromRevisions.length)
+                    writer.uint32(/* id 8, wireType 2 =*/66).doubles(message.fromRevisions);
+                if (message.digest != null && $Object.hasOwnProperty.call(message, "digest") && message.digest !== 0)
+                    writer.uint32(/* id 9, wireType 5 =*/77).fixed32(message.digest);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1612,15 +1624,6 @@
                     }
                     let wireType = tag & 7;
                     switch (tag >>>= 3) {
-                    case 1: {
-                            if (wireType !== 1)
-                                break;
-                            if (!$Object.is(value = reader.double(), 0))
-                                message.fromRevision = value;
-                            else
-                                delete message.fromRevision;
-                            continue;
-                        }
                     case 2: {
                             if (wireType !== 1)
                                 break;
@@ -1672,6 +1675,29 @@
                             message.services.push($root.sailquay.spreading.Service.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 8: {
+                            if (wireType === 2) {
+                                if (!(message.fromRevisions && message.fromRevisions.length))
+                                    message.fromRevisions = [];
+                                reader.doubles(message.fromRevisions);
+                                continue;
+                            }
+                            if (wireType !== 1)
+                                break;
+                            if (!(message.fromRevisions && message.fromRevisions.length))
+                                message.fromRevisions = [];
+                            message.fromRevisions.push(reader.double());
+                            continue;
+                        }
+                    case 9: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.digest = value;
+                            else
+                                delete message.digest;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -2717,6 +2743,7 @@
              * @property {Array.<sailquay.spreading.Update.$Properties>|null} [updates] PeerMessage updates
              * @property {Array.<sailquay.spreading.Suspicion.$Properties>|null} [suspicions] PeerMessage suspicions
              * @property {number|null} [departedCount] PeerMessage departedCount
+             * @property {number|null} [tableRevision] PeerMessage tableRevision
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2833,6 +2860,14 @@
              */
             PeerMessage.prototype.departedCount = 0;
 
+            /**
+             * PeerMessage tableRevision.
+             * @member {number} tableRevision
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.tableRevision = 0;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @function encode
@@ -2874,6 +2909,8 @@
                         $root.sailquay.spreading.Suspicion.encode(message.suspicions[i], writer.uint32(/* id 9, wireType 2 =*/74).fork(), _depth + 1).ldelim();
                 if (message.departedCount != null && $Object.hasOwnProperty.call(message, "departedCount") && message.departedCount !== 0)
                     writer.uint32(/* id 10, wireType 0 =*/80).uint32(message.departedCount);
+                if (message.tableRevision != null && $Object.hasOwnProperty.call(message, "tableRevision") && !$Object.is(message.tableRevision, 0))
+                    writer.uint32(/* id 11, wireType 1 =*/89).double(message.tableRevision);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3003,6 +3040,15 @@
                                 delete message.departedCount;
                             continue;
                         }
+                    case 11: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.tableRevision = value;
+                            else
+                                delete message.tableRevision;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -25,6 +25,7 @@
   GREETING_MAX_MS,
   GREETING_MIN_MS,
   LAST_WAVE_MS,
+  NOTHING_KNOWN,
   MAX_DATAGRAM_BYTES,
   PEERS_A_MESSAGE,
   PROOF_GATHER_MS,
@@ -48,9 +49,6 @@
 } from './types.js';
 import { completeUpdate, UpdateLog } from './update-log.js';
 
-/** Revision of a topic of which nothing is known. */
-const NOTHING_KNOWN = -1;
-
 /** What a spreader needs. */
 export interface SpreaderOptions {
   readonly selfId: string;
@@ -102,7 +100,9 @@
   private farFetchTimer: TimerHandle | undefined;
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
-  private readonly sentRevisions: Record<RoutingTopic, number> = { routes: -1, backends: -1 };
+  private sentRevisions: KnownRevisions = {
+    ...{ routes: NOTHING_KNOWN, backends: NOTHING_KNOWN, table: NOTHING_KNOWN },
+  };
   /** The question for missing changes that is under way. */
   private question: { readonly peer: string; readonly atMs: number } | undefined;
   private startedAtMs = 0;
@@ -183,12 +183,15 @@
 
   /** Two more rounds, of proofs only, reach those that the first one missed: they ask for the changes. */
   private pushChanges(): void {
-    const { clock, knowledge } = this.options;
+    const { clock } = this.options;
     this.changeTimer?.cancel();
     this.changeTimer = undefined;
     this.changesSentMs = clock.now();
-    const updates = ROUTING_TOPICS.flatMap((topic) => this.log.since(topic, this.sentRevisions[topic]) ?? []);
-    for (const topic of ROUTING_TOPICS) this.sentRevisions[topic] = knowledge.revisionOf(topic);
+    const sent = this.sentRevisions;
+    const updates = ROUTING_TOPICS.flatMap(
+      (topic) => this.log.since(topic, { revision: sent[topic], table: sent.table }) ?? [],
+    );
+    this.sentRevisions = this.knownRevisions();
     this.push(this.message('news', updates));
     this.pushSoon();
     this.lastWaveTimer?.cancel();
@@ -271,7 +274,7 @@
       this.knowsDeparted = true;
       return;
     }
-    void this.fetch(from, { routes: knowledge.revisionOf('routes'), backends: NOTHING_KNOWN });
+    void this.fetch(from, { ...this.knownRevisions(), backends: NOTHING_KNOWN });
   }
 
   /**
@@ -318,9 +321,9 @@
   /** Answers with what the asker lacks, as far as it fits into a datagram. */
   private answer(question: PeerMessage, from: Endpoint): void {
     const updates = ROUTING_TOPICS.flatMap((topic) => {
-      const known = question.proofs[topic]?.revision ?? -1;
-      if (known >= this.options.knowledge.proofOf(topic).changedRevision) return [];
-      return this.log.since(topic, known) ?? [];
+      const revision = question.proofs[topic]?.revision ?? NOTHING_KNOWN;
+      if (revision >= this.options.knowledge.proofOf(topic).changedRevision) return [];
+      return this.log.since(topic, { revision, table: question.tableRevision }) ?? [];
     });
     this.send(from, this.message('news', updates));
   }
@@ -348,7 +351,8 @@
 
   private knownRevisions(): KnownRevisions {
     const { knowledge } = this.options;
-    return { routes: knowledge.revisionOf('routes'), backends: knowledge.revisionOf('backends') };
+    const { tableRevision: table } = knowledge;
+    return { routes: knowledge.revisionOf('routes'), backends: knowledge.revisionOf('backends'), table };
   }
 
   private pull(nowMs: number): void {
@@ -396,6 +400,7 @@
     return {
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, proofs, updates, suspicions: [] },
       departedCount: knowledge.backends.departedCount,
+      tableRevision: knowledge.tableRevision,
       readers: [...self, ...others],
       peers: this.peers.sample(PEERS_A_MESSAGE),
     };
@@ -406,7 +411,8 @@
     const { knowledge } = this.options;
     const updates = ROUTING_TOPICS.flatMap((topic) => {
       if (known[topic] >= knowledge.proofOf(topic).changedRevision) return [];
-      return this.log.since(topic, known[topic]) ?? completeUpdate(knowledge, topic) ?? [];
+      const knownTopic = { revision: known[topic], table: known.table };
+      return this.log.since(topic, knownTopic) ?? completeUpdate(knowledge, topic) ?? [];
     });
     return encodePeerMessage(this.message('state', updates), this.options.clock.now());
   }
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -49,10 +49,21 @@
   readonly suspicions: readonly BackendSuspicion[];
   /** Back ends that left and that the sender remembers. */
   readonly departedCount: number;
+  /** Revision of the table of routes that the sender has in force; -1 for none. */
+  readonly tableRevision: number;
 }
 
-/** Revisions up to which a daemon knows each topic; -1 for nothing. */
-export type KnownRevisions = Readonly<Record<RoutingTopic, number>>;
+/** How far a daemon knows a topic; revisions are -1 for nothing. */
+export interface KnownTopic {
+  readonly revision: number;
+  /** Revision of the table of routes in force, from which a change must start; of no matter to back ends. */
+  readonly table: number;
+}
+
+/** Revisions up to which a daemon knows each topic, and the table that it has in force; -1 for nothing. */
+export interface KnownRevisions extends Readonly<Record<RoutingTopic, number>> {
+  readonly table: number;
+}
 
 /** Takes a datagram in. */
 export type DatagramReceiver = (bytes: Uint8Array, from: Endpoint) => void;
--- a/src/spreading/update-log.test.ts
+++ b/src/spreading/update-log.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
+import { NOTHING_KNOWN } from './constants.js';
+import type { KnownTopic } from './types.js';
 import { UpdateLog } from './update-log.js';
 
+function knownAt(revision: number): KnownTopic {
+  return { revision, table: NOTHING_KNOWN };
+}
+
 function logged(...revisions: readonly number[]): UpdateLog {
   const log = new UpdateLog();
   let since = 0;
@@ -14,7 +20,9 @@
 }
 
 function ids(log: UpdateLog, revision: number): string[] | undefined {
-  return log.since('backends', revision)?.update.backends.map(({ id, revision: at }) => `${id}@${at}`);
+  return log
+    .since('backends', knownAt(revision))
+    ?.update.backends.map(({ id, revision: at }) => `${id}@${at}`);
 }
 
 test('who lags gets each back end once, as it was recorded last', (t) => {
@@ -27,28 +35,32 @@
   const removals = [{ id: 'gone', revision: 2 }];
   log.note({ topic: 'backends', since: 1, update: updateAt(9, { backends, removals }) });
   t.deepEqual(ids(log, 6), ['b-7@7', 'b-9@9']);
-  t.deepEqual(log.since('backends', 6)?.update.removals, removals, 'removals carry older revisions');
-  t.is(log.since('backends', 6)?.update.revision, 9);
+  t.deepEqual(log.since('backends', knownAt(6))?.update.removals, removals, 'removals carry older revisions');
+  t.is(log.since('backends', knownAt(6))?.update.revision, 9);
 });
 
 test('what is told begins where its content begins, so that whoever knows less sees the gap', (t) => {
   const log = new UpdateLog();
   const backends = [3, 5, 7, 9].map((revision) => backendAt(`b-${revision}`, revision));
   log.note({ topic: 'backends', since: 1, update: updateAt(9, { backends }) });
-  t.is(log.since('backends', 6)?.since, 6);
-  t.is(log.since('backends', 1)?.since, 1);
+  t.is(log.since('backends', knownAt(6))?.since, 6);
+  t.is(log.since('backends', knownAt(1))?.since, 1);
 });
 
 test('changes of the table between which one was never logged are not joined', (t) => {
   const log = new UpdateLog();
   const change = (fromRevision: number, revision: number) =>
-    updateAt(revision, { routeChange: { ...tableAt(revision), fromRevision, removedRoutes: [] } });
+    updateAt(revision, {
+      routeChange: { ...tableAt(revision), fromRevisions: [fromRevision], removedRoutes: [], digest: 0 },
+    });
   log.note({ topic: 'routes', since: 3, update: change(3, 7) });
   log.note({ topic: 'routes', since: 7, update: change(9, 12) });
-  t.is(log.since('routes', 3), undefined);
-  t.is(log.since('routes', 7)?.update.routeChange?.fromRevision, 9);
+  t.is(log.since('routes', { revision: 3, table: 3 }), undefined);
+  t.is(log.since('routes', { revision: 7, table: 7 }), undefined, 'nothing leads from 7 to 9');
+  const fromNine = log.since('routes', { revision: 9, table: 9 });
+  t.deepEqual(fromNine?.update.routeChange?.fromRevisions, [9]);
 });
 
 test('what the log does not reach back to is not told', (t) => {
-  t.is(logged(5, 7).since('backends', -1), undefined);
+  t.is(logged(5, 7).since('backends', knownAt(-1)), undefined);
 });
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -1,5 +1,6 @@
 /** Recent changes, so that a daemon that lags a little gets them instead of everything. */
 import {
+  isNextChange,
   joinTableChanges,
   type RoutedBackend,
   type RouteTableChange,
@@ -8,7 +9,7 @@
   type RoutingUpdate,
 } from '../routing/index.js';
 import { MAX_LOGGED_UPDATES } from './constants.js';
-import type { SpreadUpdate } from './types.js';
+import type { KnownTopic, SpreadUpdate } from './types.js';
 
 /** See the module. */
 export class UpdateLog {
@@ -22,16 +23,15 @@
     if (log.length > MAX_LOGGED_UPDATES) log.shift();
   }
 
-  /** The changes after `revision`, and nothing that its knower has; undefined when they are not all here. */
-  since(topic: RoutingTopic, revision: number): SpreadUpdate | undefined {
+  /** The changes after what is `known`, and nothing that its knower has; undefined when they are not all here. */
+  since(topic: RoutingTopic, known: KnownTopic): SpreadUpdate | undefined {
     const log = this.entries[topic];
-    const first = log.findLastIndex(({ since }) => since <= revision);
+    const first = topic === 'routes' ? startOfChain(log, known.table) : startOfRecords(log, known.revision);
     const needed = first < 0 ? [] : log.slice(first);
-    const last = needed.at(-1);
-    if (!needed[0] || !last || !areJoined(needed)) return undefined;
+    if (!needed[0]) return undefined;
     const update = merge(needed.map((entry) => entry.update));
-    const backends = update.backends.filter((record) => record.revision > revision);
-    return { topic, since: Math.max(needed[0].since, revision), update: { ...update, backends } };
+    const backends = update.backends.filter((record) => record.revision > known.revision);
+    return { topic, since: Math.max(needed[0].since, known.revision), update: { ...update, backends } };
   }
 }
 
@@ -57,12 +57,24 @@
   return [...byId.values()];
 }
 
-/** False when a change of the table between two logged ones is not among them, because it came across a gap. */
-function areJoined(entries: readonly SpreadUpdate[]): boolean {
-  const changes = entries.flatMap(({ update }) => update.routeChange ?? []);
-  return changes.every(
-    ({ fromRevision }, index) => fromRevision <= (changes[index - 1]?.revision ?? fromRevision),
-  );
+/** The last entry that starts at `revision` or before; -1 when there is none. */
+function startOfRecords(log: readonly SpreadUpdate[], revision: number): number {
+  return log.findLastIndex(({ since }) => since <= revision);
+}
+
+/**
+ * The entry that starts from exactly the table of `tableRevision`, if each one after it goes on from the one before it; -1
+ * otherwise. A table that came across a gap was not logged, so that the next change starts elsewhere.
+ */
+function startOfChain(log: readonly SpreadUpdate[], tableRevision: number): number {
+  const changes = log.map(({ update }) => update.routeChange);
+  const first = changes.findLastIndex((change) => change?.fromRevisions.includes(tableRevision));
+  const chain = changes.slice(Math.max(0, first));
+  const isWhole = chain.every((change, index) => {
+    const before = chain[index - 1];
+    return change !== undefined && (!before || isNextChange(before, change));
+  });
+  return isWhole ? first : -1;
 }
 
 function joinAfter(first: RouteTableChange | undefined, second: RouteTableChange): RouteTableChange {
