Hold what arrives before routes and back ends are known, and read the source while the rest is wired

Ruled out: learning first and binding after (the same packets are lost in the kernel); cookies that carry an address (32 bits do not hold one without knowing its shape). Change: the gate between edge and forwarder keeps up to 1,024 packets until both lists are known. A SYN is placed only while its caller cannot have sent a copy: within 150 ms of the binding, or 50 ms of being read. The first reading starts before the sockets between daemons are bound. Tests: edge-gate.test.ts; the old gate dropped everything.

--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -32,26 +32,29 @@
   readonly forwarder: CookieForwarder;
 }
 
-/** Binds the edge and wires everything; nothing runs yet. `config` is asked anew where a reread may change it. */
+/**
+ * Binds the sockets, the edge first, and wires everything. Only the first reading of the source runs already, since its answer
+ * comes while the rest is wired. `config` is asked anew where a reread may change it. */
 export async function wireCookieDaemon(
   config: () => CookieDaemonConfig,
   environment: CookieDaemonEnvironment,
 ): Promise<CookieDaemonComponents> {
   const { clock, random, events, adapters } = environment;
   const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs, changeBoundsMs } = config();
-  const gate = new EdgeGate();
+  const gate = new EdgeGate({ clock, events });
+  const pauses = new PauseDetector(clock.now(), TICK_MS);
   const edge = await adapters.openEdge({ data, handler: gate, events, clock });
-  const transport = await NetworkTransport.open(control, events);
+  gate.attach(edge);
   const knowledge = new RoutingKnowledge({ clock, events, retentionMs: maxFlowAgeMs });
   const timings = freshnessTimings(Math.min(...changeBoundsMs));
-  const circuit = new SourceCircuit(clock, random, events, (): number => spreader.leastRetryMs());
-  const pauses = new PauseDetector(clock.now(), TICK_MS);
-  const source = adapters.createSource(address, clock);
+  const circuit = new SourceCircuit(clock, random, events);
   const reading = new SourceReading({
-    ...{ clock, source, knowledge, circuit, timings },
+    ...{ clock, source: adapters.createSource(address, clock), knowledge, circuit, timings },
     onProof: () => spreader.noteOwnProof(),
   });
-  const spreader: Spreader = new Spreader({
+  reading.readFirst();
+  const transport = await NetworkTransport.open(control, events);
+  const spreader = new Spreader({
     ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
     timings,
     setReading: (isReading) => reading.set(isReading),
@@ -60,15 +63,25 @@
     recordsMayLapse: () => circuit.recordsMayLapse(),
     noteSuspicion: ({ backendId, atMs }) => forwarder.noteSuspicion(backendId, atMs),
   });
+  circuit.retryNoSoonerThan(() => spreader.leastRetryMs());
   const forwarder = new CookieForwarder({
     ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs },
     maxFlows: () => config().limits.maxFlows,
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
-  gate.open(forwarder);
+  openWhenComplete(gate, knowledge, forwarder);
   return { ...environment, edge, transport, knowledge, circuit, reading, spreader, forwarder };
 }
 
+/** Lets packets through as soon as everything is known that forwarding needs. */
+function openWhenComplete(gate: EdgeGate, knowledge: RoutingKnowledge, forwarder: CookieForwarder): void {
+  const openIfComplete = (): void => {
+    if (gate.isClosed && knowledge.isComplete()) gate.open(forwarder);
+  };
+  openIfComplete();
+  knowledge.subscribe(openIfComplete);
+}
+
 /** Seeds with the port that all daemons share, where the configuration gives one. */
 function seedsOf({ seeds, seedPort }: CookieDaemonConfig): readonly Endpoint[] {
   return seeds.map(({ host, port }) => ({ host, port: seedPort ?? port }));
--- a/src/cookie-daemon/constants.ts
+++ b/src/cookie-daemon/constants.ts
@@ -19,5 +19,17 @@
 /** Log lines of one event in ten seconds; the rest are counted. */
 export const DEFAULT_LOG_BURST = 2_000;
 
+/** Packets held between the binding of the data socket and the first knowledge; about 1.3 MB at the most. */
+export const MAX_HELD_PACKETS = 1_024;
+
+/**
+ * A held SYN is placed when it is certainly younger than this: callers repeat a SYN after 200 ms, and its answer must be
+ * back before that. Nothing in the socket is older than the binding.
+ */
+export const MAX_HELD_SYN_MS = 150;
+
+/** Later a SYN may have waited in the socket for a moment before it was read; it is placed within this time after that. */
+export const MAX_HELD_SYN_AFTER_READ_MS = 50;
+
 /** Flows that a back end of another zone must have less, for each unit of capacity, to be preferred. */
 export const DEFAULT_ZONE_MARGIN = 0.5;
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -63,8 +63,7 @@
 
   private async run(): Promise<void> {
     const { components, running } = this;
-    const { forwarder, spreader, reading, edge, events } = components;
-    reading.readFirst();
+    const { forwarder, spreader, edge, events } = components;
     forwarder.start(running.signal);
     spreader.start(running.signal);
     this.admin = await AdminServer.listen(this.current.config.admin, {
--- /dev/null
+++ b/src/cookie-daemon/edge-gate.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import { VirtualClock } from '../common/clock.js';
+import type { CookieEdgeHandler, CookiePacket } from '../fabric/cookie-edge.js';
+import { SILENT_EVENT_LOG } from '../observability/event.js';
+import { MAX_HELD_PACKETS, MAX_HELD_SYN_AFTER_READ_MS, MAX_HELD_SYN_MS } from './constants.js';
+import { EdgeGate } from './edge-gate.js';
+
+const EMPTY: CookiePacket = {
+  ...{ sourceAddress: 1, sourcePort: 1, destinationAddress: 2, destinationPort: 2 },
+  ...{ syn: false, ack: true, fin: false, rst: false },
+  ...{ sequence: 1, acknowledgement: 0, payloadBytes: 0, cookie: 7 },
+};
+
+/** A gate on a virtual clock whose edge delivers what it kept, as the real one does. */
+function gateAt() {
+  const clock = new VirtualClock();
+  const gate = new EdgeGate({ clock, events: SILENT_EVENT_LOG });
+  const passed: string[] = [];
+  let current: CookiePacket = EMPTY;
+  const handler: CookieEdgeHandler = {
+    onPacket: ({ syn, sourcePort }) => passed.push(`${syn ? 'syn' : 'data'} ${sourcePort}`),
+    onDrop: (reason) => passed.push(reason),
+  };
+  gate.attach({
+    keepPacket: () => {
+      const kept = { ...current };
+      return () => gate.onPacket(kept);
+    },
+  });
+  const deliver = (change: Partial<CookiePacket>): void => {
+    current = { ...EMPTY, ...change };
+    gate.onPacket(current);
+  };
+  return { clock, gate, passed, handler, deliver };
+}
+
+const syn = (sourcePort: number): Partial<CookiePacket> => ({ syn: true, ack: false, cookie: 0, sourcePort });
+
+test('what comes before anything is known is handled once it is, in its order', (t) => {
+  const { clock, gate, passed, handler, deliver } = gateAt();
+  deliver({ sourcePort: 1 });
+  clock.advance(20);
+  deliver(syn(2));
+  clock.advance(20);
+  t.deepEqual(passed, []);
+  gate.open(handler);
+  t.deepEqual(passed, ['data 1', 'syn 2']);
+  deliver({ sourcePort: 3 });
+  t.deepEqual(passed, ['data 1', 'syn 2', 'data 3']);
+});
+
+test('a SYN of which the caller may have sent a copy meanwhile is not placed; packets of open flows go on', (t) => {
+  const { clock, gate, passed, handler, deliver } = gateAt();
+  deliver(syn(1));
+  deliver({ sourcePort: 2 });
+  clock.advance(MAX_HELD_SYN_MS + 1);
+  gate.open(handler);
+  t.deepEqual(passed, ['data 2']);
+});
+
+test('long after the binding only a SYN that was just read is placed', (t) => {
+  const { clock, gate, passed, handler, deliver } = gateAt();
+  clock.advance(1_000);
+  deliver(syn(1));
+  clock.advance(10);
+  deliver(syn(2));
+  clock.advance(MAX_HELD_SYN_AFTER_READ_MS);
+  gate.open(handler);
+  t.deepEqual(passed, ['syn 2']);
+});
+
+test('what is held is bounded', (t) => {
+  const { gate, passed, handler, deliver } = gateAt();
+  for (let port = 1; port <= MAX_HELD_PACKETS + 5; port += 1) deliver({ sourcePort: port });
+  gate.open(handler);
+  t.is(passed.length, MAX_HELD_PACKETS);
+});
+
+test('drops before the opening are nobody’s, and afterwards the handler counts them', (t) => {
+  const { gate, passed, handler } = gateAt();
+  gate.onDrop('truncated');
+  gate.open(handler);
+  gate.onDrop('oversized');
+  t.deepEqual(passed, ['oversized']);
+});
--- a/src/cookie-daemon/edge-gate.ts
+++ b/src/cookie-daemon/edge-gate.ts
@@ -1,20 +1,86 @@
-/** Stands between the edge, which is bound first, and the forwarder, which needs the edge. */
-import type { CookieEdgeHandler, CookiePacket } from '../fabric/cookie-edge.js';
+/**
+ * Stands between the edge, which is bound first, and the forwarder, which cannot attribute a packet before routes and back
+ * ends are known. What comes meanwhile is held, since its caller would repeat it only much later; a SYN only for so long
+ * that its caller cannot have sent a copy, which another balancer may have placed elsewhere.
+ */
+import type { Clock } from '../common/clock.js';
+import type { CookieEdgeHandler, CookieEdgePort, CookiePacket } from '../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../fabric/types.js';
+import type { EventLog } from '../observability/event.js';
+import { MAX_HELD_PACKETS, MAX_HELD_SYN_AFTER_READ_MS, MAX_HELD_SYN_MS } from './constants.js';
+import { COOKIE_DAEMON_EVENTS } from './events.js';
 
-/** Drops everything until it is opened. */
+/** A packet that waits for the gate to open. */
+interface HeldPacket {
+  readonly isSyn: boolean;
+  /** Monotonic ms at which it was read; it may have waited in the socket since the binding. */
+  readonly readAtMs: number;
+  readonly deliver: () => void;
+}
+
+/** What a gate needs. */
+export interface EdgeGateOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** See the module. Call `attach` as soon as the edge is bound, and `open` once. */
 export class EdgeGate implements CookieEdgeHandler {
   private handler: CookieEdgeHandler | undefined;
+  private edge: Pick<CookieEdgePort, 'keepPacket'> | undefined;
+  private boundAtMs = 0;
+  private held: HeldPacket[] = [];
+  private tooMany = 0;
+
+  constructor(private readonly options: EdgeGateOptions) {}
 
+  /** True until the gate is opened. */
+  get isClosed(): boolean {
+    return this.handler === undefined;
+  }
+
+  /** Takes the edge that was just bound. */
+  attach(edge: Pick<CookieEdgePort, 'keepPacket'>): void {
+    this.edge = edge;
+    this.boundAtMs = this.options.clock.now();
+  }
+
+  /** Lets everything through to `handler`, first what was held and is not too old. */
   open(handler: CookieEdgeHandler): void {
     this.handler = handler;
+    const nowMs = this.options.clock.now();
+    const young = this.held.filter((packet) => this.isYoung(packet, nowMs));
+    const held = this.held.length;
+    this.held = [];
+    for (const { deliver } of young) deliver();
+    if (held === 0) return;
+    this.options.events.emit(COOKIE_DAEMON_EVENTS.heldPacketsDelivered, {
+      ...{ delivered: young.length, tooOld: held - young.length, tooMany: this.tooMany },
+      boundForMs: Math.round(nowMs - this.boundAtMs),
+    });
   }
 
   onPacket(packet: CookiePacket): void {
-    this.handler?.onPacket(packet);
+    if (this.handler) return this.handler.onPacket(packet);
+    if (!this.edge) return;
+    if (this.held.length >= MAX_HELD_PACKETS) {
+      this.tooMany += 1;
+      return;
+    }
+    this.held.push({
+      isSyn: packet.syn && !packet.ack,
+      readAtMs: this.options.clock.now(),
+      deliver: this.edge.keepPacket(),
+    });
   }
 
   onDrop(reason: EdgeDropReason): void {
     this.handler?.onDrop(reason);
   }
+
+  /** No packet is older than the binding of the socket; one that was read later may have waited there for a moment. */
+  private isYoung({ isSyn, readAtMs }: HeldPacket, nowMs: number): boolean {
+    if (!isSyn) return true;
+    return nowMs - this.boundAtMs <= MAX_HELD_SYN_MS || nowMs - readAtMs <= MAX_HELD_SYN_AFTER_READ_MS;
+  }
 }
--- a/src/cookie-daemon/events.ts
+++ b/src/cookie-daemon/events.ts
@@ -35,6 +35,12 @@
     message: 'The configuration that was read again is wrong; the old one stays in force',
     action: 'Correct the named fields',
   },
+  heldPacketsDelivered: {
+    number: 2109,
+    level: 'info',
+    message: 'What came before routes and back ends were known was handled',
+    action: 'none',
+  },
   uncaughtError: {
     number: 2108,
     level: 'error',
--- a/src/fabric/cookie-edge.ts
+++ b/src/fabric/cookie-edge.ts
@@ -31,10 +31,12 @@
   onDrop(reason: EdgeDropReason): void;
 }
 
-/** The balancer's data socket. Both calls speak of the packet that is being handled. */
+/** The balancer's data socket. All calls speak of the packet that is being handled. */
 export interface CookieEdgePort {
   /** Sends the packet with `cookie` to the start `backendId` of a back end, and to no other process at `endpoint`. */
   sendToBackend(backendId: string, endpoint: Endpoint, cookie: number): void;
   /** Answers the caller with a reset of this balancer's own. */
   sendReset(): void;
+  /** Keeps the packet; the function that is returned hands it to the handler anew. */
+  keepPacket(): () => void;
 }
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -46,6 +46,7 @@
     const edge: CookieEdgePort = {
       sendToBackend: (backend, endpoint, cookie) => this.sent.push({ backend, endpoint, cookie }),
       sendReset: () => this.sent.push({ backend: undefined, cookie: 0 }),
+      keepPacket: () => () => undefined,
     };
     this.forwarder = new CookieForwarder({
       ...{ clock, events, knowledge: this.knowledge, edge, zone: 'north', zoneMargin: 0.5 },
--- a/src/routing/source-circuit.ts
+++ b/src/routing/source-circuit.ts
@@ -19,17 +19,21 @@
   private failuresInRow = 0;
   private lost = false;
   private regainedAtMs = Number.NEGATIVE_INFINITY;
+  private leastRetryMs: () => number = () => 0;
 
-  /** @param leastRetryMs asked after each failure: the wait before the next call is not shorter than this, in ms */
   constructor(
     private readonly clock: Clock,
     private readonly random: RandomSource,
     private readonly events: EventLog,
-    private readonly leastRetryMs: () => number = () => 0,
   ) {
     this.lastAnswerMs = clock.now();
   }
 
+  /** From now on the wait after a failed call is not shorter than `leastRetryMs` says at that moment, jitter apart. */
+  retryNoSoonerThan(leastRetryMs: () => number): void {
+    this.leastRetryMs = leastRetryMs;
+  }
+
   /** True while calls have failed for longer than `OUTAGE_AFTER_MS`. */
   get isLost(): boolean {
     return this.lost;
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -271,7 +271,8 @@
     const random = seededRandom(cluster.seed * 1_000 + index);
     const events = SILENT_EVENT_LOG;
     this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
-    const circuit = new SourceCircuit(clock, random, events, () => this.spreader.leastRetryMs());
+    const circuit = new SourceCircuit(clock, random, events);
+    circuit.retryNoSoonerThan(() => this.spreader.leastRetryMs());
     const following = {
       ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit, timings: TIMINGS },
       onProof: () => this.spreader.noteOwnProof(),
