--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,10 +39,18 @@
       ],
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { sourceType: 'commonjs', globals: { __dirname: 'readonly', process: 'readonly' } },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
   {
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: {
-      globals: { process: 'readonly', console: 'readonly', Buffer: 'readonly', URL: 'readonly' },
+      globals: {
+        ...{ process: 'readonly', console: 'readonly', Buffer: 'readonly', URL: 'readonly' },
+        setTimeout: 'readonly',
+      },
     },
   },
 );
--- a/src/cookie-daemon/run.ts
+++ b/src/cookie-daemon/run.ts
@@ -1,5 +1,4 @@
 /** Runs a daemon on a cookie edge as the process: configuration, log, signals, uncaught errors and exit code. */
-import { randomInt } from 'node:crypto';
 import { statSync } from 'node:fs';
 import { SystemClock, type Clock } from '../common/clock.js';
 import { seededRandom } from '../common/random.js';
@@ -27,7 +26,7 @@
     ...{ memberId: config.id, clock, write: writer.write },
   });
   reportUncaught(events, writer);
-  const random = seededRandom(randomInt(MAX_SEED));
+  const random = seededRandom(Math.floor(Math.random() * MAX_SEED));
   const daemon = await CookieDaemon.start(config, { clock, random, events, adapters });
   followConfig({ configPath, clock, events, daemon });
   await untilStopped(daemon);
