Count flows that were just closed as load of a back end

Ruled out: the cold share alone (it halves what counts as capacity, but a load of nothing stays nothing). Change: a closed flow counts on for 2 s, less and less, as a whole number, so that balancers with like knowledge still see equal loads and choose equally. Test: 'a back end without long flows does not get every short one' gave 60 of 60 before.

--- a/src/flow/cookie/backend-state.ts
+++ b/src/flow/cookie/backend-state.ts
@@ -1,7 +1,9 @@
 /** What this balancer has seen of each back end: its own open flows there, and signs of life in callers' packets. */
 import { hashString } from '../../common/hash.js';
+import { DecayingRate } from '../../placement/decaying-rate.js';
 import type { KnownBackend } from '../../routing/index.js';
 import {
+  CLOSED_FLOW_COUNTS_MS,
   EJECT_AFTER_FAILURES,
   EJECT_MAX_MS,
   EJECT_MIN_MS,
@@ -20,6 +22,8 @@
 export class BackendState {
   /** Flows of this balancer that are open there, openings in progress included. */
   openFlows = 0;
+  /** Flows that were closed there a short while ago. */
+  private readonly closedFlows = new DecayingRate(CLOSED_FLOW_COUNTS_MS);
   /** Openings among them that were not answered yet, and monotonic ms at which the first of them was placed. */
   pendingOpenings = 0;
   pendingSinceMs = 0;
@@ -44,6 +48,17 @@
     this.idHash = hashString(backend.id);
   }
 
+  /** Notes that a caller closed a flow there. */
+  noteClosed(nowMs: number): void {
+    this.openFlows -= 1;
+    this.closedFlows.count(nowMs);
+  }
+
+  /** Flows that are or were just open there; whole, so that balancers with like knowledge see equal loads as equal. */
+  flowsAt(nowMs: number): number {
+    return this.openFlows + Math.round(this.closedFlows.recentAt(nowMs));
+  }
+
   /** Failures since the last sign of life. */
   get failuresInRow(): number {
     return this.failures;
--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -31,6 +31,12 @@
 /** Part of the flow cache that is looked at for expiry each second. */
 export const EXPIRY_INTERVAL_MS = 1_000;
 
+/**
+ * A flow that was closed counts for this long after it, less and less. Otherwise a back end that holds no long flows yet
+ * would get every short one: each has ended before the next one comes.
+ */
+export const CLOSED_FLOW_COUNTS_MS = 2_000;
+
 /** A back end that is slow from its start counts as this part of its capacity. */
 export const COLD_CAPACITY_SHARE = 0.5;
 
--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -286,3 +286,19 @@
   harness.forwarder.noteSuspicion('a', harness.clock.now());
   t.is(harness.open(1)?.backend, 'a');
 });
+
+test('a back end without long flows does not get every short one', (t) => {
+  const harness = new ForwarderHarness().know([backendAt('a', 1), backendAt('b', 2)]);
+  for (let port = 1; port <= 12; port += 1) harness.establish(port);
+  harness.know([backendAt('a', 1), backendAt('b', 2), backendAt('new', 11)], {}, 12);
+  const counts = new Map<string, number>();
+  for (let port = 1_000; port < 1_060; port += 1) {
+    const { backend, cookie } = harness.establish(port);
+    counts.set(backend!, (counts.get(backend!) ?? 0) + 1);
+    harness.clock.advance(50);
+    harness.goOn(port, cookie, { fin: true });
+    harness.clock.advance(50);
+  }
+  const fresh = counts.get('new') ?? 0;
+  t.true(fresh >= 10 && fresh <= 40, `${fresh} of 60`);
+});
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -192,7 +192,7 @@
       this.states.noteProof(flow.state, nowMs);
     }
     if (packet.payloadBytes > 0) this.followData(packet, flow, nowMs);
-    if (packet.fin || packet.rst) this.cache.close(flow);
+    if (packet.fin || packet.rst) this.cache.close(flow, nowMs);
   }
 
   private followData(packet: CookiePacket, flow: Flow, nowMs: number): void {
--- a/src/flow/cookie/flow-cache.ts
+++ b/src/flow/cookie/flow-cache.ts
@@ -70,15 +70,17 @@
     flow.state = state;
   }
 
-  /** Ends the flow's count at its back end; it is still found until it expires. */
-  close(flow: Flow): void {
+  /** Ends the flow's count at its back end, since its caller closed it; it is still found until it expires. */
+  close(flow: Flow, nowMs: number): void {
     if (flow.phase === 'closing') return;
     flow.phase = 'closing';
-    flow.state.openFlows -= 1;
+    flow.state.noteClosed(nowMs);
   }
 
+  /** Forgets a flow. */
   remove(flow: Flow): void {
-    this.close(flow);
+    if (flow.phase !== 'closing') flow.state.openFlows -= 1;
+    flow.phase = 'closing';
     const flows = this.services.get(flow.serviceKey);
     if (!flows?.delete(flow.callerKey)) return;
     this.count -= 1;
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses the back end of a new flow: the one with the fewest of this balancer's flows for its capacity, own zone first
- * within a margin. Equal loads are ordered by a hash of flow and back end, so that balancers that know the same choose
+ * Chooses the back end of a new flow: the one with the fewest of this balancer's flows for its capacity, those that were just
+ * closed included, own zone first within a margin. Equal loads are ordered by a hash of flow and back end, so that balancers that know the same choose
  * equally.
  */
 import { combine32 } from '../../common/hash.js';
@@ -94,7 +94,7 @@
     const { record, coldUntilMs } = state.backend;
     const share = nowMs < coldUntilMs ? COLD_CAPACITY_SHARE : 1;
     const margin = record.zone === this.zone ? 0 : this.zoneMargin;
-    return (state.openFlows + 1) / (Math.max(1, record.capacity) * share) + margin;
+    return (state.flowsAt(nowMs) + 1) / (Math.max(1, record.capacity) * share) + margin;
   }
 }
 
--- a/src/placement/decaying-rate.ts
+++ b/src/placement/decaying-rate.ts
@@ -8,10 +8,15 @@
 
   /** Counts one event. */
   count(nowMs: number): void {
-    this.recent = this.recent * Math.exp(-(nowMs - this.countedAtMs) / this.windowMs) + 1;
+    this.recent = this.recentAt(nowMs) + 1;
     this.countedAtMs = nowMs;
   }
 
+  /** Events that are not forgotten yet, as of `nowMs`. */
+  recentAt(nowMs: number): number {
+    return this.recent * Math.exp(-(nowMs - this.countedAtMs) / this.windowMs);
+  }
+
   /** Events a ms as of the last one; an underestimate during the first window. */
   get perMs(): number {
     return this.recent / this.windowMs;
