Let a configuration switch each mechanism of the cookie edge off, for the ablation

Cause: what each mechanism is worth was believed, not measured. Change: fifteen mechanisms have a name; switchedOff in the configuration (checked, none by default, told in the start line) does without them. The zone margin can be set to 0 already. Conclusion: for experiments; what proves worthless goes with its switch.

--- /dev/null
+++ b/src/common/mechanisms.ts
@@ -0,0 +1,50 @@
+/**
+ * Mechanisms of a daemon on a cookie edge that a configuration can switch off one by one, to measure what each of them is worth
+ * (docs/DECISIONS-MEASURED.md). For experiments: a daemon in service runs with all of them.
+ */
+
+export const MECHANISMS = [
+  /** Back ends without signs of life get no new flows. */
+  'passive-health',
+  /** Daemons tell each other which back ends they ejected. */
+  'shared-ejections',
+  /** One opening at a time tries a back end that was ejected. */
+  'trial-openings',
+  /** Back ends at which an opening waits longer than usual are avoided. */
+  'slow-answer-avoidance',
+  /** Back ends that are slow from their start count as a part of their capacity. */
+  'cold-share',
+  /** Flows that were just closed count as load. */
+  'closed-flows',
+  /** Splits are dealt by credit; otherwise by chance. */
+  'split-credit',
+  /** Records that may only have lapsed are the last resort of a service. */
+  'lapsed-records',
+  /** Back ends that left are remembered as long as a flow to them may be open. */
+  'departed-backends',
+  /** SYNs that may have waited through a pause are dropped. */
+  'old-opening-guard',
+  /** What arrives before anything is known is held. */
+  'held-packets',
+  /** Readers stand down for others that go before them. */
+  'standing-down',
+  /** Proofs are sent once more after a change. */
+  'last-wave',
+  /** Who lags gets the changes that it lacks; otherwise everything. */
+  'change-log',
+  /** Daemons without a proof ask the source in turns. */
+  'asking-turns',
+] as const;
+
+export type Mechanism = (typeof MECHANISMS)[number];
+
+/** True while a mechanism is on. */
+export type MechanismCheck = (mechanism: Mechanism) => boolean;
+
+export const ALL_MECHANISMS_ON: MechanismCheck = () => true;
+
+/** A check for which all but the mechanisms in `switchedOff` are on. */
+export function allBut(switchedOff: readonly Mechanism[]): MechanismCheck {
+  const off = new Set(switchedOff);
+  return (mechanism) => !off.has(mechanism);
+}
--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -1,5 +1,6 @@
 /** Everything that a daemon on a cookie edge is made of, and how it is wired. */
 import type { Clock } from '../common/clock.js';
+import { allBut } from '../common/mechanisms.js';
 import type { RandomSource } from '../common/random.js';
 import type { Endpoint } from '../common/types.js';
 import { CookieForwarder } from '../flow/cookie/cookie-forwarder.js';
@@ -41,11 +42,13 @@
 ): Promise<CookieDaemonComponents> {
   const { clock, random, events, adapters } = environment;
   const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs, changeBoundsMs } = config();
-  const gate = new EdgeGate({ clock, events });
+  const isOn = allBut(config().switchedOff);
+  const gate = new EdgeGate({ clock, events, isOn });
   const pauses = new PauseDetector(clock.now(), TICK_MS);
   const edge = await adapters.openEdge({ data, handler: gate, events, clock });
   gate.attach(edge);
-  const knowledge = new RoutingKnowledge({ clock, events, retentionMs: maxFlowAgeMs });
+  const retentionMs = isOn('departed-backends') ? maxFlowAgeMs : 0;
+  const knowledge = new RoutingKnowledge({ clock, events, retentionMs });
   const timings = freshnessTimings(Math.min(...changeBoundsMs));
   const circuit = new SourceCircuit(clock, random, events);
   const reading = new SourceReading({
@@ -56,7 +59,7 @@
   const transport = await NetworkTransport.open(control, events);
   const spreader = new Spreader({
     ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
-    timings,
+    ...{ timings, isOn },
     setReading: (isReading) => reading.set(isReading),
     noteArrival: () => pauses.noteRead('peers'),
     mayBeOld: () => pauses.mayBeOld(clock.now()),
@@ -65,7 +68,7 @@
   });
   circuit.retryNoSoonerThan(() => spreader.leastRetryMs());
   const forwarder = new CookieForwarder({
-    ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs },
+    ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs, isOn },
     maxFlows: () => config().limits.maxFlows,
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
--- a/src/cookie-daemon/config.test.ts
+++ b/src/cookie-daemon/config.test.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
+import { MECHANISMS } from '../common/mechanisms.js';
 import { checkCookieDaemonConfig, compareConfigs, loadCookieDaemonConfig } from './config.js';
 
 const VALID = {
@@ -16,6 +17,13 @@
   t.true(config.drain.minMs < config.drain.maxMs);
 });
 
+test('every mechanism can be switched off, and none is unless it is named', (t) => {
+  t.deepEqual(checkCookieDaemonConfig(VALID, 'test').switchedOff, []);
+  t.deepEqual(checkCookieDaemonConfig({ ...VALID, switchedOff: MECHANISMS }, 'test').switchedOff, [
+    ...MECHANISMS,
+  ]);
+});
+
 const WRONG: readonly (readonly [Record<string, unknown>, RegExp])[] = [
   [{ id: '' }, /id: /],
   [{ zone: 7 }, /zone: /],
@@ -29,6 +37,7 @@
   [{ changeBoundsMs: [] }, /changeBoundsMs: /],
   [{ changeBoundsMs: [3_000, 0] }, /changeBoundsMs\.1: /],
   [{ zoneMargin: -0.5 }, /zoneMargin: /],
+  [{ switchedOff: ['passive-helth'] }, /switchedOff\.0: /],
   [{ limits: { maxFlows: 1.5 } }, /limits\.maxFlows: /],
   [{ drain: { minMs: 'long' } }, /drain\.minMs: /],
   [{ log: { level: 'loud' } }, /log\.level: /],
--- a/src/cookie-daemon/config.ts
+++ b/src/cookie-daemon/config.ts
@@ -6,6 +6,7 @@
 import * as z from 'zod/mini';
 import { parseEndpoint } from '../common/endpoint-text.js';
 import type { Endpoint } from '../common/types.js';
+import { MECHANISMS } from '../common/mechanisms.js';
 import { DEFAULT_FRESHNESS_BOUND_MS } from '../routing/freshness.js';
 import * as defaults from './constants.js';
 import { CookieDaemonError } from './errors.js';
@@ -57,6 +58,8 @@
   maxFlowAgeMs: z._default(milliseconds, defaults.DEFAULT_MAX_FLOW_AGE_MS),
   /** See `OpeningPlacement`; 0 turns the preference of the own zone off. */
   zoneMargin: z._default(z.number().check(z.nonnegative()), defaults.DEFAULT_ZONE_MARGIN),
+  /** For experiments: mechanisms that this daemon does without (`src/common/mechanisms.ts`). */
+  switchedOff: z._default(z.array(z.enum(MECHANISMS)), []),
   limits: z.prefault(
     z.object({ maxFlows: z._default(z.int().check(z.positive()), defaults.DEFAULT_MAX_FLOWS) }),
     {},
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -75,6 +75,7 @@
       data: formatEndpoint(edge.endpoint),
       admin: formatEndpoint(this.admin.endpoint),
       zone: this.current.config.zone,
+      switchedOff: this.current.config.switchedOff.join(',') || undefined,
       pid: process.pid,
       uptimeMs: Math.round(process.uptime() * 1_000),
     });
--- a/src/cookie-daemon/edge-gate.ts
+++ b/src/cookie-daemon/edge-gate.ts
@@ -4,6 +4,7 @@
  * that its caller cannot have sent a copy, which another balancer may have placed elsewhere.
  */
 import type { Clock } from '../common/clock.js';
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../common/mechanisms.js';
 import type { CookieEdgeHandler, CookieEdgePort, CookiePacket } from '../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../fabric/types.js';
 import type { EventLog } from '../observability/event.js';
@@ -22,6 +23,8 @@
 export interface EdgeGateOptions {
   readonly clock: Clock;
   readonly events: EventLog;
+  /** Mechanisms that are on; all unless given. */
+  readonly isOn?: MechanismCheck;
 }
 
 /** See the module. Call `attach` as soon as the edge is bound, and `open` once. */
@@ -62,7 +65,8 @@
 
   onPacket(packet: CookiePacket): void {
     if (this.handler) return this.handler.onPacket(packet);
-    if (!this.edge) return;
+    const { isOn = ALL_MECHANISMS_ON } = this.options;
+    if (!this.edge || !isOn('held-packets')) return;
     if (this.held.length >= MAX_HELD_PACKETS) {
       this.tooMany += 1;
       return;
--- a/src/flow/cookie/backend-states.ts
+++ b/src/flow/cookie/backend-states.ts
@@ -1,4 +1,5 @@
 /** What this balancer has seen of all back ends, so that one is judged by how the others answer. */
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { EventLog } from '../../observability/event.js';
 import type { KnownBackend } from '../../routing/index.js';
 import { BackendState } from './backend-state.js';
@@ -26,6 +27,7 @@
   constructor(
     private readonly events: EventLog,
     private readonly onEject: (state: BackendState, nowMs: number) => void,
+    private readonly isOn: MechanismCheck = ALL_MECHANISMS_ON,
   ) {}
 
   /** Ejections since start. */
@@ -59,6 +61,7 @@
 
   /** Notes a failure that began at `sinceMs`. */
   noteFailure(state: BackendState, sinceMs: number, nowMs: number): void {
+    if (!this.isOn('passive-health')) return;
     state.noteFailure(nowMs, sinceMs);
     this.failing.add(state);
     this.judge(state, nowMs);
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import { combine32 } from '../../common/hash.js';
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { PauseDetector } from '../../common/pause-detector.js';
 import type { RandomSource } from '../../common/random.js';
 import type { CookieEdgeHandler, CookieEdgePort, CookiePacket } from '../../fabric/cookie-edge.js';
@@ -43,6 +44,8 @@
   readonly maxFlowAgeMs: number;
   /** Flows that are remembered at once. */
   readonly maxFlows: () => number;
+  /** Mechanisms that are on; all unless given. */
+  readonly isOn?: MechanismCheck;
   /** Called with each back end that is ejected, to tell other balancers. */
   readonly onEject?: (backendId: string, nowMs: number) => void;
 }
@@ -58,15 +61,20 @@
   /** Openings without an answer yet, oldest first. */
   private readonly pending = new PendingOpenings();
   private nextExpiryMs = 0;
+  private readonly isOn: MechanismCheck;
 
   constructor(private readonly options: CookieForwarderOptions) {
-    const { knowledge, random, zone, zoneMargin, maxFlows } = options;
-    this.states = new BackendStates(options.events, (state, nowMs) =>
-      options.onEject?.(state.backend.id, nowMs),
+    const { knowledge, random, zone, zoneMargin, maxFlows, isOn = ALL_MECHANISMS_ON } = options;
+    this.isOn = isOn;
+    const onEject = isOn('shared-ejections') ? options.onEject : undefined;
+    this.states = new BackendStates(
+      options.events,
+      (state, nowMs) => onEject?.(state.backend.id, nowMs),
+      isOn,
     );
     this.cache = new FlowCache(maxFlows);
-    this.splitter = new TrafficSplitter(random);
-    this.placement = new OpeningPlacement(zone, zoneMargin);
+    this.splitter = new TrafficSplitter(random, isOn);
+    this.placement = new OpeningPlacement(zone, zoneMargin, isOn);
     for (const backend of knowledge.backends.all()) this.cookies.add(backend);
     knowledge.backends.onAdd((backend) => this.cookies.add(backend));
     knowledge.backends.onForget((backend) => this.forget(backend));
@@ -84,6 +92,7 @@
 
   /** Notes that another balancer ejected a back end at `atMs`; true when that was not known. */
   noteSuspicion(backendId: string, atMs: number): boolean {
+    if (!this.isOn('shared-ejections')) return false;
     const backend = this.options.knowledge.backends.get(backendId);
     return backend !== undefined && this.states.of(backend).noteSuspicion(atMs);
   }
@@ -117,7 +126,7 @@
   }
 
   private onSyn(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
-    if (this.options.pauses.mayBeOld(nowMs)) {
+    if (this.isOn('old-opening-guard') && this.options.pauses.mayBeOld(nowMs)) {
       this.statistics.countDrop('old-opening');
       this.options.events.emit(COOKIE_FLOW_EVENTS.oldOpening, { flow: formatFlowId(packet) });
       return;
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -1,4 +1,5 @@
 /** A cookie forwarder on a virtual clock, with an edge that only notes what is sent. */
+import { allBut, type Mechanism } from '../../common/mechanisms.js';
 import { VirtualClock } from '../../common/clock.js';
 import { PauseDetector } from '../../common/pause-detector.js';
 import { seededRandom } from '../../common/random.js';
@@ -36,6 +37,7 @@
   constructor(
     readonly clock = new VirtualClock(),
     seed = 1,
+    switchedOff: readonly Mechanism[] = [],
   ) {
     const events = {
       emit: (event: EventDefinition, fields: EventFields = {}): void => {
@@ -50,6 +52,7 @@
     };
     this.forwarder = new CookieForwarder({
       ...{ clock, events, knowledge: this.knowledge, edge, zone: 'north', zoneMargin: 0.5 },
+      isOn: allBut(switchedOff),
       random: seededRandom(seed),
       pauses: new PauseDetector(clock.now(), TICK_MS, (callback) => this.turns.push(callback)),
       maxFlowAgeMs: 60_000,
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -4,6 +4,7 @@
  * equally.
  */
 import { combine32 } from '../../common/hash.js';
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { KnownBackend } from '../../routing/index.js';
 import type { BackendState, Liveness } from './backend-state.js';
 import { COLD_CAPACITY_SHARE, MAX_EJECTED_SHARE } from './constants.js';
@@ -50,11 +51,12 @@
   constructor(
     private readonly zone: string,
     private readonly zoneMargin: number,
+    private readonly isOn: MechanismCheck = ALL_MECHANISMS_ON,
   ) {}
 
   /** The back end for a flow; undefined when none may take it. */
   choose(question: PlacementQuestion): Placement | undefined {
-    const classes = classify(question);
+    const classes = this.classify(question);
     const { alive, suspect, ejected, lapsed, trial } = classes;
     if (trial && alive.length > 0) return { state: trial, rule: 'trial', candidates: 1 };
     const known = alive.length + suspect.length + ejected.length;
@@ -92,35 +94,38 @@
   /** Flows for each unit of capacity, as they would be with the new one. */
   private load(state: BackendState, nowMs: number): number {
     const { record, coldUntilMs } = state.backend;
-    const share = nowMs < coldUntilMs ? COLD_CAPACITY_SHARE : 1;
+    const share = nowMs < coldUntilMs && this.isOn('cold-share') ? COLD_CAPACITY_SHARE : 1;
     const margin = record.zone === this.zone ? 0 : this.zoneMargin;
-    return (state.flowsAt(nowMs) + 1) / (Math.max(1, record.capacity) * share) + margin;
+    const flows = this.isOn('closed-flows') ? state.flowsAt(nowMs) : state.openFlows;
+    return (flows + 1) / (Math.max(1, record.capacity) * share) + margin;
   }
-}
 
-function classify(question: PlacementQuestion): CandidateClasses {
-  const classes: CandidateClasses = { alive: [], suspect: [], ejected: [], lapsed: [], trial: undefined };
-  for (const backend of question.backends) {
-    if (backend.record.draining || (backend.departed && !backend.lapsed)) continue;
-    const state = question.stateOf(backend);
-    if (state.openFlows >= question.maxConnections) continue;
-    const liveness = livenessOf(state, question);
-    if (backend.departed) addLapsed(classes, state, liveness);
-    else if (liveness === 'trial') {
-      classes.trial ??= state;
-      classes.ejected.push(state);
-    } else classes[liveness].push(state);
+  private classify(question: PlacementQuestion): CandidateClasses {
+    const classes: CandidateClasses = { alive: [], suspect: [], ejected: [], lapsed: [], trial: undefined };
+    for (const backend of question.backends) {
+      if (backend.record.draining || (backend.departed && !backend.lapsed)) continue;
+      const state = question.stateOf(backend);
+      if (state.openFlows >= question.maxConnections) continue;
+      const liveness = this.livenessOf(state, question);
+      if (backend.departed) this.addLapsed(classes, state, liveness);
+      else if (liveness === 'trial') {
+        classes.trial ??= state;
+        classes.ejected.push(state);
+      } else classes[liveness].push(state);
+    }
+    return classes;
   }
-  return classes;
-}
 
-function livenessOf(state: BackendState, { nowMs, usualAnswerMs }: PlacementQuestion): Liveness {
-  const liveness = state.liveness(nowMs);
-  return liveness === 'alive' && state.isSlowToAnswer(nowMs, usualAnswerMs) ? 'suspect' : liveness;
-}
+  private livenessOf(state: BackendState, { nowMs, usualAnswerMs }: PlacementQuestion): Liveness {
+    const liveness = state.liveness(nowMs);
+    if (liveness === 'trial' && !this.isOn('trial-openings')) return 'alive';
+    if (liveness !== 'alive' || !this.isOn('slow-answer-avoidance')) return liveness;
+    return state.isSlowToAnswer(nowMs, usualAnswerMs) ? 'suspect' : liveness;
+  }
 
-/** A record that may only have lapsed counts while packets show that its back end lives. */
-function addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness): void {
-  if (liveness === 'alive' && state.lastProofMs > (state.backend.departedAtMs ?? 0))
-    classes.lapsed.push(state);
+  /** A record that may only have lapsed counts while packets show that its back end lives. */
+  private addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness): void {
+    const answeredSince = state.lastProofMs > (state.backend.departedAtMs ?? 0);
+    if (this.isOn('lapsed-records') && liveness === 'alive' && answeredSince) classes.lapsed.push(state);
+  }
 }
--- /dev/null
+++ b/src/flow/cookie/switched-off.test.ts
@@ -0,0 +1,59 @@
+/** What a forwarder does without one of its mechanisms, as the ablation switches them off. */
+import test from 'ava';
+import type { Mechanism } from '../../common/mechanisms.js';
+import { TICK_MS } from './constants.js';
+import { backends, ForwarderHarness } from './cookie-test-support.js';
+
+function harnessWithout(mechanism: Mechanism): ForwarderHarness {
+  return new ForwarderHarness(undefined, 1, [mechanism]);
+}
+
+/** Two openings at a back end without an answer while others answer, which ejects it. */
+function failAt(harness: ForwarderHarness, id: string): void {
+  for (let port = 1; port <= 6; port += 1) harness.establish(port);
+  harness.clock.advance(10);
+  let failed = 0;
+  for (let port = 100; failed < 2; port += 1) {
+    if (harness.open(port)?.backend === id) failed += 1;
+    else harness.goOn(port, harness.sent.at(-1)!.cookie);
+  }
+  harness.clock.advance(200);
+  harness.establish(900);
+  harness.clock.advance(TICK_MS);
+}
+
+test('with all mechanisms a back end that does not answer is ejected', (t) => {
+  const harness = new ForwarderHarness().know(backends(2));
+  failAt(harness, 'a');
+  t.is(harness.forwarder.ejections, 1);
+});
+
+test('without passive health nothing is ejected', (t) => {
+  const harness = harnessWithout('passive-health').know(backends(2));
+  failAt(harness, 'a');
+  t.is(harness.forwarder.ejections, 0);
+});
+
+test('without shared ejections the word of others counts for nothing', (t) => {
+  const harness = harnessWithout('shared-ejections').know(backends(2));
+  t.false(harness.forwarder.noteSuspicion('a', harness.clock.now()));
+});
+
+test('without the guard a SYN that waited through a pause is placed', (t) => {
+  const harness = harnessWithout('old-opening-guard').know(backends(2));
+  harness.stop();
+  harness.clock.advance(5_000);
+  t.truthy(harness.open(1));
+});
+
+test('without counting closed flows a back end without long flows gets every short one', (t) => {
+  const harness = harnessWithout('closed-flows').know(backends(2));
+  for (let port = 1; port <= 12; port += 1) harness.establish(port);
+  harness.know(backends(3), {}, 12);
+  for (let port = 1_000; port < 1_020; port += 1) {
+    const { backend, cookie } = harness.establish(port);
+    t.is(backend, 'c');
+    harness.clock.advance(50);
+    harness.goOn(port, cookie, { fin: true });
+  }
+});
--- a/src/flow/cookie/traffic-splitter.ts
+++ b/src/flow/cookie/traffic-splitter.ts
@@ -1,4 +1,5 @@
 /** Deals the new flows of a route to its services by weight, so that short runs keep to the weights as well. */
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { RandomSource } from '../../common/random.js';
 import type { Route, RouteTarget } from '../../routing/index.js';
 
@@ -13,7 +14,10 @@
 export class TrafficSplitter {
   private readonly credits = new Map<string, TargetCredit[]>();
 
-  constructor(private readonly random: RandomSource) {}
+  constructor(
+    private readonly random: RandomSource,
+    private readonly isOn: MechanismCheck = ALL_MECHANISMS_ON,
+  ) {}
 
   /** Service of the next flow of `route`. Services for which `isOpen` is false are passed over unless all are. */
   choose(route: Route, isOpen: (service: string) => boolean): string | undefined {
@@ -22,7 +26,8 @@
     const credits = this.creditsOf(route);
     for (const target of credits) target.credit += target.share;
     const open = credits.filter((target) => isOpen(target.service));
-    const chosen = highest(open.length > 0 ? open : credits);
+    const eligible = open.length > 0 ? open : credits;
+    const chosen = this.isOn('split-credit') ? highest(eligible) : byChance(eligible, this.random);
     if (chosen) chosen.credit -= 1;
     return chosen?.service;
   }
@@ -58,6 +63,12 @@
   });
 }
 
+/** A target by its share alone. */
+function byChance(credits: readonly TargetCredit[], random: RandomSource): TargetCredit | undefined {
+  let rest = random() * credits.reduce((total, { share }) => total + share, 0);
+  return credits.find(({ share }) => (rest -= share) < 0) ?? credits.at(-1);
+}
+
 function highest(credits: readonly TargetCredit[]): TargetCredit | undefined {
   let best: TargetCredit | undefined;
   for (const target of credits) if (!best || target.credit > best.credit) best = target;
--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -5,6 +5,7 @@
  * reads already.
  */
 import { hashString } from '../common/hash.js';
+import type { MechanismCheck } from '../common/mechanisms.js';
 import type { RandomSource } from '../common/random.js';
 import type { FreshnessTimings } from '../routing/index.js';
 import { askDelayMs } from './asking-order.js';
@@ -60,6 +61,7 @@
     private readonly selfId: string,
     private readonly random: RandomSource,
     private readonly timings: FreshnessTimings,
+    private readonly isOn: MechanismCheck,
   ) {
     this.rank = rankOf(selfId);
     this.overdueTurn = random();
@@ -115,7 +117,7 @@
   ): RoleReason | undefined {
     const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < this.timings.readerFreshMs);
     const before = fresh.filter(({ rank }) => rank > this.rank);
-    if (!isCurrent || before.length < TARGET_READERS) return undefined;
+    if (!this.isOn('standing-down') || !isCurrent || before.length < TARGET_READERS) return undefined;
     this.reading = false;
     this.volunteerAtMs = undefined;
     this.overdueTurn = this.random();
@@ -132,7 +134,9 @@
     const { readAfterMs, readSpreadMs } = this.timings;
     const unprovedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
     if (unprovedMs >= readAfterMs) {
-      const waitMs = askDelayMs(this.overdueTurn, daemons, readSpreadMs);
+      const waitMs = this.isOn('asking-turns')
+        ? askDelayMs(this.overdueTurn, daemons, readSpreadMs)
+        : this.overdueTurn * readSpreadMs;
       return unprovedMs >= readAfterMs + waitMs ? this.startReading('overdue') : undefined;
     }
 
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -3,6 +3,7 @@
  * who lags asks, and who has no proof for too long reads the source itself.
  */
 import type { Clock, TimerHandle } from '../common/clock.js';
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../common/mechanisms.js';
 import { jitter, pick, type RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
@@ -70,6 +71,8 @@
   readonly mayBeOld: () => boolean;
   /** True while records may vanish because their owners cannot write. */
   readonly recordsMayLapse: () => boolean;
+  /** Mechanisms that are on; all unless given. */
+  readonly isOn?: MechanismCheck;
   /** Takes in what another daemon found; true when it was new here, so that it is passed on. */
   readonly noteSuspicion?: (suspicion: BackendSuspicion) => boolean;
 }
@@ -93,7 +96,8 @@
   };
   private readonly peers: PeerView;
   private readonly role: ReaderRole;
-  private readonly log = new UpdateLog();
+  private readonly log: UpdateLog;
+  private readonly isOn: MechanismCheck;
   private timer: TimerHandle | undefined;
   private proofTimer: TimerHandle | undefined;
   private changeTimer: TimerHandle | undefined;
@@ -119,8 +123,10 @@
 
   constructor(private readonly options: SpreaderOptions) {
     const { selfId, zone, transport, random, events, knowledge, timings } = options;
+    this.isOn = options.isOn ?? ALL_MECHANISMS_ON;
+    this.log = new UpdateLog(this.isOn);
     this.peers = new PeerView({ self: transport.endpoint, zone, random, events });
-    this.role = new ReaderRole(selfId, random, timings);
+    this.role = new ReaderRole(selfId, random, timings, this.isOn);
     knowledge.subscribe((applied) => this.onApplied(applied));
     transport.serve(
       (bytes, from) => this.receive(bytes, from),
@@ -143,6 +149,7 @@
    */
   leastRetryMs(): number {
     const { clock, knowledge, timings } = this.options;
+    if (!this.isOn('asking-turns')) return 0;
     if (!knowledge.isComplete() || knowledge.age() < timings.pullAfterMs) return 0;
     return askIntervalMs(this.peers.reachableDaemons(clock.now()));
   }
@@ -206,6 +213,7 @@
     this.push(this.message('news', updates));
     this.pushSoon();
     this.lastWaveTimer?.cancel();
+    if (!this.isOn('last-wave')) return;
     this.lastWaveTimer = clock.schedule(LAST_WAVE_MS, () => this.pushSoon());
   }
 
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -1,4 +1,5 @@
 /** Recent changes, so that a daemon that lags a little gets them instead of everything. */
+import { ALL_MECHANISMS_ON, type MechanismCheck } from '../common/mechanisms.js';
 import {
   isNextChange,
   joinTableChanges,
@@ -15,6 +16,8 @@
 export class UpdateLog {
   private readonly entries: Readonly<Record<RoutingTopic, SpreadUpdate[]>> = { routes: [], backends: [] };
 
+  constructor(private readonly isOn: MechanismCheck = ALL_MECHANISMS_ON) {}
+
   /** Notes a change that was just applied. A complete update starts the log anew. */
   note(entry: SpreadUpdate): void {
     const log = this.entries[entry.topic];
@@ -25,6 +28,7 @@
 
   /** The changes after what is `known`, and nothing that its knower has; undefined when they are not all here. */
   since(topic: RoutingTopic, known: KnownTopic): SpreadUpdate | undefined {
+    if (!this.isOn('change-log')) return undefined;
     const log = this.entries[topic];
     const first = topic === 'routes' ? startOfChain(log, known.table) : startOfRecords(log, known.revision);
     const needed = first < 0 ? [] : log.slice(first);
