Part the spreader by duty, and tell ejected back ends with every message

Behaviour is as before, but that ejections of the last two seconds go with every message, eight at the most.

--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -57,6 +57,12 @@
 /** Largest datagram, below the MTU of Ethernet; larger updates are fetched over a connection. */
 export const MAX_DATAGRAM_BYTES = 1_400;
 
+/** The word of an ejected back end is passed on this long: as long as it counts with those who place flows. */
+export const TELL_SUSPICION_MS = 2_000;
+
+/** Suspected back ends told about in one message. */
+export const SUSPICIONS_A_MESSAGE = 8;
+
 /** Peers told about in one message. */
 export const PEERS_A_MESSAGE = 4;
 
--- /dev/null
+++ b/src/spreading/message-composer.ts
@@ -0,0 +1,105 @@
+/** Composes this daemon's messages: what it knows and how old that is, who reads the source, peers, suspected back ends. */
+import type { Clock } from '../common/clock.js';
+import type { RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
+import { NOTHING_KNOWN, PEERS_A_MESSAGE, READERS_A_MESSAGE } from './constants.js';
+import type { PeerView } from './peer-view.js';
+import type { ReaderRole } from './reader-role.js';
+import type { RecentSuspicions } from './recent-suspicions.js';
+import { ROUTING_TOPICS, type KnownRevisions, type PeerMessage, type SpreadUpdate } from './types.js';
+import { completeUpdate, type UpdateLog } from './update-log.js';
+
+/** What a composer looks at. */
+export interface MessageComposerOptions {
+  readonly selfId: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly knowledge: RoutingKnowledge;
+  readonly peers: PeerView;
+  readonly role: ReaderRole;
+  readonly log: UpdateLog;
+  readonly suspicions: RecentSuspicions;
+}
+
+/** See the module. */
+export class MessageComposer {
+  /** Monotonic ms of the last proof that this daemon read itself. */
+  private ownProofMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: MessageComposerOptions) {}
+
+  /** Notes that the source just proved something to this daemon. */
+  noteOwnProof(): void {
+    this.ownProofMs = this.options.clock.now();
+  }
+
+  /** What this daemon knows, with the changes in `updates`. */
+  news(updates: readonly SpreadUpdate[] = []): PeerMessage {
+    return this.message('news', updates);
+  }
+
+  /** Asks for what this daemon lacks. */
+  question(): PeerMessage {
+    return this.message('pull', []);
+  }
+
+  /** Tells that this daemon stops. */
+  farewell(): PeerMessage {
+    return { ...this.news(), leaving: true };
+  }
+
+  /** What the asker lacks, as far as the log reaches back. */
+  answer(question: PeerMessage): PeerMessage {
+    const { knowledge, log } = this.options;
+    const updates = ROUTING_TOPICS.flatMap((topic) => {
+      const revision = question.proofs[topic]?.revision ?? NOTHING_KNOWN;
+      if (revision >= knowledge.proofOf(topic).changedRevision) return [];
+      return log.since(topic, { revision, table: question.tableRevision }) ?? [];
+    });
+    return this.news(updates);
+  }
+
+  /** Changes where the log reaches back far enough, and everything where it does not. */
+  state(known: KnownRevisions): PeerMessage {
+    const { knowledge, log } = this.options;
+    const updates = ROUTING_TOPICS.flatMap((topic) => {
+      if (known[topic] >= knowledge.proofOf(topic).changedRevision) return [];
+      const knownTopic = { revision: known[topic], table: known.table };
+      return log.since(topic, knownTopic) ?? completeUpdate(knowledge, topic) ?? [];
+    });
+    return this.message('state', updates);
+  }
+
+  private message(type: PeerMessage['type'], updates: readonly SpreadUpdate[]): PeerMessage {
+    const { selfId, zone, knowledge, clock, role, peers, suspicions } = this.options;
+    const nowMs = clock.now();
+    const hasProved = role.isReading && Number.isFinite(this.ownProofMs);
+    const self = hasProved ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
+    return {
+      ...{ type, senderId: selfId, senderZone: zone, leaving: false, updates },
+      proofs: proofsOf(knowledge),
+      suspicions: suspicions.recent(nowMs),
+      departedCount: knowledge.backends.departedCount,
+      tableRevision: knowledge.tableRevision,
+      readers: [...self, ...role.leadingReaders(nowMs, READERS_A_MESSAGE)],
+      peers: peers.sample(PEERS_A_MESSAGE),
+    };
+  }
+}
+
+/** How far everything is known. */
+export function knownRevisionsOf(knowledge: RoutingKnowledge): KnownRevisions {
+  return {
+    routes: knowledge.revisionOf('routes'),
+    backends: knowledge.revisionOf('backends'),
+    table: knowledge.tableRevision,
+  };
+}
+
+function proofsOf(knowledge: RoutingKnowledge): Readonly<Partial<Record<RoutingTopic, TopicProof>>> {
+  const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
+  for (const topic of ROUTING_TOPICS) {
+    const proof = knowledge.proofOf(topic);
+    if (proof.revision > NOTHING_KNOWN) proofs[topic] = proof;
+  }
+  return proofs;
+}
--- /dev/null
+++ b/src/spreading/news-sender.ts
@@ -0,0 +1,91 @@
+/** Sends news to some peers: changes at once, those that follow closely together, and proofs a moment after they came. */
+import type { Clock, TimerHandle } from '../common/clock.js';
+import type { MechanismCheck } from '../common/mechanisms.js';
+import type { Endpoint } from '../common/types.js';
+import type { AppliedUpdate, RoutingKnowledge } from '../routing/index.js';
+import {
+  CHANGE_GATHER_MS,
+  FANOUT_ELSEWHERE,
+  FANOUT_IN_ZONE,
+  LAST_WAVE_MS,
+  NOTHING_KNOWN,
+  PROOF_GATHER_MS,
+} from './constants.js';
+import { knownRevisionsOf, type MessageComposer } from './message-composer.js';
+import type { PeerView } from './peer-view.js';
+import { ROUTING_TOPICS, type KnownRevisions, type PeerMessage } from './types.js';
+import type { UpdateLog } from './update-log.js';
+
+/** What a sender needs. */
+export interface NewsSenderOptions {
+  readonly clock: Clock;
+  readonly knowledge: RoutingKnowledge;
+  readonly peers: PeerView;
+  readonly log: UpdateLog;
+  readonly composer: MessageComposer;
+  readonly isOn: MechanismCheck;
+  readonly send: (to: Endpoint, message: PeerMessage) => void;
+}
+
+/** See the module. */
+export class NewsSender {
+  private proofTimer: TimerHandle | undefined;
+  private changeTimer: TimerHandle | undefined;
+  private lastWaveTimer: TimerHandle | undefined;
+  private changesSentMs = Number.NEGATIVE_INFINITY;
+  /** Revisions up to which changes were sent. */
+  private sentRevisions: KnownRevisions = {
+    ...{ routes: NOTHING_KNOWN, backends: NOTHING_KNOWN, table: NOTHING_KNOWN },
+  };
+
+  constructor(private readonly options: NewsSenderOptions) {}
+
+  /** Logs a change and sends it at once, or with those that came closely before it. */
+  onApplied({ topic, update, since }: AppliedUpdate): void {
+    const { clock, log } = this.options;
+    log.note({ topic, since: update.complete ? NOTHING_KNOWN : since, update });
+    const waitMs = this.changesSentMs + CHANGE_GATHER_MS - clock.now();
+    if (waitMs <= 0) return this.pushChanges();
+    this.changeTimer ??= clock.schedule(waitMs, () => this.pushChanges());
+  }
+
+  /** Sends a message to some peers at once. */
+  push(message: PeerMessage): void {
+    this.proofTimer?.cancel();
+    this.proofTimer = undefined;
+    const { peers, send } = this.options;
+    for (const { endpoint } of peers.choose(FANOUT_IN_ZONE, FANOUT_ELSEWHERE)) send(endpoint, message);
+  }
+
+  /** Sends proofs after a moment, together with those that come meanwhile. */
+  pushSoon(): void {
+    this.proofTimer ??= this.options.clock.schedule(PROOF_GATHER_MS, () => {
+      this.proofTimer = undefined;
+      this.push(this.options.composer.news());
+    });
+  }
+
+  /** Sends nothing any more of its own accord. */
+  stop(): void {
+    this.proofTimer?.cancel();
+    this.changeTimer?.cancel();
+    this.lastWaveTimer?.cancel();
+  }
+
+  /** Two more rounds, of proofs only, reach those that the first one missed: they ask for the changes. */
+  private pushChanges(): void {
+    const { clock, knowledge, log, composer, isOn } = this.options;
+    this.changeTimer?.cancel();
+    this.changeTimer = undefined;
+    this.changesSentMs = clock.now();
+    const sent = this.sentRevisions;
+    const updates = ROUTING_TOPICS.flatMap(
+      (topic) => log.since(topic, { revision: sent[topic], table: sent.table }) ?? [],
+    );
+    this.sentRevisions = knownRevisionsOf(knowledge);
+    this.push(composer.news(updates));
+    this.pushSoon();
+    this.lastWaveTimer?.cancel();
+    if (isOn('last-wave')) this.lastWaveTimer = clock.schedule(LAST_WAVE_MS, () => this.pushSoon());
+  }
+}
--- /dev/null
+++ b/src/spreading/recent-suspicions.ts
@@ -0,0 +1,26 @@
+/**
+ * Back ends that this daemon or others ejected a moment ago. They are told with every message as long as the word counts, so
+ * that daemons hear of them that missed the first round or have just started.
+ */
+import { TELL_SUSPICION_MS, SUSPICIONS_A_MESSAGE } from './constants.js';
+import type { BackendSuspicion } from './types.js';
+
+/** See the module. Times are monotonic ms. */
+export class RecentSuspicions {
+  /** The newest of each back end. */
+  private readonly byBackend = new Map<string, BackendSuspicion>();
+
+  note(suspicion: BackendSuspicion): void {
+    const known = this.byBackend.get(suspicion.backendId);
+    if (!known || known.atMs < suspicion.atMs) this.byBackend.set(suspicion.backendId, suspicion);
+  }
+
+  /** Those that still count, the newest first, as many as fit into a message. */
+  recent(nowMs: number): BackendSuspicion[] {
+    for (const { backendId, atMs } of this.byBackend.values()) {
+      if (nowMs - atMs >= TELL_SUSPICION_MS) this.byBackend.delete(backendId);
+    }
+    const newestFirst = [...this.byBackend.values()].sort((left, right) => right.atMs - left.atMs);
+    return newestFirst.slice(0, SUSPICIONS_A_MESSAGE);
+  }
+}
