--- a/src/daemon/control-plane.ts
+++ b/src/daemon/control-plane.ts
@@ -1,6 +1,6 @@
 /**
  * The control plane of one balancer: membership, spreading of settings and health, over a given control channel. A
- * real daemon adds the data path; a hollow one (scale runs) does without.
+ * real daemon adds the data path; tests do without.
  */
 import type { Clock } from '../common/clock.js';
 import type { RandomSource } from '../common/random.js';
@@ -36,7 +36,7 @@
   readonly platform?: StoreClient;
   /** Control addresses of some other members. */
   readonly seeds: readonly Endpoint[];
-  /** Flows kept per back end; a hollow daemon keeps none. */
+  /** Flows kept per back end; none without a data path. */
   readonly load?: LoadView;
   /** How back ends are probed; over HTTP unless given. */
   readonly probe?: Probe;
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -8,7 +8,7 @@
  * await daemon.stop(); // hands every flow over first
  * ```
  *
- * `createControlPlane` makes a balancer's control plane over any control channel, for hollow daemons.
+ * `createControlPlane` makes a balancer's control plane over any control channel, so that it can be tested without a data path.
  */
 export { Daemon, type ReadyLine } from './daemon.js';
 export {
--- a/src/experiment/capacity/capacity-model.ts
+++ b/src/experiment/capacity/capacity-model.ts
@@ -2,9 +2,9 @@
  * What one daemon needs at the size to design for: the base step plus, for each dimension, the measured slope times
  * the distance from the base. Every part carries its fit, and says whether the size lies within what was measured.
  */
-import { fitLine, valueAt, type LinearFit, type Point } from '../scale/slopes.js';
-import type { ScaleDimension } from '../scale/steps.js';
-import type { ProbeCost, StepFigures } from '../scale/types.js';
+import { fitLine, valueAt, type LinearFit, type Point } from './slopes.js';
+import type { ScaleDimension } from './recorded-types.js';
+import type { ProbeCost, StepFigures } from './recorded-types.js';
 import { DAEMON_SHARE } from './design-size.js';
 
 /** Steps of every recorded report. */
--- a/src/experiment/capacity/capacity-tables.ts
+++ b/src/experiment/capacity/capacity-tables.ts
@@ -1,5 +1,5 @@
 /** The generated tables of the capacity page. */
-import type { LinearFit } from '../scale/slopes.js';
+import type { LinearFit } from './slopes.js';
 import {
   contributions,
   cpuContributions,
--- a/src/experiment/capacity/recorded-data.ts
+++ b/src/experiment/capacity/recorded-data.ts
@@ -1,7 +1,7 @@
 /** Reads the reports recorded under a directory. */
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { FaultFigures, OperatorCost, ProbeCost, ScaleReport } from '../scale/types.js';
+import type { FaultFigures, OperatorCost, ProbeCost, ScaleReport } from './recorded-types.js';
 import type { RecordedStep } from './capacity-model.js';
 
 /** Every recorded scale report, put together. */
