Take a lapsed record that is still missing 2.5 s later as gone

A lapsed record served as a last resort until it was forgotten (60 s), and what vanished up to 4 s after an outage counted as lapsed. Change: 2.5 s from when it was missed, under every deployment's bound for draining; 2 s after the outage. Test: 'a record that is still missing when lapsed ones are back is taken as gone' failed first.

--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -19,6 +19,12 @@
 /** A back end that another balancer ejected is avoided this long where there are others, unless it gives signs of life. */
 export const SHARED_SUSPECT_MS = 2_000;
 
+/**
+ * A record that may only have lapsed serves as a last resort this long after it was missed: those of back ends that live are
+ * back about 2 s after the source's return (source: the users' letter of 2026-12), and the news of that take a moment.
+ */
+export const LAPSED_RECORD_MS = 2_500;
+
 /** Largest share of a service's back ends that may be ejected at once. */
 export const MAX_EJECTED_SHARE = 0.6;
 
--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { backendAt, SERVICE_PORT } from '../../routing/routing-test-support.js';
 import { READS_A_TURN } from '../../common/pause-detector.js';
-import { TICK_MS } from './constants.js';
+import { LAPSED_RECORD_MS, TICK_MS } from './constants.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 
@@ -238,6 +238,20 @@
   t.is(harness.open(4)?.backend, 'b', 'a recorded one goes first');
 });
 
+test('a record that is still missing when lapsed ones are back is taken as gone', (t) => {
+  const harness = new ForwarderHarness().know(backends(1));
+  const opened = harness.establish(1);
+  harness.depart('a', 11, true);
+  harness.clock.advance(LAPSED_RECORD_MS - 10);
+  harness.goOn(1, opened.cookie, { acknowledgement: 900 });
+  t.is(harness.open(2)?.backend, 'a');
+  harness.clock.advance(10);
+  t.is(harness.open(3)?.backend, undefined);
+  t.is(harness.goOn(1, opened.cookie)?.backend, 'a', 'its open flows go on');
+  harness.know([backendAt('a', 12)], {}, 12);
+  t.is(harness.open(4)?.backend, 'a', 'it came back later');
+});
+
 test('a back end that said that it leaves is no last resort', (t) => {
   const harness = new ForwarderHarness().know([backendAt('a', 1, { draining: true })]);
   harness.depart('a', 11, true);
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -7,7 +7,7 @@
 import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { KnownBackend } from '../../routing/index.js';
 import type { BackendState, Liveness } from './backend-state.js';
-import { COLD_CAPACITY_SHARE, MAX_EJECTED_SHARE } from './constants.js';
+import { COLD_CAPACITY_SHARE, LAPSED_RECORD_MS, MAX_EJECTED_SHARE } from './constants.js';
 
 /** What a choice looks at. */
 export interface PlacementQuestion {
@@ -107,7 +107,7 @@
       const state = question.stateOf(backend);
       if (state.openFlows >= question.maxConnections) continue;
       const liveness = this.livenessOf(state, question);
-      if (backend.departed) this.addLapsed(classes, state, liveness);
+      if (backend.departed) this.addLapsed(classes, state, liveness, question.nowMs);
       else if (liveness === 'trial') {
         classes.trial ??= state;
         classes.ejected.push(state);
@@ -123,9 +123,11 @@
     return state.isSlowToAnswer(nowMs, usualAnswerMs) ? 'suspect' : liveness;
   }
 
-  /** A record that may only have lapsed counts while packets show that its back end lives. */
-  private addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness): void {
-    const answeredSince = state.lastProofMs > (state.backend.departedAtMs ?? 0);
+  /** A record that may only have lapsed counts for a while, if packets show that its back end lives. */
+  private addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness, nowMs: number): void {
+    const missedAtMs = state.backend.departedAtMs ?? 0;
+    if (nowMs - missedAtMs >= LAPSED_RECORD_MS) return;
+    const answeredSince = state.lastProofMs > missedAtMs;
     if (this.isOn('lapsed-records') && liveness === 'alive' && answeredSince) classes.lapsed.push(state);
   }
 }
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -17,7 +17,7 @@
 export const OUTAGE_AFTER_MS = 1_000;
 
 /**
- * Records that vanish up to this long after an outage may have lapsed because their owners could not write: a back
- * end writes about every 1.2 s and lapses after three times that.
+ * Records that vanish up to this long after an outage may have lapsed because their owners could not write. Those that live
+ * are back by then; one that vanishes later left (source: the users' letter of 2026-12).
  */
-export const LAPSE_AFTER_OUTAGE_MS = 4_000;
+export const LAPSE_AFTER_OUTAGE_MS = 2_000;
