Let daemons that started before there were any routes follow the source at once

No traffic comes then; an operator who writes late would have waited. Ruled out: slow first readings (they were answered within 30 ms). Change: the source's word must have come, not a table.

--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -67,6 +67,11 @@
     return this.index !== undefined && this.progress.backends.revision > UNKNOWN_REVISION;
   }
 
+  /** True once the source's word on both topics has come, be it that it has no routes yet. */
+  hasBeenRead(): boolean {
+    return Object.values(this.progress).every(({ revision }) => revision > UNKNOWN_REVISION);
+  }
+
   /** Revision up to which a topic is known; -1 before the first complete update. */
   revisionOf(topic: RoutingTopic): number {
     return this.progress[topic].revision;
--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -33,6 +33,8 @@
   readonly ageMs: number;
   /** Whether everything is known. */
   readonly isComplete: boolean;
+  /** Whether the source's word on everything has come, be it that there is nothing yet. */
+  readonly hasBeenRead: boolean;
   /** Estimated number of daemons that take this decision, this one included. */
   readonly daemons: number;
 }
@@ -125,11 +127,12 @@
   }
 
   /**
-   * Who does not know everything yet reads it once anyway, and would only follow the source together with all others that
-   * started with it. Who lacks a proof for too long waits only for its turn: readers that are missing then may be so for want of an answer. */
+   * Who has not read the source yet does so once anyway, and would only follow it together with all others that started with
+   * it. Who lacks a proof for too long waits only for its turn: readers that are missing then may be so for want of an answer.
+   */
   private decideToRead(
     others: readonly RankedSighting[],
-    { nowMs, ageMs, isComplete, daemons }: RoleQuestion,
+    { nowMs, ageMs, hasBeenRead, daemons }: RoleQuestion,
   ): RoleReason | undefined {
     const { readAfterMs, readSpreadMs } = this.timings;
     const unprovedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
@@ -140,7 +143,7 @@
       return unprovedMs >= readAfterMs + waitMs ? this.startReading('overdue') : undefined;
     }
 
-    if (!isComplete) return undefined;
+    if (!hasBeenRead) return undefined;
     if (others.length >= TARGET_READERS) {
       this.volunteerAtMs = undefined;
       return undefined;
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -179,7 +179,8 @@
     if (unprovedMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
     if (nowMs >= this.nextGreetingMs) this.greetSeeds(nowMs);
     const daemons = this.peers.reachableDaemons(nowMs);
-    const reason = this.role.decide({ nowMs, ageMs, isComplete: knowledge.isComplete(), daemons });
+    const known = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasBeenRead() };
+    const reason = this.role.decide({ nowMs, ageMs, daemons, ...known });
     if (!reason) return;
     this.options.setReading(this.role.isReading);
     this.reportRole(reason);
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -51,7 +51,7 @@
   calls = 0;
   /** Faults by daemon; `*` is for all. */
   readonly faults = new Map<string, SourceFault>();
-  private table: RouteTable = tableAt(2);
+  private table: RouteTable | undefined = tableAt(2);
   private readonly backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
   private changes: LoggedChange[] = [];
   private historyFrom = 0;
@@ -59,6 +59,11 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** The operator has not written any routes yet. */
+  withoutRoutes(): void {
+    this.table = undefined;
+  }
+
   /** Puts a new table in force; its version is its revision. */
   changeRoutes(content: Partial<RouteTable> = {}): number {
     this.revision += 1;
@@ -125,7 +130,8 @@
 
   private snapshot(topic: RoutingTopic): RoutingUpdate {
     const { revision } = this;
-    if (topic === 'routes') return updateAt(revision, { complete: true, routes: [this.table] });
+    const routes = this.table ? [this.table] : [];
+    if (topic === 'routes') return updateAt(revision, { complete: true, routes });
     return updateAt(revision, { complete: true, backends: [...this.backends.values()] });
   }
 
@@ -142,7 +148,7 @@
     if (since < this.historyFrom) return undefined;
     const news = this.changes.filter((change) => change.topic === topic && change.revision > since);
     return updateAt(this.revision, {
-      routes: topic === 'routes' && news.length > 0 ? [this.table] : [],
+      routes: topic === 'routes' && news.length > 0 && this.table ? [this.table] : [],
       backends: news.flatMap(({ backend }) => backend ?? []),
       removals: news.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
     });
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -309,6 +309,18 @@
   t.true(cluster.source.calls - before <= SIZE, `${cluster.source.calls - before} calls`);
 });
 
+for (const size of [8, 88]) {
+  test(`${size} daemons that started before there were any routes have the first ones soon`, async (t) => {
+    const cluster = new SpreadingCluster(0);
+    cluster.source.withoutRoutes();
+    for (let index = 0; index < size; index += 1) cluster.seeds.push(cluster.add().endpoint);
+    cluster.seeds.splice(3);
+    await cluster.clock.advanceAsync(700, 10);
+    const tookMs = await timeOfVersion(cluster, cluster.source.changeRoutes());
+    t.true(tookMs <= 1_000, `${tookMs} ms`);
+  });
+}
+
 test('when all are killed at once, those that start again found the knowledge anew', async (t) => {
   const cluster = await settled(7);
   for (const daemon of [...cluster.daemons]) cluster.kill(daemon);
