Part the tests of spreading: outages, the simulated source and the simulated network have files of their own

Change: source-outage.test.ts, simulated-source.ts, simulated-peer-network.ts; no test or assertion changed.

--- /dev/null
+++ b/src/spreading/simulated-source.ts
@@ -0,0 +1,170 @@
+/** A source of routes and back ends on a virtual clock, for tests: one counter of revisions, watches, and faults. */
+import Result from 'true-myth/result';
+import type { Clock } from '../common/clock.js';
+import {
+  RoutingSourceError,
+  type RoutedBackend,
+  type RouteTable,
+  type RoutingSource,
+  type RoutingSourceErrorKind,
+  type RoutingTopic,
+  type RoutingUpdate,
+} from '../routing/index.js';
+import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
+
+const ANSWER_MS = 4;
+const CALL_TIMEOUT_MS = 1_000;
+
+/** How the source treats a daemon. */
+export type SourceFault = 'refuse' | 'throttle' | 'silent';
+
+interface LoggedChange {
+  readonly revision: number;
+  readonly topic: RoutingTopic;
+  readonly backend?: RoutedBackend;
+  readonly removed?: string;
+}
+
+/** A source with one counter of revisions, watches, a history that may be lost, and faults for some daemons. */
+export class SimulatedSource {
+  revision = 2;
+  calls = 0;
+  /** Faults by daemon; `*` is for all. */
+  readonly faults = new Map<string, SourceFault>();
+  private table: RouteTable | undefined = tableAt(2);
+  private readonly backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
+  private changes: LoggedChange[] = [];
+  private historyFrom = 0;
+  private readonly waiters = new Set<() => void>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The operator has not written any routes yet. */
+  withoutRoutes(): void {
+    this.table = undefined;
+  }
+
+  /** Puts a new table in force; its version is its revision. */
+  changeRoutes(content: Partial<RouteTable> = {}): number {
+    this.revision += 1;
+    this.table = tableAt(this.revision, content);
+    return this.note({ revision: this.revision, topic: 'routes' });
+  }
+
+  changeBackend(id: string, change: Partial<RoutedBackend> = {}): number {
+    this.revision += 1;
+    const backend = backendAt(id, this.revision, change);
+    this.backends.set(id, backend);
+    return this.note({ revision: this.revision, topic: 'backends', backend });
+  }
+
+  removeBackend(id: string): number {
+    this.revision += 1;
+    this.backends.delete(id);
+    return this.note({ revision: this.revision, topic: 'backends', removed: id });
+  }
+
+  /** Forgets every change so far; watches that ask for them are told so. */
+  forgetHistory(): void {
+    this.historyFrom = this.revision;
+    this.changes = [];
+  }
+
+  /** The source as the daemon `id` sees it. */
+  for(id: string): RoutingSource {
+    return {
+      read: (topic, _freshness, signal) => this.call(id, signal, () => Promise.resolve(this.snapshot(topic))),
+      watch: (topic, revision, waitMs, signal) =>
+        this.call(id, signal, () => this.waitForChange(topic, revision, waitMs, signal)),
+    };
+  }
+
+  private note(change: LoggedChange): number {
+    this.changes.push(change);
+    for (const wake of [...this.waiters]) wake();
+    return change.revision;
+  }
+
+  private async call(
+    id: string,
+    signal: AbortSignal,
+    answer: () => Promise<RoutingUpdate | undefined>,
+  ): Promise<Result<RoutingUpdate, RoutingSourceError>> {
+    this.calls += 1;
+    await this.sleep(ANSWER_MS, signal);
+    const fault = this.faultOf(id);
+    if (fault === 'refuse') return failure('routing.unavailable');
+    if (fault === 'throttle') return failure('routing.throttled');
+    if (fault !== 'silent') {
+      const update = await answer();
+      const faultNow = this.faultOf(id);
+      if (faultNow !== 'silent') return update ? Result.ok(update) : failure('routing.history-gone');
+    }
+    await this.sleep(CALL_TIMEOUT_MS, signal);
+    return failure('routing.timeout');
+  }
+
+  private faultOf(id: string): SourceFault | undefined {
+    return this.faults.get(id) ?? this.faults.get('*');
+  }
+
+  private snapshot(topic: RoutingTopic): RoutingUpdate {
+    const { revision } = this;
+    const routes = this.table ? [this.table] : [];
+    if (topic === 'routes') return updateAt(revision, { complete: true, routes });
+    return updateAt(revision, { complete: true, backends: [...this.backends.values()] });
+  }
+
+  private async waitForChange(
+    topic: RoutingTopic,
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<RoutingUpdate | undefined> {
+    const changed = (): boolean =>
+      this.changes.some((change) => change.topic === topic && change.revision > since);
+    if (since < this.historyFrom) return undefined;
+    if (!changed()) await this.waitUntil(changed, waitMs, signal);
+    if (since < this.historyFrom) return undefined;
+    const news = this.changes.filter((change) => change.topic === topic && change.revision > since);
+    return updateAt(this.revision, {
+      routes: topic === 'routes' && news.length > 0 && this.table ? [this.table] : [],
+      backends: news.flatMap(({ backend }) => backend ?? []),
+      removals: news.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
+    });
+  }
+
+  private waitUntil(condition: () => boolean, waitMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.clock.schedule(waitMs, done);
+      const wake = (): void => {
+        if (condition()) done();
+      };
+      const { waiters } = this;
+      function done(): void {
+        timer.cancel();
+        waiters.delete(wake);
+        signal.removeEventListener('abort', done);
+        resolve();
+      }
+      waiters.add(wake);
+      signal.addEventListener('abort', done);
+    });
+  }
+
+  private sleep(delayMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.clock.schedule(delayMs, done);
+      function done(): void {
+        timer.cancel();
+        signal.removeEventListener('abort', done);
+        resolve();
+      }
+      signal.addEventListener('abort', done);
+    });
+  }
+}
+
+function failure(kind: RoutingSourceErrorKind): Result<RoutingUpdate, RoutingSourceError> {
+  return Result.err(new RoutingSourceError(kind, 'simulated'));
+}
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -1,262 +1,19 @@
 /** Daemons that spread knowledge on a virtual clock: a simulated source, a simulated network, and their faults. */
-import Result from 'true-myth/result';
-import { VirtualClock, type Clock } from '../common/clock.js';
-import { seededRandom, type RandomSource } from '../common/random.js';
+import { VirtualClock } from '../common/clock.js';
+import { seededRandom } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import {
-  freshnessTimings,
-  RoutingKnowledge,
-  RoutingSourceError,
-  SourceCircuit,
-  SourceFollower,
-  type RoutedBackend,
-  type RouteTable,
-  type RoutingSource,
-  type RoutingSourceErrorKind,
-  type RoutingTopic,
-  type RoutingUpdate,
-} from '../routing/index.js';
-import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
-import { fetchError, type SpreadingError } from './errors.js';
+import { freshnessTimings, RoutingKnowledge, SourceCircuit, SourceFollower } from '../routing/index.js';
+import { SimulatedPeerNetwork, zoneOf } from './simulated-peer-network.js';
+import { SimulatedSource, type SourceFault } from './simulated-source.js';
 import { Spreader } from './spreader.js';
-import {
-  ROUTING_TOPICS,
-  type DatagramReceiver,
-  type KnownRevisions,
-  type PeerTransport,
-  type StateProvider,
-} from './types.js';
+import { ROUTING_TOPICS } from './types.js';
 
-const ANSWER_MS = 4;
-const HOP_MS = 2;
-const CALL_TIMEOUT_MS = 1_000;
+export type { SourceFault } from './simulated-source.js';
 
 /** The times of all daemons. */
 export const TIMINGS = freshnessTimings(3_000);
 
-/** How the source treats a daemon. */
-export type SourceFault = 'refuse' | 'throttle' | 'silent';
-
-interface LoggedChange {
-  readonly revision: number;
-  readonly topic: RoutingTopic;
-  readonly backend?: RoutedBackend;
-  readonly removed?: string;
-}
-
-/** A source with one counter of revisions, watches, a history that may be lost, and faults for some daemons. */
-export class SimulatedSource {
-  revision = 2;
-  calls = 0;
-  /** Faults by daemon; `*` is for all. */
-  readonly faults = new Map<string, SourceFault>();
-  private table: RouteTable | undefined = tableAt(2);
-  private readonly backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
-  private changes: LoggedChange[] = [];
-  private historyFrom = 0;
-  private readonly waiters = new Set<() => void>();
-
-  constructor(private readonly clock: Clock) {}
-
-  /** The operator has not written any routes yet. */
-  withoutRoutes(): void {
-    this.table = undefined;
-  }
-
-  /** Puts a new table in force; its version is its revision. */
-  changeRoutes(content: Partial<RouteTable> = {}): number {
-    this.revision += 1;
-    this.table = tableAt(this.revision, content);
-    return this.note({ revision: this.revision, topic: 'routes' });
-  }
-
-  changeBackend(id: string, change: Partial<RoutedBackend> = {}): number {
-    this.revision += 1;
-    const backend = backendAt(id, this.revision, change);
-    this.backends.set(id, backend);
-    return this.note({ revision: this.revision, topic: 'backends', backend });
-  }
-
-  removeBackend(id: string): number {
-    this.revision += 1;
-    this.backends.delete(id);
-    return this.note({ revision: this.revision, topic: 'backends', removed: id });
-  }
-
-  /** Forgets every change so far; watches that ask for them are told so. */
-  forgetHistory(): void {
-    this.historyFrom = this.revision;
-    this.changes = [];
-  }
-
-  /** The source as the daemon `id` sees it. */
-  for(id: string): RoutingSource {
-    return {
-      read: (topic, _freshness, signal) => this.call(id, signal, () => Promise.resolve(this.snapshot(topic))),
-      watch: (topic, revision, waitMs, signal) =>
-        this.call(id, signal, () => this.waitForChange(topic, revision, waitMs, signal)),
-    };
-  }
-
-  private note(change: LoggedChange): number {
-    this.changes.push(change);
-    for (const wake of [...this.waiters]) wake();
-    return change.revision;
-  }
-
-  private async call(
-    id: string,
-    signal: AbortSignal,
-    answer: () => Promise<RoutingUpdate | undefined>,
-  ): Promise<Result<RoutingUpdate, RoutingSourceError>> {
-    this.calls += 1;
-    await this.sleep(ANSWER_MS, signal);
-    const fault = this.faultOf(id);
-    if (fault === 'refuse') return failure('routing.unavailable');
-    if (fault === 'throttle') return failure('routing.throttled');
-    if (fault !== 'silent') {
-      const update = await answer();
-      const faultNow = this.faultOf(id);
-      if (faultNow !== 'silent') return update ? Result.ok(update) : failure('routing.history-gone');
-    }
-    await this.sleep(CALL_TIMEOUT_MS, signal);
-    return failure('routing.timeout');
-  }
-
-  private faultOf(id: string): SourceFault | undefined {
-    return this.faults.get(id) ?? this.faults.get('*');
-  }
-
-  private snapshot(topic: RoutingTopic): RoutingUpdate {
-    const { revision } = this;
-    const routes = this.table ? [this.table] : [];
-    if (topic === 'routes') return updateAt(revision, { complete: true, routes });
-    return updateAt(revision, { complete: true, backends: [...this.backends.values()] });
-  }
-
-  private async waitForChange(
-    topic: RoutingTopic,
-    since: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<RoutingUpdate | undefined> {
-    const changed = (): boolean =>
-      this.changes.some((change) => change.topic === topic && change.revision > since);
-    if (since < this.historyFrom) return undefined;
-    if (!changed()) await this.waitUntil(changed, waitMs, signal);
-    if (since < this.historyFrom) return undefined;
-    const news = this.changes.filter((change) => change.topic === topic && change.revision > since);
-    return updateAt(this.revision, {
-      routes: topic === 'routes' && news.length > 0 && this.table ? [this.table] : [],
-      backends: news.flatMap(({ backend }) => backend ?? []),
-      removals: news.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
-    });
-  }
-
-  private waitUntil(condition: () => boolean, waitMs: number, signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = this.clock.schedule(waitMs, done);
-      const wake = (): void => {
-        if (condition()) done();
-      };
-      const { waiters } = this;
-      function done(): void {
-        timer.cancel();
-        waiters.delete(wake);
-        signal.removeEventListener('abort', done);
-        resolve();
-      }
-      waiters.add(wake);
-      signal.addEventListener('abort', done);
-    });
-  }
-
-  private sleep(delayMs: number, signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = this.clock.schedule(delayMs, done);
-      function done(): void {
-        timer.cancel();
-        signal.removeEventListener('abort', done);
-        resolve();
-      }
-      signal.addEventListener('abort', done);
-    });
-  }
-}
-
-function failure(kind: RoutingSourceErrorKind): Result<RoutingUpdate, RoutingSourceError> {
-  return Result.err(new RoutingSourceError(kind, 'simulated'));
-}
-
-/** Transports between daemons, with loss, and cuts between two groups. */
-export class SimulatedPeerNetwork {
-  lossRate = 0;
-  /** Daemons (`host:port`) that reach nobody and are reached by nobody. */
-  readonly cut = new Set<string>();
-  bytes = 0;
-  /** Bytes of states that were fetched. */
-  fetchedBytes = 0;
-  fetchedBytesBetweenZones = 0;
-  private readonly nodes = new Map<string, { receive: DatagramReceiver; provideState: StateProvider }>();
-
-  constructor(
-    private readonly clock: Clock,
-    private readonly random: RandomSource,
-  ) {}
-
-  open(endpoint: Endpoint): PeerTransport {
-    const self = formatEndpoint(endpoint);
-    return {
-      endpoint,
-      send: (to, bytes) => this.deliver(self, endpoint, formatEndpoint(to), bytes),
-      fetch: (from, known) => this.fetch(self, from, known),
-      serve: (receive, provideState) => this.nodes.set(self, { receive, provideState }),
-      close: () => {
-        this.nodes.delete(self);
-        return Promise.resolve();
-      },
-    };
-  }
-
-  close(endpoint: Endpoint): void {
-    this.nodes.delete(formatEndpoint(endpoint));
-  }
-
-  private deliver(self: string, from: Endpoint, to: string, bytes: Uint8Array): void {
-    this.bytes += bytes.length;
-    if (!this.reaches(self, to) || this.random() < this.lossRate) return;
-    this.clock.schedule(HOP_MS * (0.5 + this.random()), () => {
-      if (this.reaches(self, to)) this.nodes.get(to)?.receive(bytes, from);
-    });
-  }
-
-  private async fetch(
-    self: string,
-    from: Endpoint,
-    known: KnownRevisions,
-  ): Promise<Result<Uint8Array, SpreadingError>> {
-    const to = formatEndpoint(from);
-    await new Promise<void>((resolve) => void this.clock.schedule(2 * HOP_MS, resolve));
-    const node = this.reaches(self, to) ? this.nodes.get(to) : undefined;
-    if (!node) return Result.err(fetchError(from, new Error('simulated')));
-    const bytes = node.provideState(known);
-    this.fetchedBytes += bytes.length;
-    if (zoneOf(self) !== zoneOf(to)) this.fetchedBytesBetweenZones += bytes.length;
-    return Result.ok(bytes);
-  }
-
-  private reaches(self: string, to: string): boolean {
-    return !this.cut.has(self) && !this.cut.has(to);
-  }
-}
-
-/** The zone of a daemon, by its `host:port`. */
-function zoneOf(endpoint: string): string {
-  const host = endpoint.split(':')[0] ?? '';
-  return `zone-${Number(host.split('.').at(-1)) % 3}`;
-}
-
 /** One daemon of the cluster. */
 export class SimulatedDaemon {
   readonly knowledge: RoutingKnowledge;
@@ -378,3 +135,27 @@
     return Math.max(...daemons.map(({ knowledge }) => knowledge.age()));
   }
 }
+
+/** A cluster has its readers after this long. */
+export const SETTLE_MS = 4_000;
+
+/** A cluster that has run for `SETTLE_MS`. */
+export async function settled(size: number, seed = 1): Promise<SpreadingCluster> {
+  const cluster = new SpreadingCluster(size, seed);
+  await cluster.clock.advanceAsync(SETTLE_MS, 10);
+  return cluster;
+}
+
+/** Time until every daemon of `daemons` has this version in force. */
+export function timeOfVersion(
+  cluster: SpreadingCluster,
+  version: number,
+  daemons: readonly SimulatedDaemon[] = cluster.daemons,
+): Promise<number> {
+  return cluster.timeUntil(() => daemons.every((daemon) => daemon.version === version), 10_000);
+}
+
+/** Lets the source treat its readers badly. */
+export function faultReaders(cluster: SpreadingCluster, fault: SourceFault): void {
+  for (const { id } of cluster.readers()) cluster.source.faults.set(id, fault);
+}
