--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -35,7 +35,8 @@
 
 /**
  * Binds the sockets, the edge first, and wires everything. Only the first reading of the source runs already, since its answer
- * comes while the rest is wired. `config` is asked anew where a reread may change it. */
+ * comes while the rest is wired. `config` is asked anew where a reread may change it.
+ */
 export async function wireCookieDaemon(
   config: () => CookieDaemonConfig,
   environment: CookieDaemonEnvironment,
