--- a/src/flow/cookie/cookie-forwarder.test.ts
+++ b/src/flow/cookie/cookie-forwarder.test.ts
@@ -2,7 +2,7 @@
 import { backendAt, SERVICE_PORT } from '../../routing/routing-test-support.js';
 import { READS_A_TURN } from '../../common/pause-detector.js';
 import { LAPSED_RECORD_MS, TICK_MS } from './constants.js';
-import { backends, ForwarderHarness } from './cookie-test-support.js';
+import { backends, failOpenings, ForwarderHarness } from './cookie-test-support.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 
 test('a flow that this balancer never saw goes on to the back end that its cookie names', (t) => {
@@ -155,17 +155,6 @@
   t.is(harness.open(3)?.backend, 'a');
 });
 
-/** Opens flows that nobody goes on with, until `count` went to `backend`. */
-function failOpenings(harness: ForwarderHarness, backend: string, count: number, fromPort: number): number[] {
-  const ports: number[] = [];
-  for (let port = fromPort; ports.length < count; port += 1) {
-    const opened = harness.open(port);
-    if (opened?.backend === backend) ports.push(port);
-    else if (opened?.backend) harness.goOn(port, opened.cookie);
-  }
-  return ports;
-}
-
 test('a back end that leaves openings unanswered while others answer gets no more', (t) => {
   const harness = new ForwarderHarness().know(backends(3));
   for (let port = 1; port <= 9; port += 1) harness.establish(port);
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -140,3 +140,19 @@
     }),
   );
 }
+
+/** Opens flows that nobody goes on with, until `count` went to `backend`. */
+export function failOpenings(
+  harness: ForwarderHarness,
+  backend: string,
+  count: number,
+  fromPort: number,
+): number[] {
+  const ports: number[] = [];
+  for (let port = fromPort; ports.length < count; port += 1) {
+    const opened = harness.open(port);
+    if (opened?.backend === backend) ports.push(port);
+    else if (opened?.backend) harness.goOn(port, opened.cookie);
+  }
+  return ports;
+}
--- a/src/flow/cookie/switched-off.test.ts
+++ b/src/flow/cookie/switched-off.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type { Mechanism } from '../../common/mechanisms.js';
 import { TICK_MS } from './constants.js';
-import { backends, ForwarderHarness } from './cookie-test-support.js';
+import { backends, failOpenings, ForwarderHarness } from './cookie-test-support.js';
 
 function harnessWithout(mechanism: Mechanism): ForwarderHarness {
   return new ForwarderHarness(undefined, 1, [mechanism]);
@@ -12,11 +12,7 @@
 function failAt(harness: ForwarderHarness, id: string): void {
   for (let port = 1; port <= 6; port += 1) harness.establish(port);
   harness.clock.advance(10);
-  let failed = 0;
-  for (let port = 100; failed < 2; port += 1) {
-    if (harness.open(port)?.backend === id) failed += 1;
-    else harness.goOn(port, harness.sent.at(-1)!.cookie);
-  }
+  failOpenings(harness, id, 2, 100);
   harness.clock.advance(200);
   harness.establish(900);
   harness.clock.advance(TICK_MS);
