--- a/src/observability/event.ts
+++ b/src/observability/event.ts
@@ -21,6 +21,7 @@
   routing: 2000,
   'cookie-daemon': 2100,
   spreading: 2200,
+  load: 2300,
 } as const;
 
 /** A declared event. */
