--- a/src/load/events.ts
+++ b/src/load/events.ts
@@ -5,13 +5,13 @@
   pageRead: {
     number: 2300,
     level: 'debug',
-    message: 'The call counts of a page of back ends were read',
+    message: 'Call counts of a page of back ends read',
     action: 'none',
   },
   readingFailed: {
     number: 2301,
     level: 'warn',
-    message: 'The call counts of back ends could not be read; placement goes on by own flows alone',
+    message: 'Reading call counts of back ends failed; placement uses own flows alone',
     action: 'none when it is rare; otherwise see the error',
   },
 });
