Say why each caught error may be passed over, and log malformed entries of membership messages

Change: the reason stands at each; the entry is logged with its sender (event of malformed messages). The test failed before: no line.

--- a/src/control/envelope.ts
+++ b/src/control/envelope.ts
@@ -79,6 +79,7 @@
   try {
     return Envelope.decode(body) as sailquay.control.Envelope;
   } catch {
+    // The channel counts envelopes that cannot be decoded as malformed.
     return undefined;
   }
 }
--- a/src/experiment/backend-processes.ts
+++ b/src/experiment/backend-processes.ts
@@ -41,6 +41,7 @@
     try {
       return (await Promise.all(this.controls.map(get))) as BackendStandinReport[];
     } catch {
+      // A stand-in that is paused or gone; the caller reports that totals are missing.
       return undefined;
     }
   }
--- a/src/experiment/forwarding/daemon-group.ts
+++ b/src/experiment/forwarding/daemon-group.ts
@@ -40,6 +40,7 @@
   try {
     return (await fetch(`http://${formatEndpoint(daemon.admin)}/readyz`)).ok;
   } catch {
+    // Not listening yet; the caller asks again.
     return false;
   }
 }
--- a/src/experiment/forwarding/process-time.ts
+++ b/src/experiment/forwarding/process-time.ts
@@ -14,6 +14,7 @@
     const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
     return (Number(fields[USER_FIELD]) + Number(fields[SYSTEM_FIELD])) / TICKS_PER_SECOND;
   } catch {
+    // The process has ended, or this system has no /proc; the report then shows no time for it.
     return undefined;
   }
 }
--- a/src/experiment/process-launcher.ts
+++ b/src/experiment/process-launcher.ts
@@ -180,6 +180,7 @@
     const parsed = JSON.parse(line) as ReadyLine;
     return parsed.ready === true ? parsed : undefined;
   } catch {
+    // A line of the log that begins with a brace, or one that is not whole yet.
     return undefined;
   }
 }
--- a/src/health/probe.ts
+++ b/src/health/probe.ts
@@ -76,6 +76,7 @@
     if (!isCount(openFlows) || !isCount(capacity)) return undefined;
     return { openFlows, busySlots: isCount(busySlots) ? busySlots : 0, capacity };
   } catch {
+    // Not JSON: the back end tells no load, as its health view then shows.
     return undefined;
   }
 }
--- a/src/membership/quorum-lease.ts
+++ b/src/membership/quorum-lease.ts
@@ -56,6 +56,7 @@
     const { lease } = this;
     this.lease = undefined;
     this.lastAnswer = this.platform ? 'unknown' : 'unavailable';
+    // A lease that could not be released runs out by itself.
     if (lease) void this.platform?.releaseLease(lease).catch(() => undefined);
   }
 
--- a/src/membership/swim-membership.test.ts
+++ b/src/membership/swim-membership.test.ts
@@ -1,9 +1,11 @@
 import test from 'ava';
 import { Subject } from '../common/event-stream.js';
+import { hashString } from '../common/hash.js';
 import type { EventDefinition } from '../observability/event.js';
 import { measureMembershipCost } from './cost-model.js';
 import { MEMBERSHIP_EVENTS } from './events.js';
 import { SimulatedCluster, type SimulatedMember } from './simulated-cluster.js';
+import { encodeMessage, MessageType } from './wire.js';
 
 /** Ids of the members that own shards in a member's view. */
 function owners(member: SimulatedMember): string[] {
@@ -262,3 +264,24 @@
   cluster.clock.advance(10_000);
   t.deepEqual(seen, [MEMBERSHIP_EVENTS.memberSuspect, MEMBERSHIP_EVENTS.memberFailed]);
 });
+
+test('a malformed entry is logged with its sender, and the rest of its message is used', (t) => {
+  const logged: string[] = [];
+  const cluster = new SimulatedCluster({
+    size: 2,
+    events: (memberId) => ({
+      emit: ({ number }: EventDefinition, fields = {}) => {
+        const { badMessage } = MEMBERSHIP_EVENTS;
+        if (number === badMessage.number) logged.push(`${memberId} from ${String(fields['member'])}`);
+      },
+    }),
+  });
+  cluster.start(3_000);
+  const [sender, receiver] = [...cluster.members.values()] as [SimulatedMember, SimulatedMember];
+  const entries = [Uint8Array.of(0xff, 0xff, 0xff)];
+  const payload = encodeMessage({ type: MessageType.GOSSIP, regionHash: hashString('simulated'), entries });
+  sender.channel.send(receiver.endpoint, 'membership', payload);
+  cluster.clock.advance(50);
+  t.deepEqual(logged, [`${receiver.id} from ${sender.id}`]);
+  t.true(converged(cluster));
+});
--- a/src/membership/swim-membership.ts
+++ b/src/membership/swim-membership.ts
@@ -221,6 +221,7 @@
     for (const bytes of message.entries) {
       const news = decodeEntry(bytes, hashString);
       if (news) this.receiveNews(news, inbound.from);
+      else this.events.emit(MEMBERSHIP_EVENTS.badMessage, { member: inbound.senderId });
     }
     this.noteSender(senderHash, inbound, message);
     this.dispatch(senderHash, inbound.from, message, this.counts.refutations > refutations);
--- a/src/membership/wire.ts
+++ b/src/membership/wire.ts
@@ -43,6 +43,7 @@
   try {
     return MembershipMessage.decode(payload) as WireMessage;
   } catch {
+    // The receiver logs malformed messages with their sender.
     return undefined;
   }
 }
@@ -78,6 +79,7 @@
   try {
     entry = MemberEntry.decode(bytes) as sailquay.membership.MemberEntry;
   } catch {
+    // The receiver logs it and uses the other entries of the message.
     return undefined;
   }
   const lifecycle = LIFECYCLES[entry.state & LIFECYCLE_MASK];
--- a/src/observability/explain-flow.ts
+++ b/src/observability/explain-flow.ts
@@ -41,6 +41,7 @@
     const complete = typeof value?.event === 'number' && typeof value.time === 'string';
     return complete && typeof value.member === 'string' ? (value as LogLine) : undefined;
   } catch {
+    // A log may hold lines of other programs, and a last line that was cut off; the flow's own lines are looked for.
     return undefined;
   }
 }
--- a/src/standin/fabric/balancer-rotation.ts
+++ b/src/standin/fabric/balancer-rotation.ts
@@ -27,6 +27,7 @@
     await answer.body.dump();
     return answer.statusCode === 200;
   } catch {
+    // No answer in time is a missed check, whatever the reason.
     return false;
   }
 }
