Name at most 128 busy back ends in a load report

Cause: found on reading the diff: a page of 500 back ends can have some 200 above the level; with the rest of the message that comes near or beyond a datagram of 1,400 bytes, and only route changes are left out of a message that is too long. Change: the busiest 128.

--- a/src/load/call-rates.ts
+++ b/src/load/call-rates.ts
@@ -1,6 +1,6 @@
 /** Rates of calls, from counts that back ends write to the source about once a second. */
 import { hashString } from '../common/hash.js';
-import { BUSY_LEVEL, RATE_SHARE, TAG_MASK } from './constants.js';
+import { BUSY_LEVEL, MAX_REPORTED, RATE_SHARE, TAG_MASK } from './constants.js';
 import type { BackendCallCount, BusyBackend } from './types.js';
 
 const MS_A_SECOND = 1_000;
@@ -26,7 +26,7 @@
     this.known = known;
   }
 
-  /** Back ends above `BUSY_LEVEL` times the mean rate of their service. */
+  /** Back ends above `BUSY_LEVEL` times the mean rate of their service, the busiest first, `MAX_REPORTED` at the most. */
   busy(): BusyBackend[] {
     const means = this.meanRates();
     const busy: BusyBackend[] = [];
@@ -35,7 +35,7 @@
       if (rate === undefined || mean === 0 || rate <= mean * BUSY_LEVEL) continue;
       busy.push({ tag: hashString(count.id) & TAG_MASK, level: rate / mean });
     }
-    return busy;
+    return busy.sort((left, right) => right.level - left.level).slice(0, MAX_REPORTED);
   }
 
   private rateOf({ id, calls, capacity }: BackendCallCount, nowMs: number): number | undefined {
--- a/src/load/constants.ts
+++ b/src/load/constants.ts
@@ -15,6 +15,12 @@
 /** A back end counts as busy above this multiple of its service's mean rate; less is chance at a few calls a second. */
 export const BUSY_LEVEL = 1.1;
 
+/**
+ * Back ends named in one report, the busiest first. Each takes up to 5 bytes, so that a report and the rest of its message stay
+ * within a datagram of 1,400 bytes; a page of 500 back ends has about 200 above the level.
+ */
+export const MAX_REPORTED = 128;
+
 /** A report is used for this many readings of its page: one may be lost, and one may have returned an old list. */
 export const VALID_READINGS = 3;
 
--- a/src/load/load.test.ts
+++ b/src/load/load.test.ts
@@ -6,7 +6,7 @@
 import { SILENT_EVENT_LOG } from '../observability/event.js';
 import { RoutingSourceError } from '../routing/index.js';
 import { CallRates } from './call-rates.js';
-import { LOAD_READ_INTERVAL_MS, LOAD_STEP_MS, TAG_MASK } from './constants.js';
+import { LOAD_READ_INTERVAL_MS, LOAD_STEP_MS, MAX_REPORTED, TAG_MASK } from './constants.js';
 import { LoadReader } from './load-reader.js';
 import { LoadView } from './load-view.js';
 import type { BackendCallCount, CallCountPage, LoadReport } from './types.js';
@@ -52,6 +52,20 @@
   t.deepEqual(rates.busy(), []);
 });
 
+test('a report of a full page names the busiest back ends only', (t) => {
+  const rates = new CallRates();
+  const ids = Array.from({ length: 500 }, (_, index) => `i-${index}`);
+  for (const round of [0, 1]) {
+    rates.note(
+      ids.map((id, index) => countOf(id, index * round)),
+      round * 2_000,
+    );
+  }
+  const busy = rates.busy();
+  t.is(busy.length, MAX_REPORTED);
+  t.is(busy[0]?.tag, tagOf('i-499'));
+});
+
 test('a report is used until it is too old, and only one that is clearly newer replaces it', (t) => {
   const view = new LoadView();
   t.false(view.isKnown(0));
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -66,7 +66,7 @@
 /** Suspected back ends told about in one message. */
 export const SUSPICIONS_A_MESSAGE = 8;
 
-/** Load reports in one message: those of two pages of 500 back ends leave room in a datagram. */
+/** Load reports in one message: one of `MAX_REPORTED` back ends takes about half of a datagram. */
 export const LOADS_A_MESSAGE = 1;
 
 /** Peers told about in one message. */
--- /dev/null
+++ b/src/spreading/load-report-size.test.ts
@@ -0,0 +1,30 @@
+/** A message with the largest load report fits into one datagram. */
+import test from 'ava';
+import { MAX_REPORTED, TAG_MASK } from '../load/constants.js';
+import { MAX_DATAGRAM_BYTES, READERS_A_MESSAGE, SUSPICIONS_A_MESSAGE } from './constants.js';
+import { encodePeerMessage } from './message-codec.js';
+import type { PeerMessage } from './types.js';
+
+/** Room for what the message below leaves out: five peers and two confirmations. */
+const REST_BYTES = 200;
+
+test('the largest report leaves room for the rest of its message', (t) => {
+  const message: PeerMessage = {
+    ...{ type: 'news', senderId: 'frontend-halle-mitte-100', senderZone: 'halle-mitte', leaving: false },
+    ...{ proofs: {}, peers: [], updates: [], departedCount: 200, tableRevision: 1_000_000 },
+    readers: Array.from({ length: READERS_A_MESSAGE + 1 }, (_, index) => ({
+      ...{ id: `frontend-halle-mitte-10${index}`, provedAtMs: 0 },
+    })),
+    suspicions: Array.from({ length: SUSPICIONS_A_MESSAGE }, (_, index) => ({
+      ...{ backendId: `i-012345678${index}`, atMs: 0 },
+    })),
+    loads: [
+      {
+        ...{ page: 12, measuredAtMs: 0, validMs: 78_000 },
+        busy: Array.from({ length: MAX_REPORTED }, (_, index) => ({ tag: TAG_MASK - index, level: 20 })),
+      },
+    ],
+  };
+  const { length } = encodePeerMessage(message, 60_000);
+  t.true(length <= MAX_DATAGRAM_BYTES - REST_BYTES, `${length} bytes`);
+});
