--- a/src/flow/cookie/cookie-parts.test.ts
+++ b/src/flow/cookie/cookie-parts.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { VirtualClock } from '../../common/clock.js';
-import { combine32 } from '../../common/hash.js';
+import { combine32, hashString } from '../../common/hash.js';
 import { seededRandom } from '../../common/random.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
 import { BackendRegistry, type KnownBackend, type Route } from '../../routing/index.js';
@@ -145,6 +145,24 @@
   t.is(choices(), 0, 'fewer own flows go before what is reported');
 });
 
+test('balancers that know the same report choose equally, so that copies of a SYN meet one back end', (t) => {
+  const ids = Array.from({ length: 40 }, (_, index) => `b-${index}`);
+  const all = known(...ids);
+  const busy = new Set(ids.slice(0, 16).map((id) => hashString(id)));
+  const loads = { isKnown: () => true, levelOf: (idHash: number) => (busy.has(idHash) ? 1.3 : 1) };
+  const chooser = (): ((flow: number) => string) => {
+    const states = new Map(all.map((backend) => [backend, new BackendState(backend)]));
+    const placement = new OpeningPlacement({ zone: 'north', zoneMargin: 0.5, loads });
+    return (flow) =>
+      placement.choose({
+        ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
+        ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
+      })!.state.backend.id;
+  };
+  const [first, second] = [chooser(), chooser()];
+  for (let flow = 0; flow < 200; flow += 1) t.is(first(flow), second(flow));
+});
+
 test('the own zone goes first within the margin only', (t) => {
   const all = known('near', 'far');
   all[1]!.record = backendAt('far', 9, { zone: 'south' });
