--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -1,6 +1,6 @@
 /**
- * Which back ends get more calls than others, counted by the back ends themselves: read by the few daemons that read the source
- * and told to all, so that a daemon that places one flow in a hundred knows of the others.
+ * Load reports: which back ends get more calls than others, by their own counts. The few daemons that watch the source read the
+ * counts and gossip the busy ones, so that a daemon that assigns one flow in a hundred also knows of the other flows.
  */
 export type * from './types.js';
 export { LOAD_MIN_DAEMONS } from './constants.js';
--- a/src/load/load-reader.ts
+++ b/src/load/load-reader.ts
@@ -1,6 +1,6 @@
 /**
- * The task by which a reader of the source finds out which back ends are busy: it reads one page of their call counts at a
- * time, as of some seconds ago at the worst, and reports the page. A failed reading is left out: the next one comes soon.
+ * The task in which a reader of the source finds the busy back ends: it reads one page of call counts at a time, which may be
+ * some seconds old, and reports that page. A failed call is logged and not retried: the next one follows in 2 s.
  */
 import type { Clock } from '../common/clock.js';
 import { pause } from '../common/pause.js';
--- a/src/load/load-view.ts
+++ b/src/load/load-view.ts
@@ -26,7 +26,7 @@
 export class LoadView implements LoadLevels {
   private readonly pages = new Map<number, KnownReport>();
 
-  /** Takes a report in; false when one of that page is known that is about as new, so that this one need not travel on. */
+  /** Stores a report; false when the one stored for that page is about as new, so that this one need not be passed on. */
   accept({ page, measuredAtMs, validMs, busy }: LoadReport): boolean {
     const known = this.pages.get(page);
     if (known && measuredAtMs - known.measuredAtMs < LOAD_STEP_MS) return false;
--- a/src/spreading/fleet-size.ts
+++ b/src/spreading/fleet-size.ts
@@ -1,7 +1,7 @@
 /**
- * Estimates how many daemons there are from the smallest hashes among them (a k-minimum-values sketch). A daemon remembers
- * only some of its peers, but all can remember the same few: those with the smallest hashes. The denser these lie, the more
- * daemons there must be.
+ * Estimates the number of daemons by a k-minimum-values sketch. A daemon remembers only some of its peers, but all daemons can
+ * remember the same few: those whose addresses have the smallest hashes. The smaller the k-th smallest hash, the more daemons
+ * there are.
  */
 import { combine32, hashString } from '../common/hash.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
--- a/src/spreading/message-composer.ts
+++ b/src/spreading/message-composer.ts
@@ -1,4 +1,4 @@
-/** Composes this daemon's messages: what it knows and how old that is, who reads the source, peers, suspected back ends. */
+/** Composes gossip messages: revisions and their freshness, changes, readers of the source, peers, suspected and busy back ends. */
 import type { Clock } from '../common/clock.js';
 import type { LoadReport } from '../load/index.js';
 import type { RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
@@ -25,7 +25,7 @@
 export class MessageComposer {
   /** Monotonic ms of the last proof that this daemon read itself. */
   private ownProofMs = Number.NEGATIVE_INFINITY;
-  /** Load reports that were not told on yet. */
+  /** Load reports that were not passed on yet. */
   private loads: readonly LoadReport[] = [];
 
   constructor(private readonly options: MessageComposerOptions) {}
@@ -72,14 +72,14 @@
     return this.message('state', updates);
   }
 
-  /** News without changes that a push sends: load reports travel with them, once from each daemon. */
+  /** A push without changes. Load reports are added to it, each once by each daemon. */
   proofNews(): PeerMessage {
     const { loads } = this;
     this.loads = [];
     return { ...this.news(), loads };
   }
 
-  /** Notes a report that is to travel with the next proofs, in place of an older one of its page. */
+  /** Adds a report to the next push without changes, in place of an older one of its page. */
   noteLoad(report: LoadReport): void {
     this.loads = [...this.loads.filter(({ page }) => page !== report.page), report].slice(-LOADS_A_MESSAGE);
   }
--- a/src/spreading/peer-view.ts
+++ b/src/spreading/peer-view.ts
@@ -105,8 +105,8 @@
   }
 
   /**
-   * Up to `count` random peers to tell others about, and one of those by which the fleet's size is estimated, so that everybody
-   * goes on hearing of them. A small fleet hears of all without it.
+   * Up to `count` random peers to include in a message, and one of the sketch, so that all daemons keep the same sketch. While
+   * the sketch holds the whole fleet, the random peers suffice.
    */
   introduce(count: number): Peer[] {
     const chosen = this.sample(count);
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -53,7 +53,7 @@
   readonly recordsMayLapse: () => boolean;
   /** Mechanisms that are on; all unless given. */
   readonly isOn?: MechanismCheck;
-  /** Takes in a report of the back ends' load; true when it was new here, so that it is passed on. */
+  /** Stores a report of the back ends' load; true when it was new here, so that it is passed on. */
   readonly noteLoad?: (report: LoadReport) => boolean;
   /** Takes in what another daemon found; true when it was new here, so that it is passed on. */
   readonly noteSuspicion?: (suspicion: BackendSuspicion) => boolean;
@@ -171,7 +171,7 @@
     this.sender.push(this.composer.news());
   }
 
-  /** Takes in a report of the back ends' load; it is told to others together with the next proofs. */
+  /** Takes in a report of the back ends' load; if it is new here, the next push without changes carries it. */
   tellLoad(report: LoadReport): void {
     if (this.options.noteLoad?.(report)) this.composer.noteLoad(report);
   }
