Use one wait that ends with its caller

Cause: found on rereading the whole change: src/common/pause.ts, taken out of the source follower for the load reader, says again what src/store/watch.ts had, and lacks one thing of it: with a signal that has aborted already it waited its whole time. Ruled out: joining it with the wait of daemon/drain.ts, which has no signal, and those of tests and tools, which have no clock. Change: the store's form stands in src/common; the store, its stand-in, dissemination, the follower and the load reader call it. Conclusion: one copy.

--- a/src/common/pause.ts
+++ b/src/common/pause.ts
@@ -1,15 +1,16 @@
 /** A wait that ends early when its caller is ended. */
 import type { Clock } from './clock.js';
 
-/** Resolves after `waitMs` on `clock`, or when `signal` aborts. */
-export function pause(clock: Clock, waitMs: number, signal: AbortSignal): Promise<void> {
+/** Resolves after `waitMs` on `clock`, or when `signal` aborts; at once when it has aborted before. */
+export function pause(clock: Clock, waitMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
-    const timer = clock.schedule(waitMs, done);
-    function done(): void {
+    const done = (): void => {
       timer.cancel();
-      signal.removeEventListener('abort', done);
+      signal?.removeEventListener('abort', done);
       resolve();
-    }
-    signal.addEventListener('abort', done);
+    };
+    const timer = clock.schedule(waitMs, done);
+    if (signal?.aborted) return done();
+    signal?.addEventListener('abort', done, { once: true });
   });
 }
--- a/src/dissemination/store-reader.ts
+++ b/src/dissemination/store-reader.ts
@@ -6,7 +6,8 @@
 import { jitter, type RandomSource } from '../common/random.js';
 import type { MembershipFeed } from '../membership/types.js';
 import type { EventLog } from '../observability/event.js';
-import { pause, type Lease, type StoreClient, type StoredObject } from '../store/index.js';
+import { pause } from '../common/pause.js';
+import type { Lease, StoreClient, StoredObject } from '../store/index.js';
 import {
   CANDIDATE_PAUSE_MS,
   PAUSE_SPREAD,
--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -9,7 +9,8 @@
   versionConflict,
   type StoreError,
 } from '../../store/errors.js';
-import { pause, trustedDurationMs } from '../../store/index.js';
+import { pause } from '../../common/pause.js';
+import { trustedDurationMs } from '../../store/index.js';
 import type { Lease, MachineEntry, StoreClient, StoredObject } from '../../store/types.js';
 import { LeaseTable } from './lease-table.js';
 import { MachineList } from './machine-list.js';
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -5,6 +5,7 @@
 import Result from 'true-myth/result';
 import type { z } from 'zod';
 import type { Clock } from '../common/clock.js';
+import { pause } from '../common/pause.js';
 import { jitter, type RandomSource } from '../common/random.js';
 import type { EventLog } from '../observability/event.js';
 import { CircuitBreaker, type CircuitState } from './circuit-breaker.js';
@@ -14,7 +15,7 @@
 import { STORE_EVENTS } from './events.js';
 import { PlatformTransport, type Exchange, type ExchangeOutcome } from './transport.js';
 import type { Lease, MachineEntry, StoreClient, StoredObject } from './types.js';
-import { pause, watchObject } from './watch.js';
+import { watchObject } from './watch.js';
 import * as wire from './wire.js';
 
 /** Settings of a client; times in ms, defaults in constants.ts. */
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -16,5 +16,4 @@
 export { CALLER_HEADER, LEASE_MARGIN_MS, WATCH_HEARTBEAT_MS } from './constants.js';
 export { StoreError, type StoreErrorKind } from './errors.js';
 export { STORE_EVENTS } from './events.js';
-export { pause } from './watch.js';
 export type { Lease, MachineEntry, StoreClient, StoredObject } from './types.js';
--- a/src/store/watch.ts
+++ b/src/store/watch.ts
@@ -2,6 +2,7 @@
 import { pipeline, type Readable } from 'node:stream';
 import { constants, createGunzip } from 'node:zlib';
 import type { Clock } from '../common/clock.js';
+import { pause } from '../common/pause.js';
 import { jitter, type RandomSource } from '../common/random.js';
 import type { EventLog } from '../observability/event.js';
 import type { CircuitBreaker } from './circuit-breaker.js';
@@ -21,20 +22,6 @@
   readonly silenceMs: number;
 }
 
-/** Resolves after `delayMs` or when the signal aborts. */
-export function pause(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const done = (): void => {
-      timer.cancel();
-      signal?.removeEventListener('abort', done);
-      resolve();
-    };
-    const timer = clock.schedule(delayMs, done);
-    if (signal?.aborted) return done();
-    signal?.addEventListener('abort', done, { once: true });
-  });
-}
-
 /** Yields the object's newest version whenever it rises above `afterVersion`, until `signal` aborts. */
 export async function* watchObject<T>(
   context: WatchContext,
