--- a/src/common/mechanisms.ts
+++ b/src/common/mechanisms.ts
@@ -34,6 +34,8 @@
   'last-wave',
   /** Who lags gets the changes that it lacks; otherwise everything. */
   'change-log',
+  /** Topics that seldom change are watched less often; answers about another topic confirm them. */
+  'long-watches',
   /** Daemons without a proof ask the source in turns. */
   'asking-turns',
 ] as const;
--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -43,15 +43,17 @@
   environment: CookieDaemonEnvironment,
 ): Promise<CookieDaemonComponents> {
   const { clock, random, events, adapters } = environment;
-  const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs, changeBoundsMs } = config();
+  const { id, data, source: address, control, zone, zoneMargin, maxFlowAgeMs } = config();
+  const { changeBoundsMs, cordonBoundMs, zoneRegions, coldOverage: overage, coldSlack: slack } = config();
   const isOn = allBut(config().switchedOff);
   const gate = new EdgeGate({ clock, events, isOn });
   const pauses = new PauseDetector(clock.now(), TICK_MS);
   const edge = await adapters.openEdge({ data, handler: gate, events, clock });
   gate.attach(edge);
   const retentionMs = isOn('departed-backends') ? maxFlowAgeMs : 0;
-  const knowledge = new RoutingKnowledge({ clock, events, retentionMs });
-  const timings = freshnessTimings(Math.min(...changeBoundsMs));
+  const followsCordons = cordonBoundMs !== undefined;
+  const knowledge = new RoutingKnowledge({ clock, events, retentionMs, followsCordons });
+  const timings = freshnessTimings(Math.min(...changeBoundsMs, cordonBoundMs ?? Infinity));
   const circuit = new SourceCircuit(clock, random, events);
   const source = adapters.createSource(address, clock);
   const loads = new LoadView();
@@ -60,11 +62,14 @@
     isWanted: () => isOn('reported-load') && !circuit.isLost && spreader.fleetSize >= LOAD_MIN_DAEMONS,
     onReport: (report) => spreader.tellLoad(report),
   });
-  const following = { clock, source, knowledge, circuit, timings, onProof: () => spreader.noteOwnProof() };
+  const following = {
+    ...{ clock, source, knowledge, circuit, timings, usesLongWatches: isOn('long-watches') },
+    onProof: () => spreader.noteOwnProof(),
+  };
   const reading = new SourceReading(following, loadReader);
   reading.readFirst();
   const transport = await NetworkTransport.open(control, events);
-  const spreader = new Spreader({
+  const spreader: Spreader = new Spreader({
     ...{ selfId: id, zone, seeds: () => seedsOf(config()), transport, knowledge, clock, random, events },
     ...{ timings, isOn },
     setReading: (isReading) => reading.set(isReading),
@@ -75,9 +80,11 @@
     noteSuspicion: ({ backendId, atMs }) => forwarder.noteSuspicion(backendId, atMs),
   });
   circuit.retryNoSoonerThan(() => spreader.leastRetryMs());
-  const forwarder = new CookieForwarder({
+  const forwarder: CookieForwarder = new CookieForwarder({
     ...{ clock, random, events, knowledge, edge, pauses, zone, zoneMargin, maxFlowAgeMs, isOn, loads },
     maxFlows: () => config().limits.maxFlows,
+    regionOf: (name) => zoneRegions[name],
+    cold: { overage, slack, isOwner: (backendId, count) => spreader.isOwner(backendId, count) },
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
   openWhenComplete(gate, knowledge, forwarder);
--- a/src/cookie-daemon/config.ts
+++ b/src/cookie-daemon/config.ts
@@ -54,6 +54,13 @@
   source: otherAddress,
   /** Each kind of change must be in force everywhere this many ms after it was made; the tightest bound counts. */
   changeBoundsMs: z._default(z.array(milliseconds).check(z.minLength(1)), [DEFAULT_FRESHNESS_BOUND_MS]),
+  /** A cordon must be in force everywhere this many ms after it was made; cordons are not followed unless it is given. */
+  cordonBoundMs: z.optional(milliseconds),
+  /** Region of each zone. Needed where routes are limited to regions: a back end of an unlisted zone serves none of these. */
+  zoneRegions: z._default(z.record(z.string(), z.string()), {}),
+  /** See `ColdAdmission`. */
+  coldOverage: z._default(z.number().check(z.positive()), defaults.DEFAULT_COLD_OVERAGE),
+  coldSlack: z._default(z.number().check(z.nonnegative()), defaults.DEFAULT_COLD_SLACK),
   /** Longest life of a flow, in ms. */
   maxFlowAgeMs: z._default(milliseconds, defaults.DEFAULT_MAX_FLOW_AGE_MS),
   /** See `OpeningPlacement`; 0 turns the preference of the own zone off. */
--- a/src/cookie-daemon/constants.ts
+++ b/src/cookie-daemon/constants.ts
@@ -31,5 +31,12 @@
 /** Later a SYN may have waited in the socket for a moment before it was read; it is placed within this time after that. */
 export const MAX_HELD_SYN_AFTER_READ_MS = 50;
 
+/**
+ * All balancers together may send a cold back end its rate times the overage, plus the slack, within any second, unless the
+ * deployment says otherwise.
+ */
+export const DEFAULT_COLD_OVERAGE = 1.5;
+export const DEFAULT_COLD_SLACK = 5;
+
 /** Flows that a back end of another zone must have less, for each unit of capacity, to be preferred. */
 export const DEFAULT_ZONE_MARGIN = 0.5;
--- a/src/cookie-daemon/cookie-daemon.ts
+++ b/src/cookie-daemon/cookie-daemon.ts
@@ -39,8 +39,11 @@
   readiness(): Readiness {
     const reasons: string[] = [];
     if (this.stopped) reasons.push('stopping');
-    if (!this.components.knowledge.routes()) reasons.push('no routes');
-    if (this.components.knowledge.revisionOf('backends') < 0) reasons.push('no back ends');
+    const { knowledge } = this.components;
+    if (!knowledge.routes()) reasons.push('no routes');
+    for (const topic of knowledge.topics) {
+      if (topic !== 'routes' && knowledge.revisionOf(topic) < 0) reasons.push(`no ${topic}`);
+    }
     return { ready: reasons.length === 0, reasons };
   }
 
--- a/src/cookie-daemon/source-reading.ts
+++ b/src/cookie-daemon/source-reading.ts
@@ -1,10 +1,8 @@
 /** Reads the source once at the start, and starts and stops the tasks that follow it and that read the back ends' load. */
 import type { LoadReader } from '../load/index.js';
-import { SourceFollower, type RoutingTopic } from '../routing/index.js';
+import { SourceFollower } from '../routing/index.js';
 import type { SourceFollowerOptions } from '../routing/source-follower.js';
 
-const TOPICS: readonly RoutingTopic[] = ['routes', 'backends'];
-
 /** See the module. */
 export class SourceReading {
   private readonly followers: readonly SourceFollower[];
@@ -15,7 +13,7 @@
     private readonly options: SourceFollowerOptions,
     private readonly loads: LoadReader,
   ) {
-    this.followers = TOPICS.map((topic) => new SourceFollower(topic, options));
+    this.followers = options.knowledge.topics.map((topic) => new SourceFollower(topic, options));
   }
 
   /** Calls to the source since start. */
--- a/src/cookie-daemon/status.ts
+++ b/src/cookie-daemon/status.ts
@@ -4,7 +4,9 @@
 import type { RoutingTopic } from '../routing/index.js';
 import type { CookieDaemonComponents } from './components.js';
 
+/** In a second. */
 const MICROSECONDS = 1_000_000;
+const MILLISECONDS = 1_000;
 
 /** Back ends by condition. */
 interface BackendCounts extends Readonly<Record<string, number>> {
@@ -19,7 +21,8 @@
   readonly routesVersion: number | undefined;
   readonly backends: BackendCounts;
   readonly openFlows: number;
-  readonly knowledgeAgeMs: Readonly<Record<RoutingTopic, number>>;
+  readonly cordonedZones: readonly string[];
+  readonly knowledgeAgeMs: Readonly<Partial<Record<RoutingTopic, number>>>;
   readonly sourceLost: boolean;
   readonly sourceReader: boolean;
   readonly peers: number;
@@ -32,10 +35,8 @@
     routesVersion: knowledge.routes()?.table.version,
     backends: countBackends(components),
     openFlows: forwarder.flowCount,
-    knowledgeAgeMs: {
-      routes: Math.round(knowledge.ageOf('routes')),
-      backends: Math.round(knowledge.ageOf('backends')),
-    },
+    cordonedZones: knowledge.cordons.all().map(({ zone }) => zone),
+    knowledgeAgeMs: agesOf(components, (ageMs) => Math.round(ageMs)),
     sourceLost: circuit.isLost,
     sourceReader: spreader.isReading,
     peers: spreader.peerCount,
@@ -83,7 +84,13 @@
     counter('backend_ejections_total', 'Back ends ejected', (parts) => parts.forwarder.ejections),
     gauge('backends', 'Back ends, by condition', (parts) => countBackends(parts), 'condition'),
     gauge('routes_version', 'Version of the routes in force', (p) => p.knowledge.routes()?.table.version),
-    gauge('knowledge_age_seconds', 'Time since nothing newer was proved', (p) => ages(p), 'topic'),
+    gauge(
+      'knowledge_age_seconds',
+      'Time since nothing newer was proved',
+      (p) => agesOf(p, (ageMs) => ageMs / MILLISECONDS),
+      'topic',
+    ),
+    gauge('cordoned_zones', 'Zones that get no new flows', (p) => p.knowledge.cordons.all().length),
     gauge('source_lost', '1 while the source is out of reach', (parts) => Number(parts.circuit.isLost)),
     counter('source_calls_total', 'Calls to the source', (parts) => parts.reading.calls),
     gauge('source_reader', '1 while this daemon reads the source', (p) => Number(p.spreader.isReading)),
@@ -110,8 +117,12 @@
   return counts;
 }
 
-function ages({ knowledge }: CookieDaemonComponents): Readonly<Record<RoutingTopic, number>> {
-  return { routes: knowledge.ageOf('routes') / 1_000, backends: knowledge.ageOf('backends') / 1_000 };
+/** Age of each topic that is followed, in the unit that `convert` makes of milliseconds. */
+function agesOf(
+  { knowledge }: CookieDaemonComponents,
+  convert: (ageMs: number) => number,
+): Readonly<Partial<Record<RoutingTopic, number>>> {
+  return Object.fromEntries(knowledge.topics.map((topic) => [topic, convert(knowledge.ageOf(topic))]));
 }
 
 function cpuSeconds(): number {
--- /dev/null
+++ b/src/flow/cookie/backend-eligibility.test.ts
@@ -0,0 +1,185 @@
+/** Back ends that may get no new flow, whatever their load and health. */
+import test from 'ava';
+import { VirtualClock } from '../../common/clock.js';
+import { seededRandom } from '../../common/random.js';
+import type { RoutedBackend } from '../../routing/index.js';
+import { backendAt, SERVICE_ADDRESS, SERVICE_PORT } from '../../routing/routing-test-support.js';
+import { ColdAdmission } from './cold-admission.js';
+import { backends, failOpenings, ForwarderHarness, type HarnessSurroundings } from './cookie-test-support.js';
+
+const COLD_MS = 2_000;
+
+/** Back ends `a`, `b`, ... in the given zones. */
+function inZones(...zones: readonly string[]): RoutedBackend[] {
+  return backends(zones.length).map((backend, index) => ({ ...backend, zone: zones[index] as string }));
+}
+
+function harnessOf(surroundings: HarnessSurroundings): ForwarderHarness {
+  return new ForwarderHarness(new VirtualClock(), 1, [], surroundings);
+}
+
+/** Back ends that `count` new flows get; undefined for a reset. */
+function targetsOf(harness: ForwarderHarness, count: number, fromPort = 50_000): (string | undefined)[] {
+  return Array.from({ length: count }, (_unused, index) => harness.open(fromPort + index)?.backend);
+}
+
+test('no new flow goes to a cordoned zone, and the zone gets flows again when that is taken back', (t) => {
+  const harness = new ForwarderHarness().know(inZones('north', 'south', 'south'));
+  harness.cordon(['north'], 11);
+  t.false(targetsOf(harness, 30).includes('a'));
+  harness.cordon([], 12);
+  t.true(targetsOf(harness, 30, 51_000).includes('a'));
+});
+
+test('open flows at a back end of a cordoned zone go on', (t) => {
+  const harness = new ForwarderHarness().know(inZones('north'));
+  const { cookie } = harness.establish(40_002);
+  harness.cordon(['north'], 11);
+  t.is(harness.goOn(40_002, cookie)?.backend, 'a');
+});
+
+test('a copy of a SYN goes where the first one went, though its zone was cordoned meanwhile', (t) => {
+  const harness = new ForwarderHarness().know(inZones('north', 'south'));
+  const first = harness.open(40_002)?.backend;
+  harness.cordon([first === 'a' ? 'north' : 'south'], 11);
+  t.is(harness.open(40_002, 1)?.backend, first);
+});
+
+/** What is left where every back end outside of the cordoned zone cannot serve. */
+const LEFT: readonly (readonly [string, (harness: ForwarderHarness) => void])[] = [
+  ['nothing', (harness) => void harness.know(inZones('north', 'north'))],
+  [
+    'one that drains',
+    (harness) =>
+      void harness.know([...inZones('north'), backendAt('z', 2, { zone: 'south', draining: true })]),
+  ],
+  [
+    'a record that may only have lapsed, in the cordoned zone as well',
+    (harness) => {
+      harness.know(inZones('north'));
+      harness.establish(40_002);
+      harness.depart('a', 11, true);
+    },
+  ],
+  [
+    'an ejected one, in the cordoned zone as well',
+    (harness) => {
+      harness.know(inZones('north', 'north'));
+      failOpenings(harness, 'a', 3, 41_000);
+      harness.clock.advance(5_000);
+    },
+  ],
+];
+
+for (const [name, prepare] of LEFT) {
+  test(`a caller is refused at once where a cordoned zone leaves ${name}`, (t) => {
+    const harness = new ForwarderHarness();
+    prepare(harness);
+    harness.cordon(['north'], 12);
+    const sent = harness.open(49_000);
+    t.truthy(sent);
+    t.is(sent?.backend, undefined, 'a reset');
+    const refusal = harness.logged.find(({ event }) => event.number === 1251);
+    t.regex(String(refusal?.fields['excluded']), /"cordoned":/);
+  });
+}
+
+test('a split keeps to the services that have back ends outside of cordoned zones', (t) => {
+  const route = {
+    ...{ name: 'split', address: SERVICE_ADDRESS, port: SERVICE_PORT },
+    targets: [
+      { service: 'alpha', weight: 1 },
+      { service: 'beta', weight: 1 },
+    ],
+  };
+  const beta = backendAt('b', 2, { service: 'beta', zone: 'south' });
+  const harness = new ForwarderHarness().know([...inZones('north'), beta], { routes: [route] });
+  harness.cordon(['north'], 11);
+  t.deepEqual(new Set(targetsOf(harness, 20)), new Set(['b']));
+});
+
+const REGIONS = { north: 'east-coast', south: 'west-coast', middle: 'inland' };
+
+/** Allowed regions of a route, zones of the back ends `a`, `b`, ..., and the back ends that get its flows. */
+const HOMES: readonly (readonly [readonly string[] | undefined, readonly string[], readonly string[]])[] = [
+  [undefined, ['north', 'south'], ['a', 'b']],
+  [['east-coast'], ['north', 'south'], ['a']],
+  [
+    ['west-coast', 'inland'],
+    ['north', 'south', 'middle'],
+    ['b', 'c'],
+  ],
+  [['inland'], ['north', 'south'], []],
+  [['east-coast'], ['north', 'nowhere'], ['a']],
+];
+
+for (const [allowedRegions, zones, expected] of HOMES) {
+  test(`a route of ${allowedRegions ?? 'all regions'} is served from ${zones} by ${expected.join() || 'nobody'}`, (t) => {
+    const harness = harnessOf({ regions: REGIONS });
+    const targets = [{ service: 'alpha', weight: 1 }];
+    const route = { name: 'r', address: SERVICE_ADDRESS, port: SERVICE_PORT, targets, allowedRegions };
+    harness.know(inZones(...zones), { routes: [route] });
+    const chosen = targetsOf(harness, 30).filter((backend) => backend !== undefined);
+    t.deepEqual([...new Set(chosen)].sort(), [...expected]);
+  });
+}
+
+/** A cold back end `c` beside warm ones, with a rate for cold ones. */
+function withColdOne(surroundings: HarnessSurroundings, warm: number, rate: number): ForwarderHarness {
+  const services = [{ name: 'alpha', maxConnections: 2_000, coldRequestsPerSecond: rate }];
+  const cold = backendAt('cold', 5, { coldMs: COLD_MS });
+  return harnessOf(surroundings).know([...backends(warm), cold], { services });
+}
+
+test('a cold back end gets flows from its owners only, and from all balancers once it is warm', (t) => {
+  const owner = withColdOne({ isOwner: () => true }, 3, 5);
+  const other = withColdOne({ isOwner: () => false }, 3, 5);
+  t.true(targetsOf(owner, 20).includes('cold'));
+  t.false(targetsOf(other, 20).includes('cold'));
+  other.clock.advance(COLD_MS);
+  t.true(targetsOf(other, 20, 51_000).includes('cold'));
+});
+
+test('a caller is refused at once where nothing but a cold back end is left that has had its flows', (t) => {
+  const harness = withColdOne({}, 0, 1);
+  const chosen = targetsOf(harness, 10);
+  t.deepEqual(chosen.slice(0, 2), ['cold', undefined]);
+  t.is(chosen.filter((backend) => backend === 'cold').length, 1);
+});
+
+test('a cold back end without a rate is not limited', (t) => {
+  const cold = backendAt('cold', 5, { coldMs: COLD_MS });
+  const harness = harnessOf({ isOwner: () => false }).know([...backends(1), cold]);
+  t.true(targetsOf(harness, 10).includes('cold'));
+});
+
+/** Rates of a cold back end, views of the fleet that differ, and balancers in each of them. */
+const RATES = [0.5, 1, 5, 15];
+const OVERAGE = 1.5;
+const SLACK = 5;
+
+for (const rate of RATES) {
+  test(`in no second a cold back end of ${rate} requests a second gets more than allowed, in two views`, (t) => {
+    const random = seededRandom(rate);
+    const clock = new VirtualClock();
+    const harness = new ForwarderHarness(clock).know([backendAt('cold', 5, { coldMs: 60_000 })]);
+    const [cold] = [...harness.knowledge.backends.all()];
+    const owners = Array.from(
+      { length: 4 },
+      () => new ColdAdmission({ overage: OVERAGE, slack: SLACK, isOwner: () => true }),
+    );
+    const admittedAtMs: number[] = [];
+    for (let nowMs = 0; nowMs < 30_000; nowMs += 5) {
+      for (const owner of owners) {
+        if (random() < 0.3 || !owner.admits(cold!, rate, nowMs)) continue;
+        owner.note(cold!, nowMs);
+        admittedAtMs.push(nowMs);
+      }
+    }
+    const most = Math.max(
+      ...admittedAtMs.map((from) => admittedAtMs.filter((at) => at >= from && at < from + 1_000).length),
+    );
+    t.true(most <= rate * OVERAGE + SLACK, `${most} in a second`);
+    t.true(admittedAtMs.length >= rate * 10, `${admittedAtMs.length} in 30 s`);
+  });
+}
--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -62,6 +62,15 @@
  */
 export const COLD_CAPACITY_SHARE = 0.5;
 
+/**
+ * Balancers that a cold back end gets its new flows from. The second one covers the loss of the first, which the others notice
+ * only after seconds; more would make each one's part of a low rate too small to use.
+ */
+export const COLD_OWNERS = 2;
+
+/** Differing views of the fleet, and so sets of owners, that must stay within a cold back end's limit at once: two sides of a cut. */
+export const COLD_VIEWS = 2;
+
 /**
  * An opening waits unusually long after the moving average of the answers' times, times the factor, plus the minimum. Each
  * answer moves the average by the share.
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -11,7 +11,9 @@
 import type { LoadLevels } from '../../load/index.js';
 import type { EventLog } from '../../observability/event.js';
 import type { KnownBackend, RoutingKnowledge } from '../../routing/index.js';
+import { BackendEligibility } from './backend-eligibility.js';
 import { BackendStates } from './backend-states.js';
+import { ColdAdmission, type ColdAdmissionOptions } from './cold-admission.js';
 import { CLOSING_MS, EXPIRY_INTERVAL_MS, OPENING_ANSWER_MS, TICK_MS } from './constants.js';
 import { CookieRegistry } from './cookie-registry.js';
 import { CookieStatistics } from './cookie-statistics.js';
@@ -36,6 +38,9 @@
   readonly zone: string;
   /** See `OpeningPlacement`. */
   readonly zoneMargin: number;
+  /** Region of a zone; undefined when nothing says so. */
+  readonly regionOf: (zone: string) => string | undefined;
+  readonly cold: ColdAdmissionOptions;
   /** Longest life of a flow. */
   readonly maxFlowAgeMs: number;
   /** Flows that are remembered at once. */
@@ -54,10 +59,11 @@
   private readonly parts: ForwardingParts;
   private readonly openings: OpeningHandler;
   private readonly midFlow: MidFlowHandler;
+  private readonly coldAdmission: ColdAdmission;
   private nextExpiryMs = 0;
 
   constructor(private readonly options: CookieForwarderOptions) {
-    const { knowledge, random, events, edge, zone, zoneMargin, maxFlows, pauses } = options;
+    const { knowledge, random, events, edge, zone, zoneMargin, maxFlows, pauses, regionOf } = options;
     const isOn = options.isOn ?? ALL_MECHANISMS_ON;
     const onEject = isOn('shared-ejections') ? options.onEject : undefined;
     const states = new BackendStates(events, (state, nowMs) => onEject?.(state.backend.id, nowMs), isOn);
@@ -68,7 +74,10 @@
     };
     const splitter = new TrafficSplitter(random, isOn);
     const placement = new OpeningPlacement({ zone, zoneMargin, isOn, loads: options.loads });
-    this.openings = new OpeningHandler(this.parts, { splitter, placement, pauses });
+    const coldAdmission = (this.coldAdmission = new ColdAdmission(options.cold));
+    const eligibility = new BackendEligibility({ knowledge, coldAdmission, regionOf });
+    const deciding = { splitter, placement, eligibility, coldAdmission, pauses };
+    this.openings = new OpeningHandler(this.parts, deciding);
     this.midFlow = new MidFlowHandler(this.parts);
     for (const backend of knowledge.backends.all()) cookies.add(backend);
     knowledge.backends.onAdd((backend) => cookies.add(backend));
@@ -153,5 +162,6 @@
   private forget(backend: KnownBackend): void {
     this.parts.cookies.remove(backend);
     this.parts.states.forget(backend);
+    this.coldAdmission.forget(backend);
   }
 }
--- a/src/flow/cookie/cookie-parts.test.ts
+++ b/src/flow/cookie/cookie-parts.test.ts
@@ -108,7 +108,12 @@
   const placement = new OpeningPlacement({ zone: 'north', zoneMargin: 0 });
   for (let flow = 0; flow < 140; flow += 1) {
     const choice = placement.choose({
-      ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
+      ...{
+        backends: all,
+        stateOf: (backend) => states.get(backend)!,
+        exclusionOf: () => undefined,
+        maxConnections: 1_000,
+      },
       ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
     });
     choice!.state.openFlows += 1;
@@ -129,7 +134,12 @@
   const choices = (): number => {
     const chosen = Array.from({ length: 90 }, (_, flow) =>
       placement.choose({
-        ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
+        ...{
+          backends: all,
+          stateOf: (backend) => states.get(backend)!,
+          exclusionOf: () => undefined,
+          maxConnections: 1_000,
+        },
         ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
       }),
     );
@@ -155,7 +165,12 @@
     const placement = new OpeningPlacement({ zone: 'north', zoneMargin: 0.5, loads });
     return (flow) =>
       placement.choose({
-        ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
+        ...{
+          backends: all,
+          stateOf: (backend) => states.get(backend)!,
+          exclusionOf: () => undefined,
+          maxConnections: 1_000,
+        },
         ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
       })!.state.backend.id;
   };
@@ -170,7 +185,12 @@
   const placement = new OpeningPlacement({ zone: 'north', zoneMargin: 1 });
   for (let flow = 0; flow < 20; flow += 1) {
     const choice = placement.choose({
-      ...{ backends: all, stateOf: (backend) => states.get(backend)!, maxConnections: 1_000 },
+      ...{
+        backends: all,
+        stateOf: (backend) => states.get(backend)!,
+        exclusionOf: () => undefined,
+        maxConnections: 1_000,
+      },
       ...{ flowHash: combine32(flow, 7), nowMs: 0, usualAnswerMs: 10 },
     });
     choice!.state.openFlows += 1;
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -25,6 +25,14 @@
   readonly cookie: number;
 }
 
+/** What a balancer under test finds around it. */
+export interface HarnessSurroundings {
+  /** Region of each zone. */
+  readonly regions?: Readonly<Record<string, string>>;
+  /** Whether it is among the owners of a cold back end; always unless given. */
+  readonly isOwner?: (backendId: string) => boolean;
+}
+
 /** One balancer under test. */
 export class ForwarderHarness {
   readonly sent: SentPacket[] = [];
@@ -38,13 +46,14 @@
     readonly clock = new VirtualClock(),
     seed = 1,
     switchedOff: readonly Mechanism[] = [],
+    surroundings: HarnessSurroundings = {},
   ) {
     const events = {
       emit: (event: EventDefinition, fields: EventFields = {}): void => {
         this.logged.push({ event, fields });
       },
     };
-    this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
+    this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000, followsCordons: true });
     const edge: CookieEdgePort = {
       sendToBackend: (backend, endpoint, cookie) => this.sent.push({ backend, endpoint, cookie }),
       sendReset: () => this.sent.push({ backend: undefined, cookie: 0 }),
@@ -53,6 +62,8 @@
     this.forwarder = new CookieForwarder({
       ...{ clock, events, knowledge: this.knowledge, edge, zone: 'north', zoneMargin: 0.5 },
       isOn: allBut(switchedOff),
+      regionOf: (zone) => surroundings.regions?.[zone],
+      cold: { overage: 1.5, slack: 5, isOwner: surroundings.isOwner ?? (() => true) },
       random: seededRandom(seed),
       pauses: new PauseDetector(clock.now(), TICK_MS, (callback) => this.turns.push(callback)),
       maxFlowAgeMs: 60_000,
@@ -81,9 +92,17 @@
     const tables = [tableAt(revision, table)];
     this.knowledge.apply('routes', updateAt(revision, { complete: true, routes: tables }), origin);
     this.knowledge.apply('backends', updateAt(revision, { complete: true, backends }), origin);
+    this.knowledge.apply('cordons', updateAt(revision, { complete: true }), origin);
     return this;
   }
 
+  /** Cordons these zones, and no others, as of `revision`. */
+  cordon(zones: readonly string[], revision: number): void {
+    const origin = { since: -1, provedAtMs: this.clock.now(), mayHaveLapsed: false };
+    const cordons = zones.map((zone) => ({ zone, revision }));
+    this.knowledge.apply('cordons', updateAt(revision, { complete: true, cordons }), origin);
+  }
+
   /** Removes a back end's record at `revision`. */
   depart(id: string, revision: number, mayHaveLapsed = false): void {
     const origin = { since: revision - 1, provedAtMs: this.clock.now(), mayHaveLapsed };
--- a/src/flow/cookie/load-balance.test.ts
+++ b/src/flow/cookie/load-balance.test.ts
@@ -106,7 +106,12 @@
   if (caller.state) caller.state.noteClosed(nowMs);
   const { placement, states } = balancers[Math.floor(random() * BALANCERS)] as Balancer;
   const choice = placement.choose({
-    ...{ backends, stateOf: (backend) => states.get(backend)!, maxConnections: 2_000 },
+    ...{
+      backends,
+      stateOf: (backend) => states.get(backend)!,
+      exclusionOf: () => undefined,
+      maxConnections: 2_000,
+    },
     ...{ flowHash: combine32(Math.floor(random() * 2 ** 32), 7), nowMs, usualAnswerMs: 10 },
   });
   caller.state = choice!.state;
--- a/src/flow/cookie/opening-handler.ts
+++ b/src/flow/cookie/opening-handler.ts
@@ -6,6 +6,8 @@
 import type { PauseDetector } from '../../common/pause-detector.js';
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { Route } from '../../routing/index.js';
+import type { BackendEligibility } from './backend-eligibility.js';
+import type { ColdAdmission } from './cold-admission.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 import type { Flow } from './flow-cache.js';
 import { formatFlowId } from './flow-id.js';
@@ -17,6 +19,8 @@
 export interface OpeningHandlerOptions {
   readonly splitter: TrafficSplitter;
   readonly placement: OpeningPlacement;
+  readonly eligibility: BackendEligibility;
+  readonly coldAdmission: ColdAdmission;
   readonly pauses: PauseDetector;
 }
 
@@ -39,9 +43,9 @@
     const routes = this.parts.knowledge.routes();
     if (!routes || !this.parts.knowledge.isComplete()) return this.parts.statistics.countDrop('starting');
     const route = routes.find(packet.destinationAddress, packet.destinationPort);
-    if (!route) return this.refuse(packet, 'no-route');
+    if (!route) return this.refuse(packet, 'no-route', nowMs);
     const placement = this.place(packet, route, nowMs);
-    if (!placement) return this.refuse(packet, 'no-backend', route);
+    if (!placement) return this.refuse(packet, 'no-backend', nowMs, route);
     const opened = this.parts.cache.add(packet, placement.state, 'opening', nowMs);
     if (opened) this.parts.pending.add(opened);
     this.parts.statistics.opened += 1;
@@ -79,10 +83,17 @@
     this.parts.pending.add(flow);
   }
 
-  private refuse(packet: CookiePacket, reason: 'no-route' | 'no-backend', route?: Route): void {
+  /** Nothing waits: a caller that can't be served learns it at once. */
+  private refuse(
+    packet: CookiePacket,
+    reason: 'no-route' | 'no-backend',
+    nowMs: number,
+    route?: Route,
+  ): void {
     this.parts.statistics.countRefusal(reason);
     this.parts.events.emit(COOKIE_FLOW_EVENTS.refused, {
       ...{ flow: formatFlowId(packet), reason, route: route?.name },
+      excluded: route && JSON.stringify(this.options.eligibility.countExclusions(route, nowMs)),
       version: this.parts.knowledge.routes()?.table.version,
       knowledgeAgeMs: Math.round(this.parts.knowledge.age()),
     });
@@ -97,6 +108,7 @@
         ...{ backends: knowledge.backends.ofService(service), flowHash, nowMs },
         usualAnswerMs: this.parts.pending.usualMs,
         stateOf: (backend) => this.parts.states.of(backend),
+        exclusionOf: (backend) => this.options.eligibility.exclusionOf(backend, route, nowMs),
         maxConnections: knowledge.routes()?.maxConnectionsOf(service) ?? 0,
       });
     const choices = new Map<string, Placement | undefined>();
@@ -107,6 +119,7 @@
     if (chosen === undefined) return undefined;
     const placement = choices.has(chosen) ? choices.get(chosen) : chooseIn(chosen);
     if (placement?.rule === 'trial') placement.state.noteTrial(nowMs);
+    if (placement) this.options.coldAdmission.note(placement.state.backend, nowMs);
     return placement;
   }
 
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -7,6 +7,7 @@
 import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import type { LoadLevels } from '../../load/index.js';
 import type { KnownBackend } from '../../routing/index.js';
+import type { Exclusion } from './backend-eligibility.js';
 import type { BackendState, Liveness } from './backend-state.js';
 import {
   COLD_CAPACITY_SHARE,
@@ -20,6 +21,8 @@
 export interface PlacementQuestion {
   readonly backends: Iterable<KnownBackend>;
   readonly stateOf: (backend: KnownBackend) => BackendState;
+  /** Why a back end may not be chosen at all; undefined when it may. */
+  readonly exclusionOf: (backend: KnownBackend) => Exclusion | undefined;
   /** Open flows that one back end holds. */
   readonly maxConnections: number;
   /** 32-bit hash of the flow. */
@@ -150,7 +153,7 @@
   private classify(question: PlacementQuestion): CandidateClasses {
     const classes: CandidateClasses = { alive: [], suspect: [], ejected: [], lapsed: [], trial: undefined };
     for (const backend of question.backends) {
-      if (backend.record.draining || (backend.departed && !backend.lapsed)) continue;
+      if (question.exclusionOf(backend)) continue;
       const state = question.stateOf(backend);
       if (state.openFlows >= question.maxConnections) continue;
       const liveness = this.livenessOf(state, question);
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -6,6 +6,9 @@
 /** After an answer with changes the next watch is asked for this much later, so that changes in a row come together. */
 export const CHANGE_GATHER_MS = 120;
 
+/** While a long watch is under way, its topic's age is checked this often. */
+export const CONFIRM_CHECK_MS = 100;
+
 /** First wait after a failed call, and the largest; waits are jittered and doubled. */
 export const RETRY_MIN_MS = 100;
 export const RETRY_MAX_MS = 1_000;
--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -52,6 +52,18 @@
     message: 'Digest mismatch after applying a change to the route table; fetching the whole table',
     action: 'Report it with the logs of this daemon and of the one that sent the change',
   },
+  zoneCordoned: {
+    number: 2011,
+    level: 'info',
+    message: 'Zone cordoned: its back ends get no new flows, open flows continue',
+    action: 'none',
+  },
+  zoneUncordoned: {
+    number: 2012,
+    level: 'info',
+    message: 'Zone no longer cordoned: its back ends get new flows again',
+    action: 'none',
+  },
   olderIgnored: {
     number: 2008,
     level: 'info',
--- a/src/routing/freshness.ts
+++ b/src/routing/freshness.ts
@@ -9,6 +9,8 @@
 
 /** Parts of the bound. */
 const WATCH_WAIT_SHARE = 0.45;
+const LONG_WATCH_WAIT_SHARE = 1.8;
+const CONFIRM_AFTER_SHARE = 0.5;
 const WATCH_MIN_WAIT_SHARE = 0.1;
 const READER_AGE_SHARE = 0.55;
 const PULL_AFTER_SHARE = 0.6;
@@ -23,6 +25,13 @@
 export interface FreshnessTimings {
   /** A watch is answered after this long at the latest, so that a dead connection is noticed soon. */
   readonly watchWaitMs: number;
+  /**
+   * A watch of a topic that seldom changes is answered after this long at the latest. While the source's revision stands still,
+   * each answer about another topic confirms this one as well; a watch that went silent is noticed by `confirmAfterMs`.
+   */
+  readonly longWatchWaitMs: number;
+  /** A long watch is broken off and asked anew, to be answered at once, when its topic was not confirmed for this long. */
+  readonly confirmAfterMs: number;
   /** Shortest wait of a watch that follows a proof. */
   readonly watchMinWaitMs: number;
   /** A watch waits no longer than until the reader's own knowledge is this old. */
@@ -50,6 +59,8 @@
   const part = (share: number): number => Math.round(usedMs * share);
   return {
     watchWaitMs: part(WATCH_WAIT_SHARE),
+    longWatchWaitMs: part(LONG_WATCH_WAIT_SHARE),
+    confirmAfterMs: part(CONFIRM_AFTER_SHARE),
     watchMinWaitMs: part(WATCH_MIN_WAIT_SHARE),
     readerAgeMs: part(READER_AGE_SHARE),
     pullAfterMs: part(PULL_AFTER_SHARE),
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -18,3 +18,4 @@
 export { isNextChange, joinTableChanges } from './route-table-change.js';
 export { SourceCircuit } from './source-circuit.js';
 export { SourceFollower } from './source-follower.js';
+export { ZoneCordons } from './zone-cordons.js';
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -1,4 +1,4 @@
-/** What this balancer knows of routes and back ends, how far it is complete, and when that was last proved. */
+/** What this balancer knows of routes, back ends and cordoned zones, how far it is complete, and when that was last proved. */
 import type { Clock } from '../common/clock.js';
 import { Subject } from '../common/event-stream.js';
 import type { EventLog } from '../observability/event.js';
@@ -7,6 +7,7 @@
 import { RouteIndex } from './route-index.js';
 import { applyTableChange, compareTables } from './route-table-change.js';
 import type { RouteTable, RouteTableChange, RoutingTopic, RoutingUpdate, TopicProof } from './types.js';
+import { ZoneCordons } from './zone-cordons.js';
 
 /** An update that changed what is known, for those who pass it on. */
 export interface AppliedUpdate {
@@ -32,8 +33,13 @@
   readonly events: EventLog;
   /** See `BackendRegistryOptions.retentionMs`. */
   readonly retentionMs: number;
+  /** True where operators may cordon zones; false unless given. */
+  readonly followsCordons?: boolean;
 }
 
+const TOPICS: readonly RoutingTopic[] = ['routes', 'backends'];
+const TOPICS_WITH_CORDONS: readonly RoutingTopic[] = [...TOPICS, 'cordons'];
+
 const UNKNOWN_REVISION = -1;
 const NOTHING_KNOWN: TopicProof = {
   revision: UNKNOWN_REVISION,
@@ -44,17 +50,23 @@
 /** See the module. Updates may come in any order and more than once; nothing older is ever applied. */
 export class RoutingKnowledge {
   readonly backends: BackendRegistry;
+  readonly cordons: ZoneCordons;
+  /** What is followed; the topics of a source that are not among these are ignored. */
+  readonly topics: readonly RoutingTopic[];
   private index: RouteIndex | undefined;
   /** A change that was made for the table in force did not lead to the table that it should. */
   private isTableDoubted = false;
   private readonly progress: Record<RoutingTopic, TopicProof> = {
     routes: NOTHING_KNOWN,
     backends: NOTHING_KNOWN,
+    cordons: NOTHING_KNOWN,
   };
   private readonly applied = new Subject<AppliedUpdate>();
 
   constructor(private readonly options: RoutingKnowledgeOptions) {
     this.backends = new BackendRegistry(options);
+    this.cordons = new ZoneCordons(options.events);
+    this.topics = options.followsCordons ? TOPICS_WITH_CORDONS : TOPICS;
   }
 
   /** The routes in force; undefined before the first table. */
@@ -62,14 +74,14 @@
     return this.index;
   }
 
-  /** True once both topics are known completely. */
+  /** True once every topic is known completely, and there are routes. */
   isComplete(): boolean {
-    return this.index !== undefined && this.progress.backends.revision > UNKNOWN_REVISION;
+    return this.index !== undefined && this.hasBeenRead();
   }
 
-  /** True once the source's word on both topics has come, be it that it has no routes yet. */
+  /** True once the source's word on every topic has come, be it that it has no routes yet. */
   hasBeenRead(): boolean {
-    return Object.values(this.progress).every(({ revision }) => revision > UNKNOWN_REVISION);
+    return this.topics.every((topic) => this.progress[topic].revision > UNKNOWN_REVISION);
   }
 
   /** Revision up to which a topic is known; -1 before the first complete update. */
@@ -87,9 +99,9 @@
     return this.options.clock.now() - this.progress[topic].provedAtMs;
   }
 
-  /** Age of the older topic. */
+  /** Age of the oldest topic. */
   age(): number {
-    return Math.max(this.ageOf('routes'), this.ageOf('backends'));
+    return Math.max(...this.topics.map((topic) => this.ageOf(topic)));
   }
 
   /** How far a topic is known, to be told to others. */
@@ -109,16 +121,16 @@
    * @returns false when there is a gap, so that everything should be read
    */
   apply(topic: RoutingTopic, update: RoutingUpdate, origin: UpdateOrigin): boolean {
+    if (!this.topics.includes(topic)) return true;
     const { revision: before, changedRevision: changedBefore } = this.progress[topic];
     const tableBefore = this.index?.table;
     const hasGap = !update.complete && origin.since > before;
-    const isKnown =
-      topic === 'routes' ? this.applyRoutes(update, hasGap) : this.applyBackends(update, origin, hasGap);
-    if (!isKnown) return false;
+    if (!this.applyTopic(topic, update, origin, hasGap)) return false;
     const changed = update.complete ? update.revision > before : hasContent(update);
     const { revision } = update;
     const changedRevision = changed ? revision : changedBefore;
     this.advance(topic, { revision, changedRevision, provedAtMs: origin.provedAtMs });
+    this.confirmUpTo(revision, origin.provedAtMs);
     if (!changed || revision <= before) return true;
     const passedOn = topic === 'routes' ? this.asTableChange(update, tableBefore) : update;
     this.applied.push({ topic, update: passedOn, since: changedBefore });
@@ -133,6 +145,14 @@
     return true;
   }
 
+  /** One revision counts the changes of all topics: where nothing newer existed, each topic known up to there is current. */
+  private confirmUpTo(revision: number, provedAtMs: number): void {
+    for (const topic of this.topics) {
+      const known = this.progress[topic];
+      if (known.revision >= revision) this.advance(topic, { ...known, provedAtMs });
+    }
+  }
+
   /** Nothing goes back: an older proof changes nothing. */
   private advance(topic: RoutingTopic, proof: TopicProof): void {
     const known = this.progress[topic];
@@ -144,6 +164,23 @@
     };
   }
 
+  /** False when the topic is not known up to the update's revision. */
+  private applyTopic(
+    topic: RoutingTopic,
+    update: RoutingUpdate,
+    origin: UpdateOrigin,
+    hasGap: boolean,
+  ): boolean {
+    switch (topic) {
+      case 'routes':
+        return this.applyRoutes(update, hasGap);
+      case 'backends':
+        return this.applyBackends(update, origin, hasGap);
+      case 'cordons':
+        return this.applyCordons(update, hasGap);
+    }
+  }
+
   /** False when the table is not known up to the update's revision. A change that fits the table leaves no gap. */
   private applyRoutes({ routes, routeChange }: RoutingUpdate, hasGap: boolean): boolean {
     routes.forEach((table) => this.applyTable(table));
@@ -210,9 +247,23 @@
     this.backends.removeAllBut(listed, update.revision, mayHaveLapsed);
     return true;
   }
+
+  /** False when cordons before the update's may be missing; those that it brings are taken all the same. */
+  private applyCordons(update: RoutingUpdate, hasGap: boolean): boolean {
+    const { revision: known } = this.progress.cordons;
+    const { cordons = [], cordonRemovals = [] } = update;
+    const isNewest = update.complete && update.revision >= known;
+    cordons.forEach((cordon) => this.cordons.put(cordon, isNewest ? UNKNOWN_REVISION : known));
+    cordonRemovals.forEach((removal) => this.cordons.remove(removal));
+    if (!update.complete) return !hasGap;
+    this.cordons.removeAllBut(new Set(cordons.map(({ zone }) => zone)), update.revision);
+    return true;
+  }
 }
 
-function hasContent(update: RoutingUpdate): boolean {
-  if (update.routeChange) return true;
-  return update.routes.length + update.backends.length + update.removals.length > 0;
+/** True when an update brings anything. */
+export function hasContent(update: RoutingUpdate): boolean {
+  const { routeChange, routes, backends, removals, cordons = [], cordonRemovals = [] } = update;
+  if (routeChange) return true;
+  return [routes, backends, removals, cordons, cordonRemovals].some(({ length }) => length > 0);
 }
--- a/src/routing/route-index.ts
+++ b/src/routing/route-index.ts
@@ -1,5 +1,5 @@
 /** Finds routes by the address that callers use. */
-import type { Route, RouteTable } from './types.js';
+import type { Route, RoutedService, RouteTable } from './types.js';
 
 const PORTS = 65_536;
 
@@ -11,13 +11,11 @@
 /** An immutable index of one table. */
 export class RouteIndex {
   private readonly byAddress: ReadonlyMap<number, Route>;
-  private readonly maxConnections: ReadonlyMap<string, number>;
+  private readonly services: ReadonlyMap<string, RoutedService>;
 
   constructor(readonly table: RouteTable) {
     this.byAddress = new Map(table.routes.map((route) => [addressKey(route.address, route.port), route]));
-    this.maxConnections = new Map(
-      table.services.map(({ name, maxConnections }): [string, number] => [name, maxConnections]),
-    );
+    this.services = new Map(table.services.map((service) => [service.name, service]));
   }
 
   /** The route of an address; undefined when there is none. */
@@ -27,6 +25,11 @@
 
   /** Open flows that a back end of `service` holds; unlimited when the table says nothing. */
   maxConnectionsOf(service: string): number {
-    return this.maxConnections.get(service) ?? Number.POSITIVE_INFINITY;
+    return this.services.get(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
+  }
+
+  /** Requests a second that one cold back end of `service` bears; undefined: no limit. */
+  coldRequestsPerSecondOf(service: string): number | undefined {
+    return this.services.get(service)?.coldRequestsPerSecond;
   }
 }
--- a/src/routing/route-table-change.ts
+++ b/src/routing/route-table-change.ts
@@ -57,12 +57,10 @@
   return routes.reduce((sum, route) => (sum + digestOfRoute(route)) >>> 0, 0);
 }
 
-function digestOfRoute({ name, address, port, targets }: Route): number {
+function digestOfRoute({ name, address, port, targets, allowedRegions = [] }: Route): number {
   const start = combine32(hashString(name), combine32(address, port));
-  return targets.reduce(
-    (digest, { service, weight }) => combine32(digest, hashString(`${service} ${weight}`)),
-    start,
-  );
+  const parts = [...targets.map(({ service, weight }) => `${service} ${weight}`), ...allowedRegions];
+  return parts.reduce((digest, part) => combine32(digest, hashString(part)), start);
 }
 
 function byName(routes: readonly Route[]): Map<string, Route> {
@@ -72,6 +70,7 @@
 function isSameRoute(left: Route | undefined, right: Route): boolean {
   if (!left || left.address !== right.address || left.port !== right.port) return false;
   if (left.targets.length !== right.targets.length) return false;
+  if (left.allowedRegions?.join() !== right.allowedRegions?.join()) return false;
   return left.targets.every(({ service, weight }, index) => {
     const other = right.targets[index];
     return other?.service === service && other.weight === weight;
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -2,12 +2,12 @@
  * One task that follows one topic of the source. A start needs one reading of everything, which may be seconds old; who
  * follows the source then watches for changes, and reads everything anew after a gap.
  */
-import type { Clock } from '../common/clock.js';
+import type { Clock, TimerHandle } from '../common/clock.js';
 import { pause } from '../common/pause.js';
-import { CHANGE_GATHER_MS, FIRST_WATCH_WAIT_MS } from './constants.js';
+import { CHANGE_GATHER_MS, CONFIRM_CHECK_MS, FIRST_WATCH_WAIT_MS } from './constants.js';
 import { RoutingSourceError } from './errors.js';
 import type { FreshnessTimings } from './freshness.js';
-import type { RoutingKnowledge } from './knowledge.js';
+import { hasContent, type RoutingKnowledge } from './knowledge.js';
 import type { SourceCircuit } from './source-circuit.js';
 import type { ReadFreshness, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
 
@@ -18,6 +18,8 @@
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
   readonly timings: FreshnessTimings;
+  /** False: every topic is watched as often as the one that changes most. True unless given. */
+  readonly usesLongWatches?: boolean;
   /** Called after each answer that proved something. */
   readonly onProof?: () => void;
 }
@@ -25,11 +27,21 @@
 /** Nothing is proved by an answer that may be old. */
 const PROVES_NOTHING_MS = Number.NEGATIVE_INFINITY;
 
+/**
+ * The topic that changes least is watched with long waits: the answers about the others confirm it, too. All three alike would
+ * cost half as many calls again as the other two. These are not watched longer, since a reader lets itself be heard of with each
+ * of its answers: with half of them, surplus readers stop later (4 in place of 2 of 30 simulated daemons, 4 s after an outage).
+ */
+const LONG_WATCHED_TOPIC: RoutingTopic = 'cordons';
+
 /** See the module. */
 export class SourceFollower {
   private reads = 0;
   private watches = 0;
   private firstReading: Promise<void> | undefined;
+  /** Revision of the last answer of a watch, and whether it had stood still since the one before. */
+  private answeredRevision = -1;
+  private isSourceCalm = false;
 
   constructor(
     private readonly topic: RoutingTopic,
@@ -103,13 +115,22 @@
     const askedAtMs = clock.now();
     this.watches += 1;
     const waitMs = this.watchWaitMs();
-    const answer = await source.watch(this.topic, since, waitMs, signal);
+    const attempt = this.beginAttempt(signal);
+    const answer = await source.watch(this.topic, since, waitMs, attempt.signal);
+    attempt.end();
     if (answer.isErr) {
+      if (attempt.signal.aborted && !signal.aborted) {
+        this.isSourceCalm = false;
+        return true;
+      }
       if (answer.error.kind === 'routing.history-gone') return false;
       await this.waitAfter(answer.error, signal);
       return true;
     }
-    const broughtChange = hasChanges(answer.value);
+    // An answer without changes was held back for the whole wait, so it proves that much more.
+    const broughtChange = hasContent(answer.value);
+    this.isSourceCalm = answer.value.revision === this.answeredRevision;
+    this.answeredRevision = answer.value.revision;
     const heldMs = broughtChange ? 0 : waitMs;
     const complete = this.take(answer.value, since, Math.min(askedAtMs + heldMs, clock.now()));
     if (broughtChange) await pause(clock, CHANGE_GATHER_MS, signal);
@@ -122,12 +143,44 @@
    */
   private watchWaitMs(): number {
     const { knowledge, timings } = this.options;
+
     const ageMs = knowledge.ageOf(this.topic);
     if (!Number.isFinite(ageMs)) return FIRST_WATCH_WAIT_MS;
+    if (this.mayWatchLong) return timings.longWatchWaitMs;
     const leftMs = Math.floor(timings.readerAgeMs - ageMs);
     return Math.max(timings.watchMinWaitMs, Math.min(timings.watchWaitMs, leftMs));
   }
 
+  /** While the source's revision moves, answers about other topics do not confirm this one, so that it is asked for often. */
+  private get mayWatchLong(): boolean {
+    if (this.topic !== LONG_WATCHED_TOPIC || this.options.usesLongWatches === false) return false;
+    return this.isSourceCalm && !this.isUnconfirmed();
+  }
+
+  private isUnconfirmed(): boolean {
+    const { knowledge, timings } = this.options;
+    return knowledge.ageOf(this.topic) >= timings.confirmAfterMs;
+  }
+
+  /** A call that ends with `signal`, and a long watch also as soon as its topic lacks a confirmation. */
+  private beginAttempt(signal: AbortSignal): { readonly signal: AbortSignal; readonly end: () => void } {
+    if (!this.mayWatchLong) return { signal, end: () => undefined };
+    const attempt = new AbortController();
+    const abort = (): void => attempt.abort();
+    let timer: TimerHandle;
+    const check = (): void => {
+      if (this.isUnconfirmed()) abort();
+      else timer = this.options.clock.schedule(CONFIRM_CHECK_MS, check);
+    };
+    timer = this.options.clock.schedule(CONFIRM_CHECK_MS, check);
+    signal.addEventListener('abort', abort);
+    const end = (): void => {
+      timer.cancel();
+      signal.removeEventListener('abort', abort);
+    };
+    return { signal: attempt.signal, end };
+  }
+
   private take(update: RoutingUpdate, since: number, provedAtMs: number): boolean {
     const { circuit, knowledge } = this.options;
     const mayHaveLapsed = circuit.recordsMayLapse();
@@ -143,8 +196,3 @@
     await pause(this.options.clock, waitMs, signal);
   }
 }
-
-/** An answer without changes was held back for the whole wait, so it proves that much more. */
-function hasChanges({ routes, backends, removals }: RoutingUpdate): boolean {
-  return routes.length + backends.length + removals.length > 0;
-}
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,6 +1,6 @@
 /**
- * What a balancer on a cookie edge knows: routes, and the back ends that serve them. All of it comes from a
- * `RoutingSource` or from other balancers that read it there; the source's revisions order everything.
+ * What a balancer on a cookie edge knows: routes, the back ends that serve them, and zones that get no new flows. All of it
+ * comes from a `RoutingSource` or from other balancers that read it there; the source's revisions order everything.
  */
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../common/types.js';
@@ -21,6 +21,8 @@
   readonly port: number;
   /** Not empty; a route without a split has one target. */
   readonly targets: readonly RouteTarget[];
+  /** Regions whose back ends may serve it; undefined: all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Settings of one service. */
@@ -28,6 +30,8 @@
   readonly name: string;
   /** Open flows that one back end of it holds. */
   readonly maxConnections: number;
+  /** Requests a second that one back end of it bears while it is cold from its start; undefined: no limit. */
+  readonly coldRequestsPerSecond?: number;
 }
 
 /** All routes as they are in force together. */
@@ -93,20 +97,37 @@
   readonly departedAtMs: number;
 }
 
-/** The two things that a source tells separately. */
-export type RoutingTopic = 'routes' | 'backends';
+/** A zone whose back ends get no new flows until the operator takes that back. */
+export interface ZoneCordon {
+  readonly zone: string;
+  /** Revision of the source at which it was recorded. */
+  readonly revision: number;
+}
+
+/** A cordon that was taken back. */
+export interface CordonRemoval {
+  readonly zone: string;
+  /** Revision of the last record of it or of its removal; a removal goes before a record of the same revision. */
+  readonly revision: number;
+}
+
+/** What a source tells separately. Cordons are followed only where the deployment has them. */
+export type RoutingTopic = 'routes' | 'backends' | 'cordons';
 
 /** What a source says about a topic, complete up to `revision`. */
 export interface RoutingUpdate {
   /** Everything of the topic up to this revision of the source is in here or was before. */
   readonly revision: number;
-  /** True: back ends that are not listed are gone. False: the changes since the revision asked for. */
+  /** True: back ends and cordons that are not listed are gone. False: the changes since the revision asked for. */
   readonly complete: boolean;
   readonly routes: readonly RouteTable[];
   /** What changed in the table, in place of a whole one; only from other balancers. */
   readonly routeChange?: RouteTableChange;
   readonly backends: readonly RoutedBackend[];
   readonly removals: readonly BackendRemoval[];
+  /** Only of the topic `cordons`. */
+  readonly cordons?: readonly ZoneCordon[];
+  readonly cordonRemovals?: readonly CordonRemoval[];
   /** Last records of back ends that left, for those who never knew them; only from other balancers. */
   readonly departed?: readonly DepartedBackend[];
 }
@@ -124,7 +145,7 @@
 /** How new an answer must be. `any`: it may be seconds old, which costs the source less. */
 export type ReadFreshness = 'current' | 'any';
 
-/** Where routes and back ends are recorded. All calls end when `signal` aborts. */
+/** Where routes, back ends and cordons are recorded. All calls end when `signal` aborts. */
 export interface RoutingSource {
   /** Reads the whole topic. */
   read(
--- a/src/spreading/fleet-size.ts
+++ b/src/spreading/fleet-size.ts
@@ -15,7 +15,7 @@
 const HASHES = 2 ** 32;
 
 /** A daemon of the sketch. */
-interface SampledPeer extends Peer {
+export interface SampledPeer extends Peer {
   readonly hash: number;
 }
 
@@ -23,20 +23,32 @@
 export class FleetSizeSketch {
   /** At most `SIZE_SAMPLE` daemons in ascending order of their hashes, this one apart. */
   private sample: SampledPeer[] = [];
-  private readonly selfHash: number;
+  /** Hash of this daemon. */
+  readonly selfHash: number;
 
   constructor(self: Endpoint) {
-    this.selfHash = hashOf(self);
+    this.selfHash = hashOfDaemon(self);
   }
 
   /** Daemons of the sketch, to tell others about. */
-  get peers(): readonly Peer[] {
+  get peers(): readonly SampledPeer[] {
     return this.sample;
   }
 
+  /**
+   * The others among the `SIZE_SAMPLE` daemons with the smallest hashes, which all daemons agree on; undefined when this daemon is
+   * not among them itself.
+   */
+  get othersOfSample(): readonly SampledPeer[] | undefined {
+    const others = this.sample.slice(0, SIZE_SAMPLE - 1);
+    const isAmongThem =
+      others.length < SIZE_SAMPLE - 1 || this.selfHash < (this.sample[SIZE_SAMPLE - 1]?.hash ?? HASHES);
+    return isAmongThem ? others : undefined;
+  }
+
   /** Notes that a daemon was heard of at `heardAtMs`. */
   note(endpoint: Endpoint, zone: string, heardAtMs: number): void {
-    const hash = hashOf(endpoint);
+    const hash = hashOfDaemon(endpoint);
     const largest = this.sample.at(-1)?.hash ?? HASHES;
     if (this.sample.length >= SIZE_SAMPLE && hash > largest) return;
     const known = this.sample.find((peer) => peer.hash === hash);
@@ -50,7 +62,7 @@
 
   /** Removes a daemon that said that it stops. */
   remove(endpoint: Endpoint): void {
-    const hash = hashOf(endpoint);
+    const hash = hashOfDaemon(endpoint);
     this.sample = this.sample.filter((peer) => peer.hash !== hash);
   }
 
@@ -71,6 +83,7 @@
   }
 }
 
-function hashOf(endpoint: Endpoint): number {
+/** 32-bit hash of a daemon's address. */
+export function hashOfDaemon(endpoint: Endpoint): number {
   return combine32(hashString(formatEndpoint(endpoint)), SECOND_ROUND);
 }
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -11,6 +11,7 @@
   RoutingTopic,
   RoutingUpdate,
   TopicProof,
+  ZoneCordon,
 } from '../routing/index.js';
 import { NOTHING_KNOWN, TRANSIT_MS } from './constants.js';
 import { sailquay } from './pb/spreading.js';
@@ -25,7 +26,11 @@
   pull: wire.MessageType.PULL,
   state: wire.MessageType.STATE,
 } as const;
-const TOPIC_NUMBERS = { routes: wire.Topic.ROUTES, backends: wire.Topic.BACKENDS } as const;
+const TOPIC_NUMBERS = {
+  routes: wire.Topic.ROUTES,
+  backends: wire.Topic.BACKENDS,
+  cordons: wire.Topic.CORDONS,
+} as const;
 
 /** Levels of load travel as whole sixteenths. */
 const LEVEL_PARTS = 16;
@@ -110,6 +115,8 @@
       })),
     ],
     removals: update.removals.map(({ id, revision }) => ({ id, revision })),
+    cordons: update.cordons?.map(({ zone, revision }) => ({ zone, revision })),
+    cordonRemovals: update.cordonRemovals?.map(({ zone, revision }) => ({ zone, revision })),
   };
 }
 
@@ -129,6 +136,8 @@
         departedAtMs: arrivedMs - (backend.departedAgeMs ?? 0),
       })),
     removals: (update.removals ?? []).map(({ id, revision }) => ({ id: id ?? '', revision: revision ?? 0 })),
+    cordons: (update.cordons ?? []).map(decodeCordon),
+    cordonRemovals: (update.cordonRemovals ?? []).map(decodeCordon),
   };
   return { topic, since: update.since ?? 0, update: decoded };
 }
@@ -193,25 +202,43 @@
   };
 }
 
-function encodeRoute({ name, address, port, targets }: Route): sailquay.spreading.IRoute {
-  return { name, address, port, targets: targets.map(({ service, weight }) => ({ service, weight })) };
+function decodeCordon({ zone, revision }: sailquay.spreading.ICordon): ZoneCordon {
+  return { zone: zone ?? '', revision: revision ?? 0 };
+}
+
+function encodeRoute(route: Route): sailquay.spreading.IRoute {
+  const { name, address, port, targets, allowedRegions } = route;
+  return {
+    ...{ name, address, port, targets: targets.map(({ service, weight }) => ({ service, weight })) },
+    allowedRegions: allowedRegions && [...allowedRegions],
+  };
 }
 
-function decodeRoute({ name, address, port, targets }: sailquay.spreading.IRoute): Route {
+function decodeRoute(route: sailquay.spreading.IRoute): Route {
+  const { name, address, port, targets, allowedRegions } = route;
   return {
     ...{ name: name ?? '', address: address ?? 0, port: port ?? 0 },
+    ...(allowedRegions && allowedRegions.length > 0 ? { allowedRegions } : {}),
     targets: (targets ?? []).map(({ service, weight }) => ({
       ...{ service: service ?? '', weight: weight ?? 0 },
     })),
   };
 }
 
-function encodeService({ name, maxConnections }: RoutedService): sailquay.spreading.IService {
-  return { name, maxConnections: Number.isFinite(maxConnections) ? maxConnections : 0 };
+function encodeService(service: RoutedService): sailquay.spreading.IService {
+  const { name, maxConnections, coldRequestsPerSecond } = service;
+  return {
+    ...{ name, maxConnections: Number.isFinite(maxConnections) ? maxConnections : 0 },
+    coldRequestsPerSecond,
+  };
 }
 
-function decodeService({ name, maxConnections }: sailquay.spreading.IService): RoutedService {
-  return { name: name ?? '', maxConnections: maxConnections || Number.POSITIVE_INFINITY };
+function decodeService(service: sailquay.spreading.IService): RoutedService {
+  const { name, maxConnections, coldRequestsPerSecond } = service;
+  return {
+    ...{ name: name ?? '', maxConnections: maxConnections || Number.POSITIVE_INFINITY },
+    ...(coldRequestsPerSecond ? { coldRequestsPerSecond } : {}),
+  };
 }
 
 function encodeBackend(backend: RoutedBackend): sailquay.spreading.IBackend {
--- a/src/spreading/message-composer.ts
+++ b/src/spreading/message-composer.ts
@@ -6,7 +6,7 @@
 import type { PeerView } from './peer-view.js';
 import type { ReaderRole } from './reader-role.js';
 import type { RecentSuspicions } from './recent-suspicions.js';
-import { ROUTING_TOPICS, type KnownRevisions, type PeerMessage, type SpreadUpdate } from './types.js';
+import type { KnownRevisions, PeerMessage, SpreadUpdate } from './types.js';
 import { completeUpdate, type UpdateLog } from './update-log.js';
 
 /** What a composer looks at. */
@@ -53,7 +53,7 @@
   /** What the asker lacks, as far as the log reaches back. */
   answer(question: PeerMessage): PeerMessage {
     const { knowledge, log } = this.options;
-    const updates = ROUTING_TOPICS.flatMap((topic) => {
+    const updates = knowledge.topics.flatMap((topic) => {
       const revision = question.proofs[topic]?.revision ?? NOTHING_KNOWN;
       if (revision >= knowledge.proofOf(topic).changedRevision) return [];
       return log.since(topic, { revision, table: question.tableRevision }) ?? [];
@@ -64,7 +64,7 @@
   /** Changes where the log reaches back far enough, and everything where it does not. */
   state(known: KnownRevisions): PeerMessage {
     const { knowledge, log } = this.options;
-    const updates = ROUTING_TOPICS.flatMap((topic) => {
+    const updates = knowledge.topics.flatMap((topic) => {
       if (known[topic] >= knowledge.proofOf(topic).changedRevision) return [];
       const knownTopic = { revision: known[topic], table: known.table };
       return log.since(topic, knownTopic) ?? completeUpdate(knowledge, topic) ?? [];
@@ -107,13 +107,14 @@
   return {
     routes: knowledge.revisionOf('routes'),
     backends: knowledge.revisionOf('backends'),
+    cordons: knowledge.revisionOf('cordons'),
     table: knowledge.tableRevision,
   };
 }
 
 function proofsOf(knowledge: RoutingKnowledge): Readonly<Partial<Record<RoutingTopic, TopicProof>>> {
   const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
-  for (const topic of ROUTING_TOPICS) {
+  for (const topic of knowledge.topics) {
     const proof = knowledge.proofOf(topic);
     if (proof.revision > NOTHING_KNOWN) proofs[topic] = proof;
   }
--- a/src/spreading/network-transport.ts
+++ b/src/spreading/network-transport.ts
@@ -103,8 +103,8 @@
   }
 }
 
-function statePath({ routes, backends, table }: KnownRevisions): string {
-  return `${STATE_PATH}?routes=${routes}&backends=${backends}&table=${table}`;
+function statePath({ routes, backends, cordons, table }: KnownRevisions): string {
+  return `${STATE_PATH}?routes=${routes}&backends=${backends}&cordons=${cordons}&table=${table}`;
 }
 
 /** What the asker of a path knows; undefined for another path. Who names no revision knows nothing. */
@@ -113,7 +113,10 @@
   if (name !== STATE_PATH) return undefined;
   const parameters = new URLSearchParams(query);
   const revision = (topic: string): number => Number(parameters.get(topic) ?? NOTHING_KNOWN);
-  return { routes: revision('routes'), backends: revision('backends'), table: revision('table') };
+  return {
+    ...{ routes: revision('routes'), backends: revision('backends'), cordons: revision('cordons') },
+    table: revision('table'),
+  };
 }
 
 async function readBody(response: IncomingMessage): Promise<Uint8Array> {
--- a/src/spreading/news-sender.ts
+++ b/src/spreading/news-sender.ts
@@ -13,7 +13,7 @@
 } from './constants.js';
 import { knownRevisionsOf, type MessageComposer } from './message-composer.js';
 import type { PeerView } from './peer-view.js';
-import { ROUTING_TOPICS, type KnownRevisions, type PeerMessage } from './types.js';
+import type { KnownRevisions, PeerMessage } from './types.js';
 import type { UpdateLog } from './update-log.js';
 
 /** What a sender needs. */
@@ -35,7 +35,7 @@
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
   private sentRevisions: KnownRevisions = {
-    ...{ routes: NOTHING_KNOWN, backends: NOTHING_KNOWN, table: NOTHING_KNOWN },
+    ...{ routes: NOTHING_KNOWN, backends: NOTHING_KNOWN, cordons: NOTHING_KNOWN, table: NOTHING_KNOWN },
   };
 
   constructor(private readonly options: NewsSenderOptions) {}
@@ -79,7 +79,7 @@
     this.changeTimer = undefined;
     this.changesSentMs = clock.now();
     const sent = this.sentRevisions;
-    const updates = ROUTING_TOPICS.flatMap(
+    const updates = knowledge.topics.flatMap(
       (topic) => log.since(topic, { revision: sent[topic], table: sent.table }) ?? [],
     );
     this.sentRevisions = knownRevisionsOf(knowledge);
--- a/src/spreading/pb/spreading.d.ts
+++ b/src/spreading/pb/spreading.d.ts
@@ -33,7 +33,10 @@
             ROUTES = 1,
 
             /** BACKENDS value */
-            BACKENDS = 2
+            BACKENDS = 2,
+
+            /** CORDONS value */
+            CORDONS = 3
         }
 
         /**
@@ -371,6 +374,9 @@
             /** Route targets. */
             targets: sailquay.spreading.RouteTarget.$Properties[];
 
+            /** Route allowedRegions. */
+            allowedRegions: string[];
+
             /**
              * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
              * @param message Route message or plain object to encode
@@ -414,6 +420,9 @@
                 /** Route targets */
                 targets?: (sailquay.spreading.RouteTarget.$Properties[]|null);
 
+                /** Route allowedRegions */
+                allowedRegions?: (string[]|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -447,6 +456,9 @@
             /** Service maxConnections. */
             maxConnections: number;
 
+            /** Service coldRequestsPerSecond. */
+            coldRequestsPerSecond: number;
+
             /**
              * Encodes the specified Service message. Does not implicitly {@link sailquay.spreading.Service.verify|verify} messages.
              * @param message Service message or plain object to encode
@@ -484,6 +496,9 @@
                 /** Service maxConnections */
                 maxConnections?: (number|null);
 
+                /** Service coldRequestsPerSecond */
+                coldRequestsPerSecond?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -886,6 +901,76 @@
             type $Shape = sailquay.spreading.Removal.$Properties;
         }
 
+        /**
+         * Properties of a Cordon.
+         * @deprecated Use sailquay.spreading.Cordon.$Properties instead.
+         */
+        interface ICordon extends sailquay.spreading.Cordon.$Properties {
+        }
+
+        /** Represents a Cordon. */
+        class Cordon {
+
+            /**
+             * Constructs a new Cordon.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.spreading.Cordon.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** Cordon zone. */
+            zone: string;
+
+            /** Cordon revision. */
+            revision: number;
+
+            /**
+             * Encodes the specified Cordon message. Does not implicitly {@link sailquay.spreading.Cordon.verify|verify} messages.
+             * @param message Cordon message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.spreading.Cordon.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes a Cordon message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Cordon & sailquay.spreading.Cordon.$Shape} Cordon
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.Cordon & sailquay.spreading.Cordon.$Shape;
+
+            /**
+             * Gets the type url for Cordon
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace Cordon {
+
+            /** Properties of a Cordon. */
+            interface $Properties {
+
+                /** Cordon zone */
+                zone?: (string|null);
+
+                /** Cordon revision */
+                revision?: (number|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of a Cordon. */
+            type $Shape = sailquay.spreading.Cordon.$Properties;
+        }
+
         /**
          * Properties of an Update.
          * @deprecated Use sailquay.spreading.Update.$Properties instead.
@@ -929,6 +1014,12 @@
             /** Update routeChange. */
             routeChange?: (sailquay.spreading.RouteTableChange.$Properties|null);
 
+            /** Update cordons. */
+            cordons: sailquay.spreading.Cordon.$Properties[];
+
+            /** Update cordonRemovals. */
+            cordonRemovals: sailquay.spreading.Cordon.$Properties[];
+
             /**
              * Encodes the specified Update message. Does not implicitly {@link sailquay.spreading.Update.verify|verify} messages.
              * @param message Update message or plain object to encode
@@ -984,6 +1075,12 @@
                 /** Update routeChange */
                 routeChange?: (sailquay.spreading.RouteTableChange.$Properties|null);
 
+                /** Update cordons */
+                cordons?: (sailquay.spreading.Cordon.$Properties[]|null);
+
+                /** Update cordonRemovals */
+                cordonRemovals?: (sailquay.spreading.Cordon.$Properties[]|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/spreading/pb/spreading.js
+++ b/src/spreading/pb/spreading.js
@@ -51,12 +51,14 @@
          * @property {number} UNKNOWN_TOPIC=0 UNKNOWN_TOPIC value
          * @property {number} ROUTES=1 ROUTES value
          * @property {number} BACKENDS=2 BACKENDS value
+         * @property {number} CORDONS=3 CORDONS value
          */
         spreading.Topic = (function() {
             const valuesById = $Object.create(null), values = $Object.create(valuesById);
             values[valuesById[0] = "UNKNOWN_TOPIC"] = 0;
             values[valuesById[1] = "ROUTES"] = 1;
             values[valuesById[2] = "BACKENDS"] = 2;
+            values[valuesById[3] = "CORDONS"] = 3;
             return values;
         })();
 
@@ -829,6 +831,7 @@
              * @property {number|null} [address] Route address
              * @property {number|null} [port] Route port
              * @property {Array.<sailquay.spreading.RouteTarget.$Properties>|null} [targets] Route targets
+             * @property {Array.<string>|null} [allowedRegions] Route allowedRegions
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -855,6 +858,7 @@
              */
             const Route = function (properties) {
                 this.targets = [];
+                this.allowedRegions = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -893,6 +897,14 @@
              */
             Route.prototype.targets = $util.emptyArray;
 
+            /**
+             * Route allowedRegions.
+             * @member {Array.<string>} allowedRegions
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.allowedRegions = $util.emptyArray;
+
             /**
              * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
              * @function encode
@@ -918,6 +930,9 @@
                 if (message.targets != null && message.targets.length)
                     for (let i = 0; i < message.targets.length; ++i)
                         $root.sailquay.spreading.RouteTarget.encode(message.targets[i], writer.uint32(/* id 4, wireType 2 =*/34).fork(), _depth + 1).ldelim();
+                if (message.allowedRegions != null && message.allowedRegions.length)
+                    for (let i = 0; i < message.allowedRegions.length; ++i)
+                        writer.uint32(/* id 5, wireType 2 =*/42).string(message.allowedRegions[i]);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -997,6 +1012,14 @@
                             message.targets.push($root.sailquay.spreading.RouteTarget.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.allowedRegions && message.allowedRegions.length))
+                                message.allowedRegions = [];
+                            message.allowedRegions.push(reader.stringVerify());
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -1038,6 +1061,7 @@
              * @typedef {Object} sailquay.spreading.Service.$Properties
              * @property {string|null} [name] Service name
              * @property {number|null} [maxConnections] Service maxConnections
+             * @property {number|null} [coldRequestsPerSecond] Service coldRequestsPerSecond
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1085,6 +1109,14 @@
              */
             Service.prototype.maxConnections = 0;
 
+            /**
+             * Service coldRequestsPerSecond.
+             * @member {number} coldRequestsPerSecond
+             * @memberof sailquay.spreading.Service
+             * @instance
+             */
+            Service.prototype.coldRequestsPerSecond = 0;
+
             /**
              * Encodes the specified Service message. Does not implicitly {@link sailquay.spreading.Service.verify|verify} messages.
              * @function encode
@@ -1105,6 +1137,8 @@
                     writer.uint32(/* id 1, wireType 2 =*/10).string(message.name);
                 if (message.maxConnections != null && $Object.hasOwnProperty.call(message, "maxConnections") && !$Object.is(message.maxConnections, 0))
                     writer.uint32(/* id 2, wireType 1 =*/17).double(message.maxConnections);
+                if (message.coldRequestsPerSecond != null && $Object.hasOwnProperty.call(message, "coldRequestsPerSecond") && !$Object.is(message.coldRequestsPerSecond, 0))
+                    writer.uint32(/* id 3, wireType 1 =*/25).double(message.coldRequestsPerSecond);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1167,6 +1201,15 @@
                                 delete message.maxConnections;
                             continue;
                         }
+                    case 3: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.coldRequestsPerSecond = value;
+                            else
+                                delete message.coldRequestsPerSecond;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -2272,6 +2315,176 @@
             return Removal;
         })();
 
+        spreading.Cordon = (function() {
+
+            /**
+             * Properties of a Cordon.
+             * @typedef {Object} sailquay.spreading.Cordon.$Properties
+             * @property {string|null} [zone] Cordon zone
+             * @property {number|null} [revision] Cordon revision
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of a Cordon.
+             * @memberof sailquay.spreading
+             * @interface ICordon
+             * @augments sailquay.spreading.Cordon.$Properties
+             * @deprecated Use sailquay.spreading.Cordon.$Properties instead.
+             */
+
+            /**
+             * Shape of a Cordon.
+             * @typedef {sailquay.spreading.Cordon.$Properties} sailquay.spreading.Cordon.$Shape
+             */
+
+            /**
+             * Constructs a new Cordon.
+             * @memberof sailquay.spreading
+             * @classdesc Represents a Cordon.
+             * @constructor
+             * @param {sailquay.spreading.Cordon.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const Cordon = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * Cordon zone.
+             * @member {string} zone
+             * @memberof sailquay.spreading.Cordon
+             * @instance
+             */
+            Cordon.prototype.zone = "";
+
+            /**
+             * Cordon revision.
+             * @member {number} revision
+             * @memberof sailquay.spreading.Cordon
+             * @instance
+             */
+            Cordon.prototype.revision = 0;
+
+            /**
+             * Encodes the specified Cordon message. Does not implicitly {@link sailquay.spreading.Cordon.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.Cordon
+             * @static
+             * @param {sailquay.spreading.Cordon.$Properties} message Cordon message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            Cordon.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.zone != null && $Object.hasOwnProperty.call(message, "zone") && message.zone !== "")
+                    writer.uint32(/* id 1, wireType 2 =*/10).string(message.zone);
+                if (message.revision != null && $Object.hasOwnProperty.call(message, "revision") && !$Object.is(message.revision, 0))
+                    writer.uint32(/* id 2, wireType 1 =*/17).double(message.revision);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes a Cordon message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.Cordon
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.Cordon & sailquay.spreading.Cordon.$Shape} Cordon
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            Cordon.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.Cordon();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.zone = value;
+                            else
+                                delete message.zone;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.revision = value;
+                            else
+                                delete message.revision;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for Cordon
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.Cordon
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            Cordon.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.Cordon";
+            };
+
+            return Cordon;
+        })();
+
         spreading.Update = (function() {
 
             /**
@@ -2285,6 +2498,8 @@
              * @property {Array.<sailquay.spreading.Backend.$Properties>|null} [backends] Update backends
              * @property {Array.<sailquay.spreading.Removal.$Properties>|null} [removals] Update removals
              * @property {sailquay.spreading.RouteTableChange.$Properties|null} [routeChange] Update routeChange
+             * @property {Array.<sailquay.spreading.Cordon.$Properties>|null} [cordons] Update cordons
+             * @property {Array.<sailquay.spreading.Cordon.$Properties>|null} [cordonRemovals] Update cordonRemovals
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2312,6 +2527,8 @@
             const Update = function (properties) {
                 this.backends = [];
                 this.removals = [];
+                this.cordons = [];
+                this.cordonRemovals = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -2382,6 +2599,22 @@
              */
             Update.prototype.routeChange = null;
 
+            /**
+             * Update cordons.
+             * @member {Array.<sailquay.spreading.Cordon.$Properties>} cordons
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.cordons = $util.emptyArray;
+
+            /**
+             * Update cordonRemovals.
+             * @member {Array.<sailquay.spreading.Cordon.$Properties>} cordonRemovals
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.cordonRemovals = $util.emptyArray;
+
             /**
              * Encodes the specified Update message. Does not implicitly {@link sailquay.spreading.Update.verify|verify} messages.
              * @function encode
@@ -2416,6 +2649,12 @@
                         $root.sailquay.spreading.Removal.encode(message.removals[i], writer.uint32(/* id 7, wireType 2 =*/58).fork(), _depth + 1).ldelim();
                 if (message.routeChange != null && $Object.hasOwnProperty.call(message, "routeChange"))
                     $root.sailquay.spreading.RouteTableChange.encode(message.routeChange, writer.uint32(/* id 8, wireType 2 =*/66).fork(), _depth + 1).ldelim();
+                if (message.cordons != null && message.cordons.length)
+                    for (let i = 0; i < message.cordons.length; ++i)
+                        $root.sailquay.spreading.Cordon.encode(message.cordons[i], writer.uint32(/* id 9, wireType 2 =*/74).fork(), _depth + 1).ldelim();
+                if (message.cordonRemovals != null && message.cordonRemovals.length)
+                    for (let i = 0; i < message.cordonRemovals.length; ++i)
+                        $root.sailquay.spreading.Cordon.encode(message.cordonRemovals[i], writer.uint32(/* id 10, wireType 2 =*/82).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2524,6 +2763,22 @@
                             message.routeChange = $root.sailquay.spreading.RouteTableChange.decode(reader, reader.size(), $undefined, _depth + 1, message.routeChange);
                             continue;
                         }
+                    case 9: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.cordons && message.cordons.length))
+                                message.cordons = [];
+                            message.cordons.push($root.sailquay.spreading.Cordon.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 10: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.cordonRemovals && message.cordonRemovals.length))
+                                message.cordonRemovals = [];
+                            message.cordonRemovals.push($root.sailquay.spreading.Cordon.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/spreading/peer-view.ts
+++ b/src/spreading/peer-view.ts
@@ -1,10 +1,11 @@
 /** The peers that this daemon knows: all of them in a small fleet, a random part in a large one, and how many there are. */
+import { combine32, hashString } from '../common/hash.js';
 import { pick, type RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { EventLog } from '../observability/event.js';
 import { ALONE_AFTER_MS, MAX_PEERS, PEER_FORGET_MS, SIZE_SAMPLE } from './constants.js';
 import { SPREADING_EVENTS } from './events.js';
-import { FleetSizeSketch } from './fleet-size.js';
+import { FleetSizeSketch, hashOfDaemon } from './fleet-size.js';
 import type { Peer } from './types.js';
 
 /** What a view needs. */
@@ -18,6 +19,7 @@
 /** A peer with its turn: who has the lowest gets the next news. */
 interface ListedPeer extends Peer {
   turn: number;
+  readonly hash: number;
 }
 
 /** See the module. */
@@ -48,7 +50,8 @@
       return;
     }
     if (!known && this.peers.size >= MAX_PEERS) this.makeRoom();
-    this.peers.set(key, { endpoint, zone, heardAtMs, turn: this.turns + this.options.random() });
+    const turn = this.turns + this.options.random();
+    this.peers.set(key, { endpoint, zone, heardAtMs, turn, hash: hashOfDaemon(endpoint) });
     if (!known) this.options.events.emit(SPREADING_EVENTS.peerKnown, { peer: key, zone, peers: this.size });
   }
 
@@ -65,6 +68,23 @@
     return Math.max(this.size + 1, this.sketch.estimate());
   }
 
+  /**
+   * True when this daemon is among the `count` that rendezvous hashing assigns to `key`. Daemons that know the same peers agree:
+   * the owners come from all daemons while every one knows them all, beyond that from those that every one remembers.
+   */
+  isOwner(key: string, count: number): boolean {
+    const candidates = this.size < MAX_PEERS ? this.peers.values() : this.sketch.othersOfSample;
+    if (!candidates) return false;
+    const keyHash = hashString(key);
+    const own = combine32(keyHash, this.sketch.selfHash);
+    let before = 0;
+    for (const { hash } of candidates) {
+      if (combine32(keyHash, hash) > own) before += 1;
+      if (before >= count) return false;
+    }
+    return true;
+  }
+
   /** Notes that a peer itself said something. */
   noteDirect(endpoint: Endpoint, zone: string, nowMs: number): void {
     this.heardDirectlyMs = nowMs;
--- a/src/spreading/simulated-source.ts
+++ b/src/spreading/simulated-source.ts
@@ -1,4 +1,4 @@
-/** A source of routes and back ends on a virtual clock, for tests: one counter of revisions, watches, and faults. */
+/** A source of routes, back ends and cordons on a virtual clock, for tests: one counter of revisions, watches, and faults. */
 import Result from 'true-myth/result';
 import type { Clock } from '../common/clock.js';
 import {
@@ -23,6 +23,8 @@
   readonly topic: RoutingTopic;
   readonly backend?: RoutedBackend;
   readonly removed?: string;
+  readonly cordoned?: string;
+  readonly uncordoned?: string;
 }
 
 /** A source with one counter of revisions, watches, a history that may be lost, and faults for some daemons. */
@@ -33,6 +35,7 @@
   readonly faults = new Map<string, SourceFault>();
   private table: RouteTable | undefined = tableAt(2);
   private readonly backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
+  private readonly cordons = new Map<string, number>();
   private changes: LoggedChange[] = [];
   private historyFrom = 0;
   private readonly waiters = new Set<() => void>();
@@ -64,6 +67,20 @@
     return this.note({ revision: this.revision, topic: 'backends', removed: id });
   }
 
+  /** Cordons a zone. */
+  cordon(zone: string): number {
+    this.revision += 1;
+    this.cordons.set(zone, this.revision);
+    return this.note({ revision: this.revision, topic: 'cordons', cordoned: zone });
+  }
+
+  /** Takes a cordon back. */
+  uncordon(zone: string): number {
+    this.revision += 1;
+    this.cordons.delete(zone);
+    return this.note({ revision: this.revision, topic: 'cordons', uncordoned: zone });
+  }
+
   /** Forgets every change so far; watches that ask for them are told so. */
   forgetHistory(): void {
     this.historyFrom = this.revision;
@@ -112,6 +129,10 @@
     const { revision } = this;
     const routes = this.table ? [this.table] : [];
     if (topic === 'routes') return updateAt(revision, { complete: true, routes });
+    if (topic === 'cordons') {
+      const cordons = [...this.cordons].map(([zone, at]) => ({ zone, revision: at }));
+      return updateAt(revision, { complete: true, cordons });
+    }
     return updateAt(revision, { complete: true, backends: [...this.backends.values()] });
   }
 
@@ -131,6 +152,10 @@
       routes: topic === 'routes' && news.length > 0 && this.table ? [this.table] : [],
       backends: news.flatMap(({ backend }) => backend ?? []),
       removals: news.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
+      cordons: news.flatMap(({ cordoned, revision }) => (cordoned ? [{ zone: cordoned, revision }] : [])),
+      cordonRemovals: news.flatMap(({ uncordoned, revision }) =>
+        uncordoned ? [{ zone: uncordoned, revision }] : [],
+      ),
     });
   }
 
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -28,7 +28,7 @@
 import { PeerView } from './peer-view.js';
 import { ReaderRole, type RoleReason } from './reader-role.js';
 import { RecentSuspicions } from './recent-suspicions.js';
-import { ROUTING_TOPICS, type BackendSuspicion, type PeerMessage, type PeerTransport } from './types.js';
+import type { BackendSuspicion, PeerMessage, PeerTransport } from './types.js';
 import { UpdateLog } from './update-log.js';
 
 /** What a spreader needs. */
@@ -127,6 +127,11 @@
     return this.peers.fleetSize;
   }
 
+  /** See `PeerView.isOwner`. */
+  isOwner(key: string, count: number): boolean {
+    return this.peers.isOwner(key, count);
+  }
+
   get isReading(): boolean {
     return this.role.isReading;
   }
@@ -242,7 +247,7 @@
     message.readers.forEach((reader) => this.role.note(reader));
     message.loads.forEach((report) => this.tellLoad(report));
     message.suspicions.forEach((suspicion) => this.takeSuspicion(suspicion));
-    const missing = ROUTING_TOPICS.filter((topic) => {
+    const missing = knowledge.topics.filter((topic) => {
       const proof = message.proofs[topic];
       return proof !== undefined && !knowledge.acceptProof(topic, proof);
     });
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -8,7 +8,6 @@
 import { SimulatedPeerNetwork, zoneOf } from './simulated-peer-network.js';
 import { SimulatedSource, type SourceFault } from './simulated-source.js';
 import { Spreader } from './spreader.js';
-import { ROUTING_TOPICS } from './types.js';
 
 export type { SourceFault } from './simulated-source.js';
 
@@ -36,14 +35,20 @@
     this.endpoint = { host: `10.1.${index >> 8}.${index & 0xff}`, port: 7_720 };
     const random = seededRandom(cluster.seed * 1_000 + index);
     const events = SILENT_EVENT_LOG;
-    this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
+    this.knowledge = new RoutingKnowledge({
+      clock,
+      events,
+      retentionMs: 60_000,
+      followsCordons: cluster.options.followsCordons,
+    });
     const circuit = new SourceCircuit(clock, random, events);
     circuit.retryNoSoonerThan(() => this.spreader.leastRetryMs());
     const following = {
       ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit, timings: TIMINGS },
+      usesLongWatches: cluster.options.usesLongWatches,
       onProof: () => this.spreader.noteOwnProof(),
     };
-    const followers = ROUTING_TOPICS.map((topic) => new SourceFollower(topic, following));
+    const followers = this.knowledge.topics.map((topic) => new SourceFollower(topic, following));
     this.spreader = new Spreader({
       ...{
         selfId: id,
@@ -87,6 +92,12 @@
   }
 }
 
+/** What daemons of a cluster do differently; nothing unless given. */
+export interface ClusterOptions {
+  readonly followsCordons?: boolean;
+  readonly usesLongWatches?: boolean;
+}
+
 /** A cluster with a source and a network. */
 export class SpreadingCluster {
   readonly clock = new VirtualClock();
@@ -99,6 +110,7 @@
   constructor(
     size: number,
     readonly seed = 1,
+    readonly options: ClusterOptions = {},
   ) {
     this.network = new SimulatedPeerNetwork(this.clock, seededRandom(seed));
     for (let index = 1; index <= Math.min(3, size); index += 1) {
@@ -144,8 +156,12 @@
 export const SETTLE_MS = 4_000;
 
 /** A cluster that has run for `SETTLE_MS`. */
-export async function settled(size: number, seed = 1): Promise<SpreadingCluster> {
-  const cluster = new SpreadingCluster(size, seed);
+export async function settled(
+  size: number,
+  seed = 1,
+  options: ClusterOptions = {},
+): Promise<SpreadingCluster> {
+  const cluster = new SpreadingCluster(size, seed, options);
   await cluster.clock.advanceAsync(SETTLE_MS, 10);
   return cluster;
 }
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -5,8 +5,6 @@
 import type { RoutingTopic, RoutingUpdate, TopicProof } from '../routing/index.js';
 import type { SpreadingError } from './errors.js';
 
-export const ROUTING_TOPICS: readonly RoutingTopic[] = ['routes', 'backends'];
-
 /** A daemon as others know it. */
 export interface Peer {
   readonly endpoint: Endpoint;
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -14,7 +14,11 @@
 
 /** See the module. */
 export class UpdateLog {
-  private readonly entries: Readonly<Record<RoutingTopic, SpreadUpdate[]>> = { routes: [], backends: [] };
+  private readonly entries: Readonly<Record<RoutingTopic, SpreadUpdate[]>> = {
+    routes: [],
+    backends: [],
+    cordons: [],
+  };
 
   constructor(private readonly isOn: MechanismCheck = ALL_MECHANISMS_ON) {}
 
@@ -34,8 +38,10 @@
     const needed = first < 0 ? [] : log.slice(first);
     if (!needed[0]) return undefined;
     const update = merge(needed.map((entry) => entry.update));
-    const backends = update.backends.filter((record) => record.revision > known.revision);
-    return { topic, since: Math.max(needed[0].since, known.revision), update: { ...update, backends } };
+    const isNew = (record: { readonly revision: number }): boolean => record.revision > known.revision;
+    const { backends, cordons } = update;
+    const lacking = { backends: backends.filter(isNew), cordons: cordons?.filter(isNew) };
+    return { topic, since: Math.max(needed[0].since, known.revision), update: { ...update, ...lacking } };
   }
 }
 
@@ -50,6 +56,8 @@
       .reduce<RouteTableChange | undefined>(joinAfter, undefined),
     backends: lastOfEach(updates.flatMap(({ backends }) => backends)),
     removals: updates.flatMap(({ removals }) => removals),
+    cordons: updates.flatMap(({ cordons = [] }) => cordons),
+    cordonRemovals: updates.flatMap(({ cordonRemovals = [] }) => cordonRemovals),
   };
 }
 
@@ -98,6 +106,7 @@
     departed: all.flatMap(({ record, departedAtMs }) =>
       departedAtMs === undefined ? [] : [{ record, departedAtMs }],
     ),
+    cordons: topic === 'cordons' ? knowledge.cordons.all() : [],
   };
   return { topic, since: -1, update };
 }
