Let a reader that has just started watch cordons a second later

Ruled out: refused calls (25); a wait for every new reader: the source silent for the readers, a cordon takes 3,065 ms of 2,900 allowed. Change: a reader whose cordons were never confirmed waits 1 s before it watches them; the other answers confirm them meanwhile.

--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -6,6 +6,12 @@
 /** After an answer with changes the next watch is asked for this much later, so that changes in a row come together. */
 export const CHANGE_GATHER_MS = 120;
 
+/**
+ * A reader that has just started begins to watch the topic with long watches this much later than the others, in ms: most of those
+ * that start together stop before, and the answers about the other topics confirm it meanwhile.
+ */
+export const LONG_WATCH_START_MS = 1_000;
+
 /** While a long watch is under way, its topic's age is checked this often. */
 export const CONFIRM_CHECK_MS = 100;
 
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, TimerHandle } from '../common/clock.js';
 import { pause } from '../common/pause.js';
-import { CHANGE_GATHER_MS, CONFIRM_CHECK_MS, FIRST_WATCH_WAIT_MS } from './constants.js';
+import { CHANGE_GATHER_MS, CONFIRM_CHECK_MS, FIRST_WATCH_WAIT_MS, LONG_WATCH_START_MS } from './constants.js';
 import { RoutingSourceError } from './errors.js';
 import type { FreshnessTimings } from './freshness.js';
 import { hasContent, type RoutingKnowledge } from './knowledge.js';
@@ -63,6 +63,8 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.readFirst(signal);
     let hasGap = !this.isKnown();
+    if (this.isLongWatched && !this.wasConfirmed)
+      await pause(this.options.clock, LONG_WATCH_START_MS, signal);
     while (!signal.aborted) {
       const complete = await this.step(hasGap, signal);
       hasGap = !complete;
@@ -153,8 +155,15 @@
 
   /** While the source's revision moves, answers about other topics do not confirm this one, so that it is asked for often. */
   private get mayWatchLong(): boolean {
-    if (this.topic !== LONG_WATCHED_TOPIC || this.options.usesLongWatches === false) return false;
-    return this.isSourceCalm && !this.isUnconfirmed();
+    return this.isLongWatched && this.isSourceCalm && !this.isUnconfirmed();
+  }
+
+  private get wasConfirmed(): boolean {
+    return Number.isFinite(this.options.knowledge.ageOf(this.topic));
+  }
+
+  private get isLongWatched(): boolean {
+    return this.topic === LONG_WATCHED_TOPIC && this.options.usesLongWatches !== false;
   }
 
   private isUnconfirmed(): boolean {
