Let suspicions of a moment share a gossip message

Cause: each back end that is found dead was told at once, and each daemon that heard of one passed it on at once: a zone that is lost with its back ends would cost three messages for each of them and daemon. Ruled out: a limit on what is told; the message holds eight already. Change: suspicions wait the 50 ms that confirmations wait, and go out together.

--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -170,10 +170,13 @@
     this.sender.push(this.composer.farewell());
   }
 
-  /** Tells other daemons of a back end that was ejected here. */
+  /**
+   * Tells other daemons of a back end that was ejected or found dead here. A zone that is lost brings many at once, so those of a
+   * moment share a message.
+   */
   tellSuspicion(suspicion: BackendSuspicion): void {
     this.suspicions.note(suspicion);
-    this.sender.push(this.composer.news());
+    this.sender.pushSoon();
   }
 
   /** Takes in a report of the back ends' load; if it is new here, the next push without changes carries it. */
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -342,3 +342,17 @@
   const moreASecond = (bytes() - before - 2 * without) / 60 / 4;
   t.true(moreASecond <= 2_000, `${moreASecond} bytes a second and daemon`);
 });
+
+test('back ends of a lost zone that are suspected together share messages', async (t) => {
+  const cluster = await settled(30);
+  const before = cluster.daemons.reduce((sum, { spreader }) => sum + spreader.statistics.messagesSent, 0);
+  const atMs = cluster.clock.now();
+  for (const daemon of cluster.daemons) {
+    for (let index = 0; index < 40; index += 1) {
+      daemon.spreader.tellSuspicion({ backendId: `b-${index}`, atMs });
+    }
+  }
+  await cluster.clock.advanceAsync(1_000, 10);
+  const after = cluster.daemons.reduce((sum, { spreader }) => sum + spreader.statistics.messagesSent, 0);
+  t.true(after - before <= 30 * 80, `${after - before} messages in a second`);
+});
