--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -82,24 +82,11 @@
   });
   circuit.retryNoSoonerThan(() => spreader.leastRetryMs());
   const forwarder: CookieForwarder = new CookieForwarder({
-    ...{
-      clock,
-      random,
-      events,
-      knowledge,
-      edge,
-      pauses,
-      zone,
-      zoneMargin,
-      zoneLoadFactor,
-      maxFlowAgeMs,
-      isOn,
-      loads,
-    },
-    maxFlows: () => config().limits.maxFlows,
-    probe: probeConnect,
+    ...{ clock, random, events, knowledge, edge, pauses, isOn, loads },
+    ...{ zone, zoneMargin, zoneLoadFactor, maxFlowAgeMs, probe: probeConnect },
     regionOf: (name) => zoneRegions[name],
     cold: { overage, slack, isOwner: (backendId, count) => spreader.isOwner(backendId, count) },
+    maxFlows: () => config().limits.maxFlows,
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
   openWhenComplete(gate, knowledge, forwarder);
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -63,8 +63,7 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.readFirst(signal);
     let hasGap = !this.isKnown();
-    if (this.isLongWatched && !this.wasConfirmed)
-      await pause(this.options.clock, LONG_WATCH_START_MS, signal);
+    if (this.startsLate) await pause(this.options.clock, LONG_WATCH_START_MS, signal);
     while (!signal.aborted) {
       const complete = await this.step(hasGap, signal);
       hasGap = !complete;
@@ -158,8 +157,10 @@
     return this.isLongWatched && this.isSourceCalm && !this.isUnconfirmed();
   }
 
-  private get wasConfirmed(): boolean {
-    return Number.isFinite(this.options.knowledge.ageOf(this.topic));
+  /** True where the other followers' answers are about to bring the first confirmation of this topic. */
+  private get startsLate(): boolean {
+    const wasConfirmed = Number.isFinite(this.options.knowledge.ageOf(this.topic));
+    return this.isLongWatched && !wasConfirmed;
   }
 
   private get isLongWatched(): boolean {
