--- /dev/null
+++ b/src/spreading/message-codec.test.ts
@@ -0,0 +1,53 @@
+/** What a message says arrives as it was said: regions of routes, rates of cold back ends, cordons and their removals. */
+import test from 'ava';
+import { tableAt, updateAt } from '../routing/routing-test-support.js';
+import type { RouteTable, RoutingUpdate } from '../routing/index.js';
+import { applyTableChange, compareTables } from '../routing/route-table-change.js';
+import { decodePeerMessage, encodePeerMessage } from './message-codec.js';
+import type { PeerMessage, SpreadUpdate } from './types.js';
+
+const NOW_MS = 60_000;
+
+function messageWith(update: SpreadUpdate): PeerMessage {
+  return {
+    ...{ type: 'news', senderId: 'balancer-1', senderZone: 'north', leaving: false, updates: [update] },
+    ...{ proofs: {}, readers: [], peers: [], suspicions: [], loads: [], departedCount: 0, tableRevision: 5 },
+  };
+}
+
+/** An update after a way through the codec. */
+function received(update: SpreadUpdate): RoutingUpdate | undefined {
+  return decodePeerMessage(encodePeerMessage(messageWith(update), NOW_MS), NOW_MS)?.updates[0]?.update;
+}
+
+const limited: RouteTable = tableAt(5, {
+  routes: tableAt(5).routes.map((route) => ({ ...route, allowedRegions: ['isartal', 'donau'] })),
+  services: [
+    { name: 'alpha', maxConnections: 2_000, coldRequestsPerSecond: 1.5 },
+    { name: 'beta', maxConnections: 10 },
+  ],
+});
+
+test('regions of routes and rates of cold back ends arrive', (t) => {
+  const update = updateAt(5, { complete: true, routes: [limited] });
+  t.deepEqual(received({ topic: 'routes', since: -1, update })?.routes, [limited]);
+});
+
+test('cordons and their removals arrive', (t) => {
+  const update = updateAt(9, {
+    cordons: [{ zone: 'north', revision: 8 }],
+    cordonRemovals: [{ zone: 'south', revision: 9 }],
+  });
+  const { cordons, cordonRemovals } = received({ topic: 'cordons', since: 7, update }) ?? {};
+  t.deepEqual(cordons, update.cordons);
+  t.deepEqual(cordonRemovals, update.cordonRemovals);
+});
+
+test('a change of nothing but the regions of a route is a change, and leads to the table that it should', (t) => {
+  const after = { ...limited, revision: 6, routes: tableAt(6).routes };
+  const change = compareTables(limited, after);
+  t.is(change.routes.length, 1);
+  const update = updateAt(6, { routeChange: change });
+  const arrived = received({ topic: 'routes', since: 5, update })?.routeChange;
+  t.deepEqual(applyTableChange(limited, arrived!), after);
+});
