--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -8,7 +8,7 @@
 import { PauseDetector } from '../common/pause-detector.js';
 import { TICK_MS } from '../flow/cookie/constants.js';
 import { LOAD_MIN_DAEMONS, LoadReader, LoadView } from '../load/index.js';
-import { freshnessTimings, RoutingKnowledge, SourceCircuit } from '../routing/index.js';
+import { freshnessTimings, ProblemLog, RoutingKnowledge, SourceCircuit } from '../routing/index.js';
 import { NetworkTransport, Spreader } from '../spreading/index.js';
 import type { BoundCookieEdge, DeploymentAdapters } from './adapters.js';
 import type { CookieDaemonConfig } from './config.js';
@@ -29,6 +29,7 @@
   readonly edge: BoundCookieEdge;
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
+  readonly problems: ProblemLog;
   readonly reading: SourceReading;
   readonly transport: NetworkTransport;
   readonly spreader: Spreader;
@@ -63,8 +64,9 @@
     isWanted: () => isOn('reported-load') && !circuit.isLost && spreader.fleetSize >= LOAD_MIN_DAEMONS,
     onReport: (report) => spreader.tellLoad(report),
   });
+  const problems = new ProblemLog(events);
   const following = {
-    ...{ clock, source, knowledge, circuit, timings, usesLongWatches: isOn('long-watches') },
+    ...{ clock, source, knowledge, circuit, timings, problems, usesLongWatches: isOn('long-watches') },
     onProof: () => spreader.noteOwnProof(),
   };
   const reading = new SourceReading(following, loadReader);
@@ -90,7 +92,7 @@
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
   openWhenComplete(gate, knowledge, forwarder);
-  return { ...environment, edge, transport, knowledge, circuit, reading, spreader, forwarder };
+  return { ...environment, edge, transport, knowledge, circuit, problems, reading, spreader, forwarder };
 }
 
 /** Lets packets through as soon as everything is known that forwarding needs. */
--- a/src/cookie-daemon/status.ts
+++ b/src/cookie-daemon/status.ts
@@ -96,6 +96,7 @@
     gauge('cordoned_zones', 'Zones that get no new flows', (p) => p.knowledge.cordons.all().length),
     gauge('source_lost', '1 while the source is out of reach', (parts) => Number(parts.circuit.isLost)),
     counter('source_calls_total', 'Calls to the source', (parts) => parts.reading.calls),
+    counter('source_record_problems_total', 'Malformed records', (parts) => parts.problems.count),
     gauge('source_reader', '1 while this daemon reads the source', (p) => Number(p.spreader.isReading)),
     gauge('peers', 'Peers known', (parts) => parts.spreader.peerCount),
     counter('spreading_sent_bytes_total', 'Bytes to peers', (p) => p.spreader.statistics.bytesSent),
--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -52,6 +52,12 @@
     message: 'Digest mismatch after applying a change to the route table; fetching the whole table',
     action: 'Report it with the logs of this daemon and of the one that sent the change',
   },
+  recordProblem: {
+    number: 2013,
+    level: 'error',
+    message: 'Record of the source has another form than expected',
+    action: 'Correct the record; the field `problem` says what is done until then',
+  },
   zoneCordoned: {
     number: 2011,
     level: 'info',
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -5,7 +5,8 @@
  * const knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000 });
  * const timings = freshnessTimings(3_000);
  * const circuit = new SourceCircuit(clock, random, events);
- * void new SourceFollower('routes', { clock, source, knowledge, circuit, timings }).run(signal);
+ * const problems = new ProblemLog(events);
+ * void new SourceFollower('routes', { clock, source, knowledge, circuit, timings, problems }).run(signal);
  * ```
  */
 export type * from './types.js';
@@ -14,6 +15,7 @@
 export { ROUTING_EVENTS } from './events.js';
 export { DEFAULT_FRESHNESS_BOUND_MS, freshnessTimings, type FreshnessTimings } from './freshness.js';
 export { RoutingKnowledge, type AppliedUpdate, type UpdateOrigin } from './knowledge.js';
+export { ProblemLog } from './problem-log.js';
 export { addressKey, RouteIndex, splitAddressKey } from './route-index.js';
 export { isNextChange, joinTableChanges } from './route-table-change.js';
 export { SourceCircuit } from './source-circuit.js';
--- a/src/routing/source-follower.test.ts
+++ b/src/routing/source-follower.test.ts
@@ -6,6 +6,7 @@
 import type { RoutingSourceErrorKind } from './errors.js';
 import { freshnessTimings } from './freshness.js';
 import { RoutingKnowledge } from './knowledge.js';
+import { ProblemLog } from './problem-log.js';
 import { backendAt, ScriptedSource, updateAt, type SourceCall } from './routing-test-support.js';
 import { SourceCircuit } from './source-circuit.js';
 import { SourceFollower } from './source-follower.js';
@@ -22,10 +23,10 @@
   const knowledge = new RoutingKnowledge({ clock, events: SILENT_EVENT_LOG, retentionMs: 60_000 });
   const circuit = new SourceCircuit(clock, seededRandom(1), SILENT_EVENT_LOG);
   const abort = new AbortController();
-  void new SourceFollower('backends', { clock, source, knowledge, circuit, timings: TIMINGS }).run(
-    abort.signal,
-  );
-  return { clock, source, knowledge, circuit, stop: () => abort.abort() };
+  const problems = new ProblemLog(SILENT_EVENT_LOG);
+  const options = { clock, source, knowledge, circuit, timings: TIMINGS, problems };
+  void new SourceFollower('backends', options).run(abort.signal);
+  return { clock, source, knowledge, circuit, problems, stop: () => abort.abort() };
 }
 
 function after<T>(clock: VirtualClock, delayMs: number, value: T): Promise<T> {
@@ -188,3 +189,21 @@
   t.truthy(knowledge.backends.get('a'));
   stop();
 });
+
+test('a malformed record is logged once for each of its revisions, however often it is read', async (t) => {
+  const bad = { name: 'b', revision: 5, problem: 'address is not an address with a port; left out' };
+  let revision = 5;
+  const { clock, problems, knowledge, stop } = follow((call, virtual) => {
+    revision += 1;
+    const again = { ...bad, revision: revision < 12 ? 5 : 12 };
+    if (call.kind === 'read') return after(virtual, 4, { ...LIST, problems: [bad] });
+    return after(virtual, 100, updateAt(revision, { problems: [again] }));
+  });
+  await clock.advanceAsync(400, 1);
+  t.is(problems.count, 1);
+  t.true(knowledge.backends.get('a') !== undefined, 'the records beside it are taken in');
+  await clock.advanceAsync(2_000, 1);
+  t.true(revision > 12);
+  t.is(problems.count, 2);
+  stop();
+});
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -8,6 +8,7 @@
 import { RoutingSourceError } from './errors.js';
 import type { FreshnessTimings } from './freshness.js';
 import { hasContent, type RoutingKnowledge } from './knowledge.js';
+import type { ProblemLog } from './problem-log.js';
 import type { SourceCircuit } from './source-circuit.js';
 import type { ReadFreshness, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
 
@@ -18,6 +19,7 @@
   readonly knowledge: RoutingKnowledge;
   readonly circuit: SourceCircuit;
   readonly timings: FreshnessTimings;
+  readonly problems: ProblemLog;
   /** False: every topic is watched as often as the one that changes most. True unless given. */
   readonly usesLongWatches?: boolean;
   /** Called after each answer that proved something. */
@@ -192,7 +194,8 @@
   }
 
   private take(update: RoutingUpdate, since: number, provedAtMs: number): boolean {
-    const { circuit, knowledge } = this.options;
+    const { circuit, knowledge, problems } = this.options;
+    problems.note(this.topic, update.problems);
     const mayHaveLapsed = circuit.recordsMayLapse();
     circuit.noteAnswer();
     const complete = knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -111,6 +111,15 @@
   readonly revision: number;
 }
 
+/** Something in a record of the source that could not be understood. */
+export interface RecordProblem {
+  /** Name of the record, and the revision of its last change. */
+  readonly name: string;
+  readonly revision: number;
+  /** What is wrong, and what is done about it. */
+  readonly problem: string;
+}
+
 /** What a source tells separately. Cordons are followed only where the deployment has them. */
 export type RoutingTopic = 'routes' | 'backends' | 'cordons';
 
@@ -130,6 +139,8 @@
   readonly cordonRemovals?: readonly CordonRemoval[];
   /** Last records of back ends that left, for those who never knew them; only from other balancers. */
   readonly departed?: readonly DepartedBackend[];
+  /** What could not be understood, and so is not in here; only from the source. */
+  readonly problems?: readonly RecordProblem[];
 }
 
 /** How far a topic is known, and when that was last proved. */
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -4,7 +4,13 @@
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import { LoadView } from '../load/index.js';
 import { SILENT_EVENT_LOG } from '../observability/event.js';
-import { freshnessTimings, RoutingKnowledge, SourceCircuit, SourceFollower } from '../routing/index.js';
+import {
+  freshnessTimings,
+  ProblemLog,
+  RoutingKnowledge,
+  SourceCircuit,
+  SourceFollower,
+} from '../routing/index.js';
 import { SimulatedPeerNetwork, zoneOf } from './simulated-peer-network.js';
 import { SimulatedSource, type SourceFault } from './simulated-source.js';
 import { Spreader } from './spreader.js';
@@ -45,6 +51,7 @@
     circuit.retryNoSoonerThan(() => this.spreader.leastRetryMs());
     const following = {
       ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit, timings: TIMINGS },
+      problems: new ProblemLog(events),
       usesLongWatches: cluster.options.usesLongWatches,
       onProof: () => this.spreader.noteOwnProof(),
     };
