Tell other balancers of a back end that has not answered a probe so far

Cause: the flows at a back end are spread over some 25 balancers.

Telling at the first repeated data: a lost packet would set every balancer probing.

Change: when the first probe is unanswered after 200 ms while other back ends show signs of life, the balancer tells the others at once, and those with flows there probe with the full proof of their own. A doubt that was told within the last second is not told again.

--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -97,7 +97,7 @@
       clock: options.clock,
       pauses,
       probe: options.probe,
-      onDead: tell,
+      onSuspect: tell,
     });
     for (const backend of knowledge.backends.all()) this.noteRecorded(backend);
     knowledge.backends.onAdd((backend) => this.noteRecorded(backend));
--- a/src/flow/cookie/dead-backends.test.ts
+++ b/src/flow/cookie/dead-backends.test.ts
@@ -147,6 +147,34 @@
   return { harness, flows };
 }
 
+test('others are told when the first probe is unanswered so far, and again with the proof', async (t) => {
+  const { harness, flows } = setUpSilent();
+  await repeatRequest(harness, flows.get('a')!, [flows.get('b')!]);
+  await pass(harness.clock, PROBE_SPACING_MS - 50);
+  t.deepEqual(harness.told, []);
+  await pass(harness.clock, 50);
+  t.deepEqual(harness.told, ['a']);
+  await pass(harness.clock, PROBE_TIMEOUT_MS);
+  t.deepEqual(harness.told, ['a', 'a']);
+  t.is(harness.resets.length, 6);
+});
+
+test('nobody is told of a doubt while no other back end shows signs of life', async (t) => {
+  const { harness, flows } = setUpSilent();
+  harness.clock.advance(1_000);
+  await repeatRequest(harness, flows.get('a')!, []);
+  await pass(harness.clock, PROBE_SPACING_MS + 50);
+  t.deepEqual(harness.told, []);
+});
+
+test('a doubt that another balancer told of is not told again', async (t) => {
+  const { harness, flows } = setUpSilent();
+  harness.forwarder.noteSuspicion('a', harness.clock.now());
+  harness.goOn(flows.get('b')!.port, flows.get('b')!.cookie, { acknowledgement: 9_000 });
+  await pass(harness.clock, PROBE_SPACING_MS + 100);
+  t.deepEqual(harness.told, []);
+});
+
 test('the second probe does not wait for the time-out of the first', async (t) => {
   const { harness, flows } = setUpSilent();
   await repeatRequest(harness, flows.get('a')!, [flows.get('b')!]);
--- a/src/flow/cookie/dead-backends.ts
+++ b/src/flow/cookie/dead-backends.ts
@@ -41,8 +41,8 @@
   readonly clock: Clock;
   readonly pauses: PauseDetector;
   readonly probe: ConnectProbe;
-  /** Called with each back end that is found dead, to tell other balancers. */
-  readonly onDead: (backendId: string, nowMs: number) => void;
+  /** Called with each back end that is found dead, or that may be, to tell other balancers: those with flows there probe it too. */
+  readonly onSuspect: (backendId: string, nowMs: number) => void;
 }
 
 /** See the module. Times are monotonic ms. */
@@ -116,15 +116,27 @@
 
   /** Sends two probes that overlap; `silent` when neither is answered. */
   private async probeTwice(state: BackendState): Promise<ProbeFinding> {
+    const sinceMs = this.options.clock.now();
     const first = this.probeOnce(state);
     const early = await Promise.race([first, pause(this.options.clock, PROBE_SPACING_MS)]);
     if (early === 'answered' || early === 'refused') return early;
+    this.tellOfDoubt(state, sinceMs);
     const findings = [await this.probeOnce(state), await first];
     if (findings.includes('answered')) return 'answered';
     if (findings.includes('refused')) return 'refused';
     return findings.includes('inconclusive') ? 'inconclusive' : 'silent';
   }
 
+  /**
+   * Tells others of a back end that has not answered a probe so far, unless it is this balancer that reaches nobody. They hold
+   * flows there too, and so need not wait for requests of their own to fail, nor for this balancer's proof.
+   */
+  private tellOfDoubt(state: BackendState, sinceMs: number): void {
+    const nowMs = this.options.clock.now();
+    if (this.parts.states.othersProvedMs(state) < sinceMs || this.options.pauses.mayBeOld(nowMs)) return;
+    if (state.noteSuspicion(nowMs)) this.options.onSuspect(state.backend.id, nowMs);
+  }
+
   private async probeOnce(state: BackendState): Promise<ProbeFinding> {
     const { clock, probe, pauses } = this.options;
     const startedMs = clock.now();
@@ -139,7 +151,7 @@
   private declareWithZone(state: BackendState, proof: DeathProof): void {
     const nowMs = this.options.clock.now();
     this.declare(state, proof, nowMs + DEAD_VERDICT_MS);
-    this.options.onDead(state.backend.id, nowMs);
+    this.options.onSuspect(state.backend.id, nowMs);
     const { zone } = state.backend.record;
     const before = this.deaths.get(zone);
     this.deaths.set(zone, { state, atMs: nowMs });
