Keep the proof that a back end is dead up by probes, and take a refused connection for a proof by itself

Logged (first 20 s): the first proof came after 0.3 s, but most flows were reset 0.9 to 1.3 s after the crash, and about 190 more 2.4 to 3.8 s after it. (1) A refusal comes back within milliseconds, and counted only if another back end gave a sign of life within these very milliseconds; two tries later the suspicion was dropped. (2) A proof held for 2 s; then each balancer tried each of the dead back ends with new flows of callers, in its own zone first, and a caller has three tries.

Ruled out: a longer proof (a zone that was cut off for 5 s would come back late); reading the refusals themselves (they go from the back end to the caller directly). Still open: requests on open flows at a crashed back end give no evidence at all, since their callers are reset and say nothing more.

Change: a refusal came back over the network, which therefore works, so it proves the death alone; silence still needs signs of life of others. A back end that is held dead is probed again every 1 to 2 s; as long as nothing is found the proof goes on and is told again, an answer ends it (1257). Neither holds for a back end whose record is gone or at whose address another one started.

It costs a connection attempt a second and balancer to each dead back end that is still recorded.

--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -86,9 +86,15 @@
 /** A probe's time-out that fires later than this, in ms, means that this process stood still, and proves nothing. */
 export const PROBE_LATE_MS = 100;
 
-/** A proof by probes holds this long, in ms: then the back end may be reachable again, and is tried again. */
+/** A proof by probes holds this long, in ms, unless other probes renew it. */
 export const DEAD_VERDICT_MS = 2_000;
 
+/**
+ * A back end that is held dead is probed again this long after the proof, in ms: early enough for both probes to end before the
+ * proof does. Without that each balancer would try every dead back end with callers' flows as soon as its proof has ended.
+ */
+export const DEAD_RECHECK_MS = 1_000;
+
 /** Two back ends of a zone that are found dead within this time, in ms, put the other ones in doubt. */
 export const DEAD_IN_ZONE_MS = 2_000;
 
--- a/src/flow/cookie/dead-backends.test.ts
+++ b/src/flow/cookie/dead-backends.test.ts
@@ -114,6 +114,15 @@
   t.is(harness.resets.length, 0);
 });
 
+test('a refused connection is a proof though no other back end shows signs of life just then', async (t) => {
+  const { harness, unreachable } = setUp(2);
+  const flows = openAt(harness);
+  unreachable.set(hostOf('a'), 'refused');
+  harness.clock.advance(1_000);
+  await repeatRequest(harness, flows.get('a')!, []);
+  t.is(harness.resets.length, 6);
+});
+
 test('a balancer that reaches nobody resets nothing', async (t) => {
   const { harness, unreachable } = setUp(3);
   const flows = openAt(harness);
@@ -226,6 +235,61 @@
   t.is(harness.resets.length, 0);
 });
 
+/** Lets time pass while callers of the other back ends go on, and new flows are opened; returns where these went. */
+async function openMeanwhile(
+  harness: ForwarderHarness,
+  alive: readonly { port: number; cookie: number }[],
+  milliseconds: number,
+  fromPort: number,
+): Promise<Set<string | undefined>> {
+  const STEP_MS = 50;
+  const chosen = new Set<string | undefined>();
+  for (let step = 0; step * STEP_MS < milliseconds; step += 1) {
+    for (const { port, cookie } of alive) {
+      harness.goOn(port, cookie, { acknowledgement: 100_000 + harness.clock.now() });
+    }
+    chosen.add(harness.open(fromPort + step)?.backend);
+    await pass(harness.clock, STEP_MS);
+  }
+  return chosen;
+}
+
+for (const outcome of ['silent', 'refused'] as const) {
+  test(`no caller's flow has to try a back end whose connections stay ${outcome}, and others are told again`, async (t) => {
+    const { harness, flows, unreachable } = setUpTimed(3);
+    const alive = [flows.get('b')!, flows.get('c')!];
+    unreachable.set(hostOf('a'), outcome);
+    await repeatRequest(harness, flows.get('a')!, alive);
+    await openMeanwhile(harness, alive, PROBE_SPACING_MS + PROBE_TIMEOUT_MS, 42_000);
+    t.false((await openMeanwhile(harness, alive, 7_000, 43_000)).has('a'));
+    t.true(harness.told.filter((id) => id === 'a').length >= 5);
+  });
+}
+
+test('a back end that was held dead gets flows again as soon as a probe is answered', async (t) => {
+  const { harness, unreachable } = setUp(3);
+  const flows = openAt(harness);
+  const alive = [flows.get('b')!, flows.get('c')!];
+  unreachable.set(hostOf('a'), 'refused');
+  await repeatRequest(harness, flows.get('a')!, alive);
+  unreachable.delete(hostOf('a'));
+  t.false((await openMeanwhile(harness, alive, 900, 43_000)).has('a'));
+  t.true((await openMeanwhile(harness, alive, 600, 44_000)).has('a'));
+});
+
+test('an answer of the process that took over an address does not bring the earlier one back', async (t) => {
+  const { harness, unreachable } = setUp(3);
+  const flows = openAt(harness);
+  const alive = [flows.get('b')!, flows.get('c')!];
+  unreachable.set(hostOf('a'), 'refused');
+  await repeatRequest(harness, flows.get('a')!, alive);
+  const successor = backendAt('z', 20, { endpoint: { host: hostOf('a'), port: 8_080 }, service: 'beta' });
+  const origin = { since: 10, provedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(20, { backends: [successor] }), origin);
+  unreachable.delete(hostOf('a'));
+  t.false((await openMeanwhile(harness, alive, 4_000, 43_000)).has('a'));
+});
+
 test('another start at the address of a back end ends its flows at once, and the old one gets nothing any more', (t) => {
   const { harness } = setUp(2);
   const flows = openAt(harness);
--- a/src/flow/cookie/dead-backends.ts
+++ b/src/flow/cookie/dead-backends.ts
@@ -1,7 +1,7 @@
 /**
  * Decides that a back end is dead for this balancer, and resets the flows that are open there. Without that each of them, and the
  * next request on it, would wait for its caller's deadline, since a dead back end answers nothing. Missing answers alone prove
- * nothing: a busy back end acknowledges late. The proofs are connections that stay unanswered, or are refused, while other back
+ * nothing: a busy back end acknowledges late. The proofs are connections that are refused, or that stay unanswered while other back
  * ends give signs of life; and another start recorded at the same address, where only one process can listen.
  */
 import type { Clock } from '../../common/clock.js';
@@ -12,6 +12,7 @@
 import type { BackendState } from './backend-state.js';
 import {
   DEAD_IN_ZONE_MS,
+  DEAD_RECHECK_MS,
   DEAD_VERDICT_MS,
   MAX_PROBE_PAIRS,
   MAX_PROBES_AT_ONCE,
@@ -33,8 +34,11 @@
 /** Opens a connection and closes it as soon as it is answered. Never rejects. */
 export type ConnectProbe = (endpoint: Endpoint, timeoutMs: number) => Promise<ProbeOutcome>;
 
+/** What probes find at a back end that may be dead. */
+type DeathFinding = Exclude<ProbeOutcome, 'answered'>;
+
 /** Why a back end is held dead. */
-export type DeathProof = 'refused' | 'silent' | 'superseded';
+export type DeathProof = DeathFinding | 'superseded';
 
 /** What the decision needs, beside the shared parts. */
 export interface DeadBackendsOptions {
@@ -107,13 +111,18 @@
         this.answeredAtMs.set(state, clock.now());
         return;
       }
-      if (finding !== 'inconclusive' && this.parts.states.othersProvedMs(state) >= sinceMs) {
+      if (finding !== 'inconclusive' && this.isProof(state, finding, sinceMs)) {
         this.declareWithZone(state, finding);
         return;
       }
     }
   }
 
+  /** A refusal came back over the network, which therefore works; silence proves something only while others are heard. */
+  private isProof(state: BackendState, finding: DeathFinding, sinceMs: number): boolean {
+    return finding === 'refused' || this.parts.states.othersProvedMs(state) >= sinceMs;
+  }
+
   /** Sends two probes that overlap; `silent` when neither is answered. */
   private async probeTwice(state: BackendState): Promise<ProbeFinding> {
     const sinceMs = this.options.clock.now();
@@ -147,11 +156,43 @@
     return outcome !== 'answered' && (isLate || pauses.mayBeOld(nowMs)) ? 'inconclusive' : outcome;
   }
 
+  /**
+   * Keeps a proof up as long as further probes find nothing, so that no caller's flow has to try the back end, and tells the others
+   * again. A probe that is answered ends it; without signs of life of others it ends by itself.
+   */
+  private async holdVerdict(state: BackendState): Promise<void> {
+    const { clock, onSuspect } = this.options;
+    for (;;) {
+      await pause(clock, DEAD_RECHECK_MS);
+      if (!this.mayHold(state)) return;
+      const sinceMs = clock.now();
+      const finding = await this.probeTwice(state);
+      if (!this.mayHold(state)) return;
+      if (finding === 'answered') return this.endVerdict(state);
+      if (finding === 'inconclusive' || !this.isProof(state, finding, sinceMs)) return;
+      state.noteDead(clock.now() + DEAD_VERDICT_MS);
+      onSuspect(state.backend.id, clock.now());
+    }
+  }
+
+  /** False for a back end that gets no flows anyway, or at whose address another one listens. */
+  private mayHold(state: BackendState): boolean {
+    const { backend } = state;
+    const isNewest = this.newestAt.get(formatEndpoint(backend.record.endpoint)) === backend;
+    return isNewest && !backend.departed && state.isDead(this.options.clock.now());
+  }
+
+  private endVerdict(state: BackendState): void {
+    state.noteDead(this.options.clock.now());
+    this.parts.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
+  }
+
   /** The second death in a zone within a short time puts the whole zone in doubt: it may be cut off. */
   private declareWithZone(state: BackendState, proof: DeathProof): void {
     const nowMs = this.options.clock.now();
     this.declare(state, proof, nowMs + DEAD_VERDICT_MS);
     this.options.onSuspect(state.backend.id, nowMs);
+    void this.holdVerdict(state);
     const { zone } = state.backend.record;
     const before = this.deaths.get(zone);
     this.deaths.set(zone, { state, atMs: nowMs });
--- a/src/flow/cookie/events.ts
+++ b/src/flow/cookie/events.ts
@@ -42,7 +42,7 @@
   backendRevived: {
     number: 1257,
     level: 'info',
-    message: 'Ejected or suspected back end answers again',
+    message: 'Ejected, suspected or dead back end answers again',
     action: 'none',
   },
   backendDead: {
