--- a/src/common/mechanisms.ts
+++ b/src/common/mechanisms.ts
@@ -33,7 +33,7 @@
   /** Readers stand down for others that go before them. */
   'standing-down',
   /** Proofs are sent once more after a change. */
-  'last-wave',
+  'repeated-confirmations',
   /** Who lags gets the changes that it lacks; otherwise everything. */
   'change-log',
   /** Topics that seldom change are watched less often; answers about another topic confirm them. */
--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -67,7 +67,7 @@
   const problems = new ProblemLog(events);
   const following = {
     ...{ clock, source, knowledge, circuit, timings, problems, usesLongWatches: isOn('long-watches') },
-    onProof: () => spreader.noteOwnProof(),
+    onConfirmation: () => spreader.noteOwnConfirmation(),
   };
   const reading = new SourceReading(following, loadReader);
   reading.readFirst();
--- a/src/cookie-daemon/status.ts
+++ b/src/cookie-daemon/status.ts
@@ -89,7 +89,7 @@
     gauge('routes_version', 'Version of the routes in force', (p) => p.knowledge.routes()?.table.version),
     gauge(
       'knowledge_age_seconds',
-      'Time since nothing newer was proved',
+      'Time since nothing newer was confirmed',
       (p) => agesOf(p, (ageMs) => ageMs / MILLISECONDS),
       'topic',
     ),
--- a/src/flow/cookie/backend-state.ts
+++ b/src/flow/cookie/backend-state.ts
@@ -28,7 +28,7 @@
   pendingOpenings = 0;
   pendingSinceMs = 0;
   /** Monotonic ms of the last sign of life; -Infinity before the first. */
-  lastProofMs = Number.NEGATIVE_INFINITY;
+  lastSignOfLifeMs = Number.NEGATIVE_INFINITY;
   /** Failures since the last sign of life, and the time of the first and the last of them. */
   private failures = 0;
   private firstFailureMs = 0;
@@ -66,8 +66,8 @@
   }
 
   /** Counts a sign of life; true when that ends an ejection or a suspicion. */
-  noteProof(nowMs: number): boolean {
-    this.lastProofMs = nowMs;
+  noteSignOfLife(nowMs: number): boolean {
+    this.lastSignOfLifeMs = nowMs;
     this.deadUntilMs = Number.NEGATIVE_INFINITY;
     if (this.failures === 0) return false;
     this.failures = 0;
@@ -78,7 +78,7 @@
 
   /** Counts a failure that began at `sinceMs`, unless a sign of life came after that. */
   noteFailure(nowMs: number, sinceMs: number): void {
-    if (this.lastProofMs >= sinceMs) return;
+    if (this.lastSignOfLifeMs >= sinceMs) return;
     if (this.failures === 0) this.firstFailureMs = sinceMs;
     this.failures += 1;
     this.lastFailureMs = nowMs;
@@ -87,10 +87,10 @@
   /**
    * Ejects the back end when enough speaks against it; true when it was not ejected before.
    *
-   * @param othersProvedMs monotonic ms of the last sign of life of any other back end
+   * @param othersAliveMs monotonic ms of the last sign of life of any other back end
    */
-  tryEject(nowMs: number, othersProvedMs: number): boolean {
-    if (this.failures < EJECT_AFTER_FAILURES || othersProvedMs <= this.firstFailureMs) return false;
+  tryEject(nowMs: number, othersAliveMs: number): boolean {
+    if (this.failures < EJECT_AFTER_FAILURES || othersAliveMs <= this.firstFailureMs) return false;
     if (this.lastFailureMs <= this.judgedFailureMs) return false;
     this.judgedFailureMs = this.lastFailureMs;
     if (nowMs < this.ejectedUntilMs) return false;
@@ -112,7 +112,7 @@
 
   /** Notes that another balancer ejected it at `atMs`; false when that is known or a sign of life came since. */
   noteSuspicion(atMs: number): boolean {
-    if (this.lastProofMs >= atMs || atMs - this.suspectedElsewhereMs < SUSPECT_MS) return false;
+    if (this.lastSignOfLifeMs >= atMs || atMs - this.suspectedElsewhereMs < SUSPECT_MS) return false;
     this.suspectedElsewhereMs = atMs;
     return true;
   }
@@ -127,7 +127,8 @@
 
   private isSuspectedElsewhere(nowMs: number): boolean {
     return (
-      this.lastProofMs < this.suspectedElsewhereMs && nowMs - this.suspectedElsewhereMs < SHARED_SUSPECT_MS
+      this.lastSignOfLifeMs < this.suspectedElsewhereMs &&
+      nowMs - this.suspectedElsewhereMs < SHARED_SUSPECT_MS
     );
   }
 
--- a/src/flow/cookie/backend-states.ts
+++ b/src/flow/cookie/backend-states.ts
@@ -6,12 +6,12 @@
 import { COOKIE_FLOW_EVENTS } from './events.js';
 
 /** A back end's last sign of life. */
-interface Proof {
+interface SignOfLife {
   readonly state: BackendState | undefined;
   readonly atMs: number;
 }
 
-const NO_PROOF: Proof = { state: undefined, atMs: Number.NEGATIVE_INFINITY };
+const NO_SIGN_OF_LIFE: SignOfLife = { state: undefined, atMs: Number.NEGATIVE_INFINITY };
 
 /** See the module. Times are monotonic ms. */
 export class BackendStates {
@@ -19,7 +19,7 @@
   /** Back ends without a sign of life since a failure. */
   private readonly failing = new Set<BackendState>();
   /** The newest sign of life, and the newest one of another back end than that. */
-  private newest = NO_PROOF;
+  private newest = NO_SIGN_OF_LIFE;
   private newestOfOthersMs = Number.NEGATIVE_INFINITY;
   private ejectionCount = 0;
 
@@ -54,7 +54,7 @@
   }
 
   /** Monotonic ms of the last sign of life of any other back end. */
-  othersProvedMs(state: BackendState): number {
+  othersAliveMs(state: BackendState): number {
     return this.newest.state === state ? this.newestOfOthersMs : this.newest.atMs;
   }
 
@@ -65,10 +65,10 @@
   }
 
   /** Notes a sign of life. */
-  noteProof(state: BackendState, nowMs: number): void {
+  noteSignOfLife(state: BackendState, nowMs: number): void {
     if (this.newest.state !== state) this.newestOfOthersMs = this.newest.atMs;
     this.newest = { state, atMs: nowMs };
-    if (!state.noteProof(nowMs)) return;
+    if (!state.noteSignOfLife(nowMs)) return;
     this.failing.delete(state);
     this.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
   }
@@ -89,14 +89,14 @@
 
   /** Ejects a back end that gives no sign of life while others do. */
   private judge(state: BackendState, nowMs: number): void {
-    if (!state.tryEject(nowMs, this.othersProvedMs(state))) return;
+    if (!state.tryEject(nowMs, this.othersAliveMs(state))) return;
     this.ejectionCount += 1;
     this.onEject(state, nowMs);
     this.events.emit(COOKIE_FLOW_EVENTS.backendEjected, {
       ...{ backend: state.backend.id, service: state.backend.record.service },
       failures: state.failuresInRow,
-      lastSignOfLifeMs: Number.isFinite(state.lastProofMs)
-        ? Math.round(nowMs - state.lastProofMs)
+      lastSignOfLifeMs: Number.isFinite(state.lastSignOfLifeMs)
+        ? Math.round(nowMs - state.lastSignOfLifeMs)
         : undefined,
     });
   }
--- a/src/flow/cookie/cookie-parts.test.ts
+++ b/src/flow/cookie/cookie-parts.test.ts
@@ -207,7 +207,7 @@
   t.false(state.tryEject(3_600, 3_500), 'only a later failure leads to another ejection');
   t.is(state.liveness(3_400), 'ejected');
   t.is(state.liveness(3_600), 'trial');
-  t.true(state.noteProof(3_700));
+  t.true(state.noteSignOfLife(3_700));
   t.is(state.liveness(3_701), 'alive');
   state.noteFailure(3_800, 3_600);
   t.is(state.failuresInRow, 0, 'a failure that began before the last sign of life');
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -114,7 +114,7 @@
 
   /** Makes a complete list of back ends known, as of the highest revision so far. */
   know(backends: readonly RoutedBackend[], table: Partial<RouteTable> = {}, revision = 10): this {
-    const origin = { since: -1, provedAtMs: this.clock.now(), mayHaveLapsed: false };
+    const origin = { since: -1, confirmedAtMs: this.clock.now(), mayHaveLapsed: false };
     const tables = [tableAt(revision, table)];
     this.knowledge.apply('routes', updateAt(revision, { complete: true, routes: tables }), origin);
     this.knowledge.apply('backends', updateAt(revision, { complete: true, backends }), origin);
@@ -124,14 +124,14 @@
 
   /** Cordons these zones, and no others, as of `revision`. */
   cordon(zones: readonly string[], revision: number): void {
-    const origin = { since: -1, provedAtMs: this.clock.now(), mayHaveLapsed: false };
+    const origin = { since: -1, confirmedAtMs: this.clock.now(), mayHaveLapsed: false };
     const cordons = zones.map((zone) => ({ zone, revision }));
     this.knowledge.apply('cordons', updateAt(revision, { complete: true, cordons }), origin);
   }
 
   /** Removes a back end's record at `revision`. */
   depart(id: string, revision: number, mayHaveLapsed = false): void {
-    const origin = { since: revision - 1, provedAtMs: this.clock.now(), mayHaveLapsed };
+    const origin = { since: revision - 1, confirmedAtMs: this.clock.now(), mayHaveLapsed };
     this.knowledge.apply('backends', updateAt(revision, { removals: [{ id, revision }] }), origin);
   }
 
--- a/src/flow/cookie/dead-backends.test.ts
+++ b/src/flow/cookie/dead-backends.test.ts
@@ -284,7 +284,7 @@
   unreachable.set(hostOf('a'), 'refused');
   await repeatRequest(harness, flows.get('a')!, alive);
   const successor = backendAt('z', 20, { endpoint: { host: hostOf('a'), port: 8_080 }, service: 'beta' });
-  const origin = { since: 10, provedAtMs: 0, mayHaveLapsed: false };
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
   harness.knowledge.apply('backends', updateAt(20, { backends: [successor] }), origin);
   unreachable.delete(hostOf('a'));
   t.false((await openMeanwhile(harness, alive, 4_000, 43_000)).has('a'));
@@ -294,7 +294,7 @@
   const { harness } = setUp(2);
   const flows = openAt(harness);
   const successor = backendAt('z', 20, { endpoint: { host: hostOf('a'), port: 8_080 }, service: 'beta' });
-  const origin = { since: 10, provedAtMs: 0, mayHaveLapsed: false };
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
   harness.knowledge.apply('backends', updateAt(20, { backends: [successor] }), origin);
   t.is(harness.resets.length, 6);
   const { port, cookie } = flows.get('a')!;
@@ -304,7 +304,7 @@
 test('a start of which it is heard only after its successor gets nothing either', (t) => {
   const { harness } = setUp(2);
   const earlier = backendAt('y', 0, { endpoint: { host: hostOf('a'), port: 8_080 }, createdRevision: 0 });
-  const origin = { since: 10, provedAtMs: 0, mayHaveLapsed: false };
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
   harness.knowledge.apply('backends', updateAt(20, { backends: [{ ...earlier, revision: 20 }] }), origin);
   t.false(
     Array.from({ length: 12 }, (_unused, index) => harness.open(42_000 + index)?.backend).includes('y'),
--- a/src/flow/cookie/dead-backends.ts
+++ b/src/flow/cookie/dead-backends.ts
@@ -106,7 +106,7 @@
     const sinceMs = clock.now();
     for (let count = 0; count < MAX_PROBE_PAIRS; count += 1) {
       const finding = await this.probeTwice(state);
-      if (state.lastProofMs >= sinceMs) return;
+      if (state.lastSignOfLifeMs >= sinceMs) return;
       if (finding === 'answered') {
         this.answeredAtMs.set(state, clock.now());
         return;
@@ -120,7 +120,7 @@
 
   /** A refusal came back over the network, which therefore works; silence proves something only while others are heard. */
   private isProof(state: BackendState, finding: DeathFinding, sinceMs: number): boolean {
-    return finding === 'refused' || this.parts.states.othersProvedMs(state) >= sinceMs;
+    return finding === 'refused' || this.parts.states.othersAliveMs(state) >= sinceMs;
   }
 
   /** Sends two probes that overlap; `silent` when neither is answered. */
@@ -142,7 +142,7 @@
    */
   private tellOfDoubt(state: BackendState, sinceMs: number): void {
     const nowMs = this.options.clock.now();
-    if (this.parts.states.othersProvedMs(state) < sinceMs || this.options.pauses.mayBeOld(nowMs)) return;
+    if (this.parts.states.othersAliveMs(state) < sinceMs || this.options.pauses.mayBeOld(nowMs)) return;
     if (state.noteSuspicion(nowMs)) this.options.onSuspect(state.backend.id, nowMs);
   }
 
@@ -206,11 +206,11 @@
     const nowMs = this.options.clock.now();
     const flows = this.parts.cache.flowsAt(state);
     state.noteDead(untilMs);
-    const { backend, lastProofMs } = state;
+    const { backend, lastSignOfLifeMs } = state;
     this.parts.events.emit(COOKIE_FLOW_EVENTS.backendDead, {
       ...{ backend: backend.id, service: backend.record.service, zone: backend.record.zone, proof },
       flows: flows.length,
-      lastSignOfLifeMs: Number.isFinite(lastProofMs) ? Math.round(nowMs - lastProofMs) : undefined,
+      lastSignOfLifeMs: Number.isFinite(lastSignOfLifeMs) ? Math.round(nowMs - lastSignOfLifeMs) : undefined,
     });
     for (const flow of flows) {
       const target = resetTargetOf(flow);
--- a/src/flow/cookie/mid-flow-handler.ts
+++ b/src/flow/cookie/mid-flow-handler.ts
@@ -37,10 +37,10 @@
       flow.acknowledgement = packet.acknowledgement;
       this.parts.statistics.handshake.observe(nowMs - flow.openedAtMs);
       this.parts.pending.noteAnswer(nowMs - flow.openedAtMs);
-      this.parts.states.noteProof(flow.state, nowMs);
+      this.parts.states.noteSignOfLife(flow.state, nowMs);
     } else if (packet.ack && isAfter(packet.acknowledgement, flow.acknowledgement)) {
       flow.acknowledgement = packet.acknowledgement;
-      this.parts.states.noteProof(flow.state, nowMs);
+      this.parts.states.noteSignOfLife(flow.state, nowMs);
     }
     if (packet.payloadBytes > 0) this.followData(packet, flow, nowMs);
     if (packet.fin || packet.rst) this.parts.cache.close(flow, nowMs);
--- a/src/flow/cookie/opening-placement.ts
+++ b/src/flow/cookie/opening-placement.ts
@@ -180,7 +180,7 @@
   private addLapsed(classes: CandidateClasses, state: BackendState, liveness: Liveness, nowMs: number): void {
     const missedAtMs = state.backend.departedAtMs ?? 0;
     if (nowMs - missedAtMs >= LAPSED_RECORD_MS) return;
-    const answeredSince = state.lastProofMs > missedAtMs;
+    const answeredSince = state.lastSignOfLifeMs > missedAtMs;
     if (this.isOn('lapsed-records') && liveness === 'alive' && answeredSince) classes.lapsed.push(state);
   }
 }
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -1,6 +1,6 @@
 /** Times of following a routing source. */
 
-/** The first watch of a new reader is answered at once: its proof tells others that somebody reads. */
+/** The first watch of a new reader is answered at once: its confirmation tells others that somebody reads. */
 export const FIRST_WATCH_WAIT_MS = 1;
 
 /** After an answer with changes the next watch is asked for this much later, so that changes in a row come together. */
--- a/src/routing/freshness.ts
+++ b/src/routing/freshness.ts
@@ -18,7 +18,7 @@
 const READ_SPREAD_SHARE = 0.167;
 const READER_FRESH_SHARE = 1.333;
 
-/** A reader is missed after this many bounds without a proof of it. */
+/** A reader is missed after this many bounds without a confirmation of it. */
 const READER_MISSED_BOUNDS = 2;
 
 /** All in ms. */
@@ -32,23 +32,23 @@
   readonly longWatchWaitMs: number;
   /** A long watch is broken off and asked anew, to be answered at once, when its topic was not confirmed for this long. */
   readonly confirmAfterMs: number;
-  /** Shortest wait of a watch that follows a proof. */
+  /** Shortest wait of a watch that follows a confirmation. */
   readonly watchMinWaitMs: number;
   /** A watch waits no longer than until the reader's own knowledge is this old. */
   readonly readerAgeMs: number;
-  /** Without a proof for this long a daemon asks peers. */
+  /** Without a confirmation for this long a daemon asks peers. */
   readonly pullAfterMs: number;
-  /** Without a proof for this long, and a random part of the spread more, it reads the source itself. */
+  /** Without a confirmation for this long, and a random part of the spread more, it reads the source itself. */
   readonly readAfterMs: number;
   readonly readSpreadMs: number;
   /**
-   * A daemon stands down only for readers that proved something within this time. It may be longer than a proof lasts:
-   * whoever stood down for readers that are gone lacks a proof soon and reads again.
+   * A daemon stands down only for readers that confirmed something within this time. It may be longer than a confirmation lasts:
+   * whoever stood down for readers that are gone lacks a confirmation soon and reads again.
    */
   readonly readerFreshMs: number;
   /**
-   * A reader is missed this long after its last proof. Not each of its proofs travels far, because another reader's may just
-   * have done so; and nothing hangs on it, since daemons without any proof read for themselves much earlier.
+   * A reader is missed this long after its last confirmation. Not each of its confirmations travels far, because another reader's may just
+   * have done so; and nothing hangs on it, since daemons without any confirmation read for themselves much earlier.
    */
   readonly readerMissedMs: number;
 }
--- a/src/routing/knowledge.test.ts
+++ b/src/routing/knowledge.test.ts
@@ -8,8 +8,8 @@
 
 const RETENTION_MS = 60_000;
 
-function origin(since: number, provedAtMs = 0, mayHaveLapsed = false): UpdateOrigin {
-  return { since, provedAtMs, mayHaveLapsed };
+function origin(since: number, confirmedAtMs = 0, mayHaveLapsed = false): UpdateOrigin {
+  return { since, confirmedAtMs, mayHaveLapsed };
 }
 
 function createKnowledge(): { clock: VirtualClock; knowledge: RoutingKnowledge } {
@@ -125,18 +125,20 @@
   t.is(knowledge.revisionOf('backends'), 3);
 });
 
-test('a proof counts only where every change it speaks of is known', (t) => {
+test('a confirmation counts only where every change it speaks of is known', (t) => {
   const { clock, knowledge } = createKnowledge();
   clock.advance(10_000);
   knowledge.apply('backends', list(3, backendAt('a', 3)), origin(-1, 1_000));
   t.is(knowledge.ageOf('backends'), 9_000);
-  t.false(knowledge.acceptProof('backends', { revision: 8, changedRevision: 5, provedAtMs: 9_000 }));
+  t.false(
+    knowledge.acceptConfirmation('backends', { revision: 8, changedRevision: 5, confirmedAtMs: 9_000 }),
+  );
   t.is(knowledge.ageOf('backends'), 9_000);
-  t.true(knowledge.acceptProof('backends', { revision: 8, changedRevision: 3, provedAtMs: 9_000 }));
+  t.true(knowledge.acceptConfirmation('backends', { revision: 8, changedRevision: 3, confirmedAtMs: 9_000 }));
   t.is(knowledge.ageOf('backends'), 1_000);
   t.is(knowledge.revisionOf('backends'), 8);
-  t.true(knowledge.acceptProof('backends', { revision: 4, changedRevision: 3, provedAtMs: 9_900 }));
-  t.is(knowledge.ageOf('backends'), 1_000, 'an older revision proves nothing');
+  t.true(knowledge.acceptConfirmation('backends', { revision: 4, changedRevision: 3, confirmedAtMs: 9_900 }));
+  t.is(knowledge.ageOf('backends'), 1_000, 'an older revision confirms nothing');
 });
 
 test('one who never knew departed back ends learns them from another', (t) => {
@@ -177,7 +179,7 @@
   const passedOn: { readonly update: RoutingUpdate; readonly since: number }[] = [];
   first.subscribe((applied) => passedOn.push(applied));
   first.apply('routes', updateAt(3, { complete: true, routes: [tableAt(3)] }), origin(-1));
-  first.acceptProof('routes', { revision: 8, changedRevision: 3, provedAtMs: 0 });
+  first.acceptConfirmation('routes', { revision: 8, changedRevision: 3, confirmedAtMs: 0 });
   first.apply('routes', updateAt(9, { routes: [tableAt(9, { routes: [] })] }), origin(8));
   const { update, since } = passedOn[1]!;
   t.deepEqual(update.routes, []);
--- a/src/routing/knowledge.ts
+++ b/src/routing/knowledge.ts
@@ -1,4 +1,4 @@
-/** What this balancer knows of routes, back ends and cordoned zones, how far it is complete, and when that was last proved. */
+/** What this balancer knows of routes, back ends and cordoned zones, how far it is complete, and when that was last confirmed. */
 import type { Clock } from '../common/clock.js';
 import { Subject } from '../common/event-stream.js';
 import type { EventLog } from '../observability/event.js';
@@ -6,7 +6,13 @@
 import { ROUTING_EVENTS } from './events.js';
 import { RouteIndex } from './route-index.js';
 import { applyTableChange, compareTables } from './route-table-change.js';
-import type { RouteTable, RouteTableChange, RoutingTopic, RoutingUpdate, TopicProof } from './types.js';
+import type {
+  RouteTable,
+  RouteTableChange,
+  RoutingTopic,
+  RoutingUpdate,
+  TopicConfirmation,
+} from './types.js';
 import { ZoneCordons } from './zone-cordons.js';
 
 /** An update that changed what is known, for those who pass it on. */
@@ -22,7 +28,7 @@
   /** Revision after which the changes were asked for; ignored for a complete update. */
   readonly since: number;
   /** Monotonic ms at which nothing newer than the update existed. */
-  readonly provedAtMs: number;
+  readonly confirmedAtMs: number;
   /** True when records may have vanished because their owners could not write. */
   readonly mayHaveLapsed: boolean;
 }
@@ -41,10 +47,10 @@
 const TOPICS_WITH_CORDONS: readonly RoutingTopic[] = [...TOPICS, 'cordons'];
 
 const UNKNOWN_REVISION = -1;
-const NOTHING_KNOWN: TopicProof = {
+const NOTHING_KNOWN: TopicConfirmation = {
   revision: UNKNOWN_REVISION,
   changedRevision: UNKNOWN_REVISION,
-  provedAtMs: Number.NEGATIVE_INFINITY,
+  confirmedAtMs: Number.NEGATIVE_INFINITY,
 };
 
 /** See the module. Updates may come in any order and more than once; nothing older is ever applied. */
@@ -56,7 +62,7 @@
   private index: RouteIndex | undefined;
   /** A change that was made for the table in force did not lead to the table that it should. */
   private isTableDoubted = false;
-  private readonly progress: Record<RoutingTopic, TopicProof> = {
+  private readonly progress: Record<RoutingTopic, TopicConfirmation> = {
     routes: NOTHING_KNOWN,
     backends: NOTHING_KNOWN,
     cordons: NOTHING_KNOWN,
@@ -94,9 +100,9 @@
     return this.isTableDoubted ? UNKNOWN_REVISION : (this.index?.table.revision ?? UNKNOWN_REVISION);
   }
 
-  /** Milliseconds since it was proved that nothing newer exists; Infinity before the first proof. */
+  /** Milliseconds since it was confirmed that nothing newer exists; Infinity before the first confirmation. */
   ageOf(topic: RoutingTopic): number {
-    return this.options.clock.now() - this.progress[topic].provedAtMs;
+    return this.options.clock.now() - this.progress[topic].confirmedAtMs;
   }
 
   /** Age of the oldest topic. */
@@ -105,7 +111,7 @@
   }
 
   /** How far a topic is known, to be told to others. */
-  proofOf(topic: RoutingTopic): TopicProof {
+  confirmationOf(topic: RoutingTopic): TopicConfirmation {
     return this.progress[topic];
   }
 
@@ -129,38 +135,41 @@
     const changed = update.complete ? update.revision > before : hasContent(update);
     const { revision } = update;
     const changedRevision = changed ? revision : changedBefore;
-    this.advance(topic, { revision, changedRevision, provedAtMs: origin.provedAtMs });
-    this.confirmUpTo(revision, origin.provedAtMs);
+    this.advance(topic, { revision, changedRevision, confirmedAtMs: origin.confirmedAtMs });
+    this.confirmUpTo(revision, origin.confirmedAtMs);
     if (!changed || revision <= before) return true;
     const passedOn = topic === 'routes' ? this.asTableChange(update, tableBefore) : update;
     this.applied.push({ topic, update: passedOn, since: changedBefore });
     return true;
   }
 
-  /** Takes a proof of another balancer in; false when it speaks of changes that are not known here. */
-  acceptProof(topic: RoutingTopic, proof: TopicProof): boolean {
+  /** Takes a confirmation of another balancer in; false when it speaks of changes that are not known here. */
+  acceptConfirmation(topic: RoutingTopic, confirmation: TopicConfirmation): boolean {
     const { revision, changedRevision } = this.progress[topic];
-    if (proof.changedRevision > revision) return false;
-    this.advance(topic, { ...proof, changedRevision: Math.max(proof.changedRevision, changedRevision) });
+    if (confirmation.changedRevision > revision) return false;
+    this.advance(topic, {
+      ...confirmation,
+      changedRevision: Math.max(confirmation.changedRevision, changedRevision),
+    });
     return true;
   }
 
   /** One revision counts the changes of all topics: where nothing newer existed, each topic known up to there is current. */
-  private confirmUpTo(revision: number, provedAtMs: number): void {
+  private confirmUpTo(revision: number, confirmedAtMs: number): void {
     for (const topic of this.topics) {
       const known = this.progress[topic];
-      if (known.revision >= revision) this.advance(topic, { ...known, provedAtMs });
+      if (known.revision >= revision) this.advance(topic, { ...known, confirmedAtMs });
     }
   }
 
-  /** Nothing goes back: an older proof changes nothing. */
-  private advance(topic: RoutingTopic, proof: TopicProof): void {
+  /** Nothing goes back: an older confirmation changes nothing. */
+  private advance(topic: RoutingTopic, confirmation: TopicConfirmation): void {
     const known = this.progress[topic];
-    if (proof.revision < known.revision) return;
+    if (confirmation.revision < known.revision) return;
     this.progress[topic] = {
-      revision: proof.revision,
-      changedRevision: Math.max(known.changedRevision, proof.changedRevision),
-      provedAtMs: Math.max(known.provedAtMs, proof.provedAtMs),
+      revision: confirmation.revision,
+      changedRevision: Math.max(known.changedRevision, confirmation.changedRevision),
+      confirmedAtMs: Math.max(known.confirmedAtMs, confirmation.confirmedAtMs),
     };
   }
 
--- a/src/routing/source-follower.test.ts
+++ b/src/routing/source-follower.test.ts
@@ -36,7 +36,7 @@
 const NEVER = new Promise<never>(() => undefined);
 const LIST = updateAt(5, { complete: true, backends: [backendAt('a', 5)] });
 
-test('an empty answer of a watch proves the time for which it was held back', async (t) => {
+test('an empty answer of a watch confirms the time for which it was held back', async (t) => {
   const { clock, knowledge, stop } = follow((call, virtual) =>
     call.kind === 'read' ? after(virtual, 4, LIST) : after(virtual, call.waitMs + 4, updateAt(6)),
   );
@@ -47,7 +47,7 @@
   stop();
 });
 
-test('a watch waits as long as the age of what is known allows, since an answer with changes proves little', async (t) => {
+test('a watch waits as long as the age of what is known allows, since an answer with changes confirms little', async (t) => {
   const CHANGE_AFTER_MS = [1_000, 500, 100];
   let revision = 6;
   const { clock, source, knowledge, stop } = follow((call, virtual) => {
@@ -96,7 +96,7 @@
   }
 });
 
-test('the reading of a start may be old and proves nothing; one after a gap must be current', async (t) => {
+test('the reading of a start may be old and confirms nothing; one after a gap must be current', async (t) => {
   let watches = 0;
   const { clock, source, knowledge, stop } = follow((call, virtual) => {
     if (call.kind === 'read') return after(virtual, 4, LIST);
--- a/src/routing/source-follower.ts
+++ b/src/routing/source-follower.ts
@@ -22,12 +22,12 @@
   readonly problems: ProblemLog;
   /** False: every topic is watched as often as the one that changes most. True unless given. */
   readonly usesLongWatches?: boolean;
-  /** Called after each answer that proved something. */
-  readonly onProof?: () => void;
+  /** Called after each answer that confirmed something. */
+  readonly onConfirmation?: () => void;
 }
 
-/** Nothing is proved by an answer that may be old. */
-const PROVES_NOTHING_MS = Number.NEGATIVE_INFINITY;
+/** Nothing is confirmed by an answer that may be old. */
+const CONFIRMS_NOTHING_MS = Number.NEGATIVE_INFINITY;
 
 /**
  * The topic that changes least is watched with long waits: the answers about the others confirm it, too. All three alike would
@@ -108,7 +108,7 @@
       await this.waitAfter(answer.error, signal);
       return false;
     }
-    return this.take(answer.value, -1, freshness === 'current' ? askedAtMs : PROVES_NOTHING_MS);
+    return this.take(answer.value, -1, freshness === 'current' ? askedAtMs : CONFIRMS_NOTHING_MS);
   }
 
   /** Watches once; false when everything must be read again. */
@@ -130,7 +130,7 @@
       await this.waitAfter(answer.error, signal);
       return true;
     }
-    // An answer without changes was held back for the whole wait, so it proves that much more.
+    // An answer without changes was held back for the whole wait, so it confirms that much more.
     const broughtChange = hasContent(answer.value);
     this.isSourceCalm = answer.value.revision === this.answeredRevision;
     this.answeredRevision = answer.value.revision;
@@ -141,7 +141,7 @@
   }
 
   /**
-   * As long as the age of what is known allows: an answer with changes may have been on its way for long, so it proves no
+   * As long as the age of what is known allows: an answer with changes may have been on its way for long, so it confirms no
    * more than that nothing newer existed when it was asked for.
    */
   private watchWaitMs(): number {
@@ -193,13 +193,13 @@
     return { signal: attempt.signal, end };
   }
 
-  private take(update: RoutingUpdate, since: number, provedAtMs: number): boolean {
+  private take(update: RoutingUpdate, since: number, confirmedAtMs: number): boolean {
     const { circuit, knowledge, problems } = this.options;
     problems.note(this.topic, update.problems);
     const mayHaveLapsed = circuit.recordsMayLapse();
     circuit.noteAnswer();
-    const complete = knowledge.apply(this.topic, update, { since, provedAtMs, mayHaveLapsed });
-    if (Number.isFinite(provedAtMs)) this.options.onProof?.();
+    const complete = knowledge.apply(this.topic, update, { since, confirmedAtMs, mayHaveLapsed });
+    if (Number.isFinite(confirmedAtMs)) this.options.onConfirmation?.();
     return complete;
   }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -143,14 +143,14 @@
   readonly problems?: readonly RecordProblem[];
 }
 
-/** How far a topic is known, and when that was last proved. */
-export interface TopicProof {
+/** How far a topic is known, and when that was last confirmed. */
+export interface TopicConfirmation {
   /** Everything up to this revision of the source is known; -1 before the first complete update. */
   readonly revision: number;
   /** Nothing changed between this revision and `revision`. */
   readonly changedRevision: number;
-  /** Monotonic ms at which nothing newer than `revision` existed; -Infinity before the first proof. */
-  readonly provedAtMs: number;
+  /** Monotonic ms at which nothing newer than `revision` existed; -Infinity before the first confirmation. */
+  readonly confirmedAtMs: number;
 }
 
 /** How new an answer must be. `any`: it may be seconds old, which costs the source less. */
--- a/src/routing/zone-cordons.test.ts
+++ b/src/routing/zone-cordons.test.ts
@@ -12,8 +12,8 @@
   return new RoutingKnowledge({ clock, events: SILENT_EVENT_LOG, retentionMs: 60_000, followsCordons });
 }
 
-function origin(since: number, provedAtMs = 0): Parameters<RoutingKnowledge['apply']>[2] {
-  return { since, provedAtMs, mayHaveLapsed: false };
+function origin(since: number, confirmedAtMs = 0): Parameters<RoutingKnowledge['apply']>[2] {
+  return { since, confirmedAtMs, mayHaveLapsed: false };
 }
 
 function list(revision: number, ...cordons: readonly [string, number][]): RoutingUpdate {
--- a/src/spreading/catch-up.ts
+++ b/src/spreading/catch-up.ts
@@ -60,7 +60,7 @@
    * Asks for what is missing; the answer comes from the peer's log if it fits. One question is under way at a time, since
    * many tell of the same change at once. Who knows nothing, or lacks something after an answer, fetches.
    */
-  fill(missing: readonly RoutingTopic[], { senderZone, proofs }: PeerMessage, from: Endpoint): void {
+  fill(missing: readonly RoutingTopic[], { senderZone, confirmations }: PeerMessage, from: Endpoint): void {
     const { clock, knowledge, zone } = this.options;
     const nowMs = clock.now();
     const isNew = missing.some((topic) => knowledge.revisionOf(topic) === NOTHING_KNOWN);
@@ -73,7 +73,7 @@
     this.question = undefined;
     if (senderZone === zone) return void this.fetch(from);
     const isMissing = (): boolean =>
-      missing.some((topic) => knowledge.revisionOf(topic) < (proofs[topic]?.changedRevision ?? 0));
+      missing.some((topic) => knowledge.revisionOf(topic) < (confirmations[topic]?.changedRevision ?? 0));
     this.fetchFar(from, isNew, isMissing);
   }
 
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -40,13 +40,13 @@
 export const PULL_FANOUT = 2;
 
 /** A confirmation is passed on when it is at least this much newer than the last one, in ms. */
-export const PROOF_STEP_MS = 400;
+export const CONFIRMATION_STEP_MS = 400;
 
 /** Confirmations are collected this long before they are sent, in ms; changes are sent at once. */
-export const PROOF_GATHER_MS = 50;
+export const CONFIRMATION_GATHER_MS = 50;
 
 /** After a change confirmations are sent again this much later, in ms, for the few daemons that the first push missed. */
-export const LAST_WAVE_MS = 200;
+export const REPEAT_CONFIRMATION_MS = 200;
 
 /** Changes that arrive within this many ms after the last push are sent together. */
 export const CHANGE_GATHER_MS = 100;
--- a/src/spreading/index.ts
+++ b/src/spreading/index.ts
@@ -1,5 +1,5 @@
 /**
- * Spreads routes, back ends and the proofs of their age between daemons, so that few of them read the source.
+ * Spreads routes, back ends and confirmations that they are current between daemons, so that few of them read the source.
  *
  * ```ts
  * const transport = await NetworkTransport.open(control, events);
--- a/src/spreading/load-report-size.test.ts
+++ b/src/spreading/load-report-size.test.ts
@@ -11,9 +11,9 @@
 test('the largest report leaves room for the rest of its message', (t) => {
   const message: PeerMessage = {
     ...{ type: 'news', senderId: 'frontend-halle-mitte-100', senderZone: 'halle-mitte', leaving: false },
-    ...{ proofs: {}, peers: [], updates: [], departedCount: 200, tableRevision: 1_000_000 },
+    ...{ confirmations: {}, peers: [], updates: [], departedCount: 200, tableRevision: 1_000_000 },
     readers: Array.from({ length: READERS_A_MESSAGE + 1 }, (_, index) => ({
-      ...{ id: `frontend-halle-mitte-10${index}`, provedAtMs: 0 },
+      ...{ id: `frontend-halle-mitte-10${index}`, confirmedAtMs: 0 },
     })),
     suspicions: Array.from({ length: SUSPICIONS_A_MESSAGE }, (_, index) => ({
       ...{ backendId: `i-012345678${index}`, atMs: 0 },
--- a/src/spreading/message-codec.test.ts
+++ b/src/spreading/message-codec.test.ts
@@ -11,7 +11,15 @@
 function messageWith(update: SpreadUpdate): PeerMessage {
   return {
     ...{ type: 'news', senderId: 'balancer-1', senderZone: 'north', leaving: false, updates: [update] },
-    ...{ proofs: {}, readers: [], peers: [], suspicions: [], loads: [], departedCount: 0, tableRevision: 5 },
+    ...{
+      confirmations: {},
+      readers: [],
+      peers: [],
+      suspicions: [],
+      loads: [],
+      departedCount: 0,
+      tableRevision: 5,
+    },
   };
 }
 
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -10,7 +10,7 @@
   RouteTableChange,
   RoutingTopic,
   RoutingUpdate,
-  TopicProof,
+  TopicConfirmation,
   ZoneCordon,
 } from '../routing/index.js';
 import { NOTHING_KNOWN, TRANSIT_MS } from './constants.js';
@@ -35,21 +35,21 @@
 /** Levels of load travel as whole sixteenths. */
 const LEVEL_PARTS = 16;
 
-/** Ages beyond this are all the same; of a proof it means that there is none yet. */
+/** Ages beyond this are all the same; of a confirmation it means that there is none yet. */
 const MAX_AGE_MS = 0xffff_ffff;
 
 /** Encodes a message as of `nowMs`. */
 export function encodePeerMessage(message: PeerMessage, nowMs: number): Uint8Array {
-  const proofs = Object.entries(message.proofs) as [RoutingTopic, TopicProof][];
+  const confirmations = Object.entries(message.confirmations) as [RoutingTopic, TopicConfirmation][];
   return wire.PeerMessage.encode({
     type: TYPE_NUMBERS[message.type],
     senderId: message.senderId,
     senderZone: message.senderZone,
     leaving: message.leaving,
-    proofs: proofs.map(([topic, { revision, changedRevision, provedAtMs }]) => ({
-      ...{ topic: TOPIC_NUMBERS[topic], revision, changedRevision, ageMs: age(nowMs, provedAtMs) },
+    proofs: confirmations.map(([topic, { revision, changedRevision, confirmedAtMs }]) => ({
+      ...{ topic: TOPIC_NUMBERS[topic], revision, changedRevision, ageMs: age(nowMs, confirmedAtMs) },
     })),
-    readers: message.readers.map(({ id, provedAtMs }) => ({ id, ageMs: age(nowMs, provedAtMs) })),
+    readers: message.readers.map(({ id, confirmedAtMs }) => ({ id, ageMs: age(nowMs, confirmedAtMs) })),
     peers: message.peers.map(({ endpoint, zone, heardAtMs }) => ({
       ...{ ...encodeEndpoint(endpoint), zone, ageMs: age(nowMs, heardAtMs) },
     })),
@@ -74,19 +74,19 @@
   const type = keyOf(TYPE_NUMBERS, message.type);
   if (!type || !message.senderId) return undefined;
   const arrivedMs = nowMs - TRANSIT_MS;
-  const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
+  const confirmations: Partial<Record<RoutingTopic, TopicConfirmation>> = {};
   for (const { topic, revision, changedRevision, ageMs } of message.proofs ?? []) {
     const name = keyOf(TOPIC_NUMBERS, topic);
     if (!name) continue;
-    const provedAtMs = ageMs === MAX_AGE_MS ? Number.NEGATIVE_INFINITY : arrivedMs - (ageMs ?? 0);
-    proofs[name] = { revision: revision ?? 0, changedRevision: changedRevision ?? 0, provedAtMs };
+    const confirmedAtMs = ageMs === MAX_AGE_MS ? Number.NEGATIVE_INFINITY : arrivedMs - (ageMs ?? 0);
+    confirmations[name] = { revision: revision ?? 0, changedRevision: changedRevision ?? 0, confirmedAtMs };
   }
   return {
-    ...{ type, senderId: message.senderId, senderZone: message.senderZone ?? '', proofs },
+    ...{ type, senderId: message.senderId, senderZone: message.senderZone ?? '', confirmations },
     leaving: message.leaving ?? false,
     readers: (message.readers ?? []).map(({ id, ageMs }): ReaderSighting => ({
       id: id ?? '',
-      provedAtMs: arrivedMs - (ageMs ?? 0),
+      confirmedAtMs: arrivedMs - (ageMs ?? 0),
     })),
     peers: (message.peers ?? []).map(({ zone, ageMs, ...at }): Peer => ({
       ...{ endpoint: decodeEndpoint(at), zone: zone ?? '', heardAtMs: arrivedMs - (ageMs ?? 0) },
--- a/src/spreading/message-composer.ts
+++ b/src/spreading/message-composer.ts
@@ -1,7 +1,7 @@
 /** Composes gossip messages: revisions and their freshness, changes, readers of the source, peers, suspected and busy back ends. */
 import type { Clock } from '../common/clock.js';
 import type { LoadReport } from '../load/index.js';
-import type { RoutingKnowledge, RoutingTopic, TopicProof } from '../routing/index.js';
+import type { RoutingKnowledge, RoutingTopic, TopicConfirmation } from '../routing/index.js';
 import { LOADS_A_MESSAGE, NOTHING_KNOWN, PEERS_A_MESSAGE, READERS_A_MESSAGE } from './constants.js';
 import type { PeerView } from './peer-view.js';
 import type { ReaderRole } from './reader-role.js';
@@ -23,20 +23,20 @@
 
 /** See the module. */
 export class MessageComposer {
-  /** Monotonic ms of the last proof that this daemon read itself. */
-  private ownProofMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic ms of the last confirmation that this daemon read itself. */
+  private ownConfirmationMs = Number.NEGATIVE_INFINITY;
   /** Load reports that were not passed on yet. */
   private loads: readonly LoadReport[] = [];
 
   constructor(private readonly options: MessageComposerOptions) {}
 
-  /** Notes that the source just proved something to this daemon. */
-  noteOwnProof(): void {
-    this.ownProofMs = this.options.clock.now();
+  /** Notes that the source just confirmed something to this daemon. */
+  noteOwnConfirmation(): void {
+    this.ownConfirmationMs = this.options.clock.now();
   }
 
   /** What this daemon knows, with the changes in `updates`. */
-  news(updates: readonly SpreadUpdate[] = []): PeerMessage {
+  updateMessage(updates: readonly SpreadUpdate[] = []): PeerMessage {
     return this.message('news', updates);
   }
 
@@ -47,25 +47,25 @@
 
   /** Tells that this daemon stops. */
   farewell(): PeerMessage {
-    return { ...this.news(), leaving: true };
+    return { ...this.updateMessage(), leaving: true };
   }
 
   /** What the asker lacks, as far as the log reaches back. */
   answer(question: PeerMessage): PeerMessage {
     const { knowledge, log } = this.options;
     const updates = knowledge.topics.flatMap((topic) => {
-      const revision = question.proofs[topic]?.revision ?? NOTHING_KNOWN;
-      if (revision >= knowledge.proofOf(topic).changedRevision) return [];
+      const revision = question.confirmations[topic]?.revision ?? NOTHING_KNOWN;
+      if (revision >= knowledge.confirmationOf(topic).changedRevision) return [];
       return log.since(topic, { revision, table: question.tableRevision }) ?? [];
     });
-    return this.news(updates);
+    return this.updateMessage(updates);
   }
 
   /** Changes where the log reaches back far enough, and everything where it does not. */
   state(known: KnownRevisions): PeerMessage {
     const { knowledge, log } = this.options;
     const updates = knowledge.topics.flatMap((topic) => {
-      if (known[topic] >= knowledge.proofOf(topic).changedRevision) return [];
+      if (known[topic] >= knowledge.confirmationOf(topic).changedRevision) return [];
       const knownTopic = { revision: known[topic], table: known.table };
       return log.since(topic, knownTopic) ?? completeUpdate(knowledge, topic) ?? [];
     });
@@ -73,10 +73,10 @@
   }
 
   /** A push without changes. Load reports are added to it, each once by each daemon. */
-  proofNews(): PeerMessage {
+  confirmationMessage(): PeerMessage {
     const { loads } = this;
     this.loads = [];
-    return { ...this.news(), loads };
+    return { ...this.updateMessage(), loads };
   }
 
   /** Adds a report to the next push without changes, in place of an older one of its page. */
@@ -87,11 +87,11 @@
   private message(type: PeerMessage['type'], updates: readonly SpreadUpdate[]): PeerMessage {
     const { selfId, zone, knowledge, clock, role, peers, suspicions } = this.options;
     const nowMs = clock.now();
-    const hasProved = role.isReading && Number.isFinite(this.ownProofMs);
-    const self = hasProved ? [{ id: selfId, provedAtMs: this.ownProofMs }] : [];
+    const hasConfirmed = role.isReading && Number.isFinite(this.ownConfirmationMs);
+    const self = hasConfirmed ? [{ id: selfId, confirmedAtMs: this.ownConfirmationMs }] : [];
     return {
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, updates },
-      proofs: proofsOf(knowledge),
+      confirmations: confirmationsOf(knowledge),
       suspicions: suspicions.recent(nowMs),
       loads: [],
       departedCount: knowledge.backends.departedCount,
@@ -112,11 +112,13 @@
   };
 }
 
-function proofsOf(knowledge: RoutingKnowledge): Readonly<Partial<Record<RoutingTopic, TopicProof>>> {
-  const proofs: Partial<Record<RoutingTopic, TopicProof>> = {};
+function confirmationsOf(
+  knowledge: RoutingKnowledge,
+): Readonly<Partial<Record<RoutingTopic, TopicConfirmation>>> {
+  const confirmations: Partial<Record<RoutingTopic, TopicConfirmation>> = {};
   for (const topic of knowledge.topics) {
-    const proof = knowledge.proofOf(topic);
-    if (proof.revision > NOTHING_KNOWN) proofs[topic] = proof;
+    const confirmation = knowledge.confirmationOf(topic);
+    if (confirmation.revision > NOTHING_KNOWN) confirmations[topic] = confirmation;
   }
-  return proofs;
+  return confirmations;
 }
--- a/src/spreading/peer-view.test.ts
+++ b/src/spreading/peer-view.test.ts
@@ -51,7 +51,7 @@
     t.true(view.fleetSize > daemons * 0.6 && view.fleetSize < daemons * 1.6, String(view.fleetSize));
   });
 
-  test(`${daemons} daemons without a proof together keep to the pace of asks`, (t) => {
+  test(`${daemons} daemons without a confirmation together keep to the pace of asks`, (t) => {
     const view = viewThatHeardOf(daemons);
     const asksASecond = (daemons * MS_A_SECOND) / askIntervalMs(view.reachableDaemons(0));
     t.true(asksASecond < ASKS_A_SECOND * 1.7, String(asksASecond));
--- a/src/spreading/peer-view.ts
+++ b/src/spreading/peer-view.ts
@@ -16,7 +16,7 @@
   readonly events: EventLog;
 }
 
-/** A peer with its turn: who has the lowest gets the next news. */
+/** A peer with its turn: who has the lowest gets the next message. */
 interface ListedPeer extends Peer {
   turn: number;
   readonly hash: number;
--- a/src/spreading/reader-role.ts
+++ b/src/spreading/reader-role.ts
@@ -76,18 +76,18 @@
   }
 
   /** Records that another daemon is a reader. */
-  note({ id, provedAtMs }: ReaderSighting): void {
+  note({ id, confirmedAtMs }: ReaderSighting): void {
     if (id === this.selfId) return;
     this.hasHeardOfReaders = true;
     const known = this.sightings.get(id);
-    const newestMs = Math.max(known?.provedAtMs ?? Number.NEGATIVE_INFINITY, provedAtMs);
-    this.sightings.set(id, { id, provedAtMs: newestMs, rank: known?.rank ?? rankOf(id) });
+    const newestMs = Math.max(known?.confirmedAtMs ?? Number.NEGATIVE_INFINITY, confirmedAtMs);
+    this.sightings.set(id, { id, confirmedAtMs: newestMs, rank: known?.rank ?? rankOf(id) });
   }
 
   /** Other readers whose last confirmation is recent enough. */
   otherReaders(nowMs: number): RankedSighting[] {
-    for (const { id, provedAtMs } of this.sightings.values()) {
-      if (nowMs - provedAtMs >= this.timings.readerMissedMs) this.sightings.delete(id);
+    for (const { id, confirmedAtMs } of this.sightings.values()) {
+      if (nowMs - confirmedAtMs >= this.timings.readerMissedMs) this.sightings.delete(id);
     }
     return [...this.sightings.values()];
   }
@@ -97,8 +97,8 @@
    * readers of higher rank; readers without a recent confirmation come last.
    */
   leadingReaders(nowMs: number, count: number): ReaderSighting[] {
-    const isFresh = ({ provedAtMs }: ReaderSighting): boolean =>
-      nowMs - provedAtMs < this.timings.readerFreshMs;
+    const isFresh = ({ confirmedAtMs }: ReaderSighting): boolean =>
+      nowMs - confirmedAtMs < this.timings.readerFreshMs;
     const byRank = this.otherReaders(nowMs).sort((left, right) => right.rank - left.rank);
     const stale = byRank.filter((reader) => !isFresh(reader));
     return [...byRank.filter(isFresh), ...stale].slice(0, count);
@@ -118,7 +118,7 @@
     nowMs: number,
     isCurrent: boolean,
   ): RoleReason | undefined {
-    const fresh = others.filter(({ provedAtMs }) => nowMs - provedAtMs < this.timings.readerFreshMs);
+    const fresh = others.filter(({ confirmedAtMs }) => nowMs - confirmedAtMs < this.timings.readerFreshMs);
     const before = fresh.filter(({ rank }) => rank > this.rank);
     if (!this.isOn('standing-down') || !isCurrent || before.length < TARGET_READERS) return undefined;
     this.reading = false;
@@ -137,12 +137,12 @@
     { nowMs, ageMs, hasBeenRead, daemons }: RoleQuestion,
   ): RoleReason | undefined {
     const { readAfterMs, readSpreadMs } = this.timings;
-    const unprovedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
-    if (unprovedMs >= readAfterMs) {
+    const unconfirmedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
+    if (unconfirmedMs >= readAfterMs) {
       const waitMs = this.isOn('asking-turns')
         ? askDelayMs(this.overdueTurn, daemons, readSpreadMs)
         : this.overdueTurn * readSpreadMs;
-      return unprovedMs >= readAfterMs + waitMs ? this.startReading('overdue') : undefined;
+      return unconfirmedMs >= readAfterMs + waitMs ? this.startReading('overdue') : undefined;
     }
 
     if (!hasBeenRead) return undefined;
--- a/src/spreading/simulated-source.ts
+++ b/src/spreading/simulated-source.ts
@@ -147,13 +147,13 @@
     if (since < this.historyFrom) return undefined;
     if (!changed()) await this.waitUntil(changed, waitMs, signal);
     if (since < this.historyFrom) return undefined;
-    const news = this.changes.filter((change) => change.topic === topic && change.revision > since);
+    const changes = this.changes.filter((change) => change.topic === topic && change.revision > since);
     return updateAt(this.revision, {
-      routes: topic === 'routes' && news.length > 0 && this.table ? [this.table] : [],
-      backends: news.flatMap(({ backend }) => backend ?? []),
-      removals: news.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
-      cordons: news.flatMap(({ cordoned, revision }) => (cordoned ? [{ zone: cordoned, revision }] : [])),
-      cordonRemovals: news.flatMap(({ uncordoned, revision }) =>
+      routes: topic === 'routes' && changes.length > 0 && this.table ? [this.table] : [],
+      backends: changes.flatMap(({ backend }) => backend ?? []),
+      removals: changes.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
+      cordons: changes.flatMap(({ cordoned, revision }) => (cordoned ? [{ zone: cordoned, revision }] : [])),
+      cordonRemovals: changes.flatMap(({ uncordoned, revision }) =>
         uncordoned ? [{ zone: uncordoned, revision }] : [],
       ),
     });
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -16,7 +16,7 @@
   GREETING_MAX_MS,
   GREETING_MIN_MS,
   MAX_DATAGRAM_BYTES,
-  PROOF_STEP_MS,
+  CONFIRMATION_STEP_MS,
   PULL_FANOUT,
   PULL_INTERVAL_MS,
   TICK_MS,
@@ -24,7 +24,7 @@
 import { SPREADING_EVENTS } from './events.js';
 import { decodePeerMessage, encodePeerMessage } from './message-codec.js';
 import { MessageComposer } from './message-composer.js';
-import { NewsSender } from './news-sender.js';
+import { UpdateSender } from './update-sender.js';
 import { PeerView } from './peer-view.js';
 import { ReaderRole, type RoleReason } from './reader-role.js';
 import { RecentSuspicions } from './recent-suspicions.js';
@@ -81,7 +81,7 @@
   private readonly isOn: MechanismCheck;
   private readonly suspicions = new RecentSuspicions();
   private readonly composer: MessageComposer;
-  private readonly sender: NewsSender;
+  private readonly sender: UpdateSender;
   private readonly catchUp: CatchUp;
   private timer: TimerHandle | undefined;
   private startedAtMs = 0;
@@ -99,7 +99,7 @@
     const composer = new MessageComposer({ selfId, zone, clock, knowledge, peers, role, log, suspicions });
     const send = (to: Endpoint, message: PeerMessage): void => this.send(to, message);
     this.composer = composer;
-    this.sender = new NewsSender({ clock, knowledge, peers, log, composer, isOn, send });
+    this.sender = new UpdateSender({ clock, knowledge, peers, log, composer, isOn, send });
     this.catchUp = new CatchUp({
       ...{ zone, clock, random, events, knowledge, transport },
       ask: (peer) => this.ask(peer),
@@ -185,8 +185,8 @@
   }
 
   /** To be called after each answer of the source: the confirmation is gossiped. */
-  noteOwnProof(): void {
-    this.composer.noteOwnProof();
+  noteOwnConfirmation(): void {
+    this.composer.noteOwnConfirmation();
     this.sender.pushSoon();
   }
 
@@ -196,8 +196,8 @@
     const ageMs = knowledge.age();
     this.peers.prune(nowMs);
     this.reportAge(ageMs);
-    const unprovedMs = Math.min(ageMs, nowMs - this.startedAtMs);
-    if (unprovedMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
+    const unconfirmedMs = Math.min(ageMs, nowMs - this.startedAtMs);
+    if (unconfirmedMs >= this.options.timings.pullAfterMs) this.pull(nowMs);
     if (nowMs >= this.nextGreetingMs) this.greetSeeds(nowMs);
     const daemons = this.peers.reachableDaemons(nowMs);
     const known = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasBeenRead() };
@@ -244,20 +244,20 @@
     const mayHaveLapsed = this.options.recordsMayLapse();
     const ageBeforeMs = knowledge.age();
     for (const { topic, since, update } of message.updates) {
-      knowledge.apply(topic, update, { since, provedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
+      knowledge.apply(topic, update, { since, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
     }
     if (mayBeOld) return;
     message.readers.forEach((reader) => this.role.note(reader));
     message.loads.forEach((report) => this.tellLoad(report));
     message.suspicions.forEach((suspicion) => this.takeSuspicion(suspicion));
     const missing = knowledge.topics.filter((topic) => {
-      const proof = message.proofs[topic];
-      return proof !== undefined && !knowledge.acceptProof(topic, proof);
+      const confirmation = message.confirmations[topic];
+      return confirmation !== undefined && !knowledge.acceptConfirmation(topic, confirmation);
     });
     if (message.departedCount > 0) this.catchUp.learnDeparted(from);
     if (missing.length > 0) return this.catchUp.fill(missing, message, from);
     this.catchUp.noteNothingMissing(from);
-    if (ageBeforeMs - knowledge.age() >= PROOF_STEP_MS) this.sender.pushSoon();
+    if (ageBeforeMs - knowledge.age() >= CONFIRMATION_STEP_MS) this.sender.pushSoon();
   }
 
   /** Passes a new suspicion on at once. */
@@ -302,7 +302,7 @@
   }
 }
 
-/** Whole milliseconds; undefined before the first proof. */
+/** Whole milliseconds; undefined before the first confirmation. */
 function round(ageMs: number): number | undefined {
   return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
 }
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -53,7 +53,7 @@
       ...{ clock, source: source.for(id), knowledge: this.knowledge, circuit, timings: TIMINGS },
       problems: new ProblemLog(events),
       usesLongWatches: cluster.options.usesLongWatches,
-      onProof: () => this.spreader.noteOwnProof(),
+      onConfirmation: () => this.spreader.noteOwnConfirmation(),
     };
     const followers = this.knowledge.topics.map((topic) => new SourceFollower(topic, following));
     this.spreader = new Spreader({
--- a/src/spreading/spreading.test.ts
+++ b/src/spreading/spreading.test.ts
@@ -14,7 +14,7 @@
 /** A change must be in force within 3 s; what is older than this is read anew. */
 const AGE_BOUND_MS = TIMINGS.readAfterMs + TIMINGS.readSpreadMs + 300;
 
-/** The two waves of a change miss very few; they learn of it from the next proof. */
+/** The two waves of a change miss very few; they learn of it from the next confirmation. */
 const MOST_WITHIN_MS = 400;
 const ALL_WITHIN_MS = 1_800;
 const MOST = 0.95;
@@ -322,7 +322,7 @@
   if (daemons.length < 8 && random() < 0.5) cluster.add();
 }
 
-test('a report of load reaches nearly everybody with the proofs, and costs each daemon little', async (t) => {
+test('a report of load reaches nearly everybody with the confirmations, and costs each daemon little', async (t) => {
   const cluster = await settled(60);
   const [reader] = cluster.readers();
   const busy = Array.from({ length: 80 }, (_, index) => ({ tag: index * 700, level: 2 }));
--- a/src/spreading/table-consistency.test.ts
+++ b/src/spreading/table-consistency.test.ts
@@ -49,7 +49,7 @@
   }
 
   read(table: RouteTable, storeRevision: number): void {
-    const origin = { since: -1, provedAtMs: 0, mayHaveLapsed: false };
+    const origin = { since: -1, confirmedAtMs: 0, mayHaveLapsed: false };
     this.knowledge.apply('routes', updateAt(storeRevision, { complete: true, routes: [table] }), origin);
   }
 
@@ -58,7 +58,7 @@
     const known = { revision: knowledge.revisionOf('routes'), table: knowledge.tableRevision };
     const update = this.log.since('routes', known) ?? completeUpdate(this.knowledge, 'routes');
     if (!update) return;
-    const origin = { since: update.since, provedAtMs: 0, mayHaveLapsed: false };
+    const origin = { since: update.since, confirmedAtMs: 0, mayHaveLapsed: false };
     other.knowledge.apply('routes', update.update, origin);
   }
 }
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -2,7 +2,7 @@
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../common/types.js';
 import type { LoadReport } from '../load/index.js';
-import type { RoutingTopic, RoutingUpdate, TopicProof } from '../routing/index.js';
+import type { RoutingTopic, RoutingUpdate, TopicConfirmation } from '../routing/index.js';
 import type { SpreadingError } from './errors.js';
 
 /** A daemon as others know it. */
@@ -16,8 +16,8 @@
 /** A daemon that reads the source. */
 export interface ReaderSighting {
   readonly id: string;
-  /** Monotonic ms at which it last proved something. */
-  readonly provedAtMs: number;
+  /** Monotonic ms at which it last confirmed something. */
+  readonly confirmedAtMs: number;
 }
 
 /** An update with the revision it starts from; -1 for a complete one. */
@@ -41,7 +41,7 @@
   readonly senderZone: string;
   /** The sender stops. */
   readonly leaving: boolean;
-  readonly proofs: Readonly<Partial<Record<RoutingTopic, TopicProof>>>;
+  readonly confirmations: Readonly<Partial<Record<RoutingTopic, TopicConfirmation>>>;
   readonly readers: readonly ReaderSighting[];
   readonly peers: readonly Peer[];
   readonly updates: readonly SpreadUpdate[];
--- a/src/spreading/update-log.ts
+++ b/src/spreading/update-log.ts
@@ -95,7 +95,7 @@
 
 /** Everything that is known of a topic, back ends that left included; undefined before it is known. */
 export function completeUpdate(knowledge: RoutingKnowledge, topic: RoutingTopic): SpreadUpdate | undefined {
-  const { revision } = knowledge.proofOf(topic);
+  const { revision } = knowledge.confirmationOf(topic);
   const table = knowledge.routes()?.table;
   if (revision < 0 || (topic === 'routes' && !table)) return undefined;
   const all = topic === 'backends' ? [...knowledge.backends.all()] : [];
--- a/src/spreading/news-sender.ts
+++ b/src/spreading/update-sender.ts
@@ -1,4 +1,4 @@
-/** Sends news to some peers: changes at once, those that follow closely together, and proofs a moment after they came. */
+/** Sends updates to some peers: changes at once, those that follow closely together, and confirmations a moment after they came. */
 import type { Clock, TimerHandle } from '../common/clock.js';
 import type { MechanismCheck } from '../common/mechanisms.js';
 import type { Endpoint } from '../common/types.js';
@@ -7,9 +7,9 @@
   CHANGE_GATHER_MS,
   FANOUT_ELSEWHERE,
   FANOUT_IN_ZONE,
-  LAST_WAVE_MS,
+  REPEAT_CONFIRMATION_MS,
   NOTHING_KNOWN,
-  PROOF_GATHER_MS,
+  CONFIRMATION_GATHER_MS,
 } from './constants.js';
 import { knownRevisionsOf, type MessageComposer } from './message-composer.js';
 import type { PeerView } from './peer-view.js';
@@ -17,7 +17,7 @@
 import type { UpdateLog } from './update-log.js';
 
 /** What a sender needs. */
-export interface NewsSenderOptions {
+export interface UpdateSenderOptions {
   readonly clock: Clock;
   readonly knowledge: RoutingKnowledge;
   readonly peers: PeerView;
@@ -28,17 +28,17 @@
 }
 
 /** See the module. */
-export class NewsSender {
-  private proofTimer: TimerHandle | undefined;
+export class UpdateSender {
+  private confirmationTimer: TimerHandle | undefined;
   private changeTimer: TimerHandle | undefined;
-  private lastWaveTimer: TimerHandle | undefined;
+  private repeatTimer: TimerHandle | undefined;
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
   private sentRevisions: KnownRevisions = {
     ...{ routes: NOTHING_KNOWN, backends: NOTHING_KNOWN, cordons: NOTHING_KNOWN, table: NOTHING_KNOWN },
   };
 
-  constructor(private readonly options: NewsSenderOptions) {}
+  constructor(private readonly options: UpdateSenderOptions) {}
 
   /** Logs a change and sends it at once, or with those that came closely before it. */
   onApplied({ topic, update, since }: AppliedUpdate): void {
@@ -51,28 +51,28 @@
 
   /** Sends a message to some peers at once. */
   push(message: PeerMessage): void {
-    this.proofTimer?.cancel();
-    this.proofTimer = undefined;
+    this.confirmationTimer?.cancel();
+    this.confirmationTimer = undefined;
     const { peers, send } = this.options;
     for (const { endpoint } of peers.choose(FANOUT_IN_ZONE, FANOUT_ELSEWHERE)) send(endpoint, message);
   }
 
-  /** Sends proofs after a moment, together with those that come meanwhile. */
+  /** Sends confirmations after a moment, together with those that come meanwhile. */
   pushSoon(): void {
-    this.proofTimer ??= this.options.clock.schedule(PROOF_GATHER_MS, () => {
-      this.proofTimer = undefined;
-      this.push(this.options.composer.proofNews());
+    this.confirmationTimer ??= this.options.clock.schedule(CONFIRMATION_GATHER_MS, () => {
+      this.confirmationTimer = undefined;
+      this.push(this.options.composer.confirmationMessage());
     });
   }
 
   /** Sends nothing any more of its own accord. */
   stop(): void {
-    this.proofTimer?.cancel();
+    this.confirmationTimer?.cancel();
     this.changeTimer?.cancel();
-    this.lastWaveTimer?.cancel();
+    this.repeatTimer?.cancel();
   }
 
-  /** Two more rounds, of proofs only, reach those that the first one missed: they ask for the changes. */
+  /** Two more rounds, of confirmations only, reach those that the first one missed: they ask for the changes. */
   private pushChanges(): void {
     const { clock, knowledge, log, composer, isOn } = this.options;
     this.changeTimer?.cancel();
@@ -83,9 +83,10 @@
       (topic) => log.since(topic, { revision: sent[topic], table: sent.table }) ?? [],
     );
     this.sentRevisions = knownRevisionsOf(knowledge);
-    this.push(composer.news(updates));
+    this.push(composer.updateMessage(updates));
     this.pushSoon();
-    this.lastWaveTimer?.cancel();
-    if (isOn('last-wave')) this.lastWaveTimer = clock.schedule(LAST_WAVE_MS, () => this.pushSoon());
+    this.repeatTimer?.cancel();
+    if (isOn('repeated-confirmations'))
+      this.repeatTimer = clock.schedule(REPEAT_CONFIRMATION_MS, () => this.pushSoon());
   }
 }
