Give the probes of a back end a module of their own

Ruled out: one probe type for this and the health slice's prober of the GUE edge: that one fetches a page over HTTP at intervals, this one opens a connection to suspects only.

Change: BackendProber sends one probe or two that overlap and tells what they found; DeadBackends decides. A back end whose proof is being kept up is not kept up twice, should a loop run late.

--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -23,7 +23,7 @@
 import type { BackendState } from './backend-state.js';
 import { TICK_MS } from './constants.js';
 import { CookieForwarder } from './cookie-forwarder.js';
-import type { ConnectProbe } from './dead-backends.js';
+import type { ConnectProbe } from './backend-prober.js';
 import type { PlacementQuestion } from './opening-placement.js';
 
 /** What the edge was asked to send. */
--- a/src/flow/cookie/dead-backends.test.ts
+++ b/src/flow/cookie/dead-backends.test.ts
@@ -6,7 +6,7 @@
 import { backendAt, updateAt } from '../../routing/routing-test-support.js';
 import { PROBE_SPACING_MS, PROBE_TIMEOUT_MS, TICK_MS } from './constants.js';
 import { backends, ForwarderHarness, type HarnessSurroundings } from './cookie-test-support.js';
-import type { ProbeOutcome } from './dead-backends.js';
+import type { ProbeOutcome } from './backend-prober.js';
 
 const DEAD_EVENT = 1259;
 const RESET_EVENT = 1260;
--- a/src/flow/cookie/dead-backends.ts
+++ b/src/flow/cookie/dead-backends.ts
@@ -4,11 +4,15 @@
  * nothing: a busy back end acknowledges late. The proofs are connections that are refused, or that stay unanswered while other back
  * ends give signs of life; and another start recorded at the same address, where only one process can listen.
  */
-import type { Clock } from '../../common/clock.js';
 import { pause } from '../../common/pause.js';
-import type { PauseDetector } from '../../common/pause-detector.js';
-import { formatEndpoint, type Endpoint } from '../../common/types.js';
+import { formatEndpoint } from '../../common/types.js';
 import type { KnownBackend } from '../../routing/index.js';
+import {
+  BackendProber,
+  type BackendProberOptions,
+  type ProbeFinding,
+  type ProbeOutcome,
+} from './backend-prober.js';
 import type { BackendState } from './backend-state.js';
 import {
   DEAD_IN_ZONE_MS,
@@ -17,23 +21,11 @@
   MAX_PROBE_PAIRS,
   MAX_PROBES_AT_ONCE,
   PROBE_AGAIN_MS,
-  PROBE_LATE_MS,
-  PROBE_SPACING_MS,
-  PROBE_TIMEOUT_MS,
 } from './constants.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 import { formatFlowId } from './flow-id.js';
 import { resetTargetOf, type ForwardingParts } from './forwarding-parts.js';
 
-/** What a connection to a back end's address met. */
-export type ProbeOutcome = 'answered' | 'refused' | 'silent';
-
-/** What one probe, or a pair, tells; `inconclusive` when this process may have slept through the answer. */
-type ProbeFinding = ProbeOutcome | 'inconclusive';
-
-/** Opens a connection and closes it as soon as it is answered. Never rejects. */
-export type ConnectProbe = (endpoint: Endpoint, timeoutMs: number) => Promise<ProbeOutcome>;
-
 /** What probes find at a back end that may be dead. */
 type DeathFinding = Exclude<ProbeOutcome, 'answered'>;
 
@@ -41,10 +33,7 @@
 export type DeathProof = DeathFinding | 'superseded';
 
 /** What the decision needs, beside the shared parts. */
-export interface DeadBackendsOptions {
-  readonly clock: Clock;
-  readonly pauses: PauseDetector;
-  readonly probe: ConnectProbe;
+export interface DeadBackendsOptions extends BackendProberOptions {
   /** Called with each back end that is found dead, or that may be, to tell other balancers: those with flows there probe it too. */
   readonly onSuspect: (backendId: string, nowMs: number) => void;
 }
@@ -59,16 +48,20 @@
   private readonly deaths = new Map<string, { readonly state: BackendState; readonly atMs: number }>();
   /** The back end that was recorded last at each address. */
   private readonly newestAt = new Map<string, KnownBackend>();
-  private probeCount = 0;
+  /** Back ends whose proof is being kept up. */
+  private readonly holding = new Set<BackendState>();
+  private readonly prober: BackendProber;
 
   constructor(
     private readonly parts: ForwardingParts,
     private readonly options: DeadBackendsOptions,
-  ) {}
+  ) {
+    this.prober = new BackendProber(options);
+  }
 
   /** Probes sent since start. */
   get probes(): number {
-    return this.probeCount;
+    return this.prober.probes;
   }
 
   /** Probes a back end that may be dead, if flows are open there and it was not probed just now. */
@@ -123,17 +116,9 @@
     return finding === 'refused' || this.parts.states.othersAliveMs(state) >= sinceMs;
   }
 
-  /** Sends two probes that overlap; `silent` when neither is answered. */
-  private async probeTwice(state: BackendState): Promise<ProbeFinding> {
+  private probeTwice(state: BackendState): Promise<ProbeFinding> {
     const sinceMs = this.options.clock.now();
-    const first = this.probeOnce(state);
-    const early = await Promise.race([first, pause(this.options.clock, PROBE_SPACING_MS)]);
-    if (early === 'answered' || early === 'refused') return early;
-    this.tellOfDoubt(state, sinceMs);
-    const findings = [await this.probeOnce(state), await first];
-    if (findings.includes('answered')) return 'answered';
-    if (findings.includes('refused')) return 'refused';
-    return findings.includes('inconclusive') ? 'inconclusive' : 'silent';
+    return this.prober.probeTwice(state.backend.record.endpoint, () => this.tellOfDoubt(state, sinceMs));
   }
 
   /**
@@ -146,16 +131,6 @@
     if (state.noteSuspicion(nowMs)) this.options.onSuspect(state.backend.id, nowMs);
   }
 
-  private async probeOnce(state: BackendState): Promise<ProbeFinding> {
-    const { clock, probe, pauses } = this.options;
-    const startedMs = clock.now();
-    this.probeCount += 1;
-    const outcome = await probe(state.backend.record.endpoint, PROBE_TIMEOUT_MS);
-    const nowMs = clock.now();
-    const isLate = nowMs - startedMs > PROBE_TIMEOUT_MS + PROBE_LATE_MS;
-    return outcome !== 'answered' && (isLate || pauses.mayBeOld(nowMs)) ? 'inconclusive' : outcome;
-  }
-
   /**
    * Keeps a proof up as long as further probes find nothing, so that no caller's flow has to try the back end, and tells the others
    * again. A probe that is answered ends it; without signs of life of others it ends by itself.
@@ -192,7 +167,10 @@
     const nowMs = this.options.clock.now();
     this.declare(state, proof, nowMs + DEAD_VERDICT_MS);
     this.options.onSuspect(state.backend.id, nowMs);
-    void this.holdVerdict(state);
+    if (!this.holding.has(state)) {
+      this.holding.add(state);
+      void this.holdVerdict(state).finally(() => this.holding.delete(state));
+    }
     const { zone } = state.backend.record;
     const before = this.deaths.get(zone);
     this.deaths.set(zone, { state, atMs: nowMs });
