--- a/eslint.config.js
+++ b/eslint.config.js
@@ -41,7 +41,10 @@
   },
   {
     files: ['**/*.cjs'],
-    languageOptions: { sourceType: 'commonjs', globals: { __dirname: 'readonly', process: 'readonly' } },
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { __dirname: 'readonly', performance: 'readonly', process: 'readonly' },
+    },
     rules: { '@typescript-eslint/no-require-imports': 'off' },
   },
   {
--- a/src/cookie-daemon/adapters.ts
+++ b/src/cookie-daemon/adapters.ts
@@ -10,6 +10,8 @@
 export interface BoundCookieEdge extends CookieEdgePort {
   /** Where it is bound. */
   readonly endpoint: Endpoint;
+  /** Monotonic ms at which it was bound, or a moment before. */
+  readonly boundAtMs: number;
   close(): Promise<void>;
 }
 
--- a/src/cookie-daemon/constants.ts
+++ b/src/cookie-daemon/constants.ts
@@ -23,8 +23,8 @@
 export const MAX_HELD_PACKETS = 1_024;
 
 /**
- * A held SYN is placed when it is certainly younger than this: callers repeat a SYN after 200 ms, and its answer must be
- * back before that. Nothing in the socket is older than the binding.
+ * A held first SYN is placed when it is certainly younger than this: callers repeat a SYN after 200 ms, and its answer must be back
+ * before that. Nothing in the socket is older than the binding. For copies see `held-syn.ts`.
  */
 export const MAX_HELD_SYN_MS = 150;
 
--- a/src/cookie-daemon/edge-gate.test.ts
+++ b/src/cookie-daemon/edge-gate.test.ts
@@ -22,6 +22,7 @@
     onDrop: (reason) => passed.push(reason),
   };
   gate.attach({
+    boundAtMs: clock.now(),
     keepPacket: () => {
       const kept = { ...current };
       return () => gate.onPacket(kept);
--- a/src/cookie-daemon/edge-gate.ts
+++ b/src/cookie-daemon/edge-gate.ts
@@ -1,24 +1,30 @@
 /**
  * Stands between the edge, which is bound first, and the forwarder, which cannot attribute a packet before routes and back
  * ends are known. What comes meanwhile is held, since its caller would repeat it only much later; a SYN only for so long
- * that its caller cannot have sent a copy, which another balancer may have placed elsewhere.
+ * that its caller cannot have sent a further copy, which another balancer may have placed elsewhere (`held-syn.ts`).
  */
 import type { Clock } from '../common/clock.js';
 import { ALL_MECHANISMS_ON, type MechanismCheck } from '../common/mechanisms.js';
-import type { CookieEdgeHandler, CookieEdgePort, CookiePacket } from '../fabric/cookie-edge.js';
+import type { CookieEdgeHandler, CookiePacket } from '../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../fabric/types.js';
 import type { EventLog } from '../observability/event.js';
-import { MAX_HELD_PACKETS, MAX_HELD_SYN_AFTER_READ_MS, MAX_HELD_SYN_MS } from './constants.js';
+import type { BoundCookieEdge } from './adapters.js';
+import { MAX_HELD_PACKETS } from './constants.js';
 import { COOKIE_DAEMON_EVENTS } from './events.js';
+import { mayPlaceHeldSyn } from './held-syn.js';
 
 /** A packet that waits for the gate to open. */
 interface HeldPacket {
-  readonly isSyn: boolean;
+  /** How many times its caller had sent this SYN before; undefined for a packet that is no SYN. */
+  readonly synCopy: number | undefined;
   /** Monotonic ms at which it was read; it may have waited in the socket since the binding. */
   readonly readAtMs: number;
   readonly deliver: () => void;
 }
 
+/** What a gate asks of its edge. */
+export type GatedEdge = Pick<BoundCookieEdge, 'keepPacket' | 'boundAtMs'>;
+
 /** What a gate needs. */
 export interface EdgeGateOptions {
   readonly clock: Clock;
@@ -30,7 +36,7 @@
 /** See the module. Call `attach` as soon as the edge is bound, and `open` once. */
 export class EdgeGate implements CookieEdgeHandler {
   private handler: CookieEdgeHandler | undefined;
-  private edge: Pick<CookieEdgePort, 'keepPacket'> | undefined;
+  private edge: GatedEdge | undefined;
   private boundAtMs = 0;
   private held: HeldPacket[] = [];
   private tooMany = 0;
@@ -43,9 +49,9 @@
   }
 
   /** Takes the edge that was just bound. */
-  attach(edge: Pick<CookieEdgePort, 'keepPacket'>): void {
+  attach(edge: GatedEdge): void {
     this.edge = edge;
-    this.boundAtMs = this.options.clock.now();
+    this.boundAtMs = edge.boundAtMs;
   }
 
   /** Lets everything through to `handler`, first what was held and is not too old. */
@@ -72,7 +78,7 @@
       return;
     }
     this.held.push({
-      isSyn: packet.syn && !packet.ack,
+      synCopy: packet.syn && !packet.ack ? packet.acknowledgement : undefined,
       readAtMs: this.options.clock.now(),
       deliver: this.edge.keepPacket(),
     });
@@ -83,8 +89,10 @@
   }
 
   /** No packet is older than the binding of the socket; one that was read later may have waited there for a moment. */
-  private isYoung({ isSyn, readAtMs }: HeldPacket, nowMs: number): boolean {
-    if (!isSyn) return true;
-    return nowMs - this.boundAtMs <= MAX_HELD_SYN_MS || nowMs - readAtMs <= MAX_HELD_SYN_AFTER_READ_MS;
+  private isYoung({ synCopy, readAtMs }: HeldPacket, nowMs: number): boolean {
+    if (synCopy === undefined) return true;
+    return mayPlaceHeldSyn({
+      ...{ copy: synCopy, boundForMs: nowMs - this.boundAtMs, readAgoMs: nowMs - readAtMs },
+    });
   }
 }
--- /dev/null
+++ b/src/cookie-daemon/held-syn.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import { mayPlaceHeldSyn } from './held-syn.js';
+
+/** A SYN in a socket that was bound so long ago, and that was read when it arrived. */
+const held = (copy: number, heldMs: number): boolean =>
+  mayPlaceHeldSyn({ copy, boundForMs: heldMs, readAgoMs: heldMs });
+
+/** Callers send a SYN at 0, its copies at 200 and 600 ms, and give the attempt up at 1,400 ms. */
+const CASES = [
+  { copy: 0, placedMs: 140, droppedMs: 160 },
+  { copy: 1, placedMs: 340, droppedMs: 360 },
+  { copy: 2, placedMs: 740, droppedMs: 760 },
+];
+
+for (const { copy, placedMs, droppedMs } of CASES) {
+  test(`copy ${copy} of a SYN is placed until shortly before its caller sends another`, (t) => {
+    t.true(held(copy, placedMs));
+    t.false(held(copy, droppedMs));
+  });
+}
+
+test('a copy of a number that callers do not send gets no longer than a first SYN', (t) => {
+  for (const copy of [3, 7, 0xffff_ffff]) {
+    t.true(held(copy, 10));
+    t.false(held(copy, 160));
+  }
+});
+
+test('what was read a moment ago may have waited in the socket before', (t) => {
+  t.true(mayPlaceHeldSyn({ copy: 0, boundForMs: 5_000, readAgoMs: 40 }));
+  t.false(mayPlaceHeldSyn({ copy: 0, boundForMs: 5_000, readAgoMs: 60 }));
+  t.true(mayPlaceHeldSyn({ copy: 1, boundForMs: 5_000, readAgoMs: 240 }));
+  t.false(mayPlaceHeldSyn({ copy: 1, boundForMs: 5_000, readAgoMs: 260 }));
+});
+
+/**
+ * The seconds after a loss of all daemons: callers that began at any time meet daemons that bind and open late, each copy another
+ * daemon. Whatever the times, no flow may be placed twice, since the first placement is answered before the next copy is sent.
+ */
+test('no SYN and its copy are both placed, whichever daemons they meet', (t) => {
+  const sentMs = [0, 200, 600];
+  const answeredInMs = 40;
+  for (let openAtMs = 0; openAtMs <= 1_400; openAtMs += 10) {
+    for (let boundMs = 10; boundMs <= 800; boundMs += 30) {
+      const boundAtMs = openAtMs - boundMs;
+      const placed = sentMs.filter((atMs, copy) => {
+        if (atMs < boundAtMs || atMs > openAtMs) return false;
+        return mayPlaceHeldSyn({ copy, boundForMs: boundMs, readAgoMs: openAtMs - atMs });
+      });
+      const last = placed.at(-1);
+      if (last === undefined) continue;
+      const next = sentMs.find((atMs) => atMs > last);
+      const isAnsweredBefore = next === undefined || openAtMs + answeredInMs <= next;
+      t.true(isAnsweredBefore, `opened at ${openAtMs}, bound for ${boundMs}: copy of ${last} placed`);
+      t.is(placed.length, 1);
+    }
+  }
+});
