--- a/src/cookie-daemon/components.ts
+++ b/src/cookie-daemon/components.ts
@@ -81,7 +81,7 @@
     mayBeOld: () => pauses.mayBeOld(clock.now()),
     recordsMayLapse: () => circuit.recordsMayLapse(),
     noteLoad: (report) => isOn('reported-load') && loads.accept(report),
-    noteSlowAnswer: (report) => forwarder.noteSlowAnswer(report),
+    noteBadAnswer: (report) => forwarder.noteBadAnswer(report),
     noteSuspicion: ({ backendId, atMs }) => forwarder.noteSuspicion(backendId, atMs),
   });
   circuit.retryNoSoonerThan(() => spreader.leastRetryMs());
@@ -92,7 +92,7 @@
     cold: { overage, slack, isOwner: (backendId, count) => spreader.isOwner(backendId, count) },
     maxFlows: () => config().limits.maxFlows,
     ...{ observer: hashString(id), outliers: config().outliers },
-    onSlowAnswer: (report) => spreader.tellSlowAnswer(report),
+    onBadAnswer: (report) => spreader.tellBadAnswer(report),
     onEject: (backendId, atMs) => spreader.tellSuspicion({ backendId, atMs }),
   });
   openWhenComplete(gate, knowledge, forwarder);
--- a/src/flow/cookie/cookie-forwarder.ts
+++ b/src/flow/cookie/cookie-forwarder.ts
@@ -15,7 +15,7 @@
   DEFAULT_OUTLIER_OPTIONS,
   OutlierDetector,
   type OutlierOptions,
-  type SlowAnswerReport,
+  type BadAnswerReport,
 } from '../../outliers/index.js';
 import type { KnownBackend, RoutingKnowledge } from '../../routing/index.js';
 import { BackendEligibility } from './backend-eligibility.js';
@@ -64,8 +64,8 @@
   /** Names this balancer in what it tells others. */
   readonly observer?: number;
   readonly outliers?: OutlierOptions;
-  /** Called with each slow answer that this balancer noticed, to tell other balancers. */
-  readonly onSlowAnswer?: (report: SlowAnswerReport) => void;
+  /** Called with each bad answer that this balancer noticed, to tell other balancers. */
+  readonly onBadAnswer?: (report: BadAnswerReport) => void;
   /** Called with each back end that is ejected, to tell other balancers. */
   readonly onEject?: (backendId: string, nowMs: number) => void;
 }
@@ -95,7 +95,7 @@
     );
     this.outliers = this.detectorOf(options);
     const { slowFactor } = options.outliers ?? DEFAULT_OUTLIER_OPTIONS;
-    const answers = new AnswerTracker({ slowFactor, onSlow: (slow) => this.outliers.noteOwn(slow) });
+    const answers = new AnswerTracker({ slowFactor, onBadAnswer: (bad) => this.outliers.noteOwn(bad) });
     const cookies = new CookieRegistry();
     this.parts = {
       ...{ events, knowledge, edge, isOn, states, cookies, statistics: this.statistics },
@@ -153,8 +153,8 @@
     return isNews;
   }
 
-  /** Takes in a slow answer that another balancer noticed; true when that was not known. */
-  noteSlowAnswer(report: SlowAnswerReport): boolean {
+  /** Takes in a bad answer that another balancer noticed; true when that was not known. */
+  noteBadAnswer(report: BadAnswerReport): boolean {
     if (!this.parts.isOn('outlier-detection')) return false;
     return this.outliers.noteReport(report, this.options.clock.now());
   }
@@ -239,7 +239,7 @@
     knowledge,
     observer,
     outliers,
-    onSlowAnswer,
+    onBadAnswer,
   }: CookieForwarderOptions): OutlierDetector {
     const { backends } = knowledge;
     return new OutlierDetector(
@@ -247,7 +247,7 @@
         ...{ ...(outliers ?? DEFAULT_OUTLIER_OPTIONS), events, self: observer ?? 0 },
         serviceOf: (backendId) => backends.get(backendId)?.record.service,
         countBackends: (service) => backends.countRecorded(service),
-        onReport: (report) => onSlowAnswer?.(report),
+        onReport: (report) => onBadAnswer?.(report),
       },
       clock.now(),
     );
--- a/src/flow/cookie/cookie-test-support.ts
+++ b/src/flow/cookie/cookie-test-support.ts
@@ -7,7 +7,7 @@
 import type { Endpoint } from '../../common/types.js';
 import type { CookieEdgePort, CookiePacket, ResetTarget } from '../../fabric/cookie-edge.js';
 import type { EventDefinition, EventFields } from '../../observability/event.js';
-import type { SlowAnswerReport } from '../../outliers/index.js';
+import type { BadAnswerReport } from '../../outliers/index.js';
 import {
   RoutingKnowledge,
   type KnownBackend,
@@ -45,8 +45,8 @@
   readonly probe?: ConnectProbe;
   /** Names it in what it tells other balancers. */
   readonly observer?: number;
-  /** Called with what it tells other balancers of slow answers. */
-  readonly onSlowAnswer?: (report: SlowAnswerReport) => void;
+  /** Called with what it tells other balancers of bad answers. */
+  readonly onBadAnswer?: (report: BadAnswerReport) => void;
 }
 
 /** One balancer under test. */
@@ -98,7 +98,7 @@
       pauses: new PauseDetector(clock.now(), TICK_MS, (callback) => this.turns.push(callback)),
       maxFlowAgeMs: 60_000,
       maxFlows: () => 1_000,
-      ...{ observer: surroundings.observer, onSlowAnswer: surroundings.onSlowAnswer },
+      ...{ observer: surroundings.observer, onBadAnswer: surroundings.onBadAnswer },
       onEject: (backendId) => this.told.push(backendId),
     });
     this.forwarder.start(this.abort.signal);
--- a/src/flow/cookie/mid-flow-handler.ts
+++ b/src/flow/cookie/mid-flow-handler.ts
@@ -39,9 +39,10 @@
       this.parts.pending.noteAnswer(nowMs - flow.openedAtMs);
       this.parts.states.noteSignOfLife(flow.state, nowMs);
     } else if (packet.ack && isAfter(packet.acknowledgement, flow.acknowledgement)) {
+      const bytes = (packet.acknowledgement - flow.acknowledgement) >>> 0;
       flow.acknowledgement = packet.acknowledgement;
       this.parts.states.noteSignOfLife(flow.state, nowMs);
-      this.endRequest(flow, nowMs);
+      this.endRequest(flow, bytes, nowMs);
     }
     if (packet.payloadBytes > 0) this.followData(packet, flow, nowMs);
     if (packet.fin || packet.rst) this.close(flow, nowMs);
@@ -68,9 +69,9 @@
     this.parts.answers.begin(flow.request);
   }
 
-  private endRequest(flow: Flow, nowMs: number): void {
+  private endRequest(flow: Flow, bytes: number, nowMs: number): void {
     if (!flow.request) return;
-    this.parts.answers.answer(flow.request, nowMs);
+    this.parts.answers.answer(flow.request, bytes, nowMs);
     flow.request = undefined;
   }
 
--- a/src/flow/cookie/replayed-load.ts
+++ b/src/flow/cookie/replayed-load.ts
@@ -1,7 +1,7 @@
 /**
  * A load replayed against balancers on a virtual clock, for tests of placement: callers that open a flow for each request, and callers
  * that keep one with pauses; back ends with slots and a queue, of which some are slow or never answer. Balancers hear of each other's
- * slow answers a moment later.
+ * bad answers a moment later.
  */
 import { VirtualClock } from '../../common/clock.js';
 import type { Mechanism } from '../../common/mechanisms.js';
@@ -62,13 +62,13 @@
     this.freeAtMs = Array.from({ length: day.backends }, () => new Array<number>(SLOTS).fill(0));
     const records = this.freeAtMs.map((_slots, index) => backendAt(`b-${index}`, index + 1));
     this.balancers = Array.from({ length: day.balancers }, (_unused, index) => {
-      const onSlowAnswer = (report: Parameters<ForwarderHarness['forwarder']['noteSlowAnswer']>[0]): void => {
+      const onBadAnswer = (report: Parameters<ForwarderHarness['forwarder']['noteBadAnswer']>[0]): void => {
         if (day.gossipLostAt?.(this.clock.now())) return;
         this.clock.schedule(GOSSIP_MS, () => {
-          for (const other of this.balancers) other.forwarder.noteSlowAnswer(report);
+          for (const other of this.balancers) other.forwarder.noteBadAnswer(report);
         });
       };
-      const surroundings = { observer: index + 1, onSlowAnswer };
+      const surroundings = { observer: index + 1, onBadAnswer };
       return new ForwarderHarness(this.clock, index, day.switchedOff ?? [], surroundings).know(records);
     });
   }
--- a/src/outliers/answer-tracker.test.ts
+++ b/src/outliers/answer-tracker.test.ts
@@ -1,34 +1,37 @@
 import test from 'ava';
 import { AnswerTracker } from './answer-tracker.js';
 import { MIN_ANSWERS, SLOW_MIN_MS } from './constants.js';
-import type { OutstandingRequest, SlowAnswer } from './types.js';
-import { UsualAnswerTime } from './usual-answer-time.js';
+import type { BadAnswer, OutstandingRequest } from './types.js';
+import { UsualAnswers } from './usual-answers.js';
 
 const SLOW_FACTOR = 4;
 const USUAL_MS = 50;
+const USUAL_BYTES = 800;
+const ERROR_BYTES = 200;
 
 function request(sentAtMs: number, backendId = 'a', routeKey = 1): OutstandingRequest {
   return { backendId, service: 'alpha', routeKey, sentAtMs };
 }
 
 /** A tracker that has seen enough answers of `USUAL_MS` on route 1, and what it called slow. */
-function warmTracker(): { readonly tracker: AnswerTracker; readonly slow: SlowAnswer[] } {
-  const slow: SlowAnswer[] = [];
-  const tracker = new AnswerTracker({ slowFactor: SLOW_FACTOR, onSlow: (found) => slow.push(found) });
+function warmTracker(): { readonly tracker: AnswerTracker; readonly slow: BadAnswer[] } {
+  const slow: BadAnswer[] = [];
+  const tracker = new AnswerTracker({ slowFactor: SLOW_FACTOR, onBadAnswer: (found) => slow.push(found) });
   for (let count = 0; count < MIN_ANSWERS; count += 1) {
     const answered = request(0);
     tracker.begin(answered);
-    tracker.answer(answered, USUAL_MS);
+    tracker.answer(answered, USUAL_BYTES, USUAL_MS);
   }
   return { tracker, slow };
 }
 
 test('the usual time follows a change of all answers and not a few slow ones', (t) => {
-  const usual = new UsualAnswerTime();
+  const usual = new UsualAnswers();
   t.is(usual.usualMs, undefined);
-  for (let count = 0; count < 100; count += 1) usual.note(count % 5 === 0 ? 400 : USUAL_MS + (count % 3));
+  for (let count = 0; count < 100; count += 1)
+    usual.note(count % 5 === 0 ? 400 : USUAL_MS + (count % 3), USUAL_BYTES);
   t.true(usual.usualMs! < 2 * USUAL_MS, `${usual.usualMs} ms with one slow answer in five`);
-  for (let count = 0; count < 100; count += 1) usual.note(400 + (count % 3));
+  for (let count = 0; count < 100; count += 1) usual.note(400 + (count % 3), USUAL_BYTES);
   t.true(usual.usualMs! > 300, `${usual.usualMs} ms once all are slow`);
 });
 
@@ -45,7 +48,7 @@
     slow.map(({ backendId }) => backendId),
     ['mute', 'late'],
   );
-  tracker.answer(late, 1_500);
+  tracker.answer(late, USUAL_BYTES, 1_500);
   tracker.check(9_000);
   t.is(slow.length, 2);
   t.is(tracker.outstandingCount, 0);
@@ -55,7 +58,7 @@
   const { tracker, slow } = warmTracker();
   const late = request(1_000);
   tracker.begin(late);
-  tracker.answer(late, 1_000 + 5 * USUAL_MS);
+  tracker.answer(late, USUAL_BYTES, 1_000 + 5 * USUAL_MS);
   t.is(slow.length, 1);
 });
 
@@ -64,17 +67,17 @@
   const slowRoute = request(1_000, 'a', 2);
   tracker.begin(slowRoute);
   tracker.check(1_000 + 10 * USUAL_MS);
-  tracker.answer(slowRoute, 1_000 + 10 * USUAL_MS);
+  tracker.answer(slowRoute, USUAL_BYTES, 1_000 + 10 * USUAL_MS);
   t.deepEqual(slow, [], 'too few answers of that route were seen');
 });
 
 test('no answer is slow that one lost packet can explain on a fast route', (t) => {
-  const slow: SlowAnswer[] = [];
-  const tracker = new AnswerTracker({ slowFactor: SLOW_FACTOR, onSlow: (found) => slow.push(found) });
+  const slow: BadAnswer[] = [];
+  const tracker = new AnswerTracker({ slowFactor: SLOW_FACTOR, onBadAnswer: (found) => slow.push(found) });
   for (let count = 0; count <= MIN_ANSWERS; count += 1) {
     const answered = request(0);
     tracker.begin(answered);
-    tracker.answer(answered, count < MIN_ANSWERS ? 2 : SLOW_MIN_MS - 1);
+    tracker.answer(answered, USUAL_BYTES, count < MIN_ANSWERS ? 2 : SLOW_MIN_MS - 1);
   }
   t.deepEqual(slow, []);
 });
@@ -90,3 +93,38 @@
   t.deepEqual(slow, []);
   t.is(tracker.statistics.abandoned, 1);
 });
+
+/** A tracker that has seen `count` answers of 600 to 1,200 bytes. */
+function trackerAfter(count: number) {
+  const { tracker, slow: bad } = warmTracker();
+  const answer = (bytes: number): void => {
+    const answered = request(0);
+    tracker.begin(answered);
+    tracker.answer(answered, bytes, USUAL_MS);
+  };
+  for (let index = 0; index < count; index += 1) answer(600 + ((index * 37) % 600));
+  return { tracker, bad, answer };
+}
+
+test('an answer much shorter than those of its route is bad, also while a tenth of them are', (t) => {
+  const { tracker, bad, answer } = trackerAfter(200);
+  for (let index = 0; index < 1_000; index += 1) answer(index % 10 === 0 ? ERROR_BYTES : 600 + ((index * 37) % 600));
+  t.is(bad.length, 100);
+  t.is(tracker.statistics.short, 100);
+});
+
+test('a route whose answers have all become short is taken as it is after a while', (t) => {
+  const { bad, answer } = trackerAfter(200);
+  for (let index = 0; index < 1_000; index += 1) answer(ERROR_BYTES);
+  const before = bad.length;
+  t.true(before < 500, `${before} called bad`);
+  for (let index = 0; index < 100; index += 1) answer(ERROR_BYTES);
+  t.is(bad.length, before);
+});
+
+test('answers of very different lengths are all usual', (t) => {
+  const { bad, answer } = trackerAfter(0);
+  for (let index = 0; index < 2_000; index += 1)
+    answer(index % 20 === 0 ? 150 : 150 + ((index * 7_919) % 9_000));
+  t.deepEqual(bad, []);
+});
--- a/src/outliers/answer-tracker.ts
+++ b/src/outliers/answer-tracker.ts
@@ -1,18 +1,21 @@
 /**
  * Follows requests from their first packet to the caller's first acknowledgement of answer data. Answers go from back ends to callers
- * directly, but callers acknowledge them through a balancer at once, so the two times differ by the network alone. Tells each request
- * that takes unusually long for its route as soon as it does, answered or not.
+ * directly, but callers acknowledge them through a balancer at once, so the two times differ by the network alone, and the bytes
+ * acknowledged first are all of a short answer. Tells each bad answer: one that is unusually late for its route, as soon as it is, whether
+ * it comes later or not; and one much shorter than the route's answers are, as errors are.
  */
 import { LatencyHistogram } from '../observability/latency-histogram.js';
-import { MAX_OUTSTANDING, MAX_ROUTES, SLOW_MIN_MS } from './constants.js';
-import type { OutstandingRequest, SlowAnswer } from './types.js';
-import { UsualAnswerTime } from './usual-answer-time.js';
+import { MAX_OUTSTANDING, MAX_ROUTES } from './constants.js';
+import type { BadAnswer, OutstandingRequest } from './types.js';
+import { UsualAnswers } from './usual-answers.js';
 
 /** Counters since start. */
 export interface AnswerStatistics {
   answered: number;
   /** Requests that took unusually long, answered later or not. */
   slow: number;
+  /** Requests whose answer was unusually short. */
+  short: number;
   /** Requests whose caller closed the flow before any answer. */
   abandoned: number;
   /** Requests that were not followed, because too many were outstanding. */
@@ -23,17 +26,17 @@
 export interface AnswerTrackerOptions {
   /** See `OutlierOptions`. */
   readonly slowFactor: number;
-  /** Called with each request that takes unusually long, once. */
-  readonly onSlow: (slow: SlowAnswer) => void;
+  /** Called with each bad answer, once. */
+  readonly onBadAnswer: (bad: BadAnswer) => void;
 }
 
 /** See the module. Times are monotonic ms. */
 export class AnswerTracker {
-  readonly statistics: AnswerStatistics = { answered: 0, slow: 0, abandoned: 0, untracked: 0 };
+  readonly statistics: AnswerStatistics = { answered: 0, slow: 0, short: 0, abandoned: 0, untracked: 0 };
   readonly times = new LatencyHistogram();
   /** Requests that are neither answered nor slow yet, the oldest first. */
   private readonly outstanding = new Set<OutstandingRequest>();
-  private readonly routes = new Map<number, UsualAnswerTime>();
+  private readonly routes = new Map<number, UsualAnswers>();
 
   constructor(private readonly options: AnswerTrackerOptions) {}
 
@@ -48,14 +51,18 @@
     else this.statistics.untracked += 1;
   }
 
-  /** Notes that answer data of a request was acknowledged. */
-  answer(request: OutstandingRequest, nowMs: number): void {
+  /** Notes that the first `bytes` of the answer to a request were acknowledged. */
+  answer(request: OutstandingRequest, bytes: number, nowMs: number): void {
     const tookMs = nowMs - request.sentAtMs;
-    const isSlow = this.isSlow(request, tookMs);
+    const usual = this.usualOf(request.routeKey);
+    const isSlow = usual.isSlow(tookMs, this.options.slowFactor);
+    const isShort = usual.isShort(bytes);
     this.statistics.answered += 1;
     this.times.observe(tookMs);
-    this.usualOf(request.routeKey).note(tookMs);
-    if (this.outstanding.delete(request) && isSlow) this.report(request, nowMs);
+    usual.note(tookMs, bytes);
+    if (!this.outstanding.delete(request)) return;
+    if (isShort) this.report(request, 'short', nowMs);
+    else if (isSlow) this.report(request, 'slow', nowMs);
   }
 
   /** Notes that the caller closed the flow of a request before any answer. It may have had enough, so that proves nothing. */
@@ -65,10 +72,12 @@
 
   /** Tells those that have become slow. */
   check(nowMs: number): void {
+    const { slowFactor } = this.options;
     for (const request of this.outstanding) {
-      if (!this.isSlow(request, nowMs - request.sentAtMs)) continue;
+      const usual = this.routes.get(request.routeKey);
+      if (!usual?.isSlow(nowMs - request.sentAtMs, slowFactor)) continue;
       this.outstanding.delete(request);
-      this.report(request, nowMs);
+      this.report(request, 'slow', nowMs);
     }
   }
 
@@ -77,22 +86,16 @@
     this.outstanding.clear();
   }
 
-  private report({ backendId, service }: OutstandingRequest, nowMs: number): void {
-    this.statistics.slow += 1;
-    this.options.onSlow({ backendId, service, atMs: nowMs });
+  private report({ backendId, service }: OutstandingRequest, fault: 'slow' | 'short', nowMs: number): void {
+    this.statistics[fault] += 1;
+    this.options.onBadAnswer({ backendId, service, atMs: nowMs });
   }
 
-  private isSlow({ routeKey }: OutstandingRequest, tookMs: number): boolean {
-    if (tookMs < SLOW_MIN_MS) return false;
-    const usualMs = this.routes.get(routeKey)?.usualMs;
-    return usualMs !== undefined && tookMs >= usualMs * this.options.slowFactor;
-  }
-
-  private usualOf(routeKey: number): UsualAnswerTime {
+  private usualOf(routeKey: number): UsualAnswers {
     let usual = this.routes.get(routeKey);
     if (usual) return usual;
     if (this.routes.size >= MAX_ROUTES) this.forgetOldestRoute();
-    usual = new UsualAnswerTime();
+    usual = new UsualAnswers();
     this.routes.set(routeKey, usual);
     return usual;
   }
--- a/src/outliers/constants.ts
+++ b/src/outliers/constants.ts
@@ -9,7 +9,7 @@
 const SLOW_FACTOR = 4;
 
 /**
- * One slow answer is chance and two may be: 790 requests a second at 84 back ends give each of them 0.08 slow ones in
+ * One bad answer is chance and two may be: 790 requests a second at 84 back ends give each of them 0.08 slow ones in
  * `REPORT_VALID_MS` by chance, so that three meet at one back end once in three hours or so.
  */
 const QUORUM = 3;
@@ -26,13 +26,13 @@
   maxAvoidedShare: MAX_AVOIDED_SHARE,
 };
 
-/** A slow answer speaks against its back end for this long, in ms: about 28 requests of an average back end at today's load. */
+/** A bad answer speaks against its back end for this long, in ms: about 28 requests of an average back end at today's load. */
 export const REPORT_VALID_MS = 3_000;
 
-/** Slow answers kept of one back end; more would only be told on, and change no verdict. */
+/** Bad answers kept of one back end; more would only be told on, and change no verdict. */
 export const MAX_REPORTS = 6;
 
-/** A back end is an outlier only with this many times the mean number of slow answers of its service's back ends. */
+/** A back end is an outlier only with this many times the mean number of bad answers of its service's back ends. */
 export const OUTLIER_FACTOR = 3;
 
 /**
@@ -42,7 +42,7 @@
 export const MAX_REPORTED_SHARE = 0.4;
 
 /**
- * A daemon says nothing of slow answers for this long after its start, in ms. While daemons come up together, routers keep moving flows
+ * A daemon says nothing of bad answers for this long after its start, in ms. While daemons come up together, routers keep moving flows
  * between them, and a request whose answer is acknowledged through another daemon looks unanswered here: after a loss of power of all
  * 32 daemons, 26 of 77 back ends were avoided without a reason.
  */
@@ -55,7 +55,7 @@
 export const AVOID_MIN_MS = 2_000;
 export const AVOID_MAX_MS = 8_000;
 
-/** Then it gets trial flows for this long, in ms; one slow answer ends the trial. */
+/** Then it gets trial flows for this long, in ms; one bad answer ends the trial. */
 export const TRIAL_MS = 2_000;
 
 /** In a trial, one in this many of the flows for which it is among the candidates may go there. */
@@ -79,6 +79,21 @@
 /** No answer below this is called slow, in ms: a packet that is lost and repeated takes 200 ms longer. */
 export const SLOW_MIN_MS = 100;
 
+/** Answers that must have been seen on a route before any is called short: the least of so many is near the least of all. */
+export const MIN_ANSWERS_FOR_LENGTH = 64;
+
+/**
+ * An answer with less than this share of the least usual bytes is short. In a trace errors had 204 to 209 bytes, where the usual
+ * answers had at least 493 (the least of a hundred) and 827 on two routes.
+ */
+export const SHORT_SHARE = 0.6;
+
+/** The least usual length rises by this share with each usual answer, so that a single short one is forgotten after a thousand or so. */
+export const LENGTH_RISE = 0.001;
+
+/** It falls by this share with each short one: a route whose answers have all become short is as usual again after some 300. */
+export const SHORT_FALL = 0.003;
+
 /** Routes with a usual time kept at once; beyond, the oldest goes. */
 export const MAX_ROUTES = 4_096;
 
--- a/src/outliers/events.ts
+++ b/src/outliers/events.ts
@@ -5,8 +5,8 @@
   avoided: {
     number: 2400,
     level: 'warn',
-    message: 'Back end answers unusually late or not at all; no new flows',
-    action: 'Check the load and the dependencies of the back end',
+    message: 'Back end answers unusually late, not at all, or with unusually short answers; no new flows',
+    action: 'Check the log, the load and the dependencies of the back end',
   },
   trial: {
     number: 2401,
@@ -23,7 +23,7 @@
   tooMany: {
     number: 2403,
     level: 'warn',
-    message: 'Back end answers unusually late, but too many of its service are avoided already',
+    message: 'Back end answers unusually late or short, but too many of its service are avoided already',
     action: 'Check the load of the service as a whole',
   },
 });
--- a/src/outliers/index.ts
+++ b/src/outliers/index.ts
@@ -1,10 +1,10 @@
 /**
- * Outlier detection: back ends that answer unusually late, or not at all, although connections to them open, get no new flows. It
- * covers slow, hanging and mute back ends; `flow/cookie/dead-backends.ts` covers those that cannot be reached.
+ * Outlier detection: back ends that answer unusually late, not at all, or with errors, although connections to them open, get no new
+ * flows. It covers slow, hanging, mute and failing back ends; `flow/cookie/dead-backends.ts` covers those that cannot be reached.
  *
  * ```ts
  * const detector = new OutlierDetector({ ...DEFAULT_OUTLIER_OPTIONS, self, events, serviceOf, countBackends, onReport });
- * const tracker = new AnswerTracker({ slowFactor, onSlow: (slow) => detector.noteOwn(slow) });
+ * const tracker = new AnswerTracker({ slowFactor, onBadAnswer: (slow) => detector.noteOwn(slow) });
  * ```
  */
 export type * from './types.js';
--- a/src/outliers/outlier-detector.test.ts
+++ b/src/outliers/outlier-detector.test.ts
@@ -11,7 +11,7 @@
 } from './constants.js';
 import { OUTLIER_EVENTS } from './events.js';
 import { OutlierDetector } from './outlier-detector.js';
-import type { SlowAnswerReport } from './types.js';
+import type { BadAnswerReport } from './types.js';
 
 const SELF = 1;
 const BACKENDS = 12;
@@ -21,7 +21,7 @@
 
 /** A detector for `alpha` with the back ends b0, b1, ... and what it logs and tells. */
 class DetectorHarness {
-  readonly told: SlowAnswerReport[] = [];
+  readonly told: BadAnswerReport[] = [];
   readonly logged: number[] = [];
   readonly detector: OutlierDetector;
 
@@ -36,7 +36,7 @@
       },
       serviceOf: (id: string) => (id.startsWith('b') ? 'alpha' : undefined),
       countBackends: () => backends,
-      onReport: (report: SlowAnswerReport) => void this.told.push(report),
+      onReport: (report: BadAnswerReport) => void this.told.push(report),
     };
     this.detector = new OutlierDetector(options, startedAtMs);
   }
@@ -57,7 +57,7 @@
   }
 }
 
-test('a back end is avoided once as many daemons as the quorum noticed slow answers there', (t) => {
+test('a back end is avoided once as many daemons as the quorum noticed bad answers there', (t) => {
   const harness = new DetectorHarness();
   harness.hear('b1', quorum - 1);
   t.is(harness.phase('b1'), 'normal');
@@ -150,7 +150,7 @@
   t.deepEqual(harness.logged.slice(1), [OUTLIER_EVENTS.trial.number, OUTLIER_EVENTS.normal.number]);
 });
 
-test('one slow answer ends a trial, and the back end is avoided twice as long', (t) => {
+test('one bad answer ends a trial, and the back end is avoided twice as long', (t) => {
   const harness = new DetectorHarness();
   harness.hear('b1', quorum);
   const trialMs = NOW_MS + AVOID_MIN_MS + TRIAL_MS / 2;
--- a/src/outliers/outlier-detector.ts
+++ b/src/outliers/outlier-detector.ts
@@ -1,6 +1,6 @@
 /**
  * Decides which back ends answer unusually late or not at all, so that they get no new flows. One daemon sees too few requests at each
- * back end to tell; so daemons gossip their slow answers, and each decides for itself by what it knows of the whole fleet. Nothing is
+ * back end to tell; so daemons gossip their bad answers, and each decides for itself by what it knows of the whole fleet. Nothing is
  * agreed and nothing kept: reports expire after seconds, and a daemon without any treats all back ends alike.
  */
 import { combine32 } from '../common/hash.js';
@@ -14,7 +14,7 @@
 } from './constants.js';
 import { OUTLIER_EVENTS } from './events.js';
 import { OutlierRecord } from './outlier-record.js';
-import type { OutlierOptions, OutlierPhase, SlowAnswer, SlowAnswerReport } from './types.js';
+import type { OutlierOptions, OutlierPhase, BadAnswer, BadAnswerReport } from './types.js';
 
 /** What a detector needs. */
 export interface OutlierDetectorOptions extends OutlierOptions {
@@ -26,7 +26,7 @@
   /** Back ends of a service that are recorded now. */
   readonly countBackends: (service: string) => number;
   /** Called with each report of this daemon, to tell the others. */
-  readonly onReport: (report: SlowAnswerReport) => void;
+  readonly onReport: (report: BadAnswerReport) => void;
 }
 
 /** What speaks against the back ends of one service. */
@@ -83,8 +83,8 @@
     return phase === 'avoided' || combine32(idHash, flowHash) % TRIAL_FLOW_SHARE !== 0;
   }
 
-  /** Takes in a slow answer that this daemon noticed itself, and tells the others unless it is this daemon that is slow. */
-  noteOwn({ backendId, service, atMs }: SlowAnswer): void {
+  /** Takes in a bad answer that this daemon noticed itself, and tells the others unless it is this daemon that is slow. */
+  noteOwn({ backendId, service, atMs }: BadAnswer): void {
     if (atMs < this.settledAtMs) return;
     const report = { backendId, observer: this.options.self, atMs };
     if (!this.recordOf(backendId, service).note(report, true, atMs)) return;
@@ -94,7 +94,7 @@
   }
 
   /** Takes in another daemon's report; true when it was new here, so that it is told on. */
-  noteReport(report: SlowAnswerReport, nowMs: number): boolean {
+  noteReport(report: BadAnswerReport, nowMs: number): boolean {
     if (report.observer === this.options.self) return false;
     const service = this.options.serviceOf(report.backendId);
     if (service === undefined) return false;
--- a/src/outliers/outlier-record.ts
+++ b/src/outliers/outlier-record.ts
@@ -9,7 +9,7 @@
 } from './constants.js';
 import type { OutlierPhase } from './types.js';
 
-/** A slow answer and who noticed it. */
+/** A bad answer and who noticed it. */
 interface NotedReport {
   readonly observer: number;
   readonly atMs: number;
@@ -56,7 +56,7 @@
     return this.reports.filter(({ observer }) => !isDiscounted(observer)).length;
   }
 
-  /** Who noticed slow answers lately. */
+  /** Who noticed bad answers lately. */
   observersAt(nowMs: number): readonly number[] {
     this.dropOld(nowMs);
     return this.reports.map(({ observer }) => observer);
--- a/src/outliers/types.ts
+++ b/src/outliers/types.ts
@@ -11,16 +11,16 @@
   readonly sentAtMs: number;
 }
 
-/** A request that took unusually long at a back end, or still waits there. */
-export interface SlowAnswer {
+/** An answer that came unusually late, or not so far, or that was unusually short. */
+export interface BadAnswer {
   readonly backendId: string;
   readonly service: string;
   /** Monotonic ms at which that was noticed. */
   readonly atMs: number;
 }
 
-/** A slow answer as daemons tell each other of it. */
-export interface SlowAnswerReport {
+/** A bad answer as daemons tell each other of it. */
+export interface BadAnswerReport {
   readonly backendId: string;
   /** Names the daemon that noticed it: the hash of its id. */
   readonly observer: number;
@@ -32,7 +32,7 @@
 export interface OutlierOptions {
   /** An answer that takes this many times the usual time of its route is slow. */
   readonly slowFactor: number;
-  /** Slow answers, each noticed by another daemon or by this one, that make a back end an outlier. */
+  /** Bad answers, each noticed by another daemon or by this one, that make a back end an outlier. */
   readonly quorum: number;
   /** Largest share of a service's back ends that get no new flows at once. */
   readonly maxAvoidedShare: number;
--- /dev/null
+++ b/src/outliers/usual-answers.ts
@@ -0,0 +1,49 @@
+/** What answers of one route are like, as a few numbers, whatever the number of answers: their median time and least length. */
+import {
+  FIRST_ANSWERS,
+  LENGTH_RISE,
+  MEDIAN_STEP,
+  MIN_ANSWERS,
+  MIN_ANSWERS_FOR_LENGTH,
+  SHORT_FALL,
+  SHORT_SHARE,
+  SLOW_MIN_MS,
+} from './constants.js';
+
+/** See the module. */
+export class UsualAnswers {
+  private count = 0;
+  private medianMs = 0;
+  private leastBytes = Number.POSITIVE_INFINITY;
+
+  /** Takes in how long an answer took, and how many of its bytes were acknowledged first: all of a short one. */
+  note(tookMs: number, bytes: number): void {
+    if (this.isShort(bytes)) {
+      this.leastBytes *= 1 - SHORT_FALL;
+      return;
+    }
+    this.count += 1;
+    this.leastBytes = Math.min(bytes, this.leastBytes * (1 + LENGTH_RISE));
+    if (this.count === 1) {
+      this.medianMs = tookMs;
+      return;
+    }
+    const step = MEDIAN_STEP + 1 / (this.count + FIRST_ANSWERS);
+    this.medianMs *= tookMs > this.medianMs ? 1 + step : 1 / (1 + step);
+  }
+
+  /** The median time in ms; undefined while too few answers were seen. */
+  get usualMs(): number | undefined {
+    return this.count >= MIN_ANSWERS ? this.medianMs : undefined;
+  }
+
+  /** True for a time that is `factor` times the usual one. */
+  isSlow(tookMs: number, factor: number): boolean {
+    return tookMs >= SLOW_MIN_MS && this.usualMs !== undefined && tookMs >= this.usualMs * factor;
+  }
+
+  /** True for an answer much shorter than any usual one: errors are, where answers carry something. */
+  isShort(bytes: number): boolean {
+    return this.count >= MIN_ANSWERS_FOR_LENGTH && bytes < this.leastBytes * SHORT_SHARE;
+  }
+}
--- a/src/spreading/slow-answer-outbox.ts
+++ b/src/spreading/bad-answer-outbox.ts
@@ -1,22 +1,22 @@
 /**
- * Slow answers to tell other daemons about. Each daemon sends each report that is new to it in two pushes, to six peers in all, which
+ * Bad answers to tell other daemons about. Each daemon sends each report that is new to it in two pushes, to six peers in all, which
  * reaches a whole fleet; what one message can't hold waits for the next, the newest first. So the bytes are bounded whatever happens.
  */
-import { SLOW_ANSWERS_A_MESSAGE, SLOW_ANSWER_PUSHES, TELL_SLOW_ANSWER_MS } from './constants.js';
-import type { SlowAnswerReport } from '../outliers/index.js';
+import { BAD_ANSWERS_A_MESSAGE, BAD_ANSWER_PUSHES, TELL_BAD_ANSWER_MS } from './constants.js';
+import type { BadAnswerReport } from '../outliers/index.js';
 
 /** A report with the pushes that may still carry it. */
 interface QueuedReport {
-  readonly report: SlowAnswerReport;
+  readonly report: BadAnswerReport;
   pushesLeft: number;
 }
 
 /** See the module. Times are monotonic ms. */
-export class SlowAnswerOutbox {
+export class BadAnswerOutbox {
   private queue: QueuedReport[] = [];
 
-  note(report: SlowAnswerReport): void {
-    this.queue.push({ report, pushesLeft: SLOW_ANSWER_PUSHES });
+  note(report: BadAnswerReport): void {
+    this.queue.push({ report, pushesLeft: BAD_ANSWER_PUSHES });
   }
 
   /** True while something waits to be told. */
@@ -25,10 +25,10 @@
   }
 
   /** What the next push carries. */
-  takeForPush(nowMs: number): SlowAnswerReport[] {
-    this.queue = this.queue.filter(({ report }) => nowMs - report.atMs < TELL_SLOW_ANSWER_MS);
+  takeForPush(nowMs: number): BadAnswerReport[] {
+    this.queue = this.queue.filter(({ report }) => nowMs - report.atMs < TELL_BAD_ANSWER_MS);
     const newestFirst = [...this.queue].sort((left, right) => right.report.atMs - left.report.atMs);
-    const taken = newestFirst.slice(0, SLOW_ANSWERS_A_MESSAGE);
+    const taken = newestFirst.slice(0, BAD_ANSWERS_A_MESSAGE);
     for (const queued of taken) queued.pushesLeft -= 1;
     this.queue = this.queue.filter(({ pushesLeft }) => pushesLeft > 0);
     return taken.map(({ report }) => report);
--- a/src/spreading/slow-answers.test.ts
+++ b/src/spreading/bad-answers.test.ts
@@ -1,13 +1,13 @@
-/** How slow answers reach the fleet, and what that costs at the most. */
+/** How bad answers reach the fleet, and what that costs at the most. */
 import test from 'ava';
 import {
   MAX_DATAGRAM_BYTES,
-  SLOW_ANSWER_GATHER_MS,
-  SLOW_ANSWERS_A_MESSAGE,
-  TELL_SLOW_ANSWER_MS,
+  BAD_ANSWER_GATHER_MS,
+  BAD_ANSWERS_A_MESSAGE,
+  TELL_BAD_ANSWER_MS,
 } from './constants.js';
 import { encodePeerMessage, decodePeerMessage } from './message-codec.js';
-import { SlowAnswerOutbox } from './slow-answer-outbox.js';
+import { BadAnswerOutbox } from './bad-answer-outbox.js';
 import { settled, type SpreadingCluster } from './spreading-test-support.js';
 import type { PeerMessage } from './types.js';
 
@@ -15,16 +15,16 @@
 const SPREAD_MS = 1_000;
 
 function tell(cluster: SpreadingCluster, daemon: number, backendId: string, observer = daemon): void {
-  cluster.daemons[daemon]!.spreader.tellSlowAnswer({ backendId, observer, atMs: cluster.clock.now() });
+  cluster.daemons[daemon]!.spreader.tellBadAnswer({ backendId, observer, atMs: cluster.clock.now() });
 }
 
 function heardShare(cluster: SpreadingCluster, key: string): number {
-  const heard = cluster.daemons.filter(({ slowAnswers }) => slowAnswers.has(key)).length;
+  const heard = cluster.daemons.filter(({ badAnswers }) => badAnswers.has(key)).length;
   return heard / (cluster.daemons.length - 1);
 }
 
 for (const size of [7, 30, 146]) {
-  test(`a slow answer reaches nearly all of ${size} daemons within a second`, async (t) => {
+  test(`a bad answer reaches nearly all of ${size} daemons within a second`, async (t) => {
     const cluster = await settled(size);
     tell(cluster, 0, 'b1');
     await cluster.clock.advanceAsync(SPREAD_MS, 10);
@@ -35,13 +35,13 @@
 test('the teller may be killed right after it has told', async (t) => {
   const cluster = await settled(30);
   tell(cluster, 3, 'b1');
-  await cluster.clock.advanceAsync(SLOW_ANSWER_GATHER_MS + 20, 10);
+  await cluster.clock.advanceAsync(BAD_ANSWER_GATHER_MS + 20, 10);
   cluster.daemons[3]!.kill(cluster.network);
   await cluster.clock.advanceAsync(SPREAD_MS, 10);
   t.true(heardShare(cluster, 'b1 3') >= 0.9, `${heardShare(cluster, 'b1 3')}`);
 });
 
-test('however many slow answers there are, a daemon sends a bounded number of bytes for them', async (t) => {
+test('however many bad answers there are, a daemon sends a bounded number of bytes for them', async (t) => {
   const cluster = await settled(30);
   const seconds = 4;
   const quiet = cluster.daemons[5]!.spreader.statistics.bytesSent;
@@ -59,40 +59,40 @@
 });
 
 test('the newest go first, each in a few pushes, and old ones not at all', (t) => {
-  const outbox = new SlowAnswerOutbox();
-  for (let index = 0; index < SLOW_ANSWERS_A_MESSAGE + 4; index += 1) {
+  const outbox = new BadAnswerOutbox();
+  for (let index = 0; index < BAD_ANSWERS_A_MESSAGE + 4; index += 1) {
     outbox.note({ backendId: `b${index}`, observer: 1, atMs: index });
   }
   const first = outbox.takeForPush(100).map(({ backendId }) => backendId);
-  t.is(first.length, SLOW_ANSWERS_A_MESSAGE);
-  t.is(first[0], `b${SLOW_ANSWERS_A_MESSAGE + 3}`);
+  t.is(first.length, BAD_ANSWERS_A_MESSAGE);
+  t.is(first[0], `b${BAD_ANSWERS_A_MESSAGE + 3}`);
   t.deepEqual(
     outbox.takeForPush(101).map(({ backendId }) => backendId),
     first,
   );
   t.is(outbox.takeForPush(102).length, 4);
   t.false(outbox.isEmpty);
-  t.deepEqual(outbox.takeForPush(100 + TELL_SLOW_ANSWER_MS), []);
+  t.deepEqual(outbox.takeForPush(100 + TELL_BAD_ANSWER_MS), []);
   t.true(outbox.isEmpty);
 });
 
-test('a message of slow answers is small, and its ages arrive', async (t) => {
+test('a message of bad answers is small, and its ages arrive', async (t) => {
   const cluster = await settled(7);
   const nowMs = cluster.clock.now();
-  const slowAnswers = Array.from({ length: SLOW_ANSWERS_A_MESSAGE }, (_unused, index) => ({
+  const badAnswers = Array.from({ length: BAD_ANSWERS_A_MESSAGE }, (_unused, index) => ({
     ...{ backendId: `i-012345678${index}`, observer: 0xffff_ffff - index, atMs: nowMs - 100 * index },
   }));
   const message: PeerMessage = {
     ...{ type: 'news', senderId: 'a', senderZone: 'z', leaving: false, confirmations: {}, readers: [] },
     ...{ peers: [], updates: [], suspicions: [], loads: [], departedCount: 0, tableRevision: -1 },
-    slowAnswers,
+    badAnswers,
   };
   const bytes = encodePeerMessage(message, nowMs);
   t.true(bytes.length < MAX_DATAGRAM_BYTES / 4, `${bytes.length} bytes`);
-  const decoded = decodePeerMessage(bytes, nowMs)!.slowAnswers;
+  const decoded = decodePeerMessage(bytes, nowMs)!.badAnswers;
   t.deepEqual(
     decoded.map(({ backendId, observer }) => ({ backendId, observer })),
-    slowAnswers.map(({ backendId, observer }) => ({ backendId, observer })),
+    badAnswers.map(({ backendId, observer }) => ({ backendId, observer })),
   );
-  t.true(decoded.every(({ atMs }, index) => Math.abs(atMs - slowAnswers[index]!.atMs) <= 10));
+  t.true(decoded.every(({ atMs }, index) => Math.abs(atMs - badAnswers[index]!.atMs) <= 10));
 });
--- a/src/spreading/constants.ts
+++ b/src/spreading/constants.ts
@@ -72,20 +72,20 @@
 /** Suspected back ends told about in one message. */
 export const SUSPICIONS_A_MESSAGE = 8;
 
-/** Slow answers told about in one message: about 200 bytes. */
-export const SLOW_ANSWERS_A_MESSAGE = 8;
+/** Bad answers told about in one message: about 200 bytes. */
+export const BAD_ANSWERS_A_MESSAGE = 8;
 
-/** Pushes, to three peers each, in which a daemon tells of a slow answer that is new to it: with six, one in 400 daemons misses it. */
-export const SLOW_ANSWER_PUSHES = 2;
+/** Pushes, to three peers each, in which a daemon tells of a bad answer that is new to it: with six, one in 400 daemons misses it. */
+export const BAD_ANSWER_PUSHES = 2;
 
 /**
- * Slow answers are collected this long before they are sent on, in ms. A report then crosses a fleet of 30 in about 0.4 s; sooner
+ * Bad answers are collected this long before they are sent on, in ms. A report then crosses a fleet of 30 in about 0.4 s; sooner
  * would cost more messages, each with one report.
  */
-export const SLOW_ANSWER_GATHER_MS = 150;
+export const BAD_ANSWER_GATHER_MS = 150;
 
-/** A slow answer is told on for this long, in ms: others count it while it is younger than `REPORT_VALID_MS` in outliers. */
-export const TELL_SLOW_ANSWER_MS = 2_000;
+/** A bad answer is told on for this long, in ms: others count it while it is younger than `REPORT_VALID_MS` in outliers. */
+export const TELL_BAD_ANSWER_MS = 2_000;
 
 /** Load reports in one message: one of `MAX_REPORTED` back ends takes about half of a datagram. */
 export const LOADS_A_MESSAGE = 1;
--- a/src/spreading/load-report-size.test.ts
+++ b/src/spreading/load-report-size.test.ts
@@ -4,7 +4,7 @@
 import {
   MAX_DATAGRAM_BYTES,
   READERS_A_MESSAGE,
-  SLOW_ANSWERS_A_MESSAGE,
+  BAD_ANSWERS_A_MESSAGE,
   SUSPICIONS_A_MESSAGE,
 } from './constants.js';
 import { encodePeerMessage } from './message-codec.js';
@@ -23,7 +23,7 @@
     suspicions: Array.from({ length: SUSPICIONS_A_MESSAGE }, (_, index) => ({
       ...{ backendId: `i-012345678${index}`, atMs: 0 },
     })),
-    slowAnswers: Array.from({ length: SLOW_ANSWERS_A_MESSAGE }, (_, index) => ({
+    badAnswers: Array.from({ length: BAD_ANSWERS_A_MESSAGE }, (_, index) => ({
       ...{ backendId: `i-012345678${index}`, observer: 0xffff_ffff, atMs: 0 },
     })),
     loads: [
--- a/src/spreading/message-codec.test.ts
+++ b/src/spreading/message-codec.test.ts
@@ -17,7 +17,7 @@
       peers: [],
       suspicions: [],
       loads: [],
-      slowAnswers: [],
+      badAnswers: [],
       departedCount: 0,
       tableRevision: 5,
     },
--- a/src/spreading/message-codec.ts
+++ b/src/spreading/message-codec.ts
@@ -58,7 +58,7 @@
     tableRevision: message.tableRevision,
     suspicions: message.suspicions.map(({ backendId, atMs }) => ({ backendId, ageMs: age(nowMs, atMs) })),
     loads: message.loads.map((report) => encodeLoad(report, nowMs)),
-    slowAnswers: message.slowAnswers.map(({ backendId, observer, atMs }) => ({
+    badAnswers: message.badAnswers.map(({ backendId, observer, atMs }) => ({
       ...{ backendId, observer, ageMs: age(nowMs, atMs) },
     })),
   }).finish();
@@ -101,7 +101,7 @@
       ...{ backendId: backendId ?? '', atMs: arrivedMs - (ageMs ?? 0) },
     })),
     loads: (message.loads ?? []).map((report) => decodeLoad(report, arrivedMs)),
-    slowAnswers: (message.slowAnswers ?? []).map(({ backendId, observer, ageMs }) => ({
+    badAnswers: (message.badAnswers ?? []).map(({ backendId, observer, ageMs }) => ({
       ...{ backendId: backendId ?? '', observer: observer ?? 0, atMs: arrivedMs - (ageMs ?? 0) },
     })),
   };
--- a/src/spreading/message-composer.ts
+++ b/src/spreading/message-composer.ts
@@ -6,7 +6,7 @@
 import type { PeerView } from './peer-view.js';
 import type { ReaderRole } from './reader-role.js';
 import type { RecentSuspicions } from './recent-suspicions.js';
-import { SlowAnswerOutbox } from './slow-answer-outbox.js';
+import { BadAnswerOutbox } from './bad-answer-outbox.js';
 import type { KnownRevisions, PeerMessage, SpreadUpdate } from './types.js';
 import { completeUpdate, type UpdateLog } from './update-log.js';
 
@@ -28,8 +28,8 @@
   private ownConfirmationMs = Number.NEGATIVE_INFINITY;
   /** Load reports that were not passed on yet. */
   private loads: readonly LoadReport[] = [];
-  /** Slow answers that were not told yet. */
-  readonly slowAnswers = new SlowAnswerOutbox();
+  /** Bad answers that were not told yet. */
+  readonly badAnswers = new BadAnswerOutbox();
 
   constructor(private readonly options: MessageComposerOptions) {}
 
@@ -83,10 +83,10 @@
   }
 
   /**
-   * Slow answers and nothing else: there may be several such messages a second, and reading a message of what this daemon knows takes
+   * Bad answers and nothing else: there may be several such messages a second, and reading a message of what this daemon knows takes
    * about as long as forwarding ten packets.
    */
-  slowAnswerMessage(): PeerMessage {
+  badAnswerMessage(): PeerMessage {
     const { selfId, zone, clock } = this.options;
     return {
       ...{ type: 'news', senderId: selfId, senderZone: zone, leaving: false, updates: [], confirmations: {} },
@@ -98,7 +98,7 @@
         departedCount: 0,
         tableRevision: NOTHING_KNOWN,
       },
-      slowAnswers: this.slowAnswers.takeForPush(clock.now()),
+      badAnswers: this.badAnswers.takeForPush(clock.now()),
     };
   }
 
@@ -116,7 +116,7 @@
       ...{ type, senderId: selfId, senderZone: zone, leaving: false, updates },
       confirmations: confirmationsOf(knowledge),
       suspicions: suspicions.recent(nowMs),
-      ...{ loads: [], slowAnswers: [] },
+      ...{ loads: [], badAnswers: [] },
       departedCount: knowledge.backends.departedCount,
       tableRevision: knowledge.tableRevision,
       readers: [...self, ...role.leadingReaders(nowMs, READERS_A_MESSAGE)],
--- a/src/spreading/pb/spreading.d.ts
+++ b/src/spreading/pb/spreading.d.ts
@@ -1160,79 +1160,79 @@
         }
 
         /**
-         * Properties of a SlowAnswer.
-         * @deprecated Use sailquay.spreading.SlowAnswer.$Properties instead.
+         * Properties of a BadAnswer.
+         * @deprecated Use sailquay.spreading.BadAnswer.$Properties instead.
          */
-        interface ISlowAnswer extends sailquay.spreading.SlowAnswer.$Properties {
+        interface IBadAnswer extends sailquay.spreading.BadAnswer.$Properties {
         }
 
-        /** Represents a SlowAnswer. */
-        class SlowAnswer {
+        /** Represents a BadAnswer. */
+        class BadAnswer {
 
             /**
-             * Constructs a new SlowAnswer.
+             * Constructs a new BadAnswer.
              * @param [properties] Properties to set
              */
-            constructor(properties?: sailquay.spreading.SlowAnswer.$Properties);
+            constructor(properties?: sailquay.spreading.BadAnswer.$Properties);
 
             /** Unknown fields preserved while decoding when enabled */
             $unknowns?: Uint8Array[];
 
-            /** SlowAnswer backendId. */
+            /** BadAnswer backendId. */
             backendId: string;
 
-            /** SlowAnswer observer. */
+            /** BadAnswer observer. */
             observer: number;
 
-            /** SlowAnswer ageMs. */
+            /** BadAnswer ageMs. */
             ageMs: number;
 
             /**
-             * Encodes the specified SlowAnswer message. Does not implicitly {@link sailquay.spreading.SlowAnswer.verify|verify} messages.
-             * @param message SlowAnswer message or plain object to encode
+             * Encodes the specified BadAnswer message. Does not implicitly {@link sailquay.spreading.BadAnswer.verify|verify} messages.
+             * @param message BadAnswer message or plain object to encode
              * @param [writer] Writer to encode to
              * @returns Writer
              */
-            static encode(message: sailquay.spreading.SlowAnswer.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+            static encode(message: sailquay.spreading.BadAnswer.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
 
             /**
-             * Decodes a SlowAnswer message from the specified reader or buffer.
+             * Decodes a BadAnswer message from the specified reader or buffer.
              * @param reader Reader or buffer to decode from
              * @param [length] Message length if known beforehand
-             * @returns {sailquay.spreading.SlowAnswer & sailquay.spreading.SlowAnswer.$Shape} SlowAnswer
+             * @returns {sailquay.spreading.BadAnswer & sailquay.spreading.BadAnswer.$Shape} BadAnswer
              * @throws {Error} If the payload is not a reader or valid buffer
              * @throws {$protobuf.util.ProtocolError} If required fields are missing
              */
-            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.SlowAnswer & sailquay.spreading.SlowAnswer.$Shape;
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.BadAnswer & sailquay.spreading.BadAnswer.$Shape;
 
             /**
-             * Gets the type url for SlowAnswer
+             * Gets the type url for BadAnswer
              * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
              * @returns The type url
              */
             static getTypeUrl(prefix?: string): string;
         }
 
-        namespace SlowAnswer {
+        namespace BadAnswer {
 
-            /** Properties of a SlowAnswer. */
+            /** Properties of a BadAnswer. */
             interface $Properties {
 
-                /** SlowAnswer backendId */
+                /** BadAnswer backendId */
                 backendId?: (string|null);
 
-                /** SlowAnswer observer */
+                /** BadAnswer observer */
                 observer?: (number|null);
 
-                /** SlowAnswer ageMs */
+                /** BadAnswer ageMs */
                 ageMs?: (number|null);
 
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
 
-            /** Shape of a SlowAnswer. */
-            type $Shape = sailquay.spreading.SlowAnswer.$Properties;
+            /** Shape of a BadAnswer. */
+            type $Shape = sailquay.spreading.BadAnswer.$Properties;
         }
 
         /**
@@ -1375,8 +1375,8 @@
             /** PeerMessage loads. */
             loads: sailquay.spreading.LoadReport.$Properties[];
 
-            /** PeerMessage slowAnswers. */
-            slowAnswers: sailquay.spreading.SlowAnswer.$Properties[];
+            /** PeerMessage badAnswers. */
+            badAnswers: sailquay.spreading.BadAnswer.$Properties[];
 
             /** PeerMessage tableRevision. */
             tableRevision: number;
@@ -1445,8 +1445,8 @@
                 /** PeerMessage loads */
                 loads?: (sailquay.spreading.LoadReport.$Properties[]|null);
 
-                /** PeerMessage slowAnswers */
-                slowAnswers?: (sailquay.spreading.SlowAnswer.$Properties[]|null);
+                /** PeerMessage badAnswers */
+                badAnswers?: (sailquay.spreading.BadAnswer.$Properties[]|null);
 
                 /** PeerMessage tableRevision */
                 tableRevision?: (number|null);
--- a/src/spreading/pb/spreading.js
+++ b/src/spreading/pb/spreading.js
@@ -2983,39 +2983,39 @@
             return Suspicion;
         })();
 
-        spreading.SlowAnswer = (function() {
+        spreading.BadAnswer = (function() {
 
             /**
-             * Properties of a SlowAnswer.
-             * @typedef {Object} sailquay.spreading.SlowAnswer.$Properties
-             * @property {string|null} [backendId] SlowAnswer backendId
-             * @property {number|null} [observer] SlowAnswer observer
-             * @property {number|null} [ageMs] SlowAnswer ageMs
+             * Properties of a BadAnswer.
+             * @typedef {Object} sailquay.spreading.BadAnswer.$Properties
+             * @property {string|null} [backendId] BadAnswer backendId
+             * @property {number|null} [observer] BadAnswer observer
+             * @property {number|null} [ageMs] BadAnswer ageMs
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
             /**
-             * Properties of a SlowAnswer.
+             * Properties of a BadAnswer.
              * @memberof sailquay.spreading
-             * @interface ISlowAnswer
-             * @augments sailquay.spreading.SlowAnswer.$Properties
-             * @deprecated Use sailquay.spreading.SlowAnswer.$Properties instead.
+             * @interface IBadAnswer
+             * @augments sailquay.spreading.BadAnswer.$Properties
+             * @deprecated Use sailquay.spreading.BadAnswer.$Properties instead.
              */
 
             /**
-             * Shape of a SlowAnswer.
-             * @typedef {sailquay.spreading.SlowAnswer.$Properties} sailquay.spreading.SlowAnswer.$Shape
+             * Shape of a BadAnswer.
+             * @typedef {sailquay.spreading.BadAnswer.$Properties} sailquay.spreading.BadAnswer.$Shape
              */
 
             /**
-             * Constructs a new SlowAnswer.
+             * Constructs a new BadAnswer.
              * @memberof sailquay.spreading
-             * @classdesc Represents a SlowAnswer.
+             * @classdesc Represents a BadAnswer.
              * @constructor
-             * @param {sailquay.spreading.SlowAnswer.$Properties=} [properties] Properties to set
+             * @param {sailquay.spreading.BadAnswer.$Properties=} [properties] Properties to set
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
-            const SlowAnswer = function (properties) {
+            const BadAnswer = function (properties) {
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -3023,39 +3023,39 @@
             };
 
             /**
-             * SlowAnswer backendId.
+             * BadAnswer backendId.
              * @member {string} backendId
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @instance
              */
-            SlowAnswer.prototype.backendId = "";
+            BadAnswer.prototype.backendId = "";
 
             /**
-             * SlowAnswer observer.
+             * BadAnswer observer.
              * @member {number} observer
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @instance
              */
-            SlowAnswer.prototype.observer = 0;
+            BadAnswer.prototype.observer = 0;
 
             /**
-             * SlowAnswer ageMs.
+             * BadAnswer ageMs.
              * @member {number} ageMs
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @instance
              */
-            SlowAnswer.prototype.ageMs = 0;
+            BadAnswer.prototype.ageMs = 0;
 
             /**
-             * Encodes the specified SlowAnswer message. Does not implicitly {@link sailquay.spreading.SlowAnswer.verify|verify} messages.
+             * Encodes the specified BadAnswer message. Does not implicitly {@link sailquay.spreading.BadAnswer.verify|verify} messages.
              * @function encode
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @static
-             * @param {sailquay.spreading.SlowAnswer.$Properties} message SlowAnswer message or plain object to encode
+             * @param {sailquay.spreading.BadAnswer.$Properties} message BadAnswer message or plain object to encode
              * @param {$protobuf.Writer} [writer] Writer to encode to
              * @returns {$protobuf.Writer} Writer
              */
-            SlowAnswer.encode = function (message, writer, _depth) {
+            BadAnswer.encode = function (message, writer, _depth) {
                 if (!writer)
                     writer = $Writer.create();
                 if (_depth === $undefined)
@@ -3075,17 +3075,17 @@
             };
 
             /**
-             * Decodes a SlowAnswer message from the specified reader or buffer.
+             * Decodes a BadAnswer message from the specified reader or buffer.
              * @function decode
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @static
              * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
              * @param {number} [length] Message length if known beforehand
-             * @returns {sailquay.spreading.SlowAnswer & sailquay.spreading.SlowAnswer.$Shape} SlowAnswer
+             * @returns {sailquay.spreading.BadAnswer & sailquay.spreading.BadAnswer.$Shape} BadAnswer
              * @throws {Error} If the payload is not a reader or valid buffer
              * @throws {$protobuf.util.ProtocolError} If required fields are missing
              */
-            SlowAnswer.decode = function (reader, length, _end, _depth, _target) {
+            BadAnswer.decode = function (reader, length, _end, _depth, _target) {
                 if (!(reader instanceof $Reader))
                     reader = $Reader.create(reader);
                 if (_depth === $undefined)
@@ -3102,7 +3102,7 @@
                     length = reader.len;
                     reader.len = end;
                 }
-                message = _target || new $root.sailquay.spreading.SlowAnswer();
+                message = _target || new $root.sailquay.spreading.BadAnswer();
                 while (reader.pos < end) {
                     let start = reader.pos;
                     let tag = reader.tag();
@@ -3157,20 +3157,20 @@
             };
 
             /**
-             * Gets the type url for SlowAnswer
+             * Gets the type url for BadAnswer
              * @function getTypeUrl
-             * @memberof sailquay.spreading.SlowAnswer
+             * @memberof sailquay.spreading.BadAnswer
              * @static
              * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
              * @returns {string} The type url
              */
-            SlowAnswer.getTypeUrl = function(prefix) {
+            BadAnswer.getTypeUrl = function(prefix) {
                 if (prefix === $undefined)
                     prefix = "type.googleapis.com";
-                return prefix + "/sailquay.spreading.SlowAnswer";
+                return prefix + "/sailquay.spreading.BadAnswer";
             };
 
-            return SlowAnswer;
+            return BadAnswer;
         })();
 
         spreading.LoadReport = (function() {
@@ -3431,7 +3431,7 @@
              * @property {Array.<sailquay.spreading.Suspicion.$Properties>|null} [suspicions] PeerMessage suspicions
              * @property {number|null} [departedCount] PeerMessage departedCount
              * @property {Array.<sailquay.spreading.LoadReport.$Properties>|null} [loads] PeerMessage loads
-             * @property {Array.<sailquay.spreading.SlowAnswer.$Properties>|null} [slowAnswers] PeerMessage slowAnswers
+             * @property {Array.<sailquay.spreading.BadAnswer.$Properties>|null} [badAnswers] PeerMessage badAnswers
              * @property {number|null} [tableRevision] PeerMessage tableRevision
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
@@ -3464,7 +3464,7 @@
                 this.updates = [];
                 this.suspicions = [];
                 this.loads = [];
-                this.slowAnswers = [];
+                this.badAnswers = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -3560,12 +3560,12 @@
             PeerMessage.prototype.loads = $util.emptyArray;
 
             /**
-             * PeerMessage slowAnswers.
-             * @member {Array.<sailquay.spreading.SlowAnswer.$Properties>} slowAnswers
+             * PeerMessage badAnswers.
+             * @member {Array.<sailquay.spreading.BadAnswer.$Properties>} badAnswers
              * @memberof sailquay.spreading.PeerMessage
              * @instance
              */
-            PeerMessage.prototype.slowAnswers = $util.emptyArray;
+            PeerMessage.prototype.badAnswers = $util.emptyArray;
 
             /**
              * PeerMessage tableRevision.
@@ -3621,9 +3621,9 @@
                 if (message.loads != null && message.loads.length)
                     for (let i = 0; i < message.loads.length; ++i)
                         $root.sailquay.spreading.LoadReport.encode(message.loads[i], writer.uint32(/* id 12, wireType 2 =*/98).fork(), _depth + 1).ldelim();
-                if (message.slowAnswers != null && message.slowAnswers.length)
-                    for (let i = 0; i < message.slowAnswers.length; ++i)
-                        $root.sailquay.spreading.SlowAnswer.encode(message.slowAnswers[i], writer.uint32(/* id 13, wireType 2 =*/106).fork(), _depth + 1).ldelim();
+                if (message.badAnswers != null && message.badAnswers.length)
+                    for (let i = 0; i < message.badAnswers.length; ++i)
+                        $root.sailquay.spreading.BadAnswer.encode(message.badAnswers[i], writer.uint32(/* id 13, wireType 2 =*/106).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3764,9 +3764,9 @@
                     case 13: {
                             if (wireType !== 2)
                                 break;
-                            if (!(message.slowAnswers && message.slowAnswers.length))
-                                message.slowAnswers = [];
-                            message.slowAnswers.push($root.sailquay.spreading.SlowAnswer.decode(reader, reader.size(), $undefined, _depth + 1));
+                            if (!(message.badAnswers && message.badAnswers.length))
+                                message.badAnswers = [];
+                            message.badAnswers.push($root.sailquay.spreading.BadAnswer.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
                     case 11: {
--- a/src/spreading/spreader.ts
+++ b/src/spreading/spreader.ts
@@ -7,7 +7,7 @@
 import { jitter, pick, type RandomSource } from '../common/random.js';
 import { formatEndpoint, type Endpoint } from '../common/types.js';
 import type { LoadReport } from '../load/index.js';
-import type { SlowAnswerReport } from '../outliers/index.js';
+import type { BadAnswerReport } from '../outliers/index.js';
 import type { EventLog } from '../observability/event.js';
 import type { FreshnessTimings, RoutingKnowledge } from '../routing/index.js';
 import { askIntervalMs } from './asking-order.js';
@@ -56,8 +56,8 @@
   readonly isOn?: MechanismCheck;
   /** Stores a report of the back ends' load; true when it was new here, so that it is passed on. */
   readonly noteLoad?: (report: LoadReport) => boolean;
-  /** Takes in a slow answer that another daemon noticed; true when it was new here, so that it is passed on. */
-  readonly noteSlowAnswer?: (report: SlowAnswerReport) => boolean;
+  /** Takes in a bad answer that another daemon noticed; true when it was new here, so that it is passed on. */
+  readonly noteBadAnswer?: (report: BadAnswerReport) => boolean;
   /** Takes in what another daemon found; true when it was new here, so that it is passed on. */
   readonly noteSuspicion?: (suspicion: BackendSuspicion) => boolean;
 }
@@ -182,10 +182,10 @@
     this.sender.pushSuspicions();
   }
 
-  /** Tells other daemons of a slow answer. Those of a moment share a message. */
-  tellSlowAnswer(report: SlowAnswerReport): void {
-    this.composer.slowAnswers.note(report);
-    this.sender.pushSlowAnswers();
+  /** Tells other daemons of a bad answer. Those of a moment share a message. */
+  tellBadAnswer(report: BadAnswerReport): void {
+    this.composer.badAnswers.note(report);
+    this.sender.pushBadAnswers();
   }
 
   /** Takes in a report of the back ends' load; if it is new here, the next push without changes carries it. */
@@ -259,7 +259,7 @@
     message.readers.forEach((reader) => this.role.note(reader));
     message.loads.forEach((report) => this.tellLoad(report));
     message.suspicions.forEach((suspicion) => this.takeSuspicion(suspicion));
-    message.slowAnswers.forEach((report) => this.takeSlowAnswer(report));
+    message.badAnswers.forEach((report) => this.takeBadAnswer(report));
     const missing = knowledge.topics.filter((topic) => {
       const confirmation = message.confirmations[topic];
       return confirmation !== undefined && !knowledge.acceptConfirmation(topic, confirmation);
@@ -275,8 +275,8 @@
     if (this.options.noteSuspicion?.(suspicion)) this.tellSuspicion(suspicion);
   }
 
-  private takeSlowAnswer(report: SlowAnswerReport): void {
-    if (this.options.noteSlowAnswer?.(report)) this.tellSlowAnswer(report);
+  private takeBadAnswer(report: BadAnswerReport): void {
+    if (this.options.noteBadAnswer?.(report)) this.tellBadAnswer(report);
   }
 
   private ask(peer: Endpoint): void {
--- a/src/spreading/spreading-test-support.ts
+++ b/src/spreading/spreading-test-support.ts
@@ -27,8 +27,8 @@
   readonly endpoint: Endpoint;
   /** Back ends that others suspected, each once. */
   readonly suspicions: string[] = [];
-  /** Slow answers that others noticed, each once, and when they were heard of. */
-  readonly slowAnswers = new Map<string, number>();
+  /** Bad answers that others noticed, each once, and when they were heard of. */
+  readonly badAnswers = new Map<string, number>();
   /** The load of back ends as others reported it. */
   readonly loads = new LoadView();
   private readonly abort = new AbortController();
@@ -78,10 +78,10 @@
       mayBeOld: () => false,
       recordsMayLapse: () => circuit.recordsMayLapse(),
       noteLoad: (report) => this.loads.accept(report),
-      noteSlowAnswer: ({ backendId, observer }) => {
+      noteBadAnswer: ({ backendId, observer }) => {
         const key = `${backendId} ${observer}`;
-        if (this.slowAnswers.has(key)) return false;
-        this.slowAnswers.set(key, clock.now());
+        if (this.badAnswers.has(key)) return false;
+        this.badAnswers.set(key, clock.now());
         return true;
       },
       noteSuspicion: ({ backendId }) => {
--- a/src/spreading/types.ts
+++ b/src/spreading/types.ts
@@ -2,7 +2,7 @@
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../common/types.js';
 import type { LoadReport } from '../load/index.js';
-import type { SlowAnswerReport } from '../outliers/index.js';
+import type { BadAnswerReport } from '../outliers/index.js';
 import type { RoutingTopic, RoutingUpdate, TopicConfirmation } from '../routing/index.js';
 import type { SpreadingError } from './errors.js';
 
@@ -48,7 +48,7 @@
   readonly updates: readonly SpreadUpdate[];
   readonly suspicions: readonly BackendSuspicion[];
   readonly loads: readonly LoadReport[];
-  readonly slowAnswers: readonly SlowAnswerReport[];
+  readonly badAnswers: readonly BadAnswerReport[];
   /** Back ends that left and that the sender remembers. */
   readonly departedCount: number;
   /** Revision of the table of routes that the sender has in force; -1 for none. */
--- a/src/spreading/update-sender.ts
+++ b/src/spreading/update-sender.ts
@@ -8,7 +8,7 @@
   FANOUT_ELSEWHERE,
   FANOUT_IN_ZONE,
   REPEAT_CONFIRMATION_MS,
-  SLOW_ANSWER_GATHER_MS,
+  BAD_ANSWER_GATHER_MS,
   SUSPICION_GATHER_MS,
   NOTHING_KNOWN,
   CONFIRMATION_GATHER_MS,
@@ -35,7 +35,7 @@
   private changeTimer: TimerHandle | undefined;
   private repeatTimer: TimerHandle | undefined;
   private suspicionTimer: TimerHandle | undefined;
-  private slowAnswerTimer: TimerHandle | undefined;
+  private badAnswerTimer: TimerHandle | undefined;
   private suspicionsPushedMs = Number.NEGATIVE_INFINITY;
   private changesSentMs = Number.NEGATIVE_INFINITY;
   /** Revisions up to which changes were sent. */
@@ -81,14 +81,14 @@
     });
   }
 
-  /** Sends slow answers a moment later, together with those that come meanwhile, and goes on until all are told. */
-  pushSlowAnswers(): void {
+  /** Sends bad answers a moment later, together with those that come meanwhile, and goes on until all are told. */
+  pushBadAnswers(): void {
     const { clock, composer } = this.options;
-    this.slowAnswerTimer ??= clock.schedule(SLOW_ANSWER_GATHER_MS, () => {
-      this.slowAnswerTimer = undefined;
-      const message = composer.slowAnswerMessage();
-      if (message.slowAnswers.length > 0) this.sendToSome(message);
-      if (!composer.slowAnswers.isEmpty) this.pushSlowAnswers();
+    this.badAnswerTimer ??= clock.schedule(BAD_ANSWER_GATHER_MS, () => {
+      this.badAnswerTimer = undefined;
+      const message = composer.badAnswerMessage();
+      if (message.badAnswers.length > 0) this.sendToSome(message);
+      if (!composer.badAnswers.isEmpty) this.pushBadAnswers();
     });
   }
 
@@ -98,7 +98,7 @@
     this.changeTimer?.cancel();
     this.repeatTimer?.cancel();
     this.suspicionTimer?.cancel();
-    this.slowAnswerTimer?.cancel();
+    this.badAnswerTimer?.cancel();
   }
 
   private sendToSome(message: PeerMessage): void {
