--- a/src/outliers/answer-tracker.test.ts
+++ b/src/outliers/answer-tracker.test.ts
@@ -108,7 +108,8 @@
 
 test('an answer much shorter than those of its route is bad, also while a tenth of them are', (t) => {
   const { tracker, bad, answer } = trackerAfter(200);
-  for (let index = 0; index < 1_000; index += 1) answer(index % 10 === 0 ? ERROR_BYTES : 600 + ((index * 37) % 600));
+  for (let index = 0; index < 1_000; index += 1)
+    answer(index % 10 === 0 ? ERROR_BYTES : 600 + ((index * 37) % 600));
   t.is(bad.length, 100);
   t.is(tracker.statistics.short, 100);
 });
--- a/src/outliers/constants.ts
+++ b/src/outliers/constants.ts
@@ -10,7 +10,8 @@
 
 /**
  * One bad answer is chance and two may be: 790 requests a second at 84 back ends give each of them 0.08 slow ones in
- * `REPORT_VALID_MS` by chance, so that three meet at one back end once in three hours or so.
+ * `REPORT_VALID_MS` by chance. Three then meet at some back end every two or three minutes, by reckoning, and it is avoided for seconds
+ * without need, which costs nobody anything.
  */
 const QUORUM = 3;
 
@@ -32,7 +33,10 @@
 /** Bad answers kept of one back end; more would only be told on, and change no verdict. */
 export const MAX_REPORTS = 6;
 
-/** A back end is an outlier only with this many times the mean number of bad answers of its service's back ends. */
+/**
+ * A back end is an outlier only with this many times the mean number of bad answers of its service's back ends. With `MAX_REPORTS` for
+ * each of them, up to a third of a service can be told from the rest.
+ */
 export const OUTLIER_FACTOR = 3;
 
 /**
@@ -51,17 +55,20 @@
 /** A service needs this many back ends before one of them can be told from the others. */
 export const MIN_BACKENDS = 3;
 
-/** A back end is avoided for at least this long, in ms; the time doubles with each relapse up to the longest. */
+/**
+ * A back end is avoided for at least this long, in ms, and as long as bad answers on flows that callers keep are reported; the time
+ * doubles with each relapse up to the longest. Our choice: a trial of a back end that is still slow costs some late requests.
+ */
 export const AVOID_MIN_MS = 2_000;
 export const AVOID_MAX_MS = 8_000;
 
-/** Then it gets trial flows for this long, in ms; one bad answer ends the trial. */
+/** Then it gets trial flows for this long, in ms; one bad answer ends the trial. Our choice, as is the share below. */
 export const TRIAL_MS = 2_000;
 
 /** In a trial, one in this many of the flows for which it is among the candidates may go there. */
 export const TRIAL_FLOW_SHARE = 8;
 
-/** Without a relapse for this long after a trial, in ms, the next time starts from the shortest. */
+/** Without a relapse for this long after a trial, in ms, the next time starts from the shortest. Our choice. */
 export const FORGIVE_MS = 10_000;
 
 /**
