--- a/src/spreading/bad-answers.test.ts
+++ b/src/spreading/bad-answers.test.ts
@@ -96,3 +96,18 @@
   );
   t.true(decoded.every(({ atMs }, index) => Math.abs(atMs - badAnswers[index]!.atMs) <= 10));
 });
+
+test('an older daemon passes over bad answers, and a newer one over what it does not know', async (t) => {
+  const cluster = await settled(7);
+  const nowMs = cluster.clock.now();
+  const message: PeerMessage = {
+    ...{ type: 'news', senderId: 'a', senderZone: 'z', leaving: false, confirmations: {}, readers: [] },
+    ...{ peers: [], updates: [], suspicions: [], loads: [], departedCount: 0, tableRevision: -1 },
+    badAnswers: [],
+  };
+  const old = encodePeerMessage(message, nowMs);
+  t.deepEqual(decodePeerMessage(old, nowMs)?.badAnswers, [], 'a message without the field');
+  const unknownField = Uint8Array.of(0xfa, 0x06, 0x02, 0x08, 0x01);
+  const newer = decodePeerMessage(Buffer.concat([old, unknownField]), nowMs);
+  t.is(newer?.senderId, 'a', 'a message with field 111, which nobody knows yet');
+});
