Tell nothing on of back ends that are avoided for some time to come

Change: reports of a back end that is avoided for more than a second to come are neither counted nor told on, and four are kept in place of six.

--- a/src/outliers/constants.ts
+++ b/src/outliers/constants.ts
@@ -31,7 +31,7 @@
 export const REPORT_VALID_MS = 3_000;
 
 /** Bad answers kept of one back end; more would only be told on, and change no verdict. */
-export const MAX_REPORTS = 6;
+export const MAX_REPORTS = 4;
 
 /**
  * A back end is an outlier only with this many times the mean number of bad answers of its service's back ends. With `MAX_REPORTS` for
@@ -62,6 +62,12 @@
 export const AVOID_MIN_MS = 2_000;
 export const AVOID_MAX_MS = 8_000;
 
+/**
+ * Reports of a back end that is avoided for longer than this, in ms, are neither counted nor told on. Without that a day of 172 daemons
+ * with 32 bad back ends took 160 in place of 114 s of processor time.
+ */
+export const RENEWAL_MS = 1_000;
+
 /** Then it gets trial flows for this long, in ms; one bad answer ends the trial. Our choice, as is the share below. */
 export const TRIAL_MS = 2_000;
 
--- a/src/outliers/outlier-record.ts
+++ b/src/outliers/outlier-record.ts
@@ -4,6 +4,7 @@
   AVOID_MIN_MS,
   FORGIVE_MS,
   MAX_REPORTS,
+  RENEWAL_MS,
   REPORT_VALID_MS,
   TRIAL_MS,
 } from './constants.js';
@@ -36,7 +37,7 @@
    * back end may be what is slow. Own ones count each, since it is this daemon that decides by them.
    */
   note(report: NotedReport, isOwn: boolean, nowMs: number): boolean {
-    if (nowMs - report.atMs >= REPORT_VALID_MS) return false;
+    if (nowMs - report.atMs >= REPORT_VALID_MS || this.isSettledAt(nowMs)) return false;
     this.dropOld(nowMs);
     const known = isOwn ? undefined : this.reports.find(({ observer }) => observer === report.observer);
     if (known && report.atMs - known.atMs < REPORT_VALID_MS / 2) return false;
@@ -71,6 +72,11 @@
     this.trialUntilMs = this.avoidedUntilMs + TRIAL_MS;
   }
 
+  /** True while the back end is avoided for some time to come, so that reports would change nothing. */
+  private isSettledAt(nowMs: number): boolean {
+    return nowMs < this.avoidedUntilMs - RENEWAL_MS;
+  }
+
   /** True when nothing in it matters any more. */
   isSpent(nowMs: number): boolean {
     this.dropOld(nowMs);
