Show breaks in the source's history: events 2014 and 2015, two metrics, revisions on the status page

Change: a line when a source begins to refuse the history after the known revision (2014) or answers a current read with an older revision than is known (2015), once until the topic goes on; sailquay_source_history_breaks_total{kind}, sailquay_knowledge_revision{topic}, knowledgeRevision on the status page. No decision reads them. Contract: three recorded surfaces grow (events, metrics, status documents); nothing in them changed.

--- a/contract/surfaces/operator-metrics.ts
+++ b/contract/surfaces/operator-metrics.ts
@@ -72,10 +72,12 @@
       backends: { all: () => [] },
       topics: ['routes', 'backends', 'cordons'],
       ageOf: () => 1,
+      revisionOf: () => 1,
     },
     availability: { isLost: false },
     reading: { calls: 1 },
     problems: { count: 1 },
+    history: { counts: { historyGone: 1, olderRevision: 1 } },
     spreader: { isReading: true, peerCount: 1, statistics: { bytesSent: 1, bytesReceived: 1, fetches: 1 } },
   };
   return parts as unknown as CookieDaemonComponents;
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -13,7 +13,13 @@
 import type { EventLog } from '../../observability/event.js';
 import { createCookieForwarder, HOUSEKEEPING_TICK_MS, type CookieForwarder } from '../forwarding/index.js';
 import { LOAD_MIN_DAEMONS, LoadReader, LoadView } from '../load/index.js';
-import { freshnessTimings, ProblemLog, RoutingKnowledge, SourceAvailability } from '../routing/index.js';
+import {
+  freshnessTimings,
+  ProblemLog,
+  RoutingKnowledge,
+  SourceAvailability,
+  SourceHistoryLog,
+} from '../routing/index.js';
 import { NetworkTransport, Spreader } from '../spreading/index.js';
 import type { BoundCookieEdge, DeploymentAdapters } from './adapters.js';
 import type { CookieDaemonConfig } from './config.js';
@@ -35,6 +41,7 @@
   readonly knowledge: RoutingKnowledge;
   readonly availability: SourceAvailability;
   readonly problems: ProblemLog;
+  readonly history: SourceHistoryLog;
   readonly reading: SourceReading;
   readonly transport: NetworkTransport;
   readonly spreader: Spreader;
@@ -79,14 +86,15 @@
     forwarder: () => forwarder,
   };
   const sourceParts = createSourceParts(wiring);
-  const { knowledge, availability, problems, reading } = sourceParts;
+  const { knowledge, availability, problems, history, reading } = sourceParts;
   reading.readFirst();
   const transport = await NetworkTransport.open(config().control, events);
   const spreader = createSpreader(wiring, sourceParts, transport);
   availability.setMinimumRetryDelay(() => spreader.minimumRetryDelayMs());
   const forwarder = createForwarder(wiring, sourceParts, edge);
   openWhenComplete(buffer, knowledge, forwarder);
-  return { ...environment, edge, transport, knowledge, availability, problems, reading, spreader, forwarder };
+  const parts = { knowledge, availability, problems, history, reading, spreader, forwarder };
+  return { ...environment, edge, transport, ...parts };
 }
 
 function createSourceParts(wiring: Wiring) {
@@ -106,6 +114,7 @@
     onReport: (report) => spreader().gossipLoad(report),
   });
   const problems = new ProblemLog(events);
+  const history = new SourceHistoryLog(events);
   const following = {
     clock,
     source,
@@ -113,10 +122,18 @@
     availability,
     timings,
     problems,
+    history,
     usesLongWatches: isOn('long-watches'),
     onConfirmation: () => spreader().recordOwnConfirmation(),
   };
-  return { knowledge, timings, availability, problems, reading: new SourceReading(following, loadReader) };
+  return {
+    knowledge,
+    timings,
+    availability,
+    problems,
+    history,
+    reading: new SourceReading(following, loadReader),
+  };
 }
 
 function createSpreader(wiring: Wiring, parts: SourceParts, transport: NetworkTransport): Spreader {
--- a/src/cookie-edge/daemon/metrics.ts
+++ b/src/cookie-edge/daemon/metrics.ts
@@ -6,7 +6,7 @@
 import type { Readiness } from '../../observability/admin-server.js';
 import type { MetricDefinition } from '../../observability/metrics-page.js';
 import type { CookieDaemonComponents } from './components.js';
-import { agesOf, countBackends } from './status.js';
+import { agesOf, countBackends, revisionsOf } from './status.js';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -116,6 +116,20 @@
     (parts) => agesOf(parts, (ageMs) => ageMs / MILLISECONDS_PER_SECOND),
     'topic',
   ],
+  [
+    'gauge',
+    'knowledge_revision',
+    'Revision of the source up to which a topic is known',
+    (parts) => revisionsOf(parts),
+    'topic',
+  ],
+  [
+    'counter',
+    'source_history_breaks_total',
+    'Responses of the source that do not continue what is known',
+    (parts) => parts.history.counts,
+    'kind',
+  ],
   ['gauge', 'cordoned_zones', 'Zones that get no new flows', (parts) => parts.knowledge.cordons.all().length],
   [
     'gauge',
--- a/src/cookie-edge/daemon/status.ts
+++ b/src/cookie-edge/daemon/status.ts
@@ -21,6 +21,7 @@
   readonly avoidedBackends: readonly string[];
   readonly cordonedZones: readonly string[];
   readonly knowledgeAgeMs: Readonly<Partial<Record<RoutingTopic, number>>>;
+  readonly knowledgeRevision: Readonly<Partial<Record<RoutingTopic, number>>>;
   readonly sourceLost: boolean;
   readonly sourceReader: boolean;
   readonly peers: number;
@@ -38,6 +39,7 @@
     avoidedBackends: forwarder.outliers.avoidedAt(components.clock.now()),
     cordonedZones: knowledge.cordons.all().map(({ zone }) => zone),
     knowledgeAgeMs: agesOf(components, (ageMs) => Math.round(ageMs)),
+    knowledgeRevision: revisionsOf(components),
     sourceLost: availability.isLost,
     sourceReader: spreader.isReading,
     peers: spreader.peerCount,
@@ -88,3 +90,10 @@
 ): Readonly<Partial<Record<RoutingTopic, number>>> {
   return Object.fromEntries(knowledge.topics.map((topic) => [topic, convert(knowledge.ageOf(topic))]));
 }
+
+/** Revision of the source up to which each topic that is followed is known; -1 before the first answer. */
+export function revisionsOf({
+  knowledge,
+}: CookieDaemonComponents): Readonly<Partial<Record<RoutingTopic, number>>> {
+  return Object.fromEntries(knowledge.topics.map((topic) => [topic, knowledge.revisionOf(topic)]));
+}
--- a/src/cookie-edge/routing/events.ts
+++ b/src/cookie-edge/routing/events.ts
@@ -70,6 +70,18 @@
     message: 'Zone no longer cordoned: its back ends get new flows again',
     action: 'none',
   },
+  historyGone: {
+    number: 2014,
+    level: 'warn',
+    message: 'Source no longer has the changes after the known revision; reading everything again',
+    action: 'none when it is rare; otherwise check whether the source keeps its history',
+  },
+  olderRevision: {
+    number: 2015,
+    level: 'error',
+    message: 'Source answered a current read with an older revision than is known here',
+    action: 'Check whether the source was restored from a copy; see the metric source_history_breaks_total',
+  },
   olderIgnored: {
     number: 2008,
     level: 'info',
--- a/src/cookie-edge/routing/index.ts
+++ b/src/cookie-edge/routing/index.ts
@@ -8,7 +8,9 @@
  * const timings = freshnessTimings(3_000);
  * const availability = new SourceAvailability(clock, random, events);
  * const problems = new ProblemLog(events);
- * void new SourceFollower('routes', { clock, source, knowledge, availability, timings, problems }).run(signal);
+ * const history = new SourceHistoryLog(events);
+ * const following = { clock, source, knowledge, availability, timings, problems, history };
+ * void new SourceFollower('routes', following).run(signal);
  * ```
  */
 export type * from './types.js';
@@ -22,4 +24,5 @@
 export { isNextChange, joinTableChanges } from './route-table-change.js';
 export { SourceAvailability } from './source-availability.js';
 export { SourceFollower, type SourceFollowerOptions } from './source-follower.js';
+export { SourceHistoryLog } from './source-history-log.js';
 export { ZoneCordons } from './zone-cordons.js';
--- a/src/cookie-edge/routing/source-follower.test.ts
+++ b/src/cookie-edge/routing/source-follower.test.ts
@@ -10,6 +10,7 @@
 import { backendAt, ScriptedSource, updateAt, type SourceCall } from './routing-test-support.js';
 import { SourceAvailability } from './source-availability.js';
 import { SourceFollower } from './source-follower.js';
+import { SourceHistoryLog } from './source-history-log.js';
 import type { RoutingUpdate } from './types.js';
 
 type Answer = RoutingUpdate | RoutingSourceErrorKind;
@@ -24,9 +25,10 @@
   const availability = new SourceAvailability(clock, seededRandom(1), SILENT_EVENT_LOG);
   const abort = new AbortController();
   const problems = new ProblemLog(SILENT_EVENT_LOG);
-  const options = { clock, source, knowledge, availability, timings: TIMINGS, problems };
+  const history = new SourceHistoryLog(SILENT_EVENT_LOG);
+  const options = { clock, source, knowledge, availability, timings: TIMINGS, problems, history };
   void new SourceFollower('backends', options).run(abort.signal);
-  return { clock, source, knowledge, availability, problems, stop: () => abort.abort() };
+  return { clock, source, knowledge, availability, problems, history, stop: () => abort.abort() };
 }
 
 function after<T>(clock: VirtualClock, delayMs: number, value: T): Promise<T> {
--- a/src/cookie-edge/routing/source-follower.ts
+++ b/src/cookie-edge/routing/source-follower.ts
@@ -11,6 +11,7 @@
 import { hasContent, type RoutingKnowledge } from './knowledge.js';
 import type { ProblemLog } from './problem-log.js';
 import type { SourceAvailability } from './source-availability.js';
+import type { SourceHistoryLog } from './source-history-log.js';
 import type { ReadFreshness, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
 import { isUnconfirmed, mayWatchLong, watchWaitMs, type WatchRequest } from './watch-wait.js';
 
@@ -22,6 +23,7 @@
   readonly availability: SourceAvailability;
   readonly timings: FreshnessTimings;
   readonly problems: ProblemLog;
+  readonly history: SourceHistoryLog;
   /** False: the cordons are watched as often as the other topics. True unless given. */
   readonly usesLongWatches?: boolean;
   /** Called after each response that confirmed something. */
@@ -111,7 +113,9 @@
       await this.waitAfter(response.error, signal);
       return false;
     }
-    return this.apply(response.value, -1, freshness === 'current' ? requestedAtMs : CONFIRMS_NOTHING_MS);
+    const isCurrent = freshness === 'current';
+    if (isCurrent) this.noteRevision(response.value.revision);
+    return this.apply(response.value, -1, isCurrent ? requestedAtMs : CONFIRMS_NOTHING_MS);
   }
 
   /** Watches once; false when everything must be read again. */
@@ -129,7 +133,10 @@
         this.isSourceCalm = false;
         return true;
       }
-      if (response.error.kind === 'routing.history-gone') return false;
+      if (response.error.kind === 'routing.history-gone') {
+        this.options.history.recordHistoryGone(this.topic, since);
+        return false;
+      }
       await this.waitAfter(response.error, signal);
       return true;
     }
@@ -138,11 +145,18 @@
     this.isSourceCalm = response.value.revision === this.watchedRevision;
     this.watchedRevision = response.value.revision;
     const heldMs = broughtChange ? 0 : waitMs;
+    this.options.history.recordContinued(this.topic);
     const complete = this.apply(response.value, since, Math.min(requestedAtMs + heldMs, clock.now()));
     if (broughtChange) await pause(clock, CHANGE_WATCH_DELAY_MS, signal);
     return complete;
   }
 
+  private noteRevision(received: number): void {
+    const { history, knowledge } = this.options;
+    const known = knowledge.revisionOf(this.topic);
+    if (received < known) history.recordOlderRevision(this.topic, known, received);
+  }
+
   private watchRequest(): WatchRequest {
     const ageMs = this.options.knowledge.ageOf(this.topic);
     return { ageMs, isLongWatched: this.isLongWatched, isSourceCalm: this.isSourceCalm };
--- a/src/cookie-edge/spreading/spreading-test-support.ts
+++ b/src/cookie-edge/spreading/spreading-test-support.ts
@@ -11,6 +11,7 @@
   RoutingKnowledge,
   SourceAvailability,
   SourceFollower,
+  SourceHistoryLog,
 } from '../routing/index.js';
 import { SimulatedPeerNetwork, zoneOf } from './simulated-peer-network.js';
 import { SimulatedSource, type SourceFault } from './simulated-source.js';
@@ -97,6 +98,7 @@
       availability,
       timings: TIMINGS,
       problems: new ProblemLog(this.events),
+      history: new SourceHistoryLog(this.events),
       usesLongWatches: options.usesLongWatches,
       onConfirmation: () => this.spreader.recordOwnConfirmation(),
     };
