--- a/src/cookie-edge/spreading/simulated-source.ts
+++ b/src/cookie-edge/spreading/simulated-source.ts
@@ -1,6 +1,6 @@
 /**
  * Simulates a source of routes, back ends and cordons on a virtual clock, for tests: one counter of revisions, watches,
- * and faults.
+ * faults, and restores from an older copy.
  */
 import Result from 'true-myth/result';
 import type { Clock } from '../../common/clock.js';
@@ -30,6 +30,15 @@
   readonly uncordoned?: string;
 }
 
+/** What the source held at some time. */
+interface SourceCopy {
+  readonly revision: number;
+  readonly table: RouteTable | undefined;
+  readonly backends: ReadonlyMap<string, RoutedBackend>;
+  readonly cordons: ReadonlyMap<string, number>;
+  readonly changes: readonly LoggedChange[];
+}
+
 /** A source with one counter of revisions, watches, a history that may be lost, and faults for some daemons. */
 export class SimulatedSource {
   revision = 2;
@@ -37,8 +46,8 @@
   /** Faults by daemon; `*` is for all. */
   readonly faults = new Map<string, SourceFault>();
   private table: RouteTable | undefined = tableAt(2);
-  private readonly backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
-  private readonly cordons = new Map<string, number>();
+  private backends = new Map<string, RoutedBackend>([['a', backendAt('a', 1)]]);
+  private cordons = new Map<string, number>();
   private changes: LoggedChange[] = [];
   private historyFrom = 0;
   private readonly waiters = new Set<() => void>();
@@ -90,6 +99,27 @@
     this.changes = [];
   }
 
+  /** A copy of everything, from which the source may be restored. */
+  copy(): SourceCopy {
+    return {
+      revision: this.revision,
+      table: this.table,
+      backends: new Map(this.backends),
+      cordons: new Map(this.cordons),
+      changes: [...this.changes],
+    };
+  }
+
+  /** Goes back to a copy: its revisions go back as well and are given out again, and waiting watches end. */
+  restore({ revision, table, backends, cordons, changes }: SourceCopy): void {
+    this.revision = revision;
+    this.table = table;
+    this.backends = new Map(backends);
+    this.cordons = new Map(cordons);
+    this.changes = [...changes];
+    for (const wake of [...this.waiters]) wake();
+  }
+
   /** The source as the daemon `id` sees it. */
   for(id: string): RoutingSource {
     return {
@@ -145,11 +175,12 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<RoutingUpdate | undefined> {
+    const hasHistory = (): boolean => since >= this.historyFrom && since <= this.revision;
     const changed = (): boolean =>
       this.changes.some((change) => change.topic === topic && change.revision > since);
-    if (since < this.historyFrom) return undefined;
-    if (!changed()) await this.waitUntil(changed, waitMs, signal);
-    if (since < this.historyFrom) return undefined;
+    if (!hasHistory()) return undefined;
+    if (!changed()) await this.waitUntil(() => changed() || !hasHistory(), waitMs, signal);
+    if (!hasHistory()) return undefined;
     const changes = this.changes.filter((change) => change.topic === topic && change.revision > since);
     return updateAt(this.revision, {
       routes: topic === 'routes' && changes.length > 0 && this.table ? [this.table] : [],
