--- a/src/cookie-edge/spreading/source-restored.test.ts
+++ b/src/cookie-edge/spreading/source-restored.test.ts
@@ -1,7 +1,7 @@
 /**
  * The source of routes and back ends was away for two seconds and came back from a copy some seconds old. Its revisions
- * went back and were given out again, while the daemons ordered everything by revision: what was new had a lower revision
- * than what was known, and was taken for old until the source had counted past that. The two readers wrote
+ * went back and were given out again, while the daemons ordered everything by revision: what was new had a lower
+ * revision than what was known, and was taken for old until the source had counted past that. The two readers wrote
  *
  *     SQ2000 New route table in force. version=24 revision=21
  *     SQ2006 Source of routes and back ends available again. silentMs=3291
