Order what the source says by its epoch, so that a restore from an older copy is not taken for old

Cause: daemons ordered tables, records, confirmations and gossip by the source's revision alone, as if it never went back. After a restore each write gets a revision that is known already: it was ignored, confirmed as current, and not told to others; a watch from the known revision was refused, a read brought a lower one, and the reader began again without a pause. Class: a position compared across two histories (a missing epoch). Change: the adapter reads the epoch that the store names with each answer; updates, confirmations, tables and gossip carry it (absent: 0, so that bytes without one are as before). One rule, source-epoch.ts: a later epoch goes before any revision of an earlier one; only a complete update begins an epoch; answers of another epoch neither continue nor confirm; tables are ordered by the operator's version across epochs. What a copy may hold wrongly is kept or waits: a leave stays, a back end that had left waits 5 s or for its next write, a cordon that is missing stays 5 s, cold time does not grow. A second gap in a row waits as a failed call does.

--- a/contract/surfaces/wire-stores.ts
+++ b/contract/surfaces/wire-stores.ts
@@ -296,7 +296,7 @@
   const request = (path: string): Promise<unknown> => {
     const answer = answers[asked.push(path) - 1];
     if (answer === undefined) return Promise.reject(new Error(`There is no answer to ${path}`));
-    return Promise.resolve(Object.assign(bodyOf(answer), { statusCode: answer.status }));
+    return Promise.resolve(Object.assign(bodyOf(answer), { statusCode: answer.status, headers: {} }));
   };
   const source = new StoreSource(new ObjectStore({ host: 'store.invalid', port: 1 }));
   const run = (): Promise<unknown> => call(source, new AbortController().signal);
--- a/src/cookie-edge/forwarding/flow-expiry.ts
+++ b/src/cookie-edge/forwarding/flow-expiry.ts
@@ -26,7 +26,7 @@
     if (nowMs < this.nextSweepMs) return;
     const { knowledge, cache, maxFlowAgeMs } = this.options;
     this.nextSweepMs = nowMs + EXPIRY_INTERVAL_MS;
-    knowledge.backends.prune();
+    knowledge.prune();
     const idleMs = idleTimeoutMs(knowledge.routes()?.table.idleTimeoutMs, maxFlowAgeMs);
     cache.expire(cache.size, ({ phase, lastPacketMs }) => isExpired(phase, nowMs - lastPacketMs, idleMs));
   }
--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -7,10 +7,14 @@
 import type { Clock } from '../../common/clock.js';
 import { formatEndpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
+import { RESTORED_HOLD_MS } from './constants.js';
 import { ROUTING_EVENTS } from './events.js';
 import { hasLapsed } from './lapsed-records.js';
 import type { BackendRemoval, DepartedBackend, RoutedBackend } from './types.js';
 
+/** Revision of a record or removal of which nothing is known in the epoch. */
+const UNKNOWN_REVISION = -1;
+
 /** A back end as this daemon sees it. One object for each id, changed in place. */
 export interface KnownBackend {
   readonly id: string;
@@ -25,6 +29,15 @@
   departedAtMs: number | undefined;
   /** Monotonic ms until which it is slow from its start. */
   coldUntilMs: number;
+  /** Of a departed back end: its record in the copy from which the source was restored. */
+  restored?: RestoredRecord;
+}
+
+/** A record that may be back only because the source was restored from an older copy. */
+interface RestoredRecord {
+  readonly record: RoutedBackend;
+  /** Monotonic ms at which it was listed again. */
+  readonly atMs: number;
 }
 
 /** What a registry needs. */
@@ -108,6 +121,41 @@
     return true;
   }
 
+  /** Begins an epoch of the source: revisions known so far say nothing about those from now on. */
+  beginEpoch(): void {
+    for (const known of this.byId.values()) {
+      known.record = { ...known.record, revision: UNKNOWN_REVISION };
+      known.removedRevision = UNKNOWN_REVISION;
+    }
+  }
+
+  /**
+   * Stores the record of a known back end from the first list of an epoch. The copy may be older than what is known: a
+   * back end that said that it leaves still does, one that had left waits, and none is cold for longer than before.
+   */
+  putRestored(record: RoutedBackend): void {
+    const known = this.byId.get(record.id);
+    if (!known) return;
+    const restored = { ...record, draining: record.draining || known.record.draining };
+    if (known.departed && !known.lapsed) {
+      known.record = { ...known.record, revision: record.revision };
+      known.restored = { record: restored, atMs: this.options.clock.now() };
+      return;
+    }
+    const { coldUntilMs } = known;
+    this.change(known, restored);
+    known.coldUntilMs = Math.min(coldUntilMs, known.coldUntilMs);
+  }
+
+  /** Takes a restored record for that of a back end that lives, once it has been listed for `RESTORED_HOLD_MS`. */
+  settleRestored(): void {
+    const nowMs = this.options.clock.now();
+    for (const known of this.departed) {
+      const { restored } = known;
+      if (restored && nowMs - restored.atMs >= RESTORED_HOLD_MS) this.change(known, restored.record);
+    }
+  }
+
   /**
    * Stores a back end that left, unless it is known or left so long ago that no flow to it can be open. Its retention
    * counts from when it left, not from now: otherwise new daemons would gossip it to each other for ever.
@@ -128,6 +176,7 @@
     const known = this.byId.get(removal.id);
     if (!known || removal.revision < known.record.revision) return false;
     known.removedRevision = Math.max(known.removedRevision, removal.revision);
+    known.restored = undefined;
     if (known.departed) return false;
     known.departed = true;
     known.departedAtMs = this.options.clock.now();
@@ -166,7 +215,7 @@
       record,
       departed: false,
       lapsed: false,
-      removedRevision: -1,
+      removedRevision: UNKNOWN_REVISION,
       departedAtMs: undefined,
       coldUntilMs: this.options.clock.now() + record.coldMs,
     };
@@ -184,6 +233,7 @@
     known.record = record;
     known.departed = false;
     known.lapsed = false;
+    known.restored = undefined;
     known.departedAtMs = undefined;
     this.departed.delete(known);
     known.coldUntilMs = this.options.clock.now() + record.coldMs;
--- a/src/cookie-edge/routing/constants.ts
+++ b/src/cookie-edge/routing/constants.ts
@@ -48,3 +48,10 @@
  * are recorded again about 2 s after the source's return.
  */
 export const LAPSE_AFTER_OUTAGE_MS = 2_000;
+
+/**
+ * After the source was restored from an older copy, what the copy may hold wrongly waits this long, in ms: a back end
+ * that had left and is listed again gets no new flows, and a cordon that is not listed stays in force. Longer than the
+ * platform needs to write both again or to remove the entry of a back end that is gone: three heartbeats, 3,600 ms.
+ */
+export const RESTORED_HOLD_MS = 5_000;
--- a/src/cookie-edge/routing/events.ts
+++ b/src/cookie-edge/routing/events.ts
@@ -76,11 +76,17 @@
     message: 'Source no longer has the changes after the known revision; reading everything again',
     action: 'none when it is rare; otherwise check whether the source keeps its history',
   },
+  epochBegan: {
+    number: 2016,
+    level: 'warn',
+    message: 'Source was restored from an older copy; comparing what is known with what it has now',
+    action: 'Check that what the operator wrote last is there again; what is in force stays until then',
+  },
   olderRevision: {
     number: 2015,
     level: 'error',
     message: 'Source answered a current read with an older revision than is known here',
-    action: 'Check whether the source was restored from a copy; see the metric source_history_breaks_total',
+    action: 'Check whether the source was restored from a copy without naming a new epoch',
   },
   olderIgnored: {
     number: 2008,
--- a/src/cookie-edge/routing/index.ts
+++ b/src/cookie-edge/routing/index.ts
@@ -23,6 +23,7 @@
 export { addressKey, RouteIndex, splitAddressKey } from './route-index.js';
 export { isNextChange, joinTableChanges } from './route-table-change.js';
 export { SourceAvailability } from './source-availability.js';
+export { compareEpochs, isBefore, type SourcePosition } from './source-epoch.js';
 export { SourceFollower, type SourceFollowerOptions } from './source-follower.js';
 export { SourceHistoryLog } from './source-history-log.js';
 export { ZoneCordons } from './zone-cordons.js';
--- a/src/cookie-edge/routing/source-availability.ts
+++ b/src/cookie-edge/routing/source-availability.ts
@@ -72,8 +72,11 @@
     this.lastResponseMs = nowMs;
   }
 
-  /** Records and logs a failed call; returns the jittered delay before the next one, in ms. */
-  recordFailure(topic: RoutingTopic, error: RoutingSourceError): number {
+  /**
+   * Records and logs a failed call; returns the jittered delay before the next one, in ms. `failuresInARow`: as the
+   * follower counts them, where calls succeed in between that bring it no further.
+   */
+  recordFailure(topic: RoutingTopic, error: RoutingSourceError, failuresInARow = 1): number {
     const silentMs = Math.round(this.clock.now() - this.lastResponseMs);
     this.failedCalls += 1;
     this.events.emit(ROUTING_EVENTS.sourceCallFailed, {
@@ -86,7 +89,8 @@
       this.lost = true;
       this.events.emit(ROUTING_EVENTS.sourceLost, { silentMs, kind: error.kind });
     }
-    const delayMs = retryDelayMs(this.failedCalls, this.minimumRetryDelayMs());
+    const failures = Math.max(this.failedCalls, failuresInARow);
+    const delayMs = retryDelayMs(failures, this.minimumRetryDelayMs());
     return jitter(delayMs, RETRY_DELAY_JITTER, this.random);
   }
 }
--- a/src/cookie-edge/routing/source-follower.test.ts
+++ b/src/cookie-edge/routing/source-follower.test.ts
@@ -209,3 +209,34 @@
   t.is(problems.count, 2);
   stop();
 });
+
+test('an answer of another epoch is not taken for what follows, even when its revision is higher', async (t) => {
+  const RESTORED = updateAt(30, {
+    epoch: 1,
+    complete: true,
+    backends: [backendAt('a', 28, { draining: true })],
+  });
+  let reads = 0;
+  const { clock, knowledge, stop } = follow((call, virtual) => {
+    if (call.kind === 'read') return after(virtual, 4, (reads += 1) === 1 ? LIST : RESTORED);
+    if (knowledge.epochOf('backends') === 1) return after(virtual, call.waitMs, updateAt(30, { epoch: 1 }));
+    return after(virtual, 4, updateAt(30, { epoch: 1 }));
+  });
+  await clock.advanceAsync(100, 1);
+  t.is(reads, 2);
+  t.like(knowledge.confirmationOf('backends'), { epoch: 1, revision: 30 });
+  t.true(knowledge.backends.get('a')?.record.draining);
+  stop();
+});
+
+test('a source whose history is gone again after each read is called ever more seldom', async (t) => {
+  const { clock, source, history, stop } = follow((call, virtual) =>
+    after<Answer>(virtual, 4, call.kind === 'read' ? LIST : 'routing.history-gone'),
+  );
+  await clock.advanceAsync(10_000, 10);
+  // At least half of the longest delay passes between two rounds of a read and a watch, once delays have grown.
+  const most = 2 * (10_000 / (RETRY_MAX_MS / 2) + 8);
+  t.true(source.calls.length <= most, `${source.calls.length} calls`);
+  t.true(history.counts.historyGone > 1);
+  stop();
+});
--- a/src/cookie-edge/routing/source-follower.ts
+++ b/src/cookie-edge/routing/source-follower.ts
@@ -11,6 +11,7 @@
 import { hasContent, type RoutingKnowledge } from './knowledge.js';
 import type { ProblemLog } from './problem-log.js';
 import type { SourceAvailability } from './source-availability.js';
+import { compareEpochs, isBefore } from './source-epoch.js';
 import type { SourceHistoryLog } from './source-history-log.js';
 import type { ReadFreshness, RoutingSource, RoutingTopic, RoutingUpdate } from './types.js';
 import { isUnconfirmed, mayWatchLong, watchWaitMs, type WatchRequest } from './watch-wait.js';
@@ -49,6 +50,8 @@
   /** Revision of the last response to a watch, and whether it equalled that of the one before. */
   private watchedRevision = -1;
   private isSourceCalm = false;
+  /** Watches without an answer that continues what is known, since the last one with it. */
+  private gapsInARow = 0;
 
   constructor(
     private readonly topic: RoutingTopic,
@@ -114,7 +117,7 @@
       return false;
     }
     const isCurrent = freshness === 'current';
-    if (isCurrent) this.noteRevision(response.value.revision);
+    if (isCurrent) this.noteRevision(response.value);
     return this.apply(response.value, -1, isCurrent ? requestedAtMs : CONFIRMS_NOTHING_MS);
   }
 
@@ -122,6 +125,7 @@
   private async watchOnce(signal: AbortSignal): Promise<boolean> {
     const { source, clock, knowledge } = this.options;
     const since = knowledge.revisionOf(this.topic);
+    const epoch = knowledge.epochOf(this.topic);
     const requestedAtMs = clock.now();
     this.watches += 1;
     const waitMs = watchWaitMs(this.watchRequest(), this.options.timings);
@@ -135,11 +139,15 @@
       }
       if (response.error.kind === 'routing.history-gone') {
         this.options.history.recordHistoryGone(this.topic, since);
-        return false;
+        return this.afterGap(response.error, signal);
       }
       await this.waitAfter(response.error, signal);
       return true;
     }
+    // Revisions are given out again after a restore of the source, so that an answer of another epoch may leave out
+    // changes, or confirm what it does not know.
+    if (compareEpochs(response.value, { epoch }) !== 'same') return this.afterRestore(response.value, signal);
+    this.gapsInARow = 0;
     // A response without changes was held back for the whole wait, so it confirms that much more.
     const broughtChange = hasContent(response.value);
     this.isSourceCalm = response.value.revision === this.watchedRevision;
@@ -151,10 +159,28 @@
     return complete;
   }
 
-  private noteRevision(received: number): void {
+  /** True when gossip has brought the answer's epoch meanwhile, so that a watch goes on from there. */
+  private afterRestore(update: RoutingUpdate, signal: AbortSignal): Promise<boolean> {
+    const known = { epoch: this.options.knowledge.epochOf(this.topic) };
+    if (compareEpochs(update, known) === 'same') return Promise.resolve(true);
+    const problem = 'the source was restored from a copy, so that its changes do not continue what is known';
+    return this.afterGap(new RoutingSourceError('routing.history-gone', problem), signal);
+  }
+
+  /**
+   * False: everything must be read. The second time in a row that waits as after a failed call; without that, a reader
+   * whose reads did not close the gap made 110 calls a second.
+   */
+  private async afterGap(error: RoutingSourceError, signal: AbortSignal): Promise<boolean> {
+    this.gapsInARow += 1;
+    if (this.gapsInARow > 1) await this.waitAfter(error, signal, this.gapsInARow - 1);
+    return false;
+  }
+
+  private noteRevision(update: RoutingUpdate): void {
     const { history, knowledge } = this.options;
-    const known = knowledge.revisionOf(this.topic);
-    if (received < known) history.recordOlderRevision(this.topic, known, received);
+    const known = { epoch: knowledge.epochOf(this.topic), revision: knowledge.revisionOf(this.topic) };
+    if (isBefore(update, known)) history.recordOlderRevision(this.topic, known.revision, update.revision);
   }
 
   private watchRequest(): WatchRequest {
@@ -205,9 +231,13 @@
     return complete;
   }
 
-  private async waitAfter(error: RoutingSourceError, signal: AbortSignal): Promise<void> {
+  private async waitAfter(
+    error: RoutingSourceError,
+    signal: AbortSignal,
+    failuresInARow?: number,
+  ): Promise<void> {
     if (signal.aborted || error.kind === 'routing.cancelled') return;
-    const waitMs = this.options.availability.recordFailure(this.topic, error);
+    const waitMs = this.options.availability.recordFailure(this.topic, error, failuresInARow);
     await pause(this.options.clock, waitMs, signal);
   }
 }
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -1,6 +1,7 @@
 /**
  * What a daemon of the cookie edge knows: routes, the back ends that serve them, and zones that get no new flows. All
- * of it comes from a `RoutingSource` or from other daemons that read it there; the source's revisions order everything.
+ * of it comes from a `RoutingSource` or from other daemons that read it there. The source's revisions order everything
+ * within an epoch, which ends when the source is restored from an older copy (`source-epoch.ts`).
  */
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../../common/types.js';
@@ -38,7 +39,9 @@
 export interface RouteTable {
   /** Version as the operator counts it; rises in irregular steps. */
   readonly version: number;
-  /** Revision of the source that brought it; orders tables. */
+  /** Epoch of the source's history to which `revision` belongs; absent: 0. */
+  readonly epoch?: number;
+  /** Revision of the source that brought it; orders tables of one epoch. */
   readonly revision: number;
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
@@ -125,6 +128,8 @@
 
 /** What a source says about a topic, complete up to `revision`. */
 export interface RoutingUpdate {
+  /** Epoch of the source's history to which all revisions in here belong, tables apart; absent: 0. */
+  readonly epoch?: number;
   /** Everything of the topic up to this revision of the source is in here or was before. */
   readonly revision: number;
   /** True: back ends and cordons that are not listed are gone. False: the changes since the requested revision. */
@@ -145,6 +150,8 @@
 
 /** How far a topic is known, and when that was last confirmed. */
 export interface TopicConfirmation {
+  /** Epoch of the source's history to which the revisions belong; absent: 0. */
+  readonly epoch?: number;
   /** Everything up to this revision of the source is known; -1 before the first complete update. */
   readonly revision: number;
   /** Nothing changed between this revision and `revision`. */
--- a/src/cookie-edge/routing/zone-cordons.ts
+++ b/src/cookie-edge/routing/zone-cordons.ts
@@ -4,6 +4,7 @@
  * removal wins over a record of the same revision.
  */
 import type { EventLog } from '../../observability/event.js';
+import { RESTORED_HOLD_MS } from './constants.js';
 import { ROUTING_EVENTS } from './events.js';
 import type { CordonRemoval, ZoneCordon } from './types.js';
 
@@ -11,11 +12,16 @@
 interface ZoneState {
   readonly recordRevision: number;
   readonly removedRevision: number;
+  /** Monotonic ms until which a cordon stays that the source lacks since it was restored. */
+  readonly heldUntilMs?: number;
 }
 
 const NEVER = -1;
 const UNHEARD_OF: ZoneState = { recordRevision: NEVER, removedRevision: NEVER };
 
+/** A cordon of an earlier epoch: older than any record or removal of this one. */
+const OF_EARLIER_EPOCH: ZoneState = { recordRevision: NEVER, removedRevision: NEVER - 1 };
+
 /** The cordons that this daemon knows. Removals are never forgotten, because zones are few. */
 export class ZoneCordons {
   private readonly states = new Map<string, ZoneState>();
@@ -42,14 +48,14 @@
   put({ zone, revision }: ZoneCordon, knownRevision: number): void {
     const state = this.states.get(zone) ?? UNHEARD_OF;
     if (revision <= Math.max(state.recordRevision, state.removedRevision, knownRevision)) return;
-    this.change(zone, { ...state, recordRevision: revision });
+    this.change(zone, { recordRevision: revision, removedRevision: state.removedRevision });
   }
 
   /** Applies a removal, unless a newer record is known. */
   remove({ zone, revision }: CordonRemoval): void {
     const state = this.states.get(zone) ?? UNHEARD_OF;
     if (revision < state.recordRevision || revision <= state.removedRevision) return;
-    this.change(zone, { ...state, removedRevision: revision });
+    this.change(zone, { recordRevision: state.recordRevision, removedRevision: revision });
   }
 
   /** Removes every cordon that is not among `listed` and was recorded at `revision` or before. */
@@ -59,6 +65,31 @@
     }
   }
 
+  /** Begins an epoch of the source: revisions known so far say nothing about those from now on. */
+  beginEpoch(): void {
+    for (const [zone, state] of this.states) {
+      if (isCordoned(state)) this.states.set(zone, OF_EARLIER_EPOCH);
+      else this.states.delete(zone);
+    }
+  }
+
+  /**
+   * Holds every cordon that the first list of an epoch lacks: the copy may be older than the cordon, and the operator
+   * writes it again.
+   */
+  holdAllBut(listed: ReadonlySet<string>, nowMs: number): void {
+    for (const [zone, state] of this.states) {
+      if (!listed.has(zone)) this.states.set(zone, { ...state, heldUntilMs: nowMs + RESTORED_HOLD_MS });
+    }
+  }
+
+  /** Removes the cordons that were held long enough and not recorded again. */
+  settleRestored(nowMs: number): void {
+    for (const [zone, { heldUntilMs, recordRevision: revision }] of this.states) {
+      if (heldUntilMs !== undefined && nowMs >= heldUntilMs) this.remove({ zone, revision });
+    }
+  }
+
   private change(zone: string, state: ZoneState): void {
     const before = this.has(zone);
     this.states.set(zone, state);
--- a/src/cookie-edge/spreading/catch-up.ts
+++ b/src/cookie-edge/spreading/catch-up.ts
@@ -7,7 +7,7 @@
 import type { RandomSource } from '../../common/random.js';
 import { formatEndpoint, type Endpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
-import type { RoutingKnowledge, RoutingTopic } from '../routing/index.js';
+import { isBefore, type RoutingKnowledge, type RoutingTopic } from '../routing/index.js';
 import { FAR_FETCH_SPREAD_MS, FAR_FETCH_WAIT_MS, NOTHING_KNOWN } from './constants.js';
 import { SPREADING_EVENTS } from './events.js';
 import { decodePeerMessage } from './message-codec.js';
@@ -69,8 +69,8 @@
     if (outcome === 'fetch') return void this.fetch(from);
     const isStillMissing = (): boolean =>
       missing.some((topic) => {
-        const changedRevision = message.confirmations[topic]?.changedRevision ?? 0;
-        return knowledge.revisionOf(topic) < changedRevision;
+        const { epoch, changedRevision = 0 } = message.confirmations[topic] ?? {};
+        return isBefore(knowledge.confirmationOf(topic), { epoch, revision: changedRevision });
       });
     this.fetchFar(from, isWholeTopic, isStillMissing);
   }
--- a/src/cookie-edge/spreading/message-codec.ts
+++ b/src/cookie-edge/spreading/message-codec.ts
@@ -12,7 +12,9 @@
 import {
   ageOf,
   decodeEndpoint,
+  decodeEpoch,
   encodeEndpoint,
+  encodeEpoch,
   keyOf,
   MAX_AGE_MS,
   timeOfAge,
@@ -40,11 +42,12 @@
     senderId: message.senderId,
     senderZone: message.senderZone,
     leaving: message.leaving,
-    proofs: confirmations.map(([topic, { revision, changedRevision, confirmedAtMs }]) => ({
+    proofs: confirmations.map(([topic, { epoch, revision, changedRevision, confirmedAtMs }]) => ({
       topic: TOPIC_NUMBERS[topic],
       revision,
       changedRevision,
       ageMs: ageOf(nowMs, confirmedAtMs),
+      epoch: encodeEpoch(epoch),
     })),
     readers: message.readers.map(({ id, confirmedAtMs }) => ({ id, ageMs: ageOf(nowMs, confirmedAtMs) })),
     peers: message.peers.map(({ endpoint, zone, heardAtMs }) => ({
@@ -96,11 +99,16 @@
 
 function decodeConfirmations({ proofs }: WireMessage, sentMs: number): PeerMessage['confirmations'] {
   const confirmations: Partial<Record<RoutingTopic, TopicConfirmation>> = {};
-  for (const { topic, revision, changedRevision, ageMs } of proofs ?? []) {
+  for (const { topic, revision, changedRevision, ageMs, epoch } of proofs ?? []) {
     const name = keyOf(TOPIC_NUMBERS, topic);
     if (!name) continue;
     const confirmedAtMs = ageMs === MAX_AGE_MS ? Number.NEGATIVE_INFINITY : timeOfAge(ageMs, sentMs);
-    confirmations[name] = { revision: revision ?? 0, changedRevision: changedRevision ?? 0, confirmedAtMs };
+    confirmations[name] = {
+      ...decodeEpoch(epoch),
+      revision: revision ?? 0,
+      changedRevision: changedRevision ?? 0,
+      confirmedAtMs,
+    };
   }
   return confirmations;
 }
--- a/src/cookie-edge/spreading/message-composer.ts
+++ b/src/cookie-edge/spreading/message-composer.ts
@@ -4,13 +4,18 @@
  */
 import type { Clock } from '../../common/clock.js';
 import type { LoadReport } from '../load/index.js';
-import type { RoutingKnowledge, RoutingTopic, TopicConfirmation } from '../routing/index.js';
+import {
+  isBefore,
+  type RoutingKnowledge,
+  type RoutingTopic,
+  type TopicConfirmation,
+} from '../routing/index.js';
 import { BadAnswerOutbox } from './bad-answer-outbox.js';
 import { LOADS_PER_MESSAGE, NOTHING_KNOWN, PEERS_PER_MESSAGE, READERS_PER_MESSAGE } from './constants.js';
 import type { PeerView } from './peer-view.js';
 import type { ReaderRole } from './reader-role.js';
 import type { RecentEjections } from './recent-ejections.js';
-import type { KnownRevisions, PeerMessage, SpreadUpdate } from './types.js';
+import type { KnownRevisions, KnownTopic, PeerMessage, SpreadUpdate } from './types.js';
 import { completeUpdate, type UpdateLog } from './update-log.js';
 
 /** Collaborators of a composer. */
@@ -60,9 +65,9 @@
   pullResponse(request: PeerMessage): PeerMessage {
     const { knowledge, log } = this.options;
     const updates = knowledge.topics.flatMap((topic) => {
-      const revision = request.confirmations[topic]?.revision ?? NOTHING_KNOWN;
-      if (revision >= knowledge.confirmationOf(topic).changedRevision) return [];
-      return log.since(topic, { revision, table: request.tableRevision }) ?? [];
+      const { epoch, revision } = request.confirmations[topic] ?? { revision: NOTHING_KNOWN };
+      const known = { epoch, revision, table: request.tableRevision };
+      return lacks(knowledge, topic, known) ? (log.since(topic, known) ?? []) : [];
     });
     return this.updateMessage(updates);
   }
@@ -71,8 +76,8 @@
   state(known: KnownRevisions): PeerMessage {
     const { knowledge, log } = this.options;
     const updates = knowledge.topics.flatMap((topic) => {
-      if (known[topic] >= knowledge.confirmationOf(topic).changedRevision) return [];
-      const knownTopic = { revision: known[topic], table: known.table };
+      const knownTopic = { epoch: known.epoch, revision: known[topic], table: known.table };
+      if (!lacks(knowledge, topic, knownTopic)) return [];
       return log.since(topic, knownTopic) ?? completeUpdate(knowledge, topic) ?? [];
     });
     return this.message('state', updates);
@@ -136,16 +141,26 @@
   }
 }
 
-/** Revisions up to which each topic is known. */
+/** Revisions up to which each topic is known, in the latest epoch of any. */
 export function knownRevisionsOf(knowledge: RoutingKnowledge): KnownRevisions {
+  const epoch = Math.max(...knowledge.topics.map((topic) => knowledge.epochOf(topic)));
+  const revisionOf = (topic: RoutingTopic): number =>
+    knowledge.epochOf(topic) === epoch ? knowledge.revisionOf(topic) : NOTHING_KNOWN;
   return {
-    routes: knowledge.revisionOf('routes'),
-    backends: knowledge.revisionOf('backends'),
-    cordons: knowledge.revisionOf('cordons'),
-    table: knowledge.tableRevision,
+    epoch,
+    routes: revisionOf('routes'),
+    backends: revisionOf('backends'),
+    cordons: revisionOf('cordons'),
+    table: knowledge.epochOf('routes') === epoch ? knowledge.tableRevision : NOTHING_KNOWN,
   };
 }
 
+/** True when `knowledge` has changes of a topic that whoever knows `known` lacks. */
+function lacks(knowledge: RoutingKnowledge, topic: RoutingTopic, known: KnownTopic): boolean {
+  const { epoch, changedRevision } = knowledge.confirmationOf(topic);
+  return isBefore(known, { epoch, revision: changedRevision });
+}
+
 function confirmationsOf(
   knowledge: RoutingKnowledge,
 ): Readonly<Partial<Record<RoutingTopic, TopicConfirmation>>> {
--- a/src/cookie-edge/spreading/network-transport.ts
+++ b/src/cookie-edge/spreading/network-transport.ts
@@ -106,8 +106,9 @@
   }
 }
 
-function statePath({ routes, backends, cordons, table }: KnownRevisions): string {
-  return `${STATE_PATH}?routes=${routes}&backends=${backends}&cordons=${cordons}&table=${table}`;
+function statePath({ epoch = 0, routes, backends, cordons, table }: KnownRevisions): string {
+  const revisions = `routes=${routes}&backends=${backends}&cordons=${cordons}&table=${table}`;
+  return `${STATE_PATH}?${revisions}&epoch=${epoch}`;
 }
 
 /** Revisions that a requester knows; undefined for another path. A revision that is not named counts as unknown. */
@@ -117,6 +118,7 @@
   const parameters = new URLSearchParams(query);
   const revision = (topic: string): number => Number(parameters.get(topic) ?? NOTHING_KNOWN);
   return {
+    epoch: Number(parameters.get('epoch') ?? 0),
     routes: revision('routes'),
     backends: revision('backends'),
     cordons: revision('cordons'),
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -152,6 +152,9 @@
             /** Proof ageMs. */
             ageMs: number;
 
+            /** Proof epoch. */
+            epoch: number;
+
             /**
              * Encodes the specified Proof message. Does not implicitly {@link sailquay.spreading.Proof.verify|verify} messages.
              * @param message Proof message or plain object to encode
@@ -195,6 +198,9 @@
                 /** Proof ageMs */
                 ageMs?: (number|null);
 
+                /** Proof epoch */
+                epoch?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -541,6 +547,9 @@
             /** RouteTable services. */
             services: sailquay.spreading.Service.$Properties[];
 
+            /** RouteTable epoch. */
+            epoch: number;
+
             /**
              * Encodes the specified RouteTable message. Does not implicitly {@link sailquay.spreading.RouteTable.verify|verify} messages.
              * @param message RouteTable message or plain object to encode
@@ -587,6 +596,9 @@
                 /** RouteTable services */
                 services?: (sailquay.spreading.Service.$Properties[]|null);
 
+                /** RouteTable epoch */
+                epoch?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1020,6 +1032,9 @@
             /** Update cordonRemovals. */
             cordonRemovals: sailquay.spreading.Cordon.$Properties[];
 
+            /** Update epoch. */
+            epoch: number;
+
             /**
              * Encodes the specified Update message. Does not implicitly {@link sailquay.spreading.Update.verify|verify} messages.
              * @param message Update message or plain object to encode
@@ -1081,6 +1096,9 @@
                 /** Update cordonRemovals */
                 cordonRemovals?: (sailquay.spreading.Cordon.$Properties[]|null);
 
+                /** Update epoch */
+                epoch?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -281,6 +281,7 @@
              * @property {number|null} [revision] Proof revision
              * @property {number|null} [changedRevision] Proof changedRevision
              * @property {number|null} [ageMs] Proof ageMs
+             * @property {number|null} [epoch] Proof epoch
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -344,6 +345,14 @@
              */
             Proof.prototype.ageMs = 0;
 
+            /**
+             * Proof epoch.
+             * @member {number} epoch
+             * @memberof sailquay.spreading.Proof
+             * @instance
+             */
+            Proof.prototype.epoch = 0;
+
             /**
              * Encodes the specified Proof message. Does not implicitly {@link sailquay.spreading.Proof.verify|verify} messages.
              * @function encode
@@ -368,6 +377,8 @@
                     writer.uint32(/* id 3, wireType 1 =*/25).double(message.changedRevision);
                 if (message.ageMs != null && $Object.hasOwnProperty.call(message, "ageMs") && message.ageMs !== 0)
                     writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.ageMs);
+                if (message.epoch != null && $Object.hasOwnProperty.call(message, "epoch") && !$Object.is(message.epoch, 0))
+                    writer.uint32(/* id 5, wireType 1 =*/41).double(message.epoch);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -448,6 +459,15 @@
                                 delete message.ageMs;
                             continue;
                         }
+                    case 5: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.epoch = value;
+                            else
+                                delete message.epoch;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -1254,6 +1274,7 @@
              * @property {number|null} [idleTimeoutMs] RouteTable idleTimeoutMs
              * @property {Array.<sailquay.spreading.Route.$Properties>|null} [routes] RouteTable routes
              * @property {Array.<sailquay.spreading.Service.$Properties>|null} [services] RouteTable services
+             * @property {number|null} [epoch] RouteTable epoch
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1327,6 +1348,14 @@
              */
             RouteTable.prototype.services = $util.emptyArray;
 
+            /**
+             * RouteTable epoch.
+             * @member {number} epoch
+             * @memberof sailquay.spreading.RouteTable
+             * @instance
+             */
+            RouteTable.prototype.epoch = 0;
+
             /**
              * Encodes the specified RouteTable message. Does not implicitly {@link sailquay.spreading.RouteTable.verify|verify} messages.
              * @function encode
@@ -1355,6 +1384,8 @@
                 if (message.services != null && message.services.length)
                     for (let i = 0; i < message.services.length; ++i)
                         $root.sailquay.spreading.Service.encode(message.services[i], writer.uint32(/* id 5, wireType 2 =*/42).fork(), _depth + 1).ldelim();
+                if (message.epoch != null && $Object.hasOwnProperty.call(message, "epoch") && !$Object.is(message.epoch, 0))
+                    writer.uint32(/* id 6, wireType 1 =*/49).double(message.epoch);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1442,6 +1473,15 @@
                             message.services.push($root.sailquay.spreading.Service.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 6: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.epoch = value;
+                            else
+                                delete message.epoch;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -2500,6 +2540,7 @@
              * @property {sailquay.spreading.RouteTableChange.$Properties|null} [routeChange] Update routeChange
              * @property {Array.<sailquay.spreading.Cordon.$Properties>|null} [cordons] Update cordons
              * @property {Array.<sailquay.spreading.Cordon.$Properties>|null} [cordonRemovals] Update cordonRemovals
+             * @property {number|null} [epoch] Update epoch
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -2615,6 +2656,14 @@
              */
             Update.prototype.cordonRemovals = $util.emptyArray;
 
+            /**
+             * Update epoch.
+             * @member {number} epoch
+             * @memberof sailquay.spreading.Update
+             * @instance
+             */
+            Update.prototype.epoch = 0;
+
             /**
              * Encodes the specified Update message. Does not implicitly {@link sailquay.spreading.Update.verify|verify} messages.
              * @function encode
@@ -2655,6 +2704,8 @@
                 if (message.cordonRemovals != null && message.cordonRemovals.length)
                     for (let i = 0; i < message.cordonRemovals.length; ++i)
                         $root.sailquay.spreading.Cordon.encode(message.cordonRemovals[i], writer.uint32(/* id 10, wireType 2 =*/82).fork(), _depth + 1).ldelim();
+                if (message.epoch != null && $Object.hasOwnProperty.call(message, "epoch") && !$Object.is(message.epoch, 0))
+                    writer.uint32(/* id 11, wireType 1 =*/89).double(message.epoch);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2779,6 +2830,15 @@
                             message.cordonRemovals.push($root.sailquay.spreading.Cordon.decode(reader, reader.size(), $undefined, _depth + 1));
                             continue;
                         }
+                    case 11: {
+                            if (wireType !== 1)
+                                break;
+                            if (!$Object.is(value = reader.double(), 0))
+                                message.epoch = value;
+                            else
+                                delete message.epoch;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/cookie-edge/spreading/simulated-source.ts
+++ b/src/cookie-edge/spreading/simulated-source.ts
@@ -42,6 +42,8 @@
 /** A source with one counter of revisions, watches, a history that may be lost, and faults for some daemons. */
 export class SimulatedSource {
   revision = 2;
+  /** Restores so far. */
+  epoch = 0;
   calls = 0;
   /** Faults by daemon; `*` is for all. */
   readonly faults = new Map<string, SourceFault>();
@@ -112,6 +114,7 @@
 
   /** Goes back to a copy: its revisions go back as well and are given out again, and waiting watches end. */
   restore({ revision, table, backends, cordons, changes }: SourceCopy): void {
+    this.epoch += 1;
     this.revision = revision;
     this.table = table;
     this.backends = new Map(backends);
@@ -159,14 +162,17 @@
   }
 
   private snapshot(topic: RoutingTopic): RoutingUpdate {
-    const { revision } = this;
-    const routes = this.table ? [this.table] : [];
-    if (topic === 'routes') return updateAt(revision, { complete: true, routes });
+    const { epoch, revision } = this;
+    if (topic === 'routes') return updateAt(revision, { epoch, complete: true, routes: this.tables() });
     if (topic === 'cordons') {
       const cordons = [...this.cordons].map(([zone, at]) => ({ zone, revision: at }));
-      return updateAt(revision, { complete: true, cordons });
+      return updateAt(revision, { epoch, complete: true, cordons });
     }
-    return updateAt(revision, { complete: true, backends: [...this.backends.values()] });
+    return updateAt(revision, { epoch, complete: true, backends: [...this.backends.values()] });
+  }
+
+  private tables(): readonly RouteTable[] {
+    return this.table ? [{ ...this.table, epoch: this.epoch }] : [];
   }
 
   private async waitForChange(
@@ -183,7 +189,8 @@
     if (!hasHistory()) return undefined;
     const changes = this.changes.filter((change) => change.topic === topic && change.revision > since);
     return updateAt(this.revision, {
-      routes: topic === 'routes' && changes.length > 0 && this.table ? [this.table] : [],
+      epoch: this.epoch,
+      routes: topic === 'routes' && changes.length > 0 ? this.tables() : [],
       backends: changes.flatMap(({ backend }) => backend ?? []),
       removals: changes.flatMap(({ removed, revision }) => (removed ? [{ id: removed, revision }] : [])),
       cordons: changes.flatMap(({ cordoned, revision }) => (cordoned ? [{ zone: cordoned, revision }] : [])),
--- a/src/cookie-edge/spreading/types.ts
+++ b/src/cookie-edge/spreading/types.ts
@@ -62,14 +62,21 @@
 
 /** Knowledge of one topic; revisions are -1 for nothing. */
 export interface KnownTopic {
+  /** Epoch of the source's history to which the revisions belong; absent: 0. */
+  readonly epoch?: number;
   readonly revision: number;
   /** Revision of the table of routes in force, from which a change must start; irrelevant to back ends. */
   readonly table: number;
 }
 
-/** Revisions up to which a daemon knows each topic, and the table that it has in force; -1 for nothing. */
+/**
+ * Revisions up to which a daemon knows each topic, and the table that it has in force; -1 for nothing, and for what is
+ * known of an earlier epoch only.
+ */
 export interface KnownRevisions extends Readonly<Record<RoutingTopic, number>> {
   readonly table: number;
+  /** Epoch of the source's history to which the revisions belong; absent: 0. */
+  readonly epoch?: number;
 }
 
 /** Receives a datagram. */
--- a/src/cookie-edge/spreading/update-codec.ts
+++ b/src/cookie-edge/spreading/update-codec.ts
@@ -13,7 +13,16 @@
 } from '../routing/index.js';
 import type { sailquay } from './pb/spreading.js';
 import type { SpreadUpdate } from './types.js';
-import { ageOf, decodeEndpoint, encodeEndpoint, keyOf, timeOfAge, TOPIC_NUMBERS } from './wire-values.js';
+import {
+  ageOf,
+  decodeEndpoint,
+  decodeEpoch,
+  encodeEndpoint,
+  encodeEpoch,
+  keyOf,
+  timeOfAge,
+  TOPIC_NUMBERS,
+} from './wire-values.js';
 
 /** Encodes an update as of `nowMs`. */
 export function encodeUpdate(
@@ -27,6 +36,7 @@
     complete: update.complete,
     since,
     revision: update.revision,
+    epoch: encodeEpoch(update.epoch),
     routes: table && encodeTable(table),
     routeChange: update.routeChange && encodeTableChange(update.routeChange),
     backends: [
@@ -52,6 +62,7 @@
 function decodeRoutingUpdate(update: sailquay.spreading.IUpdate, sentMs: number): RoutingUpdate {
   const backends = update.backends ?? [];
   return {
+    ...decodeEpoch(update.epoch),
     revision: update.revision ?? 0,
     complete: update.complete ?? false,
     routes: update.routes ? [decodeTable(update.routes)] : [],
@@ -70,10 +81,11 @@
 }
 
 function encodeTable(table: RouteTable): sailquay.spreading.IRouteTable {
-  const { version, revision, idleTimeoutMs, routes, services } = table;
+  const { version, epoch, revision, idleTimeoutMs, routes, services } = table;
   return {
     version,
     revision,
+    epoch: encodeEpoch(epoch),
     idleTimeoutMs,
     routes: routes.map(encodeRoute),
     services: services.map(encodeService),
@@ -82,6 +94,7 @@
 
 function decodeTable(table: sailquay.spreading.IRouteTable): RouteTable {
   return {
+    ...decodeEpoch(table.epoch),
     version: table.version ?? 0,
     revision: table.revision ?? 0,
     idleTimeoutMs: table.idleTimeoutMs ?? 0,
--- a/src/cookie-edge/spreading/update-log.ts
+++ b/src/cookie-edge/spreading/update-log.ts
@@ -8,6 +8,7 @@
  * when it fetches the state (`completeUpdate`). A complete update clears the log. */
 import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import {
+  compareEpochs,
   isNextChange,
   joinTableChanges,
   type RoutedBackend,
@@ -46,7 +47,8 @@
     const log = this.entries[topic];
     const first = topic === 'routes' ? startOfChain(log, known.table) : startOfRecords(log, known.revision);
     const needed = first < 0 ? [] : log.slice(first);
-    if (!needed[0]) return undefined;
+    // Revisions of another epoch lead from nothing that the requester has.
+    if (!needed[0] || compareEpochs(needed[0].update, known) !== 'same') return undefined;
     const update = merge(needed.map((entry) => entry.update));
     const isNew = (record: { readonly revision: number }): boolean => record.revision > known.revision;
     const { backends, cordons } = update;
@@ -58,6 +60,7 @@
 /** Joins updates into one with the same effect; of each back end only the last record. */
 function merge(updates: readonly RoutingUpdate[]): RoutingUpdate {
   return {
+    epoch: updates.at(-1)?.epoch,
     revision: updates.at(-1)?.revision ?? 0,
     complete: false,
     routes: updates.flatMap(({ routes }) => routes).slice(-1),
@@ -105,16 +108,17 @@
 
 /** Everything that is known of a topic, departed back ends included; undefined before it is known. */
 export function completeUpdate(knowledge: RoutingKnowledge, topic: RoutingTopic): SpreadUpdate | undefined {
-  const { revision } = knowledge.confirmationOf(topic);
+  const { epoch, revision } = knowledge.confirmationOf(topic);
   const table = knowledge.routes()?.table;
   if (revision < 0 || (topic === 'routes' && !table)) return undefined;
   const all = topic === 'backends' ? [...knowledge.backends.all()] : [];
   const update: RoutingUpdate = {
+    epoch,
     revision,
     complete: true,
     removals: [],
     routes: topic === 'routes' && table ? [table] : [],
-    backends: all.filter(({ departed }) => !departed).map(({ record }) => record),
+    backends: all.flatMap(({ record, departed, restored }) => (departed ? (restored?.record ?? []) : record)),
     departed: all.flatMap(({ record, departedAtMs }) =>
       departedAtMs === undefined ? [] : [{ record, departedAtMs }],
     ),
--- a/src/cookie-edge/spreading/update-sender.ts
+++ b/src/cookie-edge/spreading/update-sender.ts
@@ -117,7 +117,7 @@
     this.changesSentMs = clock.now();
     const sent = this.sentRevisions;
     const updates = knowledge.topics.flatMap(
-      (topic) => log.since(topic, { revision: sent[topic], table: sent.table }) ?? [],
+      (topic) => log.since(topic, { epoch: sent.epoch, revision: sent[topic], table: sent.table }) ?? [],
     );
     this.sentRevisions = knownRevisionsOf(knowledge);
     this.push(composer.updateMessage(updates));
--- a/src/cookie-edge/spreading/wire-values.ts
+++ b/src/cookie-edge/spreading/wire-values.ts
@@ -30,6 +30,16 @@
   return sentMs - (ageMs ?? 0);
 }
 
+/** An epoch on the wire; epoch 0 is left out, as by senders that know of none. */
+export function encodeEpoch(epoch: number | undefined): number | undefined {
+  return epoch === 0 ? undefined : epoch;
+}
+
+/** The epoch of a message's part, absent where the wire has none. */
+export function decodeEpoch(epoch: number | null | undefined): { readonly epoch?: number } {
+  return epoch ? { epoch } : {};
+}
+
 export function encodeEndpoint({ host, port }: Endpoint): {
   readonly address: number;
   readonly port: number;
