Test, known red: after a restore a back end at a reused address is taken for the earlier one

The same cause elsewhere: the newest back end at an address is found by the revision of its creation alone. After a restore a new one has a lower one than the one that is gone, and is held dead for good (6 of 6 new flows refused).

--- a/src/cookie-edge/backend-health/dead-backends.test.ts
+++ b/src/cookie-edge/backend-health/dead-backends.test.ts
@@ -312,6 +312,20 @@
   );
 });
 
+test('after a restore of the source, a start at the address of one that is gone is the later one', (t) => {
+  const { harness } = setUp(2);
+  const at = { endpoint: { host: hostOf('a'), port: 8_080 } };
+  const origin = (since: number) => ({ since, confirmedAtMs: 0, mayHaveLapsed: false });
+  const inFirstEpoch = updateAt(30, { backends: [backendAt('z', 30, at)] });
+  harness.knowledge.apply('backends', inFirstEpoch, origin(10));
+  const restored = updateAt(12, { epoch: 1, complete: true, backends: [] });
+  harness.knowledge.apply('backends', restored, origin(-1));
+  const started = updateAt(14, { epoch: 1, backends: [backendAt('y', 14, at)] });
+  harness.knowledge.apply('backends', started, origin(12));
+  const placed = Array.from({ length: 6 }, (_unused, index) => harness.open(42_000 + index)?.backend);
+  t.deepEqual(new Set(placed), new Set(['y']));
+});
+
 test('a packet of a flow that another balancer placed at a dead back end is answered with a reset', async (t) => {
   const { harness, unreachable } = setUp(2);
   const flows = openAt(harness);
