Count what was created before a restore of the source as older than anything created after it

Cause: createdRevision was compared across epochs, so that a new back end at a reused address was taken for the earlier one and held dead for good. Change: with a new epoch the creation of everything known becomes the oldest; entries that the source lists again bring their own.

--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -121,10 +121,15 @@
     return true;
   }
 
-  /** Begins an epoch of the source: revisions known so far say nothing about those from now on. */
+  /**
+   * Begins an epoch of the source: revisions known so far say nothing about those from now on. What was created in an
+   * earlier epoch is older than anything created in this one; otherwise a new back end at a reused address was held
+   * dead, as the earlier of the two.
+   */
   beginEpoch(): void {
     for (const known of this.byId.values()) {
-      known.record = { ...known.record, revision: UNKNOWN_REVISION };
+      const { record } = known;
+      known.record = { ...record, revision: UNKNOWN_REVISION, createdRevision: UNKNOWN_REVISION };
       known.removedRevision = UNKNOWN_REVISION;
     }
   }
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -79,7 +79,7 @@
   readonly draining: boolean;
   /** Milliseconds for which it is still slow from its start, when this record was written. */
   readonly coldMs: number;
-  /** Revision of the source at which this start was first recorded. */
+  /** Revision of the source at which this start was first recorded; -1: in an earlier epoch. */
   readonly createdRevision: number;
   /** Revision of the last change of this record; orders records of one id. */
   readonly revision: number;
