--- /dev/null
+++ b/src/cookie-edge/backend-health/dead-backends-test-support.ts
@@ -0,0 +1,75 @@
+/** Forwarders whose probes of back ends fail as a test says. For tests only. */
+import { VirtualClock } from '../../common/clock.js';
+import type { Endpoint } from '../../common/types.js';
+import { backends, ForwarderHarness, type HarnessSurroundings } from '../forwarding/cookie-test-support.js';
+import type { ProbeOutcome } from './backend-prober.js';
+
+/** A caller repeats data after this long, in ms. */
+const REPEAT_MS = 200;
+export const REQUEST = { payloadBytes: 100, sequence: 500 };
+
+/** Addresses of back ends that a probe does not reach, and how it fails there. */
+export type Unreachable = Map<string, ProbeOutcome>;
+
+/** A harness in which probes take no time and fail as `unreachable` says; `probed` lists their addresses. */
+export function setUp(
+  count: number,
+  more: HarnessSurroundings = {},
+): { harness: ForwarderHarness; unreachable: Unreachable; probed: string[] } {
+  const unreachable: Unreachable = new Map();
+  const probed: string[] = [];
+  const probe = ({ host }: Endpoint): Promise<ProbeOutcome> => {
+    probed.push(host);
+    return Promise.resolve(unreachable.get(host) ?? 'answered');
+  };
+  const harness = new ForwarderHarness(new VirtualClock(), 1, [], { probe, ...more });
+  harness.know(backends(count));
+  return { harness, unreachable, probed };
+}
+
+/** Address of back end `a`, `b`, ... */
+export function hostOf(id: string): string {
+  return `10.128.0.${id.charCodeAt(0) - 96}`;
+}
+
+/** Lets probes that take no time end. */
+export function probesEnd(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** Lets `milliseconds` pass in small steps; probes that end meanwhile are dealt with. */
+export async function pass(clock: VirtualClock, milliseconds: number): Promise<void> {
+  const STEP_MS = 50;
+  for (let passedMs = 0; passedMs < milliseconds; passedMs += STEP_MS) {
+    clock.advance(STEP_MS);
+    await probesEnd();
+  }
+}
+
+/** Opens flows until each of the `ids` has one; ports and cookies by back end. */
+export function openAt(
+  harness: ForwarderHarness,
+  fromPort = 41_000,
+): Map<string, { port: number; cookie: number }> {
+  const flows = new Map<string, { port: number; cookie: number }>();
+  for (let port = fromPort; port < fromPort + 12; port += 1) {
+    const { backend, cookie } = harness.establish(port);
+    if (backend !== undefined) flows.set(backend, { port, cookie });
+  }
+  return flows;
+}
+
+/** The caller of a flow sends a request and repeats it; others of the harness's flows show signs of life. */
+export async function repeatRequest(
+  harness: ForwarderHarness,
+  flow: { port: number; cookie: number },
+  alive: readonly { port: number; cookie: number }[],
+): Promise<void> {
+  harness.goOn(flow.port, flow.cookie, REQUEST);
+  harness.clock.advance(REPEAT_MS);
+  harness.goOn(flow.port, flow.cookie, REQUEST);
+  for (const [index, { port, cookie }] of alive.entries()) {
+    harness.goOn(port, cookie, { acknowledgement: 1_000 + index + harness.clock.now() });
+  }
+  await probesEnd();
+}
--- a/src/cookie-edge/backend-health/dead-backends.test.ts
+++ b/src/cookie-edge/backend-health/dead-backends.test.ts
@@ -4,79 +4,23 @@
 import { pause } from '../../common/pause.js';
 import type { Endpoint } from '../../common/types.js';
 import { HOUSEKEEPING_TICK_MS } from '../forwarding/constants.js';
-import { backends, ForwarderHarness, type HarnessSurroundings } from '../forwarding/cookie-test-support.js';
+import { backends, ForwarderHarness } from '../forwarding/cookie-test-support.js';
 import { backendAt, updateAt } from '../routing/routing-test-support.js';
 import type { ProbeOutcome } from './backend-prober.js';
 import { PROBE_SPACING_MS, PROBE_TIMEOUT_MS } from './constants.js';
+import {
+  hostOf,
+  openAt,
+  pass,
+  probesEnd,
+  repeatRequest,
+  REQUEST,
+  setUp,
+  type Unreachable,
+} from './dead-backends-test-support.js';
 
 const DEAD_EVENT = 1259;
 const RESET_EVENT = 1260;
-/** A caller repeats data after this long, in ms. */
-const REPEAT_MS = 200;
-const REQUEST = { payloadBytes: 100, sequence: 500 };
-
-/** Addresses of back ends that a probe does not reach, and how it fails there. */
-type Unreachable = Map<string, ProbeOutcome>;
-
-/** A harness in which probes take no time and fail as `unreachable` says; `probed` lists their addresses. */
-function setUp(
-  count: number,
-  more: HarnessSurroundings = {},
-): { harness: ForwarderHarness; unreachable: Unreachable; probed: string[] } {
-  const unreachable: Unreachable = new Map();
-  const probed: string[] = [];
-  const probe = ({ host }: Endpoint): Promise<ProbeOutcome> => {
-    probed.push(host);
-    return Promise.resolve(unreachable.get(host) ?? 'answered');
-  };
-  const harness = new ForwarderHarness(new VirtualClock(), 1, [], { probe, ...more });
-  harness.know(backends(count));
-  return { harness, unreachable, probed };
-}
-
-/** Address of back end `a`, `b`, ... */
-function hostOf(id: string): string {
-  return `10.128.0.${id.charCodeAt(0) - 96}`;
-}
-
-/** Lets probes that take no time end. */
-function probesEnd(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
-/** Lets `milliseconds` pass in small steps; probes that end meanwhile are dealt with. */
-async function pass(clock: VirtualClock, milliseconds: number): Promise<void> {
-  const STEP_MS = 50;
-  for (let passedMs = 0; passedMs < milliseconds; passedMs += STEP_MS) {
-    clock.advance(STEP_MS);
-    await probesEnd();
-  }
-}
-
-/** Opens flows until each of the `ids` has one; ports and cookies by back end. */
-function openAt(harness: ForwarderHarness, fromPort = 41_000): Map<string, { port: number; cookie: number }> {
-  const flows = new Map<string, { port: number; cookie: number }>();
-  for (let port = fromPort; port < fromPort + 12; port += 1) {
-    const { backend, cookie } = harness.establish(port);
-    if (backend !== undefined) flows.set(backend, { port, cookie });
-  }
-  return flows;
-}
-
-/** The caller of a flow sends a request and repeats it; others of the harness's flows show signs of life. */
-async function repeatRequest(
-  harness: ForwarderHarness,
-  flow: { port: number; cookie: number },
-  alive: readonly { port: number; cookie: number }[],
-): Promise<void> {
-  harness.goOn(flow.port, flow.cookie, REQUEST);
-  harness.clock.advance(REPEAT_MS);
-  harness.goOn(flow.port, flow.cookie, REQUEST);
-  for (const [index, { port, cookie }] of alive.entries()) {
-    harness.goOn(port, cookie, { acknowledgement: 1_000 + index + harness.clock.now() });
-  }
-  await probesEnd();
-}
 
 for (const outcome of ['silent', 'refused'] as const) {
   test(`a back end whose connections are ${outcome} gets its flows reset, idle ones included, and no new ones`, async (t) => {
@@ -291,41 +235,6 @@
   t.false((await openMeanwhile(harness, alive, 4_000, 43_000)).has('a'));
 });
 
-test('another start at the address of a back end ends its flows at once, and the old one gets nothing any more', (t) => {
-  const { harness } = setUp(2);
-  const flows = openAt(harness);
-  const successor = backendAt('z', 20, { endpoint: { host: hostOf('a'), port: 8_080 }, service: 'beta' });
-  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
-  harness.knowledge.apply('backends', updateAt(20, { backends: [successor] }), origin);
-  t.is(harness.resets.length, 6);
-  const { port, cookie } = flows.get('a')!;
-  t.is(harness.goOn(port, cookie)?.backend, undefined, 'a reset, and nothing sent to the address');
-});
-
-test('a start of which it is heard only after its successor gets nothing either', (t) => {
-  const { harness } = setUp(2);
-  const earlier = backendAt('y', 0, { endpoint: { host: hostOf('a'), port: 8_080 }, createdRevision: 0 });
-  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
-  harness.knowledge.apply('backends', updateAt(20, { backends: [{ ...earlier, revision: 20 }] }), origin);
-  t.false(
-    Array.from({ length: 12 }, (_unused, index) => harness.open(42_000 + index)?.backend).includes('y'),
-  );
-});
-
-test('after a restore of the source, a start at the address of one that is gone is the later one', (t) => {
-  const { harness } = setUp(2);
-  const at = { endpoint: { host: hostOf('a'), port: 8_080 } };
-  const origin = (since: number) => ({ since, confirmedAtMs: 0, mayHaveLapsed: false });
-  const inFirstEpoch = updateAt(30, { backends: [backendAt('z', 30, at)] });
-  harness.knowledge.apply('backends', inFirstEpoch, origin(10));
-  const restored = updateAt(12, { epoch: 1, complete: true, backends: [] });
-  harness.knowledge.apply('backends', restored, origin(-1));
-  const started = updateAt(14, { epoch: 1, backends: [backendAt('y', 14, at)] });
-  harness.knowledge.apply('backends', started, origin(12));
-  const placed = Array.from({ length: 6 }, (_unused, index) => harness.open(42_000 + index)?.backend);
-  t.deepEqual(new Set(placed), new Set(['y']));
-});
-
 test('a packet of a flow that another balancer placed at a dead back end is answered with a reset', async (t) => {
   const { harness, unreachable } = setUp(2);
   const flows = openAt(harness);
--- /dev/null
+++ b/src/cookie-edge/backend-health/successive-starts.test.ts
@@ -0,0 +1,39 @@
+/** Of two starts at one address only the later one gets flows. */
+import test from 'ava';
+import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { hostOf, openAt, setUp } from './dead-backends-test-support.js';
+
+test('another start at the address of a back end ends its flows at once, and the old one gets nothing any more', (t) => {
+  const { harness } = setUp(2);
+  const flows = openAt(harness);
+  const successor = backendAt('z', 20, { endpoint: { host: hostOf('a'), port: 8_080 }, service: 'beta' });
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(20, { backends: [successor] }), origin);
+  t.is(harness.resets.length, 6);
+  const { port, cookie } = flows.get('a')!;
+  t.is(harness.goOn(port, cookie)?.backend, undefined, 'a reset, and nothing sent to the address');
+});
+
+test('a start of which it is heard only after its successor gets nothing either', (t) => {
+  const { harness } = setUp(2);
+  const earlier = backendAt('y', 0, { endpoint: { host: hostOf('a'), port: 8_080 }, createdRevision: 0 });
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(20, { backends: [{ ...earlier, revision: 20 }] }), origin);
+  t.false(
+    Array.from({ length: 12 }, (_unused, index) => harness.open(42_000 + index)?.backend).includes('y'),
+  );
+});
+
+test('after a restore of the source, a start at the address of one that is gone is the later one', (t) => {
+  const { harness } = setUp(2);
+  const at = { endpoint: { host: hostOf('a'), port: 8_080 } };
+  const origin = (since: number) => ({ since, confirmedAtMs: 0, mayHaveLapsed: false });
+  const inFirstEpoch = updateAt(30, { backends: [backendAt('z', 30, at)] });
+  harness.knowledge.apply('backends', inFirstEpoch, origin(10));
+  const restored = updateAt(12, { epoch: 1, complete: true, backends: [] });
+  harness.knowledge.apply('backends', restored, origin(-1));
+  const started = updateAt(14, { epoch: 1, backends: [backendAt('y', 14, at)] });
+  harness.knowledge.apply('backends', started, origin(12));
+  const placed = Array.from({ length: 6 }, (_unused, index) => harness.open(42_000 + index)?.backend);
+  t.deepEqual(new Set(placed), new Set(['y']));
+});
