A back end that starts again under its id is another back end

Cause: nothing read the start time that back ends now tell. What was kept by id (ejections, verdicts, own flows, cold time, draining, call counts) went over to a process that holds and knows nothing, and one that had moved to a reused address was held dead. Flows of the old life are not reset here, since those opened just after the restart look alike; their next packet goes to the process, which resets what it does not hold. At one address a recorded back end goes before one that left. Peers get the incarnation by gossip (one optional field).

--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -107,6 +107,7 @@
     const sinceMs = clock.now();
     for (let count = 0; count < MAX_PROBE_PAIRS; count += 1) {
       const finding = await this.probeTwice(state);
+      if (!this.options.states.keeps(state)) return;
       const judgement = judgeProbes(finding, {
         sinceMs,
         lastSignOfLifeMs: state.lastSignOfLifeMs,
--- a/src/cookie-edge/backend-health/dead-verdict.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.ts
@@ -126,11 +126,14 @@
 }
 
 /**
- * True when `backend` started later than the one known at its address. Of records with equal revisions the known one
- * stays.
+ * True when `backend` started later than the one known at its address. One that is recorded started later than one that
+ * left: a process that starts again under its id keeps the revision of its creation. Of records with equal revisions
+ * the known one stays.
  */
 export function isLaterStart(backend: KnownBackend, known: KnownBackend | undefined): boolean {
-  return !known || backend.record.createdRevision > known.record.createdRevision;
+  if (!known) return true;
+  if (backend.departed !== known.departed) return known.departed;
+  return backend.record.createdRevision > known.record.createdRevision;
 }
 
 /** The dead verdict of one back end. */
--- a/src/cookie-edge/backend-health/local-backend-states.ts
+++ b/src/cookie-edge/backend-health/local-backend-states.ts
@@ -58,6 +58,11 @@
     return this.newest.state === state ? this.newestOfOthersMs : this.newest.atMs;
   }
 
+  /** False for the state of a forgotten back end, whose id may belong to another incarnation by now. */
+  keeps(state: LocalBackendState): boolean {
+    return this.states.get(state.backend) === state;
+  }
+
   forget(backend: KnownBackend): void {
     const state = this.states.get(backend);
     if (state) this.failing.delete(state);
@@ -78,7 +83,7 @@
    * off.
    */
   recordFailure(state: LocalBackendState, sinceMs: number, nowMs: number): void {
-    if (!this.isOn('passive-health')) return;
+    if (!this.isOn('passive-health') || !this.keeps(state)) return;
     state.recordFailure(nowMs, sinceMs);
     this.failing.add(state);
     this.judge(state, nowMs);
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -115,7 +115,8 @@
   }
 
   private forgetBackend(backend: KnownBackend): void {
-    const { dead, cookies, states, coldAdmission } = this.options;
+    const { dead, cookies, states, coldAdmission, cache } = this.options;
+    cache.forgetBackend(states.of(backend));
     dead.forget(backend);
     cookies.remove(backend);
     states.forget(backend);
--- a/src/cookie-edge/forwarding/flow-cache.ts
+++ b/src/cookie-edge/forwarding/flow-cache.ts
@@ -105,6 +105,14 @@
     return [...this.all()].filter((flow) => flow.state === state && flow.phase !== 'closing');
   }
 
+  /**
+   * Forgets every flow at a back end that is forgotten itself. Nothing is reset: the flow's next packet goes where its
+   * cookie says, to the process that has the id now, which resets the flow unless it holds it.
+   */
+  forgetBackend(state: LocalBackendState): void {
+    for (const flow of this.all()) if (flow.state === state) this.remove(flow);
+  }
+
   /** Forgets a flow. */
   remove(flow: Flow): void {
     if (flow.phase !== 'closing') flow.state.openFlows -= 1;
--- a/src/cookie-edge/load/call-rates.ts
+++ b/src/cookie-edge/load/call-rates.ts
@@ -2,6 +2,7 @@
  * Computes rates of calls from the counts that back ends write to the source about once a second. Owns the last count
  * and the moving average of each back end of one page; `busy-backends.ts` decides what the rates mean.
  */
+import { isOtherIncarnation } from '../routing/index.js';
 import { busyBackends } from './busy-backends.js';
 import { RATE_SHARE } from './constants.js';
 import type { BackendCallCount, BusyBackend } from './types.js';
@@ -38,10 +39,12 @@
     );
   }
 
-  /** Undefined after one count, and when a count decreased because the back end restarted. */
-  private rateOf({ id, calls, capacity }: BackendCallCount, nowMs: number): number | undefined {
+  /** Undefined after one count, and when the back end restarted, so that its count began anew. */
+  private rateOf(count: BackendCallCount, nowMs: number): number | undefined {
+    const { id, calls, capacity } = count;
     const before = this.known.get(id);
     if (!before || nowMs <= before.readAtMs || calls < before.count.calls) return undefined;
+    if (isOtherIncarnation(count, before.count)) return undefined;
     const seconds = (nowMs - before.readAtMs) / MS_A_SECOND;
     const newest = (calls - before.count.calls) / seconds / Math.max(1, capacity);
     return before.rate === undefined ? newest : before.rate + RATE_SHARE * (newest - before.rate);
--- a/src/cookie-edge/load/load.test.ts
+++ b/src/cookie-edge/load/load.test.ts
@@ -142,3 +142,10 @@
   t.is(reader.calls, 2);
   t.deepEqual(reports, []);
 });
+
+test('a count that began anew with another life has no rate, also when it is higher than the last one', (t) => {
+  const rates = new CallRates();
+  rates.record([countOf('a', 10, { incarnation: 1 }), countOf('b', 10), countOf('c', 10)], 0);
+  rates.record([countOf('a', 900, { incarnation: 2 }), countOf('b', 20), countOf('c', 20)], 2_000);
+  t.deepEqual(rates.busy(), []);
+});
--- a/src/cookie-edge/load/types.ts
+++ b/src/cookie-edge/load/types.ts
@@ -5,6 +5,8 @@
 /** A back end's count of answered calls, as it last wrote it to the source. */
 export interface BackendCallCount {
   readonly id: string;
+  /** Start time of its process, as in `RoutedBackend`; counts begin anew with each. */
+  readonly incarnation?: number;
   readonly service: string;
   /** Requests it works on at once. */
   readonly capacity: number;
--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -9,13 +9,14 @@
 import type { EventLog } from '../../observability/event.js';
 import { RESTORED_HOLD_MS } from './constants.js';
 import { ROUTING_EVENTS } from './events.js';
+import { isOtherIncarnation } from './incarnation-rule.js';
 import { hasLapsed } from './lapsed-records.js';
 import type { BackendRemoval, DepartedBackend, RoutedBackend } from './types.js';
 
 /** Revision of a record or removal of which nothing is known in the epoch. */
 const UNKNOWN_REVISION = -1;
 
-/** A back end as this daemon sees it. One object for each id, changed in place. */
+/** A back end as this daemon sees it. One object for each id and incarnation, changed in place. */
 export interface KnownBackend {
   readonly id: string;
   record: RoutedBackend;
@@ -98,7 +99,7 @@
   /** Stores the first complete list, with one log line for all. */
   fill(records: readonly RoutedBackend[], revision: number): void {
     const added = records.filter(({ id }) => !this.byId.has(id));
-    for (const record of added) this.add(record);
+    for (const record of added) this.announce(this.create(record));
     const draining = added.filter((record) => record.draining).length;
     this.options.events.emit(ROUTING_EVENTS.backendsKnown, { backends: added.length, draining, revision });
   }
@@ -111,13 +112,15 @@
   put(record: RoutedBackend, knownRevision: number): boolean {
     const known = this.byId.get(record.id);
     if (!known) {
-      this.add(record);
+      const added = this.create(record);
       this.options.events.emit(ROUTING_EVENTS.backendKnown, describe(record));
-      if (record.revision <= knownRevision) this.remove(record, false);
+      if (record.revision <= knownRevision) this.leave(added, record.revision, false);
+      this.announce(added);
       return true;
     }
     if (record.revision <= Math.max(known.record.revision, known.removedRevision)) return false;
-    this.change(known, record);
+    if (isOtherIncarnation(record, known.record)) this.restart(known, record);
+    else this.change(known, record);
     return true;
   }
 
@@ -141,6 +144,11 @@
   putRestored(record: RoutedBackend): void {
     const known = this.byId.get(record.id);
     if (!known) return;
+    if (isOtherIncarnation(record, known.record)) {
+      // The copy is from before a restart; the process writes its record again.
+      known.record = { ...known.record, revision: record.revision };
+      return;
+    }
     const restored = { ...record, draining: record.draining || known.record.draining };
     if (known.departed && !known.lapsed) {
       known.record = { ...known.record, revision: record.revision };
@@ -183,16 +191,7 @@
     known.removedRevision = Math.max(known.removedRevision, removal.revision);
     known.restored = undefined;
     if (known.departed) return false;
-    known.departed = true;
-    known.departedAtMs = this.options.clock.now();
-    known.lapsed = hasLapsed(mayHaveLapsed, known.record.draining);
-    this.departed.add(known);
-    this.options.events.emit(ROUTING_EVENTS.backendGone, {
-      backend: known.id,
-      revision: removal.revision,
-      draining: known.record.draining,
-      lapsed: known.lapsed,
-    });
+    this.leave(known, removal.revision, mayHaveLapsed);
     return true;
   }
 
@@ -214,7 +213,34 @@
     }
   }
 
-  private add(record: RoutedBackend): void {
+  private leave(known: KnownBackend, revision: number, mayHaveLapsed: boolean): void {
+    known.removedRevision = Math.max(known.removedRevision, revision);
+    known.departed = true;
+    known.departedAtMs = this.options.clock.now();
+    known.lapsed = hasLapsed(mayHaveLapsed, known.record.draining);
+    this.departed.add(known);
+    this.options.events.emit(ROUTING_EVENTS.backendGone, {
+      backend: known.id,
+      revision,
+      draining: known.record.draining,
+      lapsed: known.lapsed,
+    });
+  }
+
+  /** Another life of the process: a back end of its own, of which nothing is known but the record. */
+  private restart(known: KnownBackend, record: RoutedBackend): void {
+    this.drop(known);
+    this.options.events.emit(ROUTING_EVENTS.backendRestarted, {
+      ...describe(record),
+      incarnation: record.incarnation,
+      previous: known.record.incarnation,
+      departed: known.departed,
+    });
+    this.announce(this.create(record));
+  }
+
+  /** Stores a back end without telling the listeners. */
+  private create(record: RoutedBackend): KnownBackend {
     const backend: KnownBackend = {
       id: record.id,
       record,
@@ -226,6 +252,10 @@
     };
     this.byId.set(record.id, backend);
     this.serviceSet(record.service).add(backend);
+    return backend;
+  }
+
+  private announce(backend: KnownBackend): void {
     this.addListeners.forEach((listener) => listener(backend));
   }
 
@@ -246,10 +276,14 @@
   }
 
   private forget(backend: KnownBackend): void {
+    this.drop(backend);
+    this.options.events.emit(ROUTING_EVENTS.backendForgotten, { backend: backend.id });
+  }
+
+  private drop(backend: KnownBackend): void {
     this.departed.delete(backend);
     this.byId.delete(backend.id);
     this.serviceSet(backend.record.service).delete(backend);
-    this.options.events.emit(ROUTING_EVENTS.backendForgotten, { backend: backend.id });
     this.forgetListeners.forEach((listener) => listener(backend));
   }
 
--- a/src/cookie-edge/routing/events.ts
+++ b/src/cookie-edge/routing/events.ts
@@ -22,6 +22,12 @@
     message: 'Departed back end forgotten; no flow to it can still be open',
     action: 'none',
   },
+  backendRestarted: {
+    number: 2017,
+    level: 'info',
+    message: 'Back end started again under its id; what was known of its last life is forgotten',
+    action: 'none when it was restarted; otherwise see why it ended',
+  },
   backendsKnown: {
     number: 2009,
     level: 'info',
--- a/src/cookie-edge/routing/index.ts
+++ b/src/cookie-edge/routing/index.ts
@@ -15,6 +15,7 @@
  */
 export type * from './types.js';
 export { BackendRegistry, type KnownBackend } from './backend-registry.js';
+export { isOtherIncarnation } from './incarnation-rule.js';
 export { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
 export { ROUTING_EVENTS } from './events.js';
 export { DEFAULT_FRESHNESS_BOUND_MS, freshnessTimings, type FreshnessTimings } from './freshness.js';
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -66,10 +66,11 @@
   readonly digest: number;
 }
 
-/** One start of a back end process; a restart is another back end with another id. */
+/** A back end process. It may start again under its id, as another incarnation. */
 export interface RoutedBackend {
-  /** Unique for each start. */
   readonly id: string;
+  /** Start time of the process, Unix ms on its own machine's clock; undefined when the record names none. */
+  readonly incarnation?: number;
   readonly service: string;
   readonly endpoint: Endpoint;
   readonly zone: string;
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -768,6 +768,9 @@
             /** Backend departedAgeMs. */
             departedAgeMs: number;
 
+            /** Backend incarnation. */
+            incarnation?: (number|null);
+
             /**
              * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
              * @param message Backend message or plain object to encode
@@ -835,6 +838,9 @@
                 /** Backend departedAgeMs */
                 departedAgeMs?: (number|null);
 
+                /** Backend incarnation */
+                incarnation?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -1832,6 +1832,7 @@
              * @property {number|null} [revision] Backend revision
              * @property {boolean|null} [departed] Backend departed
              * @property {number|null} [departedAgeMs] Backend departedAgeMs
+             * @property {number|null} [incarnation] Backend incarnation
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1959,6 +1960,23 @@
              */
             Backend.prototype.departedAgeMs = 0;
 
+            /**
+             * Backend incarnation.
+             * @member {number|null|undefined} incarnation
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.incarnation = null;
+
+            // OneOf field names bound to virtual getters and setters
+            let $oneOfFields;
+
+            // Virtual OneOf for proto3 optional field
+            $Object.defineProperty(Backend.prototype, "_incarnation", {
+                get: $util.oneOfGetter($oneOfFields = ["incarnation"]),
+                set: $util.oneOfSetter($oneOfFields)
+            });
+
             /**
              * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
              * @function encode
@@ -1999,6 +2017,8 @@
                     writer.uint32(/* id 11, wireType 0 =*/88).bool(message.departed);
                 if (message.departedAgeMs != null && $Object.hasOwnProperty.call(message, "departedAgeMs") && message.departedAgeMs !== 0)
                     writer.uint32(/* id 12, wireType 0 =*/96).uint32(message.departedAgeMs);
+                if (message.incarnation != null && $Object.hasOwnProperty.call(message, "incarnation"))
+                    writer.uint32(/* id 13, wireType 1 =*/105).double(message.incarnation);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2151,6 +2171,13 @@
                                 delete message.departedAgeMs;
                             continue;
                         }
+                    case 13: {
+                            if (wireType !== 1)
+                                break;
+                            message.incarnation = reader.double();
+                            message._incarnation = "incarnation";
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/cookie-edge/spreading/spreading.test.ts
+++ b/src/cookie-edge/spreading/spreading.test.ts
@@ -373,3 +373,21 @@
   const after = cluster.daemons.reduce((sum, { spreader }) => sum + spreader.statistics.messagesSent, 0);
   t.true(after - before <= 30 * 80, `${after - before} messages in a second`);
 });
+
+test('a back end that starts again is another life for those that read it and for those that only hear of it', async (t) => {
+  const cluster = await settled(20);
+  const lifeOf = (index: number): number | undefined =>
+    cluster.daemons[index]?.knowledge.backends.get('a')?.record.incarnation;
+  const isEverywhere = (life: number) => (): boolean =>
+    cluster.daemons.every((_daemon, index) => lifeOf(index) === life);
+  cluster.source.changeBackend('a', { incarnation: 1_000 });
+  t.true((await cluster.timeUntil(isEverywhere(1_000), 3_000)) <= 3_000);
+  const before = cluster.daemons.map(({ knowledge }) => knowledge.backends.get('a'));
+  cluster.source.faults.set('*', 'silent');
+  await cluster.clock.advanceAsync(2_000, 10);
+  cluster.source.changeBackend('a', { incarnation: 2_000 });
+  cluster.source.changeBackend('a', { incarnation: 1_500 });
+  cluster.source.faults.clear();
+  t.true((await cluster.timeUntil(isEverywhere(1_500), 3_000)) <= 3_000);
+  cluster.daemons.forEach(({ knowledge }, index) => t.not(knowledge.backends.get('a'), before[index]));
+});
--- a/src/cookie-edge/spreading/update-codec.ts
+++ b/src/cookie-edge/spreading/update-codec.ts
@@ -185,6 +185,7 @@
 
 function decodeBackend(backend: sailquay.spreading.IBackend): RoutedBackend {
   return {
+    ...(typeof backend.incarnation === 'number' && { incarnation: backend.incarnation }),
     id: backend.id ?? '',
     service: backend.service ?? '',
     zone: backend.zone ?? '',
