An entry of a service that no configuration names takes no address from a back end

Cause: of two entries with one address the one created later was taken for the living process, whatever it was, and the other's flows were reset; an entry by another writer with the address of a back end would have done that. Change: a back end takes part in that rule only once a table names its service. The fixture of the tests of successive starts names the second service that they use, since a successor of a service that no configuration names is not one any more.

--- a/src/cookie-edge/backend-health/dead-backends-test-support.ts
+++ b/src/cookie-edge/backend-health/dead-backends-test-support.ts
@@ -8,6 +8,9 @@
 const REPEAT_MS = 200;
 export const REQUEST = { payloadBytes: 100, sequence: 500 };
 
+/** Services that the configuration names: a successor at an address may be of another one. */
+const SERVICES = ['alpha', 'beta'].map((name) => ({ name, maxConnections: 2_000 }));
+
 /** Addresses of back ends that a probe does not reach, and how it fails there. */
 export type Unreachable = Map<string, ProbeOutcome>;
 
@@ -23,7 +26,7 @@
     return Promise.resolve(unreachable.get(host) ?? 'answered');
   };
   const harness = new ForwarderHarness(new VirtualClock(), 1, [], { probe, ...more });
-  harness.know(backends(count));
+  harness.know(backends(count), { services: SERVICES });
   return { harness, unreachable, probed };
 }
 
--- a/src/cookie-edge/backend-health/successive-starts.test.ts
+++ b/src/cookie-edge/backend-health/successive-starts.test.ts
@@ -1,6 +1,6 @@
 /** Of two starts at one address only the later one gets flows. */
 import test from 'ava';
-import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
 import { hostOf, openAt, setUp } from './dead-backends-test-support.js';
 
 test('another start at the address of a back end ends its flows at once, and the old one gets nothing any more', (t) => {
@@ -37,3 +37,21 @@
   const placed = Array.from({ length: 6 }, (_unused, index) => harness.open(42_000 + index)?.backend);
   t.deepEqual(new Set(placed), new Set(['y']));
 });
+
+test('an entry of a service that no configuration names takes no address from a back end', (t) => {
+  const { harness } = setUp(2);
+  openAt(harness);
+  const intruder = backendAt('x', 20, {
+    endpoint: { host: hostOf('a'), port: 8_080 },
+    service: 'unheard-of',
+  });
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(20, { backends: [intruder] }), origin);
+  t.is(harness.resets.length, 0);
+  const placed = Array.from({ length: 12 }, (_unused, index) => harness.open(42_000 + index)?.backend);
+  t.true(placed.includes('a'));
+  const services = ['alpha', 'unheard-of'].map((name) => ({ name, maxConnections: 100 }));
+  const table = tableAt(21, { services });
+  harness.knowledge.apply('routes', updateAt(21, { routes: [table] }), origin);
+  t.true(harness.resets.length > 0, 'once it is named, it is the later start');
+});
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -45,6 +45,9 @@
   /** How long back ends took for requests of which this balancer saw both ends. */
   readonly answers: AnswerTracker;
 
+  /** Back ends whose service no table has named so far. */
+  private readonly unnamed = new Set<KnownBackend>();
+
   constructor(private readonly options: CookieForwarderOptions) {
     const { statistics, outliers, answers, knowledge } = options;
     this.statistics = statistics;
@@ -53,6 +56,9 @@
     for (const backend of knowledge.backends.all()) this.registerBackend(backend);
     knowledge.backends.onAdd((backend) => this.registerBackend(backend));
     knowledge.backends.onForget((backend) => this.forgetBackend(backend));
+    knowledge.subscribe(({ topic }) => {
+      if (topic === 'routes') this.registerNamed();
+    });
   }
 
   /** Back ends ejected since start. */
@@ -109,14 +115,31 @@
     else midFlow.onMidFlow(packet, flow, nowMs);
   }
 
+  /**
+   * A back end whose service no table names yet may be the entry of another writer: it takes no address from another,
+   * whose flows would be reset.
+   */
   private registerBackend(backend: KnownBackend): void {
-    this.options.cookies.add(backend);
-    this.options.dead.registerBackend(backend);
+    const { cookies, dead, knowledge } = this.options;
+    cookies.add(backend);
+    if (knowledge.routes()?.namesService(backend.record.service)) dead.registerBackend(backend);
+    else this.unnamed.add(backend);
+  }
+
+  /** Registers the back ends whose service is named by now. */
+  private registerNamed(): void {
+    const { dead, knowledge } = this.options;
+    for (const backend of this.unnamed) {
+      if (!knowledge.routes()?.namesService(backend.record.service)) continue;
+      this.unnamed.delete(backend);
+      dead.registerBackend(backend);
+    }
   }
 
   private forgetBackend(backend: KnownBackend): void {
     const { dead, cookies, states, coldAdmission, cache } = this.options;
     cache.forgetBackend(states.of(backend));
+    this.unnamed.delete(backend);
     dead.forget(backend);
     cookies.remove(backend);
     states.forget(backend);
--- a/src/cookie-edge/routing/route-index.ts
+++ b/src/cookie-edge/routing/route-index.ts
@@ -29,6 +29,12 @@
     return this.byAddress.get(addressKey(address, port));
   }
 
+  /** True when the table names the service, in a route or by itself. */
+  namesService(service: string): boolean {
+    if (this.services.has(service)) return true;
+    return this.table.routes.some(({ targets }) => targets.some((target) => target.service === service));
+  }
+
   /** Open flows that a back end of `service` holds; unlimited when the table says nothing. */
   maxConnectionsOf(service: string): number {
     return this.services.get(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
