--- a/docs/checks/page-references.ts
+++ b/docs/checks/page-references.ts
@@ -63,7 +63,7 @@
   return [...lines, ...matches(text, /`sailquay ([a-z][a-z -]*)/g)].map((words) => words.trim().split(/\s+/));
 }
 
-/** Names of the own days (`platform/tools/days`) that the page gives as proof. */
+/** Names of the own days (`deploy/days`) that the page gives as proof. */
 export function findOwnDays({ text }: Page): string[] {
   return matches(text, /\bown days? ([a-z-]+(?:, [a-z]+-[a-z-]+)*)/g).flatMap((names) => names.split(', '));
 }
--- a/docs/checks/pages.test.ts
+++ b/docs/checks/pages.test.ts
@@ -68,9 +68,7 @@
   const architecture = REFERENCE.filter(({ name }) => name === 'ARCHITECTURE.md');
   t.true(architecture.flatMap(findOwnDays).length > 0);
   t.deepEqual(
-    unknownOf(architecture, findOwnDays, (day) =>
-      existsSync(join(ROOT, 'platform/tools/days', `${day}.toml`)),
-    ),
+    unknownOf(architecture, findOwnDays, (day) => existsSync(join(ROOT, 'deploy/days', `${day}.toml`))),
     [],
   );
 });
