Keep the epoch of a table through its changes; a restored record that a later list lacks waits no longer

A change applied to a table lost the table's epoch, so that from epoch 1 on no further change fitted and each one made every daemon fetch the whole table. And a record that was back only through the copy was taken for that of a living back end after 5 s, though a later list did not have it any more. Change: the epoch stays with the table; a list that lacks a held record ends the hold.

--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -5,42 +5,17 @@
  * id; relies on `RoutingKnowledge` to detect gaps.
  */
 import type { Clock } from '../../common/clock.js';
-import { formatEndpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
 import { RESTORED_HOLD_MS } from './constants.js';
 import { ROUTING_EVENTS } from './events.js';
 import { isOtherIncarnation } from './incarnation-rule.js';
 import { hasLapsed } from './lapsed-records.js';
+import { describeRecord, type KnownBackend } from './known-backend.js';
 import type { BackendRemoval, DepartedBackend, RoutedBackend } from './types.js';
 
 /** Revision of a record or removal of which nothing is known in the epoch. */
 const UNKNOWN_REVISION = -1;
 
-/** A back end as this daemon sees it. One object for each id and incarnation, changed in place. */
-export interface KnownBackend {
-  readonly id: string;
-  record: RoutedBackend;
-  /** True while its record is gone from the source. */
-  departed: boolean;
-  /** True for a departed back end whose record may only have lapsed; one that was draining left on purpose. */
-  lapsed: boolean;
-  /** Highest revision of a removal of it; records up to it do not bring it back. */
-  removedRevision: number;
-  /** Monotonic ms at which it departed; undefined while it is recorded. */
-  departedAtMs: number | undefined;
-  /** Monotonic ms until which it is slow from its start. */
-  coldUntilMs: number;
-  /** Of a departed back end: its record in the copy from which the source was restored. */
-  restored?: RestoredRecord;
-}
-
-/** A record that may be back only because the source was restored from an older copy. */
-interface RestoredRecord {
-  readonly record: RoutedBackend;
-  /** Monotonic ms at which it was listed again. */
-  readonly atMs: number;
-}
-
 /** What a registry needs. */
 export interface BackendRegistryOptions {
   readonly clock: Clock;
@@ -113,7 +88,7 @@
     const known = this.byId.get(record.id);
     if (!known) {
       const added = this.create(record);
-      this.options.events.emit(ROUTING_EVENTS.backendKnown, describe(record));
+      this.options.events.emit(ROUTING_EVENTS.backendKnown, describeRecord(record));
       if (record.revision <= knownRevision) this.leave(added, record.revision, false);
       this.announce(added);
       return true;
@@ -199,7 +174,9 @@
   removeAllBut(ids: ReadonlySet<string>, revision: number, mayHaveLapsed: boolean): boolean {
     let changed = false;
     for (const known of this.byId.values()) {
-      if (ids.has(known.id) || known.departed || known.record.revision > revision) continue;
+      if (ids.has(known.id) || known.record.revision > revision) continue;
+      known.restored = undefined;
+      if (known.departed) continue;
       changed = this.remove({ id: known.id, revision }, mayHaveLapsed) || changed;
     }
     return changed;
@@ -231,7 +208,7 @@
   private restart(known: KnownBackend, record: RoutedBackend): void {
     this.drop(known);
     this.options.events.emit(ROUTING_EVENTS.backendRestarted, {
-      ...describe(record),
+      ...describeRecord(record),
       incarnation: record.incarnation,
       previous: known.record.incarnation,
       departed: known.departed,
@@ -272,7 +249,7 @@
     known.departedAtMs = undefined;
     this.departed.delete(known);
     known.coldUntilMs = this.options.clock.now() + record.coldMs;
-    if (stateChanged) this.options.events.emit(ROUTING_EVENTS.backendChanged, describe(record));
+    if (stateChanged) this.options.events.emit(ROUTING_EVENTS.backendChanged, describeRecord(record));
   }
 
   private forget(backend: KnownBackend): void {
@@ -298,15 +275,3 @@
 }
 
 const NONE: ReadonlySet<KnownBackend> = new Set();
-
-function describe(record: RoutedBackend): Readonly<Record<string, string | number | boolean>> {
-  return {
-    backend: record.id,
-    service: record.service,
-    endpoint: formatEndpoint(record.endpoint),
-    zone: record.zone,
-    draining: record.draining,
-    coldMs: record.coldMs,
-    revision: record.revision,
-  };
-}
--- a/src/cookie-edge/routing/index.ts
+++ b/src/cookie-edge/routing/index.ts
@@ -14,7 +14,8 @@
  * ```
  */
 export type * from './types.js';
-export { BackendRegistry, type KnownBackend } from './backend-registry.js';
+export { BackendRegistry } from './backend-registry.js';
+export type { KnownBackend } from './known-backend.js';
 export { isOtherIncarnation } from './incarnation-rule.js';
 export { RoutingSourceError, type RoutingSourceErrorKind } from './errors.js';
 export { ROUTING_EVENTS } from './events.js';
--- a/src/cookie-edge/routing/restored-source.test.ts
+++ b/src/cookie-edge/routing/restored-source.test.ts
@@ -87,6 +87,38 @@
   t.is(knowledge.routes()?.table.version, 27);
 });
 
+test('a change of the table keeps the epoch, so that the next change starts from it', (t) => {
+  const { knowledge: first } = knowing();
+  const { knowledge: second } = knowing();
+  const told: RoutingUpdate[] = [];
+  first.subscribe(({ topic, update, since }) => {
+    if (topic !== 'routes') return;
+    told.push(update);
+    t.true(second.apply('routes', update, origin(since)), `version ${first.routes()?.table.version}`);
+  });
+  first.apply('routes', restored(17, { routes: [tableAt(17, { epoch: 1, version: 24 })] }), origin(-1));
+  for (const version of [27, 29, 33]) {
+    const table = tableAt(version, { epoch: 1, version });
+    first.apply('routes', changed(version, { routes: [table] }), origin(17));
+    t.is(second.routes()?.table.version, version);
+    t.is(second.tableRevision, version);
+  }
+  t.deepEqual(
+    told.map(({ routeChange }) => routeChange !== undefined),
+    [false, true, true, true],
+  );
+});
+
+test('a back end that had left waits no longer once a later list lacks it', (t) => {
+  const { knowledge, clock } = knowing();
+  knowledge.apply('backends', updateAt(22, { removals: [{ id: 'b', revision: 22 }] }), origin(21));
+  knowledge.apply('backends', restored(16, { backends: [backendAt('b', 4)] }), origin(-1));
+  knowledge.apply('backends', restored(18), origin(-1));
+  clock.advance(RESTORED_HOLD_MS);
+  knowledge.prune();
+  t.true(knowledge.backends.get('b')?.departed);
+});
+
 test('others are told the table in force, not the older one of the copy', (t) => {
   const { knowledge } = knowing();
   const told: RoutingUpdate[] = [];
--- a/src/cookie-edge/routing/route-table-change.ts
+++ b/src/cookie-edge/routing/route-table-change.ts
@@ -38,7 +38,8 @@
   const { version, revision, idleTimeoutMs, services, digest } = change;
   const changed = [...routes.values()];
   if (digestOfRoutes(changed) !== digest) return undefined;
-  return { version, revision, idleTimeoutMs, services, routes: changed };
+  const epoch = table.epoch === undefined ? {} : { epoch: table.epoch };
+  return { version, ...epoch, revision, idleTimeoutMs, services, routes: changed };
 }
 
 /** True when `second` starts from the table that `first` leads to. */
--- a/src/cookie-edge/routing/source-history-log.ts
+++ b/src/cookie-edge/routing/source-history-log.ts
@@ -8,7 +8,7 @@
 import type { RoutingTopic } from './types.js';
 
 /** Responses since start, by kind. */
-export interface HistoryBreakCounts extends Readonly<Record<string, number>> {
+interface HistoryBreakCounts extends Readonly<Record<string, number>> {
   readonly historyGone: number;
   readonly olderRevision: number;
 }
