Openings at a back end that is proved dead are not reset: a copy may be open elsewhere

Change: only flows that were seen open are reset; the next copy of an opening that comes here is placed anew. Before, after: the new test failed, passes.

--- a/src/cookie-edge/backend-health/dead-backends.test.ts
+++ b/src/cookie-edge/backend-health/dead-backends.test.ts
@@ -37,6 +37,18 @@
   });
 }
 
+test('an opening at a back end that is proved dead is not reset: a copy of its SYN may be open elsewhere', async (t) => {
+  const { harness, unreachable } = setUp(2);
+  const flows = openAt(harness);
+  const opening = [44_000, 44_001, 44_002].find((port) => harness.open(port)?.backend === 'a');
+  unreachable.set(hostOf('a'), 'refused');
+  await repeatRequest(harness, flows.get('a')!, [flows.get('b')!]);
+  t.true(harness.resets.length > 0);
+  t.not(opening, undefined);
+  t.false(harness.resets.some(({ sourcePort }) => sourcePort === opening));
+  t.is(harness.open(opening!, 1)?.backend, 'b', 'its next copy is placed anew');
+});
+
 test('a reset names the caller of the flow and its last acknowledgement', async (t) => {
   const { harness, unreachable } = setUp(2);
   const flows = openAt(harness);
--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -196,7 +196,9 @@
 
   private declare(state: LocalBackendState, proof: DeathProof, untilMs: number): void {
     const nowMs = this.options.clock.now();
-    const flows = this.options.cache.flowsAt(state);
+    // A copy of an opening's SYN may have met another balancer and be open elsewhere, where a reset would end the flow;
+    // the next copy that comes here is placed anew.
+    const flows = this.options.cache.flowsAt(state).filter(({ phase }) => phase !== 'opening');
     state.recordDeadVerdict(untilMs);
     const { backend, lastSignOfLifeMs } = state;
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendDead, {
