Tests that fail: entries that lapse while all daemons are lost, and openings that come before a list fills

Cause: a daemon takes a list that is all but empty for the whole truth, and nobody keeps which back ends there were.

--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -20,6 +20,7 @@
 const SERIAL_FILES = [
   'platform/tools/soak/soak.test.ts',
   'platform/whole-path.test.ts',
+  'platform/lapsed-entries.test.ts',
   'src/cli/commands.test.ts',
   'src/gue-edge/daemon/whole-path.test.ts',
   'src/experiment/forwarding/forwarding-workers.test.ts',
