--- a/contract/surfaces/operator-metrics.ts
+++ b/contract/surfaces/operator-metrics.ts
@@ -61,6 +61,7 @@
     forwarder: {
       statistics,
       flowCount: 1,
+      heldOpenings: 1,
       probes: 1,
       ejections: 1,
       outliers,
@@ -69,12 +70,14 @@
     knowledge: {
       routes: () => ({ table: { version: 1 } }),
       cordons: { all: () => [] },
-      backends: { all: () => [] },
+      backends: { all: () => [], awaitedCount: 1 },
       topics: ['routes', 'backends', 'cordons'],
       ageOf: () => 1,
       revisionOf: () => 1,
     },
     availability: { isLost: false },
+    settlement: { isUnsettled: false },
+    roster: { reader: { calls: 1 }, writer: { calls: 1, writes: 1 } },
     reading: { calls: 1 },
     problems: { count: 1 },
     history: { counts: { historyGone: 1, olderRevision: 1 } },
--- a/contract/surfaces/wire-gossip.ts
+++ b/contract/surfaces/wire-gossip.ts
@@ -94,6 +94,7 @@
   senderZone: 'a',
   leaving: true,
   departedCount: 3,
+  unsettled: false,
   confirmations: {
     routes: { revision: REVISION, changedRevision: 12, confirmedAtMs: SENT_AT_MS - 40.5 },
     backends: { revision: 21, changedRevision: 20, confirmedAtMs: SENT_AT_MS },
@@ -124,6 +125,7 @@
   senderZone: '',
   leaving: false,
   departedCount: 0,
+  unsettled: false,
   tableRevision: -1,
   confirmations: {},
   readers: [],
--- a/src/common/mechanisms.ts
+++ b/src/common/mechanisms.ts
@@ -24,6 +24,10 @@
   'reported-load',
   /** Splits are dealt by credit; otherwise by chance. */
   'split-credit',
+  /** Which back ends there are is kept in the source's store, so that it outlasts the loss of all daemons. */
+  'roster',
+  /** Openings that no listed back end can serve are held while back ends that live may be missing from the list. */
+  'unsettled-openings',
   /** Records that may only have lapsed are the last resort of a service. */
   'lapsed-records',
   /** Back ends that left are remembered as long as a flow to them may be open. */
--- a/src/cookie-edge/daemon/adapters.ts
+++ b/src/cookie-edge/daemon/adapters.ts
@@ -8,6 +8,7 @@
 import type { CookieEdgeHandler, CookieEdgePort } from '../../fabric/cookie-edge.js';
 import type { EventLog } from '../../observability/event.js';
 import type { CallCountSource } from '../load/index.js';
+import type { RosterStore } from '../roster/index.js';
 import type { RoutingSource } from '../routing/index.js';
 
 /** An edge whose socket is bound. */
@@ -36,5 +37,5 @@
    */
   openEdge(options: CookieEdgeOptions): Promise<BoundCookieEdge>;
   /** Creates the client of the source at `address`, without calling it. */
-  createSource(address: Endpoint, clock: Clock): RoutingSource & CallCountSource;
+  createSource(address: Endpoint, clock: Clock): RoutingSource & CallCountSource & RosterStore;
 }
--- a/src/cookie-edge/daemon/buffered-packets.ts
+++ b/src/cookie-edge/daemon/buffered-packets.ts
@@ -16,14 +16,9 @@
  * binding, and a socket that has been read for a while holds a packet for a moment only. An unknown retransmission
  * count gets the shortest time, that of a first SYN.
  */
+import { untilNextTransmissionMs } from '../forwarding/syn-schedule.js';
 import { MAX_BUFFERED_PACKETS, MAX_BUFFERED_SYN_AFTER_READ_MS, MAX_BUFFERED_SYN_MS } from './constants.js';
 
-/**
- * Times in ms after the first SYN at which callers send the first and the second retransmission, and at which they
- * give the attempt up. Bound of the platform: its callers' schedule.
- */
-const NEXT_SENT_MS = [200, 600, 1_400] as const;
-
 /** What becomes of a packet that arrives before the buffer opens. */
 type ArrivalOutcome = 'hold' | 'drop-holding-off' | 'drop-buffer-full';
 
@@ -73,14 +68,13 @@
 
 /** True while the caller of a buffered SYN cannot have sent a further one. */
 export function mayDeliverBufferedSyn({ retransmissions, boundForMs, readAgoMs }: BufferedSyn): boolean {
-  const longerMs = retransmissions < NEXT_SENT_MS.length ? waitAfter(retransmissions) - waitAfter(0) : 0;
+  const longerMs = untilNextTransmissionMs(retransmissions) - untilNextTransmissionMs(0);
   return (
     boundForMs <= MAX_BUFFERED_SYN_MS + longerMs || readAgoMs <= MAX_BUFFERED_SYN_AFTER_READ_MS + longerMs
   );
 }
 
-/** Time in ms from a transmission to the next one, or to the end of the attempt. */
-function waitAfter(retransmissions: number): number {
-  const sentMs = retransmissions === 0 ? 0 : (NEXT_SENT_MS[retransmissions - 1] as number);
-  return (NEXT_SENT_MS[retransmissions] as number) - sentMs;
+/** Longest time in ms that a buffered packet can have waited, in the buffer and in the socket before it was read. */
+export function longestWaitMs(readAgoMs: number, boundForMs: number): number {
+  return Math.min(boundForMs, readAgoMs + MAX_BUFFERED_SYN_AFTER_READ_MS);
 }
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -13,7 +13,9 @@
 import type { EventLog } from '../../observability/event.js';
 import { createCookieForwarder, HOUSEKEEPING_TICK_MS, type CookieForwarder } from '../forwarding/index.js';
 import { LOAD_MIN_DAEMONS, LoadReader, LoadView } from '../load/index.js';
+import { RosterReader, RosterWriter } from '../roster/index.js';
 import {
+  BackendSettlement,
   freshnessTimings,
   ProblemLog,
   RoutingKnowledge,
@@ -40,6 +42,9 @@
   readonly edge: BoundCookieEdge;
   readonly knowledge: RoutingKnowledge;
   readonly availability: SourceAvailability;
+  readonly settlement: BackendSettlement;
+  /** Undefined where the deployment keeps no roster. */
+  readonly roster: Roster | undefined;
   readonly problems: ProblemLog;
   readonly history: SourceHistoryLog;
   readonly reading: SourceReading;
@@ -48,6 +53,12 @@
   readonly forwarder: CookieForwarder;
 }
 
+/** The tasks that read and write the roster. */
+interface Roster {
+  readonly reader: RosterReader;
+  readonly writer: RosterWriter;
+}
+
 /** What every factory uses. */
 interface Wiring extends CookieDaemonEnvironment {
   /** The configuration in force, which a reload may change. */
@@ -86,15 +97,15 @@
     forwarder: () => forwarder,
   };
   const sourceParts = createSourceParts(wiring);
-  const { knowledge, availability, problems, history, reading } = sourceParts;
+  const { knowledge, availability, reading } = sourceParts;
   reading.readFirst();
   const transport = await NetworkTransport.open(config().control, events);
   const spreader = createSpreader(wiring, sourceParts, transport);
   availability.setMinimumRetryDelay(() => spreader.minimumRetryDelayMs());
   const forwarder = createForwarder(wiring, sourceParts, edge);
   openWhenComplete(buffer, knowledge, forwarder);
-  const parts = { knowledge, availability, problems, history, reading, spreader, forwarder };
-  return { ...environment, edge, transport, ...parts };
+  const roster = createRoster(wiring, sourceParts);
+  return { ...environment, ...sourceParts, edge, transport, roster, spreader, forwarder };
 }
 
 function createSourceParts(wiring: Wiring) {
@@ -113,32 +124,52 @@
     isWanted: () => isOn('reported-load') && !availability.isLost && spreader().fleetSize >= LOAD_MIN_DAEMONS,
     onReport: (report) => spreader().gossipLoad(report),
   });
-  const problems = new ProblemLog(events);
-  const history = new SourceHistoryLog(events);
+  const logs = { problems: new ProblemLog(events), history: new SourceHistoryLog(events) };
+  const recordsMayLapse = (): boolean => availability.recordsMayLapse();
+  const settlement = new BackendSettlement({ clock, events, knowledge, recordsMayLapse });
   const following = {
     clock,
     source,
     knowledge,
     availability,
     timings,
-    problems,
-    history,
+    ...logs,
     usesLongWatches: isOn('long-watches'),
     onConfirmation: () => spreader().recordOwnConfirmation(),
   };
   return {
+    source,
     knowledge,
     timings,
     availability,
-    problems,
-    history,
+    settlement,
+    ...logs,
     reading: new SourceReading(following, loadReader),
   };
 }
 
+/** The tasks run once the daemon does; undefined without a configuration of the roster. */
+function createRoster(wiring: Wiring, parts: SourceParts): Roster | undefined {
+  const { clock, events, isOn, spreader } = wiring;
+  const { roster, changeBoundsMs } = wiring.config();
+  if (!roster || !isOn('roster')) return undefined;
+  const { source: store, knowledge, settlement } = parts;
+  const writer = new RosterWriter({
+    clock,
+    events,
+    knowledge,
+    store,
+    maxPageBytes: roster.maxPageBytes,
+    isLeading: () => spreader().isLeadingReader,
+    isSettled: () => !settlement.isUnsettled,
+    currentWithinMs: Math.min(...changeBoundsMs),
+  });
+  return { reader: new RosterReader({ clock, events, knowledge, settlement, store }), writer };
+}
+
 function createSpreader(wiring: Wiring, parts: SourceParts, transport: NetworkTransport): Spreader {
   const { clock, random, events, config, isOn, pauses, loads, forwarder } = wiring;
-  const { knowledge, timings, availability, reading } = parts;
+  const { knowledge, timings, availability, settlement, reading } = parts;
   const { id, zone } = config();
   return new Spreader({
     selfId: id,
@@ -155,13 +186,19 @@
     recordArrival: () => pauses.recordRead('peers'),
     mayHaveWaited: () => pauses.mayHaveWaited(clock.now()),
     recordsMayLapse: () => availability.recordsMayLapse(),
+    isUnsettled: () => settlement.isUnsettled,
+    onSettledPeer: () => settlement.recordSettledPeer(),
     applyLoadReport: (report) => isOn('reported-load') && loads.applyReport(report),
     applyBadAnswerReport: (report) => forwarder().applyBadAnswerReport(report),
     applyEjectionReport: ({ backendId, atMs }) => forwarder().applyEjectionReport(backendId, atMs),
   });
 }
 
-function createForwarder(wiring: Wiring, { knowledge }: SourceParts, edge: BoundCookieEdge): CookieForwarder {
+function createForwarder(
+  wiring: Wiring,
+  { knowledge, settlement }: SourceParts,
+  edge: BoundCookieEdge,
+): CookieForwarder {
   const { clock, random, events, config, isOn, pauses, loads, spreader } = wiring;
   const { id, zone, zoneMargin, zoneLoadFactor, maxFlowAgeMs, zoneRegions, outliers } = config();
   const { coldOverage: overage, coldSlack: slack } = config();
@@ -170,6 +207,7 @@
     random,
     events,
     knowledge,
+    settlement,
     edge,
     pauses,
     isOn,
--- a/src/cookie-edge/daemon/config.ts
+++ b/src/cookie-edge/daemon/config.ts
@@ -88,6 +88,8 @@
     }),
     {},
   ),
+  /** Keeps a roster of back ends in the source's store; none unless given. */
+  roster: z.optional(z.object({ maxPageBytes: z.int().check(z.positive()) })),
   /** Mechanisms that are switched off for an experiment (`src/common/mechanisms.ts`). */
   switchedOff: z._default(z.array(z.enum(MECHANISMS)), []),
   limits: z.prefault(
--- a/src/cookie-edge/daemon/cookie-daemon.ts
+++ b/src/cookie-edge/daemon/cookie-daemon.ts
@@ -74,9 +74,11 @@
 
   private async run(): Promise<void> {
     const { components, running } = this;
-    const { forwarder, spreader, edge, events } = components;
+    const { forwarder, spreader, roster, edge, events } = components;
     forwarder.start(running.signal);
     spreader.start(running.signal);
+    void roster?.reader.run(running.signal);
+    void roster?.writer.run(running.signal);
     this.admin = await AdminServer.listen(this.current.config.admin, {
       readiness: () => this.readiness(),
       status: () => describeStatus(components, this.readiness()),
--- a/src/cookie-edge/daemon/metrics.ts
+++ b/src/cookie-edge/daemon/metrics.ts
@@ -50,6 +50,43 @@
     (parts) => parts.forwarder.statistics.refusals,
     'reason',
   ],
+  [
+    'gauge',
+    'backends_settled',
+    '1 while the list of back ends is believed, 0 while live ones may be missing from it',
+    ({ settlement }) => Number(!settlement.isUnsettled),
+  ],
+  [
+    'gauge',
+    'backends_awaited',
+    'Back ends of the roster that are not listed yet',
+    ({ knowledge }) => knowledge.backends.awaitedCount,
+  ],
+  [
+    'gauge',
+    'openings_held',
+    'Openings that wait for a back end to be listed',
+    (parts) => parts.forwarder.heldOpenings,
+  ],
+  ['counter', 'openings_held_total', 'Openings held so far', (parts) => parts.forwarder.statistics.held],
+  [
+    'counter',
+    'openings_held_too_long_total',
+    'Held openings given up, as their caller sends the next copy',
+    (parts) => parts.forwarder.statistics.heldTooLong,
+  ],
+  [
+    'counter',
+    'roster_writes_total',
+    'Pages of the roster written',
+    ({ roster }) => roster?.writer.writes ?? 0,
+  ],
+  [
+    'counter',
+    'roster_calls_total',
+    'Calls to the store about the roster',
+    ({ roster }) => (roster ? roster.reader.calls + roster.writer.calls : 0),
+  ],
   [
     'counter',
     'packets_dropped_total',
--- a/src/cookie-edge/daemon/startup-buffer.ts
+++ b/src/cookie-edge/daemon/startup-buffer.ts
@@ -9,7 +9,7 @@
 import type { EdgeDropReason } from '../../fabric/types.js';
 import type { EventLog } from '../../observability/event.js';
 import type { BoundCookieEdge } from './adapters.js';
-import { decideAtOpening, decideOnArrival } from './buffered-packets.js';
+import { decideAtOpening, decideOnArrival, longestWaitMs } from './buffered-packets.js';
 import { COOKIE_DAEMON_EVENTS } from './events.js';
 
 /** A packet that waits for the opening of the buffer. */
@@ -18,7 +18,7 @@
   readonly retransmissions: number | undefined;
   /** Monotonic ms at which it was read; it may have waited in the socket since the binding. */
   readonly readAtMs: number;
-  readonly deliver: () => void;
+  readonly deliver: (waitedMs: number) => void;
 }
 
 /** The part of an edge that the buffer uses. */
@@ -64,7 +64,7 @@
     );
     const bufferedCount = this.buffered.length;
     this.buffered = [];
-    for (const { deliver } of deliverable) deliver();
+    for (const { deliver, readAtMs } of deliverable) deliver(longestWaitMs(nowMs - readAtMs, boundForMs));
     if (bufferedCount === 0) return;
     this.options.events.emit(COOKIE_DAEMON_EVENTS.heldPacketsDelivered, {
       delivered: deliverable.length,
@@ -74,8 +74,8 @@
     });
   }
 
-  onPacket(packet: CookiePacket): void {
-    if (this.handler) return this.handler.onPacket(packet);
+  onPacket(packet: CookiePacket, waitedMs = 0): void {
+    if (this.handler) return this.handler.onPacket(packet, waitedMs);
     const { isOn = ALL_MECHANISMS_ON } = this.options;
     const { edge } = this;
     const outcome = decideOnArrival({
--- a/src/cookie-edge/daemon/status.ts
+++ b/src/cookie-edge/daemon/status.ts
@@ -1,6 +1,6 @@
 /** Status page of a daemon on a cookie edge, and the numbers of its last log line. Owns nothing: reads the parts. */
 import type { Readiness } from '../../observability/admin-server.js';
-import type { RoutingTopic } from '../routing/index.js';
+import type { BackendKnowledge, RoutingTopic } from '../routing/index.js';
 import type { CookieDaemonComponents } from './components.js';
 
 /** Back ends by condition. */
@@ -15,6 +15,11 @@
   readonly readiness: Readiness;
   readonly routesVersion: number | undefined;
   readonly backends: BackendCounts;
+  /** How far the list of back ends is known. */
+  readonly backendKnowledge: BackendKnowledge;
+  /** Ids of back ends of the roster that are not listed yet. */
+  readonly awaitedBackends: readonly string[];
+  readonly heldOpenings: number;
   readonly openFlows: number;
   readonly outstandingRequests: number;
   /** Ids of outliers that are avoided now. */
@@ -29,11 +34,14 @@
 
 /** Reads the status page from the parts. */
 export function describeStatus(components: CookieDaemonComponents, readiness: Readiness): CookieDaemonStatus {
-  const { knowledge, forwarder, availability, spreader } = components;
+  const { knowledge, settlement, forwarder, availability, spreader } = components;
   return {
     readiness,
     routesVersion: knowledge.routes()?.table.version,
     backends: countBackends(components),
+    backendKnowledge: settlement.state,
+    awaitedBackends: knowledge.backends.awaited().map(({ id }) => id),
+    heldOpenings: forwarder.heldOpenings,
     openFlows: forwarder.flowCount,
     outstandingRequests: forwarder.answers.outstandingCount,
     avoidedBackends: forwarder.outliers.avoidedAt(components.clock.now()),
@@ -53,12 +61,15 @@
   spreader,
 }: CookieDaemonComponents): Record<string, number | string> {
   const { packets, forwarded, opened, takenOver, placedAnew, resets, drops, refusals } = forwarder.statistics;
+  const { held, heldTooLong } = forwarder.statistics;
   return {
     packets,
     forwarded,
     opened,
     takenOver,
     placedAnew,
+    held,
+    heldTooLong,
     ejections: forwarder.ejections,
     resets,
     probes: forwarder.probes,
--- a/src/cookie-edge/forwarding/constants.ts
+++ b/src/cookie-edge/forwarding/constants.ts
@@ -6,6 +6,15 @@
  */
 export const HOUSEKEEPING_TICK_MS = 150;
 
+/** Openings that are held at once, so that memory is bounded: at most about 1.3 MB. */
+export const MAX_HELD_OPENINGS = 1_024;
+
+/** A held opening is given up this long before its caller sends the next copy, in ms: packets are on their way. */
+export const HELD_MARGIN_MS = 50;
+
+/** Held openings are decided again this long after a change, in ms, so that one turn serves several changes. */
+export const HELD_RELEASE_MS = 20;
+
 /**
  * Data repeated sooner than this, in ms, is a duplicate made by the network. Source: callers retransmit after 200 ms at
  * the earliest; 50 ms less as a margin, which is not measured.
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -15,6 +15,7 @@
 import type { CookieRegistry } from './cookie-registry.js';
 import type { CookieStatistics } from './cookie-statistics.js';
 import type { FlowCache } from './flow-cache.js';
+import type { HeldOpenings } from './held-openings.js';
 import type { Housekeeping } from './housekeeping.js';
 import type { MidFlowHandler } from './mid-flow-handler.js';
 import type { OpeningHandler } from './opening-handler.js';
@@ -34,6 +35,7 @@
   readonly answers: AnswerTracker;
   readonly outliers: OutlierDetector;
   readonly openings: OpeningHandler;
+  readonly held: HeldOpenings;
   readonly midFlow: MidFlowHandler;
   readonly housekeeping: Housekeeping;
 }
@@ -71,6 +73,11 @@
     return this.options.dead.probes;
   }
 
+  /** Openings held now. */
+  get heldOpenings(): number {
+    return this.options.held.size;
+  }
+
   /** Flows remembered now. */
   get flowCount(): number {
     return this.options.cache.size;
@@ -98,6 +105,7 @@
   /** Runs the housekeeping until `signal` aborts. */
   start(signal: AbortSignal): void {
     this.options.housekeeping.start(signal);
+    signal.addEventListener('abort', () => this.options.held.stop());
   }
 
   onDrop(reason: EdgeDropReason): void {
@@ -105,13 +113,13 @@
     this.statistics.countDrop(reason);
   }
 
-  onPacket(packet: CookiePacket): void {
+  onPacket(packet: CookiePacket, waitedMs = 0): void {
     const { clock, pauses, cache, openings, midFlow } = this.options;
     const nowMs = clock.now();
     pauses.recordRead('edge');
     this.statistics.packets += 1;
     const flow = cache.find(packet);
-    if (packet.syn && !packet.ack) openings.onSyn(packet, flow, nowMs);
+    if (packet.syn && !packet.ack) openings.onSyn(packet, flow, { nowMs, waitedMs });
     else midFlow.onMidFlow(packet, flow, nowMs);
   }
 
--- a/src/cookie-edge/forwarding/cookie-statistics.ts
+++ b/src/cookie-edge/forwarding/cookie-statistics.ts
@@ -13,6 +13,10 @@
   placedAnew = 0;
   /** Open flows that were reset because their back end was dead. */
   resets = 0;
+  /** Openings held because back ends that live may not be listed yet. */
+  held = 0;
+  /** Held openings that were given up, because their caller sends the next copy or has given up itself. */
+  heldTooLong = 0;
   /** Flows first seen after their opening: placed by another balancer, or before this one started. */
   takenOver = 0;
   /** Milliseconds from the SYN to the caller's next packet. */
--- a/src/cookie-edge/forwarding/cookie-test-support.ts
+++ b/src/cookie-edge/forwarding/cookie-test-support.ts
@@ -12,6 +12,7 @@
 import type { BadAnswerReport } from '../outliers/index.js';
 import type { PlacementRequest } from '../placement/index.js';
 import {
+  BackendSettlement,
   RoutingKnowledge,
   type KnownBackend,
   type RoutedBackend,
@@ -44,6 +45,8 @@
   readonly isOwner?: (backendId: string) => boolean;
   /** Outcome of a probe; answered unless given. */
   readonly probe?: ConnectProbe;
+  /** Follows the state of the list; it is always believed unless given. */
+  readonly settles?: boolean;
   /** Names it in its reports to other balancers. */
   readonly observer?: number;
   /** Called with its reports of bad answers. */
@@ -53,13 +56,19 @@
 /** One balancer under test. */
 export class ForwarderHarness {
   readonly sent: SentPacket[] = [];
+  /** For each of `sent` the caller's port. */
+  readonly sentPorts: number[] = [];
   /** Resets of flows other than that of the packet being handled. */
   readonly resets: ResetTarget[] = [];
   /** Back ends that it reported as ejected, dead or in doubt. */
   readonly gossipedEjections: string[] = [];
   readonly logged: { readonly event: EventDefinition; readonly fields: EventFields }[] = [];
   readonly knowledge: RoutingKnowledge;
+  readonly settlement: BackendSettlement;
+  recordsMayLapse = false;
   readonly forwarder: CookieForwarder;
+  /** The packet that is being handled. */
+  private handled: CookiePacket = EMPTY_PACKET;
   private abort = new AbortController();
   private readonly turns: (() => void)[] = [];
 
@@ -75,21 +84,18 @@
       },
     };
     this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000, followsCordons: true });
-    const edge: CookieEdgePort = {
-      sendToBackend: (backend, endpoint, cookie) => this.sent.push({ backend, endpoint, cookie }),
-      sendReset: () => this.sent.push({ backend: undefined, cookie: 0 }),
-      sendResetTo: (target) => this.resets.push(target),
-      keepPacket: () => () => undefined,
-    };
+    const recordsMayLapse = (): boolean => this.recordsMayLapse;
+    this.settlement = new BackendSettlement({ clock, events, knowledge: this.knowledge, recordsMayLapse });
     this.forwarder = createCookieForwarder({
       clock,
       events,
       knowledge: this.knowledge,
-      edge,
+      edge: this.edge(),
       zone: 'north',
       zoneMargin: 0.5,
       zoneLoadFactor: 1.5,
       isOn: allBut(switchedOff),
+      ...(surroundings.settles && { settlement: this.settlement }),
       regionOf: (zone) => surroundings.regions?.[zone],
       probe: surroundings.probe ?? (() => Promise.resolve('answered')),
       cold: { overage: 1.5, slack: 5, isOwner: surroundings.isOwner ?? (() => true) },
@@ -141,13 +147,36 @@
     this.knowledge.apply('backends', updateAt(revision, { removals: [{ id, revision }] }), origin);
   }
 
+  private edge(): CookieEdgePort {
+    return {
+      sendToBackend: (backend, endpoint, cookie) => this.send({ backend, endpoint, cookie }),
+      sendReset: () => this.send({ backend: undefined, cookie: 0 }),
+      sendResetTo: (target) => this.resets.push(target),
+      keepPacket: () => {
+        const kept = { ...this.handled };
+        return (waitedMs) => this.handle(kept, waitedMs);
+      },
+    };
+  }
+
+  private send(sent: SentPacket): void {
+    this.sent.push(sent);
+    this.sentPorts.push(this.handled.sourcePort);
+  }
+
   /** Delivers a packet; returns what was sent for it, or undefined. */
   deliver(packet: Partial<CookiePacket>): SentPacket | undefined {
     const before = this.sent.length;
-    this.forwarder.onPacket({ ...EMPTY_PACKET, ...packet });
+    this.handle(packet);
     return this.sent[before];
   }
 
+  /** Has a packet handled that was kept for `waitedMs` since it arrived. */
+  handle(packet: Partial<CookiePacket>, waitedMs = 0): void {
+    this.handled = { ...EMPTY_PACKET, ...packet };
+    this.forwarder.onPacket(this.handled, waitedMs);
+  }
+
   /** Delivers the SYN of a caller's flow. */
   open(port: number, retransmissionCount = 0): SentPacket | undefined {
     return this.deliver({ sourcePort: port, syn: true, retransmissionCount });
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -27,7 +27,7 @@
   TrafficSplitter,
   type ColdAdmissionOptions,
 } from '../placement/index.js';
-import type { RoutingKnowledge } from '../routing/index.js';
+import type { BackendSettlement, RoutingKnowledge } from '../routing/index.js';
 import { CookieForwarder } from './cookie-forwarder.js';
 import { CookieRegistry } from './cookie-registry.js';
 import { CookieStatistics } from './cookie-statistics.js';
@@ -35,6 +35,7 @@
 import { FlowExpiry } from './flow-expiry.js';
 import { FlowFailures } from './flow-failures.js';
 import { FlowFollower } from './flow-follower.js';
+import { HeldOpenings } from './held-openings.js';
 import { Housekeeping } from './housekeeping.js';
 import { MidFlowHandler } from './mid-flow-handler.js';
 import { OpeningHandler } from './opening-handler.js';
@@ -57,6 +58,8 @@
   readonly zoneLoadFactor: number;
   /** Region of a zone; undefined when it is not configured. */
   readonly regionOf: (zone: string) => string | undefined;
+  /** Whether the list of back ends is to be believed; always unless given. */
+  readonly settlement?: Settlement;
   readonly cold: ColdAdmissionOptions;
   /** Opens a connection to a back end to test whether it listens. */
   readonly probe: ConnectProbe;
@@ -77,6 +80,16 @@
   readonly onEject?: (backendId: string, nowMs: number) => void;
 }
 
+/** What forwarding needs of the state of the list. */
+type Settlement = Pick<BackendSettlement, 'state' | 'isKnownEmpty' | 'subscribe'>;
+
+/** A list that is always believed. */
+const ALWAYS_SETTLED: Settlement = {
+  state: 'settled',
+  isKnownEmpty: () => false,
+  subscribe: () => undefined,
+};
+
 /** The parts that several others share. */
 interface SharedParts {
   readonly isOn: MechanismCheck;
@@ -91,6 +104,8 @@
   readonly failures: FlowFailures;
   readonly sender: PacketSender;
   readonly coldAdmission: ColdAdmission;
+  readonly settlement: Settlement;
+  readonly held: HeldOpenings;
 }
 
 /** Creates a forwarder; it handles packets at once, and its timer begins with `start`. */
@@ -122,6 +137,7 @@
 function createSharedParts(environment: CookieForwarderEnvironment): SharedParts {
   const { clock, events, edge, pauses, probe } = environment;
   const isOn = environment.isOn ?? ALL_MECHANISMS_ON;
+  const settlement = settlementOf(environment, isOn);
   const gossipEjection = ejectionGossipOf(environment, isOn);
   const statistics = new CookieStatistics();
   const cookies = new CookieRegistry();
@@ -131,18 +147,8 @@
     ({ backend }, nowMs) => gossipEjection(backend.id, nowMs),
     isOn,
   );
-  const dead = new DeadBackends({
-    isOn,
-    states,
-    cache,
-    edge,
-    statistics,
-    events,
-    clock,
-    pauses,
-    probe,
-    onDoubt: gossipEjection,
-  });
+  const probing = { clock, pauses, probe, onDoubt: gossipEjection };
+  const dead = new DeadBackends({ isOn, states, cache, edge, statistics, events, ...probing });
   const outliers = createOutlierDetector(environment);
   return {
     isOn,
@@ -157,9 +163,16 @@
     failures: new FlowFailures({ states, dead, isOn }),
     sender: new PacketSender({ edge, cookies, statistics }),
     coldAdmission: new ColdAdmission(environment.cold),
+    settlement,
+    held: new HeldOpenings({ clock, events, edge, statistics, settlement }),
   };
 }
 
+/** The list is always believed while `unsettled-openings` is switched off. */
+function settlementOf({ settlement }: CookieForwarderEnvironment, isOn: MechanismCheck): Settlement {
+  return settlement && isOn('unsettled-openings') ? settlement : ALWAYS_SETTLED;
+}
+
 /** The function that gossips an ejection, a death or a doubt; does nothing while `shared-ejections` is switched off. */
 function ejectionGossipOf(
   { onEject }: CookieForwarderEnvironment,
@@ -196,7 +209,7 @@
 
 function createOpeningHandler(environment: CookieForwarderEnvironment, shared: SharedParts): OpeningHandler {
   const { random, events, knowledge, pauses, zone, zoneMargin, zoneLoadFactor, loads } = environment;
-  const { isOn, states, outliers, pending, coldAdmission } = shared;
+  const { isOn, states, outliers, pending, coldAdmission, settlement } = shared;
   const eligibility = new BackendEligibility({
     knowledge,
     coldAdmission,
@@ -207,6 +220,7 @@
     knowledge,
     eligibility,
     coldAdmission,
+    settlement,
     splitter: new TrafficSplitter(random, isOn),
     placement: new OpeningPlacement({ zone, zoneMargin, zoneLoadFactor, isOn, loads }),
     isOutlier: ({ backend, idHash }, flowHash, nowMs) =>
@@ -216,6 +230,7 @@
   return new OpeningHandler({
     newFlows,
     cache: shared.cache,
+    held: shared.held,
     pending,
     failures: shared.failures,
     sender: shared.sender,
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -57,6 +57,12 @@
     message: 'Open flow reset: its back end is dead',
     action: 'See the event 1259 of its back end',
   },
+  openingsReleased: {
+    number: 1261,
+    level: 'info',
+    message: 'Openings that waited for a back end to be listed were decided again',
+    action: 'none',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- /dev/null
+++ b/src/cookie-edge/forwarding/list-that-fills.test.ts
@@ -0,0 +1,230 @@
+/**
+ * Replays the load after the loss of all daemons in an outage with lapses: callers open flows while the list of back
+ * ends fills over two seconds. Each caller sends copies after 200 and 600 ms, gives an attempt up after 1,400 ms or
+ * with a reset, and makes three attempts within its deadline, as the platform's callers do.
+ */
+import test from 'ava';
+import type { Mechanism } from '../../common/mechanisms.js';
+import { VirtualClock } from '../../common/clock.js';
+import type { RoutedBackend } from '../routing/index.js';
+import { backendAt, SERVICE_ADDRESS, SERVICE_PORT, updateAt } from '../routing/routing-test-support.js';
+import { ForwarderHarness } from './cookie-test-support.js';
+
+const STEP_MS = 5;
+const COPIES_MS = [0, 200, 600];
+const ATTEMPT_MS = 1_400;
+const ATTEMPTS = 3;
+const DEADLINE_MS = 2_500;
+const FILL_MS = 2_000;
+const BACKENDS = 40;
+const CALLERS = 300;
+/** Callers open over this time, from the daemon's start. */
+const OPENING_MS = 1_500;
+
+/** A caller and how its request went. */
+interface Caller {
+  readonly startMs: number;
+  attempt: number;
+  attemptStartMs: number;
+  copiesSent: number;
+  port: number;
+  openedAtMs?: number;
+  backend?: string;
+}
+
+/** What callers got. */
+interface Outcome {
+  readonly failed: number;
+  readonly resets: number;
+  readonly waitsMs: readonly number[];
+  /** Flows of the busiest back end. */
+  readonly most: number;
+}
+
+class FillingList {
+  readonly clock = new VirtualClock();
+  private readonly harness: ForwarderHarness;
+  private readonly callers: readonly Caller[];
+  private nextPort = 10_000;
+  private resets = 0;
+  private listed = 0;
+
+  constructor(
+    switchedOff: readonly Mechanism[],
+    private readonly order: readonly RoutedBackend[] = allBackends(),
+  ) {
+    this.harness = new ForwarderHarness(this.clock, 1, switchedOff, { settles: true });
+    this.callers = Array.from({ length: CALLERS }, (_unused, index) => this.caller(index));
+  }
+
+  /** Has the daemon read a roster with all back ends. */
+  withRoster(): this {
+    for (const record of this.order) this.harness.knowledge.backends.putRemembered(record, false);
+    this.harness.settlement.recordRoster(new Set(['alpha']));
+    return this;
+  }
+
+  run(): Outcome {
+    this.harness.know([]);
+    for (let nowMs = 0; nowMs <= OPENING_MS + DEADLINE_MS; nowMs += STEP_MS) {
+      this.list(nowMs);
+      for (const caller of this.callers) this.step(caller, nowMs);
+      this.clock.advance(STEP_MS);
+      this.takeSent(nowMs + STEP_MS);
+    }
+    this.harness.stop();
+    return this.outcome();
+  }
+
+  private caller(index: number): Caller {
+    const startMs = Math.floor((index * OPENING_MS) / CALLERS / STEP_MS) * STEP_MS;
+    return { startMs, attempt: 1, attemptStartMs: startMs, copiesSent: 0, port: this.takePort() };
+  }
+
+  private takePort(): number {
+    this.nextPort += 1;
+    return this.nextPort;
+  }
+
+  /** Lists the back ends evenly over the time in which live ones are recorded again. */
+  private list(nowMs: number): void {
+    const due = Math.floor((BACKENDS * nowMs) / FILL_MS);
+    for (; this.listed < Math.min(due, BACKENDS); this.listed += 1) {
+      const revision = 100 + this.listed;
+      const backends = [{ ...this.order[this.listed]!, revision, createdRevision: revision }];
+      const origin = { since: revision - 1, confirmedAtMs: nowMs, mayHaveLapsed: false };
+      this.harness.knowledge.apply('backends', updateAt(revision, { backends }), origin);
+    }
+  }
+
+  private step(caller: Caller, nowMs: number): void {
+    const isOver = caller.openedAtMs !== undefined || caller.attempt > ATTEMPTS;
+    if (isOver || nowMs < caller.startMs || nowMs >= caller.startMs + DEADLINE_MS) return;
+    const sinceMs = nowMs - caller.attemptStartMs;
+    if (sinceMs >= ATTEMPT_MS) return this.tryAgain(caller, nowMs);
+    if (sinceMs < (COPIES_MS[caller.copiesSent] ?? Infinity)) return;
+    this.harness.open(caller.port, caller.copiesSent);
+    caller.copiesSent += 1;
+    this.takeSent(nowMs);
+  }
+
+  private tryAgain(caller: Caller, nowMs: number): void {
+    caller.attempt += 1;
+    caller.attemptStartMs = nowMs;
+    caller.copiesSent = 0;
+    caller.port = this.takePort();
+  }
+
+  /** Has callers take what was sent: a reset ends an attempt, a placed opening is continued. */
+  private takeSent(nowMs: number): void {
+    const { sent, sentPorts } = this.harness;
+    const ports = sentPorts.splice(0);
+    for (const [index, { backend, cookie }] of sent.splice(0).entries()) {
+      const caller = this.callers.find(({ port }) => port === ports[index]);
+      if (!caller || caller.openedAtMs !== undefined) continue;
+      if (backend === undefined) {
+        this.resets += 1;
+        this.tryAgain(caller, nowMs);
+        continue;
+      }
+      caller.openedAtMs = nowMs;
+      caller.backend = backend;
+      this.harness.goOn(caller.port, cookie);
+      sent.length = 0;
+      sentPorts.length = 0;
+    }
+  }
+
+  private outcome(): Outcome {
+    const opened = this.callers.filter(({ openedAtMs }) => openedAtMs !== undefined);
+    const counts = new Map<string, number>();
+    for (const { backend = '' } of opened) counts.set(backend, (counts.get(backend) ?? 0) + 1);
+    return {
+      failed: this.callers.length - opened.length,
+      resets: this.resets,
+      waitsMs: opened.map(({ startMs, openedAtMs = 0 }) => openedAtMs - startMs),
+      most: Math.max(...counts.values()),
+    };
+  }
+}
+
+function allBackends(): RoutedBackend[] {
+  return Array.from({ length: BACKENDS }, (_unused, index) => backendAt(`b-${index}`, index + 1));
+}
+
+test('while the list fills no caller is reset or fails', (t) => {
+  const { failed, resets } = new FillingList([]).run();
+  t.is(resets, 0);
+  t.is(failed, 0);
+});
+
+test('without holding, callers are reset and fail', (t) => {
+  const { failed, resets } = new FillingList(['unsettled-openings']).run();
+  t.true(resets > 0);
+  t.true(failed > 0);
+});
+
+test('with a roster nobody waits, and no back end gets more than twice its share', (t) => {
+  const { failed, resets, waitsMs, most } = new FillingList([]).withRoster().run();
+  t.is(resets + failed, 0);
+  t.is(Math.max(...waitsMs), 0);
+  t.true(most <= (2 * CALLERS) / BACKENDS, `${most} flows at one of ${BACKENDS} for ${CALLERS} callers`);
+});
+
+test('a service that the roster knows to be empty is refused at once, one that it lacks a list for is not', (t) => {
+  const harness = new ForwarderHarness(new VirtualClock(), 1, [], { settles: true }).know([]);
+  harness.settlement.recordRoster(new Set(['beta']));
+  t.is(harness.open(40_001)?.backend, undefined);
+  t.is(harness.sent.length, 1, 'a reset');
+});
+
+test('an empty list is believed after its time, and then an opening is refused at once', (t) => {
+  const clock = new VirtualClock();
+  const harness = new ForwarderHarness(clock, 1, [], { settles: true }).know([]);
+  t.is(harness.open(40_001), undefined, 'held');
+  clock.advance(5_000);
+  t.is(harness.sent.length, 0, 'its caller has given up: no reset');
+  t.is(harness.open(40_002)?.backend, undefined);
+  t.is(harness.sent.length, 1, 'a reset');
+});
+
+test('a held opening is refused as soon as the list is settled', (t) => {
+  const clock = new VirtualClock();
+  const harness = new ForwarderHarness(clock, 1, [], { settles: true }).know([]);
+  harness.open(40_001, 2);
+  harness.settlement.recordSettledPeer();
+  clock.advance(50);
+  t.deepEqual(
+    harness.sent.map(({ backend }) => backend),
+    [undefined],
+  );
+});
+
+test('what waits is decided by the priority of its route, then by the time that its caller has left', (t) => {
+  const clock = new VirtualClock();
+  const harness = new ForwarderHarness(clock, 1, [], { settles: true });
+  const target = [{ service: 'alpha', weight: 1 }];
+  const routes = [
+    { name: 'later', address: SERVICE_ADDRESS, port: SERVICE_PORT, targets: target, priority: 2 },
+    { name: 'first', address: SERVICE_ADDRESS, port: 80, targets: target, priority: 1 },
+    { name: 'last', address: SERVICE_ADDRESS, port: 81, targets: target },
+  ];
+  harness.know([], { routes });
+  harness.deliver({ sourcePort: 1, destinationPort: 81, syn: true });
+  harness.deliver({ sourcePort: 2, syn: true, retransmissionCount: 2 });
+  harness.deliver({ sourcePort: 3, syn: true });
+  harness.deliver({ sourcePort: 4, destinationPort: 80, syn: true, retransmissionCount: 2 });
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(11, { backends: [backendAt('a', 11)] }), origin);
+  clock.advance(20);
+  t.deepEqual(harness.sentPorts, [4, 3, 2, 1]);
+});
+
+test('an opening that waited elsewhere before it is held is given up before its caller sends the next copy', (t) => {
+  const clock = new VirtualClock();
+  const harness = new ForwarderHarness(clock, 1, [], { settles: true }).know([]);
+  harness.handle({ sourcePort: 1, syn: true }, 100);
+  clock.advance(60);
+  t.is(harness.forwarder.heldOpenings, 0);
+  t.is(harness.forwarder.statistics.heldTooLong, 1);
+});
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -8,6 +8,7 @@
 import type { CookieStatistics } from './cookie-statistics.js';
 import type { Flow, FlowCache } from './flow-cache.js';
 import type { FlowFailures } from './flow-failures.js';
+import type { Arrival, HeldOpenings } from './held-openings.js';
 import type { OpeningLog } from './opening-log.js';
 import type { PacketSender } from './packet-sender.js';
 import { decideRetransmission, mayLeaveFirstBackend } from './retransmission-rule.js';
@@ -19,6 +20,7 @@
   /** True when a packet that is read at this time may have waited through a pause of the process. */
   readonly mayHaveWaited: (nowMs: number) => boolean;
   readonly cache: FlowCache;
+  readonly held: HeldOpenings;
   readonly pending: PendingOpenings;
   readonly failures: FlowFailures;
   readonly sender: PacketSender;
@@ -34,13 +36,14 @@
   constructor(private readonly options: OpeningHandlerOptions) {}
 
   /** Handles a SYN; `flow` is what is remembered of its addresses. */
-  onSyn(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
+  onSyn(packet: CookiePacket, flow: Flow | undefined, arrival: Arrival): void {
+    const { nowMs } = arrival;
     const mayHaveWaited = this.options.mayHaveWaited(nowMs);
     const kind = classifySyn(packet.retransmissionCount, flow?.phase, mayHaveWaited);
     if (kind === 'stale') return this.dropStale(packet);
     if (kind === 'retransmission' && flow) return this.onRetransmission(packet, flow, nowMs);
     if (flow) this.options.cache.remove(flow);
-    this.carryOut(this.options.newFlows.decide(packet, nowMs), packet, nowMs);
+    this.carryOut(this.options.newFlows.decide(packet, nowMs), packet, arrival);
   }
 
   private dropStale(packet: CookiePacket): void {
@@ -48,8 +51,11 @@
     this.options.log.droppedStale(packet);
   }
 
-  private carryOut(outcome: NewFlowOutcome, packet: CookiePacket, nowMs: number): void {
-    const { statistics, sender, log } = this.options;
+  private carryOut(outcome: NewFlowOutcome, packet: CookiePacket, arrival: Arrival): void {
+    const { statistics, sender, log, held } = this.options;
+    const { nowMs } = arrival;
+    if (outcome.kind === 'hold') return held.hold(packet, outcome.route, arrival);
+    held.forget(packet);
     if (outcome.kind === 'drop') return statistics.countDrop(outcome.reason);
     if (outcome.kind === 'refuse') {
       statistics.countRefusal(outcome.reason);
--- /dev/null
+++ b/src/cookie-edge/forwarding/syn-schedule.ts
@@ -0,0 +1,19 @@
+/**
+ * When callers send the copies of a SYN, from which follows how long a SYN may be kept: once its caller has sent the
+ * next copy, another balancer may have placed that, and a kept one would open the flow a second time. Does no input or
+ * output.
+ */
+
+/** Times in ms after the first SYN of both copies and of the end of the attempt. Source: the platform. */
+const NEXT_SENT_MS = [200, 600, 1_400] as const;
+
+/** Copies that a caller sends after the first SYN. */
+const LAST_COPY = NEXT_SENT_MS.length - 1;
+
+/** Time in ms from a transmission to the next one, or to the end of the attempt; an unknown count has the shortest. */
+export function untilNextTransmissionMs(retransmissions: number): number {
+  if (!Number.isInteger(retransmissions) || retransmissions < 1 || retransmissions > LAST_COPY) {
+    return NEXT_SENT_MS[0];
+  }
+  return (NEXT_SENT_MS[retransmissions] as number) - (NEXT_SENT_MS[retransmissions - 1] as number);
+}
--- a/src/cookie-edge/placement/candidate-classes.test.ts
+++ b/src/cookie-edge/placement/candidate-classes.test.ts
@@ -47,6 +47,10 @@
   return state;
 }
 
+function remembered(): LocalBackendState {
+  return stateOf('a', {}, { departed: true, lapsed: true, remembered: true, departedAtMs: 1_000 });
+}
+
 const CASES: readonly Case[] = [
   { name: 'without failures', state: plain, expected: 'alive' },
   { name: 'that is an outlier', state: plain, isOutlier: true, expected: 'outlier' },
@@ -70,6 +74,26 @@
     expected: undefined,
   },
   { name: 'with a lapsed record and no sign of life since', state: () => lapsed(1_000), expected: undefined },
+  {
+    name: 'that is remembered, without any sign of life',
+    state: () => remembered(),
+    expected: 'lapsed',
+  },
+  {
+    name: 'that is remembered and has failed',
+    state: () => {
+      const state = remembered();
+      state.recordFailure(NOW_MS - 10, NOW_MS - 160);
+      return state;
+    },
+    expected: undefined,
+  },
+  {
+    name: 'that was remembered long ago',
+    state: () => remembered(),
+    nowMs: 1_000 + LAPSED_RECORD_MS,
+    expected: undefined,
+  },
   {
     name: 'with a record that lapsed long ago',
     state: () => lapsed(1_100),
--- a/src/cookie-edge/placement/candidate-classes.ts
+++ b/src/cookie-edge/placement/candidate-classes.ts
@@ -13,7 +13,7 @@
 import type { KnownBackend } from '../routing/index.js';
 import { LAPSED_RECORD_MS } from './constants.js';
 
-/** `trial`: ejected, and due for a trial opening. `lapsed`: its record is gone, but packets show that it lives. */
+/** `trial`: ejected, and due for a trial opening. `lapsed`: its record is gone, but it probably lives. */
 export type CandidateClass = Liveness | 'outlier' | 'lapsed';
 
 /** What the classification looks at. */
@@ -83,11 +83,15 @@
 
   /**
    * A record that may only have lapsed serves for `LAPSED_RECORD_MS` if packets since then show that its back end
-   * lives.
+   * lives. A remembered back end needs no such packet, because this daemon has sent it nothing so far.
    */
-  private isLastResort(state: LocalBackendState, liveness: Liveness, nowMs: number): boolean {
-    const missedAtMs = state.backend.departedAtMs ?? 0;
+  private isLastResort(
+    { backend, lastSignOfLifeMs }: LocalBackendState,
+    liveness: Liveness,
+    nowMs: number,
+  ): boolean {
+    const missedAtMs = backend.departedAtMs ?? 0;
     if (nowMs - missedAtMs >= LAPSED_RECORD_MS || !this.isOn('lapsed-records')) return false;
-    return liveness === 'alive' && state.lastSignOfLifeMs > missedAtMs;
+    return liveness === 'alive' && (backend.remembered === true || lastSignOfLifeMs > missedAtMs);
   }
 }
--- a/src/cookie-edge/placement/class-choice.test.ts
+++ b/src/cookie-edge/placement/class-choice.test.ts
@@ -21,6 +21,11 @@
   [[0, 0, 0, 1, 2, false], 'ejected-majority', 1],
   [[0, 0, 0, 1, 2, true], 'ejected-majority', 1],
   [[0, 0, 0, 0, 2, false], 'lapsed-record', 2],
+  [[2, 0, 0, 0, 2, false], 'least-flows', 2],
+  [[2, 0, 0, 0, 3, false], 'unsettled-list', 5],
+  [[1, 1, 1, 0, 4, false], 'unsettled-list', 5],
+  [[0, 1, 0, 0, 4, false], 'unsettled-list', 4],
+  [[1, 0, 0, 1, 4, true], 'trial', 1],
 ];
 
 function candidatesOf([alive, outlier, suspect, ejected, lapsed, hasTrial]: Counts): Candidates {
--- a/src/cookie-edge/placement/new-flow-rule.test.ts
+++ b/src/cookie-edge/placement/new-flow-rule.test.ts
@@ -36,6 +36,7 @@
       regionOf: () => undefined,
     }),
     placement: new OpeningPlacement({ zone: 'north', zoneMargin: 0, zoneLoadFactor: 1 }),
+    settlement: { state: 'settled', isKnownEmpty: () => false },
     isOutlier: () => false,
     slowHandshakeMs: () => 45,
   });
--- a/src/cookie-edge/placement/new-flow-rule.ts
+++ b/src/cookie-edge/placement/new-flow-rule.ts
@@ -1,8 +1,9 @@
 /**
  * Rule: whether a new flow is placed, refused at once, or left to its caller's retransmission.
  *
- * Refuses a caller that cannot be served with an immediate reset, instead of letting it wait for its timeout. Does no
- * input or output; the caller carries the outcome out and logs it.
+ * Refuses a caller that cannot be served with an immediate reset, instead of letting it wait for its timeout. A caller
+ * that cannot be served yet is held (`no-backend-rule.ts`). Does no input or output; the caller carries the outcome out
+ * and logs it.
  *
  * Inputs: routing knowledge, and what the rules of placement look at; times are monotonic ms. Order: without complete
  * knowledge neither a refusal nor a choice would be justified, so the SYN is dropped and the retransmission finds this
@@ -12,9 +13,10 @@
 import { combine32 } from '../../common/hash.js';
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { LocalBackendState } from '../backend-health/index.js';
-import type { Route, RoutingKnowledge } from '../routing/index.js';
+import type { BackendSettlement, Route, RoutingKnowledge } from '../routing/index.js';
 import type { BackendEligibility } from './backend-eligibility.js';
 import type { ColdAdmission } from './cold-admission.js';
+import { decideWithoutBackend, type NoBackendOutcome } from './no-backend-rule.js';
 import type { OpeningPlacement, Placement } from './opening-placement.js';
 import type { TrafficSplitter } from './traffic-splitter.js';
 
@@ -29,6 +31,7 @@
   | { readonly kind: 'drop'; readonly reason: 'starting' }
   | { readonly kind: 'refuse'; readonly reason: 'no-route'; readonly route?: undefined }
   | { readonly kind: 'refuse'; readonly reason: 'no-backend'; readonly route: Route }
+  | { readonly kind: 'hold'; readonly route: Route }
   | { readonly kind: 'place'; readonly route: Route; readonly placement: Placement };
 
 /** What the rule looks at. */
@@ -38,6 +41,8 @@
   readonly eligibility: BackendEligibility;
   readonly coldAdmission: ColdAdmission;
   readonly placement: OpeningPlacement;
+  /** Whether the list of back ends is to be believed. */
+  readonly settlement: Pick<BackendSettlement, 'state' | 'isKnownEmpty'>;
   /** True for an outlier that may not get the flow with this hash. */
   readonly isOutlier: (state: LocalBackendState, flowHash: number, nowMs: number) => boolean;
   /** A back end with a handshake pending longer than this, in ms, is suspect. */
@@ -59,7 +64,10 @@
     const route = routes.find(flow.destinationAddress, flow.destinationPort);
     if (!route) return NO_ROUTE;
     const placement = this.choose(flow, route, nowMs);
-    return placement ? { kind: 'place', route, placement } : { kind: 'refuse', reason: 'no-backend', route };
+    if (placement) return { kind: 'place', route, placement };
+    return this.decideWithoutBackend(route) === 'hold'
+      ? { kind: 'hold', route }
+      : { kind: 'refuse', reason: 'no-backend', route };
   }
 
   /** The back end for a flow whose SYN was placed before; undefined without a route or a candidate. */
@@ -74,6 +82,15 @@
     this.options.coldAdmission.recordPlacement(state.backend, nowMs);
   }
 
+  private decideWithoutBackend({ targets }: Route): NoBackendOutcome {
+    const { knowledge, settlement } = this.options;
+    return decideWithoutBackend({
+      knowledge: settlement.state,
+      hasServingRecord: targets.some(({ service }) => knowledge.backends.hasServing(service)),
+      isKnownEmpty: targets.every(({ service }) => settlement.isKnownEmpty(service)),
+    });
+  }
+
   private choose(flow: FlowAddresses, route: Route, nowMs: number): Placement | undefined {
     const flowHash = hashFlow(flow);
     const placements = new Map<string, Placement | undefined>();
--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -61,6 +61,13 @@
     return count;
   }
 
+  /** True when a back end of the service is recorded that is not leaving. */
+  hasServing(service: string): boolean {
+    for (const { departed, record } of this.ofService(service))
+      if (!departed && !record.draining) return true;
+    return false;
+  }
+
   /** Calls `listener` with each back end when it becomes known. */
   onAdd(listener: (backend: KnownBackend) => void): void {
     this.addListeners.push(listener);
@@ -93,6 +100,7 @@
       this.announce(added);
       return true;
     }
+    if (known.remembered && record.revision <= knownRevision) return false;
     if (record.revision <= Math.max(known.record.revision, known.removedRevision)) return false;
     if (isOtherIncarnation(record, known.record)) this.restart(known, record);
     else this.change(known, record);
@@ -148,12 +156,44 @@
    * Stores a back end that left, unless it is known or left so long ago that no flow to it can be open. Its retention
    * counts from when it left, not from now: otherwise new daemons would gossip it to each other for ever.
    */
-  putDeparted({ record, departedAtMs }: DepartedBackend): void {
+  putDeparted({ record, departedAtMs, lapsed = false }: DepartedBackend): void {
     if (this.byId.has(record.id)) return;
     if (this.options.clock.now() - departedAtMs >= this.options.retentionMs) return;
     this.put(record, record.revision);
     const known = this.byId.get(record.id);
-    if (known) known.departedAtMs = departedAtMs;
+    if (!known) return;
+    known.departedAtMs = departedAtMs;
+    if (lapsed) this.markRemembered(known);
+  }
+
+  /**
+   * Stores a back end that the roster names and that was never listed here, as departed: its open flows go on. One that
+   * had not left may be listed again, and counts as lapsed until `settleRemembered`. Returns false for a known one.
+   */
+  putRemembered(record: RoutedBackend, hasLeft: boolean): boolean {
+    if (this.byId.has(record.id)) return false;
+    const added = this.create({ ...record, revision: UNKNOWN_REVISION });
+    added.departed = true;
+    added.departedAtMs = this.options.clock.now();
+    this.departed.add(added);
+    if (!hasLeft) this.markRemembered(added);
+    this.announce(added);
+    return true;
+  }
+
+  /** Back ends that are remembered and not listed so far. */
+  awaited(): readonly KnownBackend[] {
+    return [...this.departed].filter(({ lapsed, remembered }) => lapsed && remembered);
+  }
+
+  /** Number of them. */
+  get awaitedCount(): number {
+    return this.awaited().length;
+  }
+
+  /** The list is whole by now: remembered back ends that it lacks have left. */
+  settleRemembered(): void {
+    for (const known of this.departed) if (known.remembered) known.lapsed = false;
   }
 
   /**
@@ -190,6 +230,11 @@
     }
   }
 
+  private markRemembered(known: KnownBackend): void {
+    known.lapsed = !known.record.draining;
+    known.remembered = true;
+  }
+
   private leave(known: KnownBackend, revision: number, mayHaveLapsed: boolean): void {
     known.removedRevision = Math.max(known.removedRevision, revision);
     known.departed = true;
@@ -245,6 +290,7 @@
     known.record = record;
     known.departed = false;
     known.lapsed = false;
+    known.remembered = undefined;
     known.restored = undefined;
     known.departedAtMs = undefined;
     this.departed.delete(known);
--- a/src/cookie-edge/routing/constants.ts
+++ b/src/cookie-edge/routing/constants.ts
@@ -49,6 +49,18 @@
  */
 export const LAPSE_AFTER_OUTAGE_MS = 2_000;
 
+/**
+ * After the first list of a start, back ends that live may still be missing from it for this long, in ms: they are
+ * recorded again within about 2,000 ms of the source's return, and gossip takes a moment.
+ */
+export const SETTLING_MS = 2_500;
+
+/**
+ * A message of a settled peer settles a daemon that has lost the source for this long, in ms. Peers send several a
+ * second.
+ */
+export const SETTLED_PEER_MS = 1_500;
+
 /**
  * After the source was restored from an older copy, what the copy may hold wrongly waits this long, in ms: a back end
  * that had left and is listed again gets no new flows, and a cordon that is not listed stays in force. Longer than the
--- a/src/cookie-edge/routing/errors.ts
+++ b/src/cookie-edge/routing/errors.ts
@@ -4,7 +4,8 @@
 /**
  * `unavailable`: no connection, or the source says that it did nothing. `timeout`: no answer in time. `throttled`: too
  * many calls. `history-gone`: the source no longer has the requested changes, so that everything must be read.
- * `malformed`: a response that cannot be decoded. `cancelled`: the caller ended the call.
+ * `malformed`: a response that cannot be decoded. `too-large`: what is to be written exceeds the source's limit.
+ * `cancelled`: the caller ended the call.
  */
 export type RoutingSourceErrorKind =
   | 'routing.unavailable'
@@ -12,6 +13,7 @@
   | 'routing.throttled'
   | 'routing.history-gone'
   | 'routing.malformed'
+  | 'routing.too-large'
   | 'routing.cancelled';
 
 const REMEDIES: Readonly<Record<RoutingSourceErrorKind, string>> = {
@@ -20,6 +22,7 @@
   'routing.throttled': 'Fewer balancers should read the source; the call is repeated later',
   'routing.history-gone': 'Nothing to do: everything is read again',
   'routing.malformed': 'Check that the source speaks the version of the interface that this build knows',
+  'routing.too-large': 'Raise the limit of the source for one object, or split the service',
   'routing.cancelled': 'Nothing to do: the caller ended the call',
 };
 
--- a/src/cookie-edge/routing/events.ts
+++ b/src/cookie-edge/routing/events.ts
@@ -28,6 +28,12 @@
     message: 'Back end started again under its id; what was known of its last life is forgotten',
     action: 'none when it was restarted; otherwise see why it ended',
   },
+  backendsSettled: {
+    number: 2018,
+    level: 'info',
+    message: 'List of back ends is trusted: openings that it cannot serve are refused at once',
+    action: 'none',
+  },
   backendsKnown: {
     number: 2009,
     level: 'info',
--- a/src/cookie-edge/routing/index.ts
+++ b/src/cookie-edge/routing/index.ts
@@ -14,6 +14,7 @@
  * ```
  */
 export type * from './types.js';
+export { BackendSettlement } from './backend-settlement.js';
 export { BackendRegistry } from './backend-registry.js';
 export type { KnownBackend } from './known-backend.js';
 export { isOtherIncarnation } from './incarnation-rule.js';
@@ -28,4 +29,5 @@
 export { compareEpochs, isBefore, type SourcePosition } from './source-epoch.js';
 export { SourceFollower, type SourceFollowerOptions } from './source-follower.js';
 export { SourceHistoryLog } from './source-history-log.js';
+export type { BackendKnowledge } from './settlement-rule.js';
 export { ZoneCordons } from './zone-cordons.js';
--- a/src/cookie-edge/routing/known-backend.ts
+++ b/src/cookie-edge/routing/known-backend.ts
@@ -14,6 +14,11 @@
   lapsed: boolean;
   /** Highest revision of a removal of it; records up to it do not bring it back. */
   removedRevision: number;
+  /**
+   * True for a lapsed back end that this daemon has never seen listed: it knows it from the roster or from another
+   * daemon, so that no sign of life can be expected of it yet.
+   */
+  remembered?: boolean;
   /** Monotonic ms at which it departed; undefined while it is recorded. */
   departedAtMs: number | undefined;
   /** Monotonic ms until which it is slow from its start. */
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -24,6 +24,8 @@
   readonly targets: readonly RouteTarget[];
   /** Regions whose back ends may serve it; undefined: all. */
   readonly allowedRegions?: readonly string[];
+  /** Urgency of its requests: 0 is the most urgent; undefined: the least. */
+  readonly priority?: number;
 }
 
 /** Settings of one service. */
@@ -99,6 +101,8 @@
   readonly record: RoutedBackend;
   /** Monotonic ms at which it left. */
   readonly departedAtMs: number;
+  /** Its record may only have lapsed; absent: it left. */
+  readonly lapsed?: boolean;
 }
 
 /** A zone whose back ends get no new flows until the operator takes that back. */
--- a/src/cookie-edge/spreading/bad-answers.test.ts
+++ b/src/cookie-edge/spreading/bad-answers.test.ts
@@ -96,6 +96,7 @@
     suspicions: [],
     loads: [],
     departedCount: 0,
+    unsettled: false,
     tableRevision: -1,
     badAnswers,
   };
@@ -124,6 +125,7 @@
     suspicions: [],
     loads: [],
     departedCount: 0,
+    unsettled: false,
     tableRevision: -1,
     badAnswers: [],
   };
--- a/src/cookie-edge/spreading/load-report-size.test.ts
+++ b/src/cookie-edge/spreading/load-report-size.test.ts
@@ -23,6 +23,7 @@
     peers: [],
     updates: [],
     departedCount: 200,
+    unsettled: false,
     tableRevision: 1_000_000,
     readers: Array.from({ length: READERS_PER_MESSAGE + 1 }, (_, index) => ({
       id: `frontend-halle-mitte-10${index}`,
--- a/src/cookie-edge/spreading/message-codec.test.ts
+++ b/src/cookie-edge/spreading/message-codec.test.ts
@@ -24,6 +24,7 @@
     loads: [],
     badAnswers: [],
     departedCount: 0,
+    unsettled: false,
     tableRevision: 5,
   };
 }
--- a/src/cookie-edge/spreading/message-codec.ts
+++ b/src/cookie-edge/spreading/message-codec.ts
@@ -58,6 +58,7 @@
     updates: message.updates.map((update) => encodeUpdate(update, nowMs)),
     departedCount: message.departedCount,
     tableRevision: message.tableRevision,
+    ...(message.unsettled && { unsettled: true }),
     suspicions: message.suspicions.map(({ backendId, atMs }) => ({ backendId, ageMs: ageOf(nowMs, atMs) })),
     loads: message.loads.map((report) => encodeLoad(report, nowMs)),
     badAnswers: message.badAnswers.map(({ backendId, observer, atMs }) => ({
@@ -90,6 +91,7 @@
     leaving: message.leaving ?? false,
     departedCount: message.departedCount ?? 0,
     tableRevision: message.tableRevision ?? NOTHING_KNOWN,
+    unsettled: message.unsettled ?? false,
     confirmations: decodeConfirmations(message, sentMs),
     updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update, sentMs) ?? []),
     ...decodeFleet(message, sentMs),
--- a/src/cookie-edge/spreading/message-composer.ts
+++ b/src/cookie-edge/spreading/message-composer.ts
@@ -28,6 +28,8 @@
   readonly role: ReaderRole;
   readonly log: UpdateLog;
   readonly ejections: RecentEjections;
+  /** True while back ends that live may be missing from the list. */
+  readonly isUnsettled: () => boolean;
 }
 
 /** Composes the messages of one daemon. */
@@ -109,6 +111,7 @@
       peers: [],
       departedCount: 0,
       tableRevision: NOTHING_KNOWN,
+      unsettled: false,
       badAnswers: this.badAnswers.takeForPush(clock.now()),
     };
   }
@@ -119,7 +122,7 @@
   }
 
   private message(type: PeerMessage['type'], updates: readonly SpreadUpdate[]): PeerMessage {
-    const { selfId, zone, knowledge, clock, role, peers, ejections } = this.options;
+    const { selfId, zone, knowledge, clock, role, peers, ejections, isUnsettled } = this.options;
     const nowMs = clock.now();
     const hasConfirmed = role.isReading && Number.isFinite(this.ownConfirmationMs);
     const self = hasConfirmed ? [{ id: selfId, confirmedAtMs: this.ownConfirmationMs }] : [];
@@ -135,6 +138,7 @@
       badAnswers: [],
       departedCount: knowledge.backends.departedCount,
       tableRevision: knowledge.tableRevision,
+      unsettled: isUnsettled(),
       readers: [...self, ...role.leadingReaders(nowMs, READERS_PER_MESSAGE)],
       peers: peers.introduce(PEERS_PER_MESSAGE),
     };
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -383,6 +383,9 @@
             /** Route allowedRegions. */
             allowedRegions: string[];
 
+            /** Route priority. */
+            priority?: (number|null);
+
             /**
              * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
              * @param message Route message or plain object to encode
@@ -429,6 +432,9 @@
                 /** Route allowedRegions */
                 allowedRegions?: (string[]|null);
 
+                /** Route priority */
+                priority?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -771,6 +777,9 @@
             /** Backend incarnation. */
             incarnation?: (number|null);
 
+            /** Backend lapsed. */
+            lapsed: boolean;
+
             /**
              * Encodes the specified Backend message. Does not implicitly {@link sailquay.spreading.Backend.verify|verify} messages.
              * @param message Backend message or plain object to encode
@@ -841,6 +850,9 @@
                 /** Backend incarnation */
                 incarnation?: (number|null);
 
+                /** Backend lapsed */
+                lapsed?: (boolean|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1405,6 +1417,9 @@
             /** PeerMessage tableRevision. */
             tableRevision: number;
 
+            /** PeerMessage unsettled. */
+            unsettled: boolean;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @param message PeerMessage message or plain object to encode
@@ -1475,6 +1490,9 @@
                 /** PeerMessage tableRevision */
                 tableRevision?: (number|null);
 
+                /** PeerMessage unsettled */
+                unsettled?: (boolean|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -852,6 +852,7 @@
              * @property {number|null} [port] Route port
              * @property {Array.<sailquay.spreading.RouteTarget.$Properties>|null} [targets] Route targets
              * @property {Array.<string>|null} [allowedRegions] Route allowedRegions
+             * @property {number|null} [priority] Route priority
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -925,6 +926,23 @@
              */
             Route.prototype.allowedRegions = $util.emptyArray;
 
+            /**
+             * Route priority.
+             * @member {number|null|undefined} priority
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.priority = null;
+
+            // OneOf field names bound to virtual getters and setters
+            let $oneOfFields;
+
+            // Virtual OneOf for proto3 optional field
+            $Object.defineProperty(Route.prototype, "_priority", {
+                get: $util.oneOfGetter($oneOfFields = ["priority"]),
+                set: $util.oneOfSetter($oneOfFields)
+            });
+
             /**
              * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
              * @function encode
@@ -953,6 +971,8 @@
                 if (message.allowedRegions != null && message.allowedRegions.length)
                     for (let i = 0; i < message.allowedRegions.length; ++i)
                         writer.uint32(/* id 5, wireType 2 =*/42).string(message.allowedRegions[i]);
+                if (message.priority != null && $Object.hasOwnProperty.call(message, "priority"))
+                    writer.uint32(/* id 6, wireType 0 =*/48).uint32(message.priority);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1040,6 +1060,13 @@
                             message.allowedRegions.push(reader.stringVerify());
                             continue;
                         }
+                    case 6: {
+                            if (wireType !== 0)
+                                break;
+                            message.priority = reader.uint32();
+                            message._priority = "priority";
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -1833,6 +1860,7 @@
              * @property {boolean|null} [departed] Backend departed
              * @property {number|null} [departedAgeMs] Backend departedAgeMs
              * @property {number|null} [incarnation] Backend incarnation
+             * @property {boolean|null} [lapsed] Backend lapsed
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1968,6 +1996,14 @@
              */
             Backend.prototype.incarnation = null;
 
+            /**
+             * Backend lapsed.
+             * @member {boolean} lapsed
+             * @memberof sailquay.spreading.Backend
+             * @instance
+             */
+            Backend.prototype.lapsed = false;
+
             // OneOf field names bound to virtual getters and setters
             let $oneOfFields;
 
@@ -2019,6 +2055,8 @@
                     writer.uint32(/* id 12, wireType 0 =*/96).uint32(message.departedAgeMs);
                 if (message.incarnation != null && $Object.hasOwnProperty.call(message, "incarnation"))
                     writer.uint32(/* id 13, wireType 1 =*/105).double(message.incarnation);
+                if (message.lapsed != null && $Object.hasOwnProperty.call(message, "lapsed") && message.lapsed !== false)
+                    writer.uint32(/* id 14, wireType 0 =*/112).bool(message.lapsed);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -2178,6 +2216,15 @@
                             message._incarnation = "incarnation";
                             continue;
                         }
+                    case 14: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.lapsed = value;
+                            else
+                                delete message.lapsed;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -3520,6 +3567,7 @@
              * @property {Array.<sailquay.spreading.LoadReport.$Properties>|null} [loads] PeerMessage loads
              * @property {Array.<sailquay.spreading.BadAnswer.$Properties>|null} [badAnswers] PeerMessage badAnswers
              * @property {number|null} [tableRevision] PeerMessage tableRevision
+             * @property {boolean|null} [unsettled] PeerMessage unsettled
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -3662,6 +3710,14 @@
              */
             PeerMessage.prototype.tableRevision = 0;
 
+            /**
+             * PeerMessage unsettled.
+             * @member {boolean} unsettled
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.unsettled = false;
+
             /**
              * Encodes the specified PeerMessage message. Does not implicitly {@link sailquay.spreading.PeerMessage.verify|verify} messages.
              * @function encode
@@ -3711,6 +3767,8 @@
                 if (message.badAnswers != null && message.badAnswers.length)
                     for (let i = 0; i < message.badAnswers.length; ++i)
                         $root.sailquay.spreading.BadAnswer.encode(message.badAnswers[i], writer.uint32(/* id 13, wireType 2 =*/106).fork(), _depth + 1).ldelim();
+                if (message.unsettled != null && $Object.hasOwnProperty.call(message, "unsettled") && message.unsettled !== false)
+                    writer.uint32(/* id 14, wireType 0 =*/112).bool(message.unsettled);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3865,6 +3923,15 @@
                                 delete message.tableRevision;
                             continue;
                         }
+                    case 14: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.bool())
+                                message.unsettled = value;
+                            else
+                                delete message.unsettled;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/cookie-edge/spreading/reader-role.ts
+++ b/src/cookie-edge/spreading/reader-role.ts
@@ -70,6 +70,11 @@
     return this.reading;
   }
 
+  /** True for the reader of highest rank among those that confirmed something recently. */
+  isLeading(nowMs: number): boolean {
+    return this.reading && this.freshSuperiors(this.otherReaders(nowMs), nowMs) === 0;
+  }
+
   /** Records that another daemon is a reader. */
   record({ id, confirmedAtMs }: ReaderSighting): void {
     if (id === this.selfId) return;
--- a/src/cookie-edge/spreading/spreader.ts
+++ b/src/cookie-edge/spreading/spreader.ts
@@ -53,6 +53,10 @@
   readonly mayHaveWaited: () => boolean;
   /** True while records may vanish because their owners cannot write. */
   readonly recordsMayLapse: () => boolean;
+  /** True while back ends that live may be missing from the list; never unless given. */
+  readonly isUnsettled?: () => boolean;
+  /** Called with each message of a peer that knows back ends and trusts its list. */
+  readonly onSettledPeer?: () => void;
   /** Mechanisms that are on; all unless given. */
   readonly isOn?: MechanismCheck;
   /** Stores a report of the back ends' load; returns true when it is new here and must be gossiped further. */
@@ -89,7 +93,17 @@
     const peers = (this.peers = new PeerView({ self: transport.endpoint, zone, random, events }));
     const role = (this.role = new ReaderRole(selfId, random, timings, isOn));
     const { ejections } = this;
-    const composer = new MessageComposer({ selfId, zone, clock, knowledge, peers, role, log, ejections });
+    const composer = new MessageComposer({
+      selfId,
+      zone,
+      clock,
+      knowledge,
+      peers,
+      role,
+      log,
+      ejections,
+      isUnsettled: options.isUnsettled ?? (() => false),
+    });
     const send = (to: readonly Endpoint[], message: PeerMessage): void => channel.send(to, message);
     this.composer = composer;
     this.sender = new UpdateSender({ clock, knowledge, peers, log, composer, isOn, send });
@@ -134,6 +148,11 @@
     return this.role.isReading;
   }
 
+  /** True for the one reader that writes what all daemons together must not lose; two may lead for a moment. */
+  get isLeadingReader(): boolean {
+    return this.role.isLeading(this.options.clock.now());
+  }
+
   /** Shortest backoff before the next call to a source that does not respond, in ms. */
   minimumRetryDelayMs(): number {
     const { clock, knowledge, timings } = this.options;
@@ -242,6 +261,7 @@
       knowledge.apply(topic, update, { since, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
     }
     if (mayHaveWaited) return;
+    if (!message.unsettled && message.confirmations.backends) this.options.onSettledPeer?.();
     message.readers.forEach((reader) => this.role.record(reader));
     message.loads.forEach((report) => this.gossipLoad(report));
     message.suspicions.forEach((report) => this.applyEjectionReport(report));
--- a/src/cookie-edge/spreading/types.ts
+++ b/src/cookie-edge/spreading/types.ts
@@ -58,6 +58,8 @@
   readonly departedCount: number;
   /** Revision of the table of routes that the sender has in force; -1 for none. */
   readonly tableRevision: number;
+  /** Back ends that live may be missing from the sender's list. False from a sender that does not know this field. */
+  readonly unsettled: boolean;
 }
 
 /** Knowledge of one topic; revisions are -1 for nothing. */
--- a/src/cookie-edge/spreading/update-codec.ts
+++ b/src/cookie-edge/spreading/update-codec.ts
@@ -41,10 +41,11 @@
     routeChange: update.routeChange && encodeTableChange(update.routeChange),
     backends: [
       ...update.backends.map(encodeBackend),
-      ...departed.map(({ record, departedAtMs }) => ({
+      ...departed.map(({ record, departedAtMs, lapsed }) => ({
         ...encodeBackend(record),
         departed: true,
         departedAgeMs: ageOf(nowMs, departedAtMs),
+        ...(lapsed && { lapsed }),
       })),
     ],
     removals: update.removals.map(({ id, revision }) => ({ id, revision })),
@@ -73,6 +74,7 @@
       .map((backend) => ({
         record: decodeBackend(backend),
         departedAtMs: timeOfAge(backend.departedAgeMs, sentMs),
+        ...(backend.lapsed && { lapsed: true }),
       })),
     removals: (update.removals ?? []).map(({ id, revision }) => ({ id: id ?? '', revision: revision ?? 0 })),
     cordons: (update.cordons ?? []).map(decodeCordon),
@@ -135,23 +137,25 @@
 }
 
 function encodeRoute(route: Route): sailquay.spreading.IRoute {
-  const { name, address, port, targets, allowedRegions } = route;
+  const { name, address, port, targets, allowedRegions, priority } = route;
   return {
     name,
     address,
     port,
     targets: targets.map(({ service, weight }) => ({ service, weight })),
     allowedRegions: allowedRegions && [...allowedRegions],
+    ...(priority !== undefined && { priority }),
   };
 }
 
 function decodeRoute(route: sailquay.spreading.IRoute): Route {
-  const { name, address, port, targets, allowedRegions } = route;
+  const { name, address, port, targets, allowedRegions, priority } = route;
   return {
     name: name ?? '',
     address: address ?? 0,
     port: port ?? 0,
     ...(allowedRegions && allowedRegions.length > 0 ? { allowedRegions } : {}),
+    ...(typeof priority === 'number' && { priority }),
     targets: (targets ?? []).map(({ service, weight }) => ({
       service: service ?? '',
       weight: weight ?? 0,
--- a/src/cookie-edge/spreading/update-log.ts
+++ b/src/cookie-edge/spreading/update-log.ts
@@ -119,8 +119,8 @@
     removals: [],
     routes: topic === 'routes' && table ? [table] : [],
     backends: all.flatMap(({ record, departed, restored }) => (departed ? (restored?.record ?? []) : record)),
-    departed: all.flatMap(({ record, departedAtMs }) =>
-      departedAtMs === undefined ? [] : [{ record, departedAtMs }],
+    departed: all.flatMap(({ record, departedAtMs, lapsed }) =>
+      departedAtMs === undefined ? [] : [{ record, departedAtMs, ...(lapsed && { lapsed }) }],
     ),
     cordons: topic === 'cordons' ? knowledge.cordons.all() : [],
   };
--- a/src/fabric/cookie-edge.ts
+++ b/src/fabric/cookie-edge.ts
@@ -41,7 +41,8 @@
 
 /** Receives what arrives at the edge. */
 export interface CookieEdgeHandler {
-  onPacket(packet: CookiePacket): void;
+  /** `waitedMs`: how long the packet was kept since it arrived; 0 unless given. */
+  onPacket(packet: CookiePacket, waitedMs?: number): void;
   onDrop(reason: EdgeDropReason): void;
 }
 
@@ -53,6 +54,6 @@
   sendReset(): void;
   /** Sends a reset to the caller of any flow. */
   sendResetTo(target: ResetTarget): void;
-  /** Copies the packet; the returned function delivers it to the handler again. */
-  keepPacket(): () => void;
+  /** Copies the packet; the returned function delivers it to the handler again, with the time that it was kept. */
+  keepPacket(): (waitedMs: number) => void;
 }
--- a/src/observability/event.ts
+++ b/src/observability/event.ts
@@ -32,6 +32,7 @@
   'cookie-edge/spreading': { first: 2200, last: 2299 },
   'cookie-edge/load': { first: 2300, last: 2399 },
   'cookie-edge/outliers': { first: 2400, last: 2499 },
+  'cookie-edge/roster': { first: 2500, last: 2599 },
 };
 
 /** A declared event. */
