Let openings that are late already yield to those that can be answered in time, after an interruption

Change: for 3 s after a return an opening whose caller has waited beyond its route's target latency is held while this daemon's share of the slots is in use, and let in by priority, then by the time waited; at its last chance at once. The target latency is read from the routes; the roster tells a start how many daemons there are. Mechanism yielding-openings.

--- a/src/common/mechanisms.ts
+++ b/src/common/mechanisms.ts
@@ -28,6 +28,8 @@
   'roster',
   /** Openings that no listed back end can serve are held while back ends that live may be missing from the list. */
   'unsettled-openings',
+  /** After an interruption, openings that are late already yield to those that can still be answered in time. */
+  'yielding-openings',
   /** Records that may only have lapsed are the last resort of a service. */
   'lapsed-records',
   /** Back ends that left are remembered as long as a flow to them may be open. */
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -102,9 +102,10 @@
   const transport = await NetworkTransport.open(config().control, events);
   const spreader = createSpreader(wiring, sourceParts, transport);
   availability.setMinimumRetryDelay(() => spreader.minimumRetryDelayMs());
-  const forwarder = createForwarder(wiring, sourceParts, edge);
-  openWhenComplete(buffer, knowledge, forwarder);
   const roster = createRoster(wiring, sourceParts);
+  const fleetSize = (): number | undefined => fleetSizeOf(spreader, roster);
+  const forwarder = createForwarder(wiring, sourceParts, edge, fleetSize);
+  openWhenComplete(buffer, knowledge, forwarder);
   return { ...environment, ...sourceParts, edge, transport, roster, spreader, forwarder };
 }
 
@@ -161,12 +162,19 @@
     store,
     maxPageBytes: roster.maxPageBytes,
     isLeading: () => spreader().isLeadingReader,
+    fleetSize: () => spreader().fleetSize,
     isSettled: () => !settlement.isUnsettled,
     currentWithinMs: Math.min(...changeBoundsMs),
   });
   return { reader: new RosterReader({ clock, events, knowledge, settlement, store }), writer };
 }
 
+/** A start knows few peers at first, but the roster tells how many daemons there were; undefined until it is read. */
+function fleetSizeOf(spreader: Spreader, roster: Roster | undefined): number | undefined {
+  if (roster?.reader.isPending) return undefined;
+  return Math.max(spreader.fleetSize, roster?.reader.daemons ?? 0);
+}
+
 function createSpreader(wiring: Wiring, parts: SourceParts, transport: NetworkTransport): Spreader {
   const { clock, random, events, config, isOn, pauses, loads, forwarder } = wiring;
   const { knowledge, timings, availability, settlement, reading } = parts;
@@ -198,6 +206,7 @@
   wiring: Wiring,
   { knowledge, settlement }: SourceParts,
   edge: BoundCookieEdge,
+  fleetSize: () => number | undefined,
 ): CookieForwarder {
   const { clock, random, events, config, isOn, pauses, loads, spreader } = wiring;
   const { id, zone, zoneMargin, zoneLoadFactor, maxFlowAgeMs, zoneRegions, outliers } = config();
@@ -208,6 +217,7 @@
     events,
     knowledge,
     settlement,
+    fleetSize,
     edge,
     pauses,
     isOn,
--- a/src/cookie-edge/daemon/status.ts
+++ b/src/cookie-edge/daemon/status.ts
@@ -68,7 +68,7 @@
     opened,
     takenOver,
     placedAnew,
-    held,
+    held: JSON.stringify(held),
     heldTooLong,
     ejections: forwarder.ejections,
     resets,
--- a/src/cookie-edge/forwarding/constants.ts
+++ b/src/cookie-edge/forwarding/constants.ts
@@ -15,6 +15,12 @@
 /** Held openings are decided again this long after a change, in ms, so that one turn serves several changes. */
 export const HELD_RELEASE_MS = 20;
 
+/**
+ * A request on a flow opened this long ago, in ms, no longer counts as in progress: several times what answers take, so
+ * that one which never comes does not keep others waiting.
+ */
+export const STALE_REQUEST_MS = 500;
+
 /**
  * Data repeated sooner than this, in ms, is a duplicate made by the network. Source: callers retransmit after 200 ms at
  * the earliest; 50 ms less as a margin, which is not measured.
--- a/src/cookie-edge/forwarding/cookie-test-support.ts
+++ b/src/cookie-edge/forwarding/cookie-test-support.ts
@@ -45,6 +45,8 @@
   readonly isOwner?: (backendId: string) => boolean;
   /** Outcome of a probe; answered unless given. */
   readonly probe?: ConnectProbe;
+  /** Number of daemons; nothing yields unless given. */
+  readonly fleetSize?: number;
   /** Follows the state of the list; it is always believed unless given. */
   readonly settles?: boolean;
   /** Names it in its reports to other balancers. */
@@ -53,9 +55,13 @@
   readonly onBadAnswer?: (report: BadAnswerReport) => void;
 }
 
+/** Called with the back end that a packet was sent to, undefined for a reset. */
+type SentListener = (backend: string | undefined, cookie: number) => void;
+
 /** One balancer under test. */
 export class ForwarderHarness {
   readonly sent: SentPacket[] = [];
+  private readonly sentListeners = new Map<number, SentListener>();
   /** For each of `sent` the caller's port. */
   readonly sentPorts: number[] = [];
   /** Resets of flows other than that of the packet being handled. */
@@ -95,6 +101,7 @@
       zoneMargin: 0.5,
       zoneLoadFactor: 1.5,
       isOn: allBut(switchedOff),
+      ...(surroundings.fleetSize && { fleetSize: () => surroundings.fleetSize }),
       ...(surroundings.settles && { settlement: this.settlement }),
       regionOf: (zone) => surroundings.regions?.[zone],
       probe: surroundings.probe ?? (() => Promise.resolve('answered')),
@@ -159,7 +166,14 @@
     };
   }
 
+  /** Calls `listener` with what is sent next for the caller's port; undefined ends that. */
+  onSent(port: number, listener: SentListener | undefined): void {
+    if (listener) this.sentListeners.set(port, listener);
+    else this.sentListeners.delete(port);
+  }
+
   private send(sent: SentPacket): void {
+    this.sentListeners.get(this.handled.sourcePort)?.(sent.backend, sent.cookie);
     this.sent.push(sent);
     this.sentPorts.push(this.handled.sourcePort);
   }
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -11,6 +11,7 @@
   PendingOpenings,
   type ConnectProbe,
 } from '../backend-health/index.js';
+import { CrowdAdmission } from '../admission/index.js';
 import type { LoadLevels } from '../load/index.js';
 import {
   AnswerTracker,
@@ -35,6 +36,7 @@
 import { FlowExpiry } from './flow-expiry.js';
 import { FlowFailures } from './flow-failures.js';
 import { FlowFollower } from './flow-follower.js';
+import { FlowsInProgress } from './flows-in-progress.js';
 import { HeldOpenings } from './held-openings.js';
 import { Housekeeping } from './housekeeping.js';
 import { MidFlowHandler } from './mid-flow-handler.js';
@@ -58,6 +60,8 @@
   readonly zoneLoadFactor: number;
   /** Region of a zone; undefined when it is not configured. */
   readonly regionOf: (zone: string) => string | undefined;
+  /** Number of daemons, this one included; undefined while unknown. Nothing yields unless it is given. */
+  readonly fleetSize?: () => number | undefined;
   /** Whether the list of back ends is to be believed; always unless given. */
   readonly settlement?: Settlement;
   readonly cold: ColdAdmissionOptions;
@@ -106,6 +110,7 @@
   readonly coldAdmission: ColdAdmission;
   readonly settlement: Settlement;
   readonly held: HeldOpenings;
+  readonly inProgress: FlowsInProgress;
 }
 
 /** Creates a forwarder; it handles packets at once, and its timer begins with `start`. */
@@ -164,6 +169,7 @@
     sender: new PacketSender({ edge, cookies, statistics }),
     coldAdmission: new ColdAdmission(environment.cold),
     settlement,
+    inProgress: new FlowsInProgress(),
     held: new HeldOpenings({ clock, events, edge, statistics, settlement }),
   };
 }
@@ -231,6 +237,8 @@
     newFlows,
     cache: shared.cache,
     held: shared.held,
+    inProgress: shared.inProgress,
+    crowd: createCrowdAdmission(environment, shared),
     pending,
     failures: shared.failures,
     sender: shared.sender,
@@ -240,6 +248,16 @@
   });
 }
 
+/** Undefined where nothing yields. */
+function createCrowdAdmission(
+  { knowledge, fleetSize }: CookieForwarderEnvironment,
+  { isOn, inProgress }: SharedParts,
+): CrowdAdmission | undefined {
+  if (!fleetSize || !isOn('yielding-openings')) return undefined;
+  const inProgressAt = (service: string, nowMs: number): number => inProgress.countAt(service, nowMs);
+  return new CrowdAdmission({ knowledge, fleetSize, inProgressAt });
+}
+
 function createMidFlowHandler(
   { events, knowledge }: CookieForwarderEnvironment,
   shared: SharedParts,
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -60,7 +60,7 @@
   openingsReleased: {
     number: 1261,
     level: 'info',
-    message: 'Openings that waited for a back end to be listed were decided again',
+    message: 'Openings that waited, for a back end to be listed or for their turn, were decided',
     action: 'none',
   },
   paused: {
--- a/src/cookie-edge/forwarding/held-openings.ts
+++ b/src/cookie-edge/forwarding/held-openings.ts
@@ -1,12 +1,12 @@
 /**
- * Holds openings that no back end can serve yet, and has them decided again when one may. Owns what is held and the
- * order among it; `placement/no-backend-rule.ts` decides which opening is held. Relies on the edge to keep the packets
- * and to deliver them again.
+ * Holds openings that no back end can serve yet, or that yield to others, and has them decided again. Owns what is held
+ * and the order among it; `placement/no-backend-rule.ts` and `admission/yield-rule.ts` decide which opening is held.
+ * Relies on the edge to keep the packets and to deliver them again.
  *
- * Load it answers: all daemons were lost in an outage in which records lapsed; for about two seconds hundreds of
- * callers wait for back ends that are listed one after the other. The most urgent come first, and among equals those
- * that have least time left. None is kept beyond the time at which its caller sends the next copy, which replaces it,
- * or gives up.
+ * Load it answers: all daemons were lost, perhaps in an outage in which records lapsed; hundreds of callers wait for
+ * back ends that are listed one after the other, or for their turn. The most urgent come first, and among equals those
+ * that have waited longest. None is kept beyond the time at which its caller sends the next copy, which replaces it, or
+ * gives up.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { CookieEdgePort, CookiePacket } from '../../fabric/cookie-edge.js';
@@ -16,7 +16,7 @@
 import type { CookieStatistics } from './cookie-statistics.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 import { formatFlowId } from './flow-id.js';
-import { untilNextTransmissionMs } from './syn-schedule.js';
+import { isLastCopy, sentAfterMs, untilNextTransmissionMs } from './syn-schedule.js';
 
 /** Collaborators. */
 interface HeldOpeningsOptions {
@@ -35,29 +35,42 @@
   readonly waitedMs: number;
 }
 
+/** Why an opening is held: no back end can serve it yet, or it yields to others. */
+interface HoldCause {
+  readonly route: Route;
+  readonly reason: 'no-backend' | 'yields';
+}
+
 /** An opening that waits. Times are monotonic ms. */
-interface HeldOpening {
+interface HeldOpening extends HoldCause {
   readonly arrivedAtMs: number;
+  /** When its caller sent its first SYN. */
+  readonly firstSentAtMs: number;
   /** It is given up then. */
   readonly untilMs: number;
-  /** Of its route: 0 is the most urgent; undefined: the least. */
-  readonly priority: number | undefined;
+  /** Its caller sends no further copy. */
+  readonly isLastCopy: boolean;
   /** Delivers the packet to the edge's handler again. */
   readonly deliver: (waitedMs: number) => void;
 }
 
-/** The order in which openings are decided again: by urgency, then by the time left. */
+/** How long a copy is held at most, in ms. */
+export function longestHoldMs(retransmissions: number): number {
+  return untilNextTransmissionMs(retransmissions) - HELD_MARGIN_MS;
+}
+
+/** The order in which openings are decided again: by urgency, then by the time that the caller has waited. */
 function compareHeld(left: HeldOpening, right: HeldOpening): number {
-  const leftPriority = left.priority ?? Number.MAX_SAFE_INTEGER;
-  const rightPriority = right.priority ?? Number.MAX_SAFE_INTEGER;
-  return leftPriority - rightPriority || left.untilMs - right.untilMs;
+  const leftPriority = left.route.priority ?? Number.MAX_SAFE_INTEGER;
+  const rightPriority = right.route.priority ?? Number.MAX_SAFE_INTEGER;
+  return leftPriority - rightPriority || left.firstSentAtMs - right.firstSentAtMs;
 }
 
 /** Openings of one daemon that wait. */
 export class HeldOpenings {
   private readonly byFlow = new Map<string, HeldOpening>();
   private timer: TimerHandle | undefined;
-  /** Something changed since the openings were last decided. */
+  /** Something changed since the openings without a back end were last decided. */
   private hasNews = false;
 
   constructor(private readonly options: HeldOpeningsOptions) {
@@ -73,16 +86,22 @@
   }
 
   /** Holds the packet that is being handled; it replaces an earlier copy of its flow. */
-  hold(packet: CookiePacket, { priority }: Route, { nowMs, waitedMs }: Arrival): void {
+  hold(packet: CookiePacket, cause: HoldCause, { nowMs, waitedMs }: Arrival): void {
+    const { statistics, edge } = this.options;
     const flow = formatFlowId(packet);
-    if (this.byFlow.size >= MAX_HELD_OPENINGS && !this.byFlow.has(flow)) {
-      return this.options.statistics.countDrop('held-full');
-    }
+    if (this.byFlow.size >= MAX_HELD_OPENINGS && !this.byFlow.has(flow))
+      return statistics.countDrop('held-full');
+    const { retransmissionCount: copy } = packet;
     const arrivedAtMs = nowMs - waitedMs;
-    const untilMs = arrivedAtMs + untilNextTransmissionMs(packet.retransmissionCount) - HELD_MARGIN_MS;
-    const deliver = this.options.edge.keepPacket();
-    this.byFlow.set(flow, { arrivedAtMs, untilMs, priority, deliver });
-    if (waitedMs === 0) this.options.statistics.held += 1;
+    this.byFlow.set(flow, {
+      ...cause,
+      arrivedAtMs,
+      firstSentAtMs: arrivedAtMs - sentAfterMs(copy),
+      untilMs: arrivedAtMs + longestHoldMs(copy),
+      isLastCopy: isLastCopy(copy),
+      deliver: edge.keepPacket(),
+    });
+    if (waitedMs === 0) statistics.countHeld(cause.reason);
     this.checkSoon();
   }
 
@@ -107,32 +126,39 @@
 
   private check(): void {
     const nowMs = this.options.clock.now();
-    this.giveUp(nowMs);
-    if (this.hasNews) this.decideAgain(nowMs);
+    const waitingBefore = this.byFlow.size;
+    this.endHolds(nowMs);
+    this.decideAgain(nowMs);
+    this.logDecided(waitingBefore - this.byFlow.size);
     this.checkSoon();
   }
 
-  /** Drops what its caller sends again at any moment. */
-  private giveUp(nowMs: number): void {
-    for (const [flow, { untilMs }] of this.byFlow) {
-      if (nowMs < untilMs) continue;
+  /** Drops what its caller sends again at any moment. One that only yields has its last chance then. */
+  private endHolds(nowMs: number): void {
+    for (const [flow, opening] of [...this.byFlow]) {
+      if (nowMs < opening.untilMs) continue;
       this.byFlow.delete(flow);
-      this.options.statistics.heldTooLong += 1;
+      if (opening.reason === 'yields' && opening.isLastCopy) opening.deliver(nowMs - opening.arrivedAtMs);
+      else this.options.statistics.heldTooLong += 1;
     }
   }
 
-  /** Has everything that waits decided again; what still cannot be served is held on. */
+  /** Has decided again what may have another outcome by now; what has not is held on. */
   private decideAgain(nowMs: number): void {
+    const { hasNews } = this;
     this.hasNews = false;
-    const waiting = [...this.byFlow.values()].sort(compareHeld);
-    this.byFlow.clear();
-    for (const { deliver, arrivedAtMs } of waiting) deliver(nowMs - arrivedAtMs);
-    const decided = waiting.length - this.byFlow.size;
+    const waiting = [...this.byFlow].filter(([, { reason }]) => hasNews || reason === 'yields');
+    const routesWithoutRoom = new Set<Route>();
+    for (const [flow, opening] of waiting.sort(([, left], [, right]) => compareHeld(left, right))) {
+      if (routesWithoutRoom.has(opening.route)) continue;
+      this.byFlow.delete(flow);
+      opening.deliver(nowMs - opening.arrivedAtMs);
+      if (this.byFlow.get(flow)?.reason === 'yields') routesWithoutRoom.add(opening.route);
+    }
+  }
+
+  private logDecided(decided: number): void {
     if (decided === 0) return;
-    this.options.events.emit(COOKIE_FLOW_EVENTS.openingsReleased, {
-      decided,
-      stillHeld: this.byFlow.size,
-      longestMs: Math.round(Math.max(...waiting.map(({ arrivedAtMs }) => nowMs - arrivedAtMs))),
-    });
+    this.options.events.emit(COOKIE_FLOW_EVENTS.openingsReleased, { decided, stillHeld: this.byFlow.size });
   }
 }
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -3,16 +3,20 @@
  * counts it and has it logged. Owns no state; relies on the flow cache to distinguish retransmissions from new flows.
  */
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
+import type { CrowdAdmission } from '../admission/index.js';
 import type { PendingOpenings } from '../backend-health/index.js';
 import type { NewFlowOutcome, NewFlowRule, Placement } from '../placement/index.js';
+import type { Route } from '../routing/index.js';
 import type { CookieStatistics } from './cookie-statistics.js';
 import type { Flow, FlowCache } from './flow-cache.js';
 import type { FlowFailures } from './flow-failures.js';
-import type { Arrival, HeldOpenings } from './held-openings.js';
+import { longestHoldMs, type Arrival, type HeldOpenings } from './held-openings.js';
+import type { FlowsInProgress } from './flows-in-progress.js';
 import type { OpeningLog } from './opening-log.js';
 import type { PacketSender } from './packet-sender.js';
 import { decideRetransmission, mayLeaveFirstBackend } from './retransmission-rule.js';
 import { classifySyn } from './syn-rule.js';
+import { isLastCopy, sentAfterMs } from './syn-schedule.js';
 
 /** What handling SYNs needs. */
 interface OpeningHandlerOptions {
@@ -21,6 +25,9 @@
   readonly mayHaveWaited: (nowMs: number) => boolean;
   readonly cache: FlowCache;
   readonly held: HeldOpenings;
+  readonly inProgress: FlowsInProgress;
+  /** Undefined: nothing yields. */
+  readonly crowd?: CrowdAdmission;
   readonly pending: PendingOpenings;
   readonly failures: FlowFailures;
   readonly sender: PacketSender;
@@ -43,9 +50,23 @@
     if (kind === 'stale') return this.dropStale(packet);
     if (kind === 'retransmission' && flow) return this.onRetransmission(packet, flow, nowMs);
     if (flow) this.options.cache.remove(flow);
+    const route = this.options.newFlows.routeOf(packet);
+    if (route && this.mustYield(route, packet, arrival)) {
+      return this.options.held.hold(packet, { route, reason: 'yields' }, arrival);
+    }
     this.carryOut(this.options.newFlows.decide(packet, nowMs), packet, arrival);
   }
 
+  private mustYield(
+    route: Route,
+    { retransmissionCount }: CookiePacket,
+    { nowMs, waitedMs }: Arrival,
+  ): boolean {
+    const isLastChance = isLastCopy(retransmissionCount) && waitedMs >= longestHoldMs(retransmissionCount);
+    const caller = { waitedMs: waitedMs + sentAfterMs(retransmissionCount), isLastChance };
+    return this.options.crowd?.mustYield(route, caller, nowMs) ?? false;
+  }
+
   private dropStale(packet: CookiePacket): void {
     this.options.statistics.countDrop(STALE_SYN_LABEL);
     this.options.log.droppedStale(packet);
@@ -54,7 +75,10 @@
   private carryOut(outcome: NewFlowOutcome, packet: CookiePacket, arrival: Arrival): void {
     const { statistics, sender, log, held } = this.options;
     const { nowMs } = arrival;
-    if (outcome.kind === 'hold') return held.hold(packet, outcome.route, arrival);
+    if (outcome.kind === 'hold') {
+      this.options.crowd?.recordReturn(nowMs);
+      return held.hold(packet, { route: outcome.route, reason: 'no-backend' }, arrival);
+    }
     held.forget(packet);
     if (outcome.kind === 'drop') return statistics.countDrop(outcome.reason);
     if (outcome.kind === 'refuse') {
@@ -70,10 +94,11 @@
 
   /** Records a new flow. With a full cache the flow is not remembered, but still forwarded by its cookie. */
   private open(packet: CookiePacket, placement: Placement, nowMs: number): void {
-    const { newFlows, cache, pending, statistics } = this.options;
+    const { newFlows, cache, pending, statistics, crowd, inProgress } = this.options;
     newFlows.recordPlacement(placement, nowMs);
     const flow = cache.add(packet, placement.state, 'opening', nowMs);
     if (flow) pending.add(flow);
+    if (flow && crowd?.isReturning(nowMs)) inProgress.add(flow);
     statistics.opened += 1;
   }
 
--- a/src/cookie-edge/forwarding/syn-schedule.ts
+++ b/src/cookie-edge/forwarding/syn-schedule.ts
@@ -10,6 +10,16 @@
 /** Copies that a caller sends after the first SYN. */
 const LAST_COPY = NEXT_SENT_MS.length - 1;
 
+/** True for the copy after which a caller sends no further one. */
+export function isLastCopy(retransmissions: number): boolean {
+  return retransmissions === LAST_COPY;
+}
+
+/** Time in ms from the first SYN to the copy of this number; an unknown number counts as the first. */
+export function sentAfterMs(retransmissions: number): number {
+  return NEXT_SENT_MS[retransmissions - 1] ?? 0;
+}
+
 /** Time in ms from a transmission to the next one, or to the end of the attempt; an unknown count has the shortest. */
 export function untilNextTransmissionMs(retransmissions: number): number {
   if (!Number.isInteger(retransmissions) || retransmissions < 1 || retransmissions > LAST_COPY) {
--- a/src/cookie-edge/placement/new-flow-rule.ts
+++ b/src/cookie-edge/placement/new-flow-rule.ts
@@ -70,9 +70,14 @@
       : { kind: 'refuse', reason: 'no-backend', route };
   }
 
+  /** The route of a flow; undefined when there is none, or none is known yet. */
+  routeOf({ destinationAddress, destinationPort }: FlowAddresses): Route | undefined {
+    return this.options.knowledge.routes()?.find(destinationAddress, destinationPort);
+  }
+
   /** The back end for a flow whose SYN was placed before; undefined without a route or a candidate. */
   chooseAgain(flow: FlowAddresses, nowMs: number): Placement | undefined {
-    const route = this.options.knowledge.routes()?.find(flow.destinationAddress, flow.destinationPort);
+    const route = this.routeOf(flow);
     return route && this.choose(flow, route, nowMs);
   }
 
--- a/src/cookie-edge/roster/roster-reader.ts
+++ b/src/cookie-edge/roster/roster-reader.ts
@@ -28,6 +28,8 @@
 /** Reads the roster once. No method throws or rejects. */
 export class RosterReader {
   private callCount = 0;
+  private daemonCount: number | undefined;
+  private hasEnded = false;
 
   constructor(private readonly options: RosterReaderOptions) {}
 
@@ -36,15 +38,26 @@
     return this.callCount;
   }
 
+  /** Daemons of the fleet, as the roster says; undefined when it was not read. */
+  get daemons(): number | undefined {
+    return this.daemonCount;
+  }
+
+  /** True until the roster was read, or proved needless. */
+  get isPending(): boolean {
+    return !this.hasEnded;
+  }
+
   /** Waits for the first list, then reads until that succeeds or the list is settled. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, settlement } = this.options;
     await this.untilListed(signal);
     await pause(clock, ROSTER_READ_DELAY_MS, signal);
     while (!signal.aborted && settlement.state === 'settling') {
-      if (await this.read(signal)) return;
+      if (await this.read(signal)) break;
       await pause(clock, ROSTER_READ_RETRY_MS, signal);
     }
+    this.hasEnded = true;
   }
 
   private untilListed(signal: AbortSignal): Promise<void> {
@@ -80,6 +93,7 @@
     const services = new Set<string>();
     let [named, remembered] = [0, 0];
     for (const { page } of pages) {
+      this.daemonCount = Math.max(this.daemonCount ?? 0, page.daemons ?? 0);
       for (const entry of page.entries) {
         named += 1;
         if (!entry.hasLeft) services.add(page.service);
@@ -92,6 +106,7 @@
       named,
       remembered,
       awaited: knowledge.backends.awaitedCount,
+      daemons: this.daemonCount,
     });
     settlement.recordRoster(services);
   }
--- a/src/cookie-edge/roster/roster-test-support.ts
+++ b/src/cookie-edge/roster/roster-test-support.ts
@@ -106,6 +106,7 @@
       store,
       maxPageBytes,
       isLeading: () => this.isLeading,
+      fleetSize: () => 7,
       isSettled: () => this.isSettled,
       currentWithinMs: 3_000,
     });
--- a/src/cookie-edge/roster/roster-writer.ts
+++ b/src/cookie-edge/roster/roster-writer.ts
@@ -22,6 +22,7 @@
   /** Limit of the store for one page, in bytes. */
   readonly maxPageBytes: number;
   readonly isLeading: () => boolean;
+  readonly fleetSize: () => number;
   readonly isSettled: () => boolean;
   /** See `WriterSituation.currentWithinMs`. */
   readonly currentWithinMs: number;
@@ -123,8 +124,9 @@
     const { known } = this;
     if (!known) return false;
     this.callCount += 1;
+    const written = { ...page, daemons: this.options.fleetSize() };
     const condition = { revision: known.byService.get(page.service)?.revision, maxBytes };
-    const response = await store.writePage(page, condition, signal);
+    const response = await store.writePage(written, condition, signal);
     if (response.isErr) {
       // The write may be done, or be done later: what is stored must be read before the next one.
       this.known = undefined;
--- a/src/cookie-edge/roster/types.ts
+++ b/src/cookie-edge/roster/types.ts
@@ -18,6 +18,8 @@
   readonly service: string;
   /** Epoch of the source's history to which the revisions of the records belong; absent: 0. */
   readonly epoch?: number;
+  /** Daemons of the fleet when it was written, as its writer estimated; absent: unknown. Alone no reason to write. */
+  readonly daemons?: number;
   readonly entries: readonly RosterEntry[];
 }
 
--- a/src/cookie-edge/routing/route-table-change.ts
+++ b/src/cookie-edge/routing/route-table-change.ts
@@ -80,7 +80,7 @@
 
 function isSameRoute(left: Route | undefined, right: Route): boolean {
   if (!left || left.address !== right.address || left.port !== right.port) return false;
-  if (left.priority !== right.priority) return false;
+  if (left.priority !== right.priority || left.targetLatencyMs !== right.targetLatencyMs) return false;
   if (left.targets.length !== right.targets.length) return false;
   if (left.allowedRegions?.join() !== right.allowedRegions?.join()) return false;
   return left.targets.every(({ service, weight }, index) => {
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -26,6 +26,8 @@
   readonly allowedRegions?: readonly string[];
   /** Urgency of its requests: 0 is the most urgent; undefined: the least. */
   readonly priority?: number;
+  /** Time in ms from the caller's first packet within which its requests should be answered; undefined: none. */
+  readonly targetLatencyMs?: number;
 }
 
 /** Settings of one service. */
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -386,6 +386,9 @@
             /** Route priority. */
             priority?: (number|null);
 
+            /** Route targetLatencyMs. */
+            targetLatencyMs: number;
+
             /**
              * Encodes the specified Route message. Does not implicitly {@link sailquay.spreading.Route.verify|verify} messages.
              * @param message Route message or plain object to encode
@@ -435,6 +438,9 @@
                 /** Route priority */
                 priority?: (number|null);
 
+                /** Route targetLatencyMs */
+                targetLatencyMs?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -853,6 +853,7 @@
              * @property {Array.<sailquay.spreading.RouteTarget.$Properties>|null} [targets] Route targets
              * @property {Array.<string>|null} [allowedRegions] Route allowedRegions
              * @property {number|null} [priority] Route priority
+             * @property {number|null} [targetLatencyMs] Route targetLatencyMs
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -934,6 +935,14 @@
              */
             Route.prototype.priority = null;
 
+            /**
+             * Route targetLatencyMs.
+             * @member {number} targetLatencyMs
+             * @memberof sailquay.spreading.Route
+             * @instance
+             */
+            Route.prototype.targetLatencyMs = 0;
+
             // OneOf field names bound to virtual getters and setters
             let $oneOfFields;
 
@@ -973,6 +982,8 @@
                         writer.uint32(/* id 5, wireType 2 =*/42).string(message.allowedRegions[i]);
                 if (message.priority != null && $Object.hasOwnProperty.call(message, "priority"))
                     writer.uint32(/* id 6, wireType 0 =*/48).uint32(message.priority);
+                if (message.targetLatencyMs != null && $Object.hasOwnProperty.call(message, "targetLatencyMs") && message.targetLatencyMs !== 0)
+                    writer.uint32(/* id 7, wireType 0 =*/56).uint32(message.targetLatencyMs);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1067,6 +1078,15 @@
                             message._priority = "priority";
                             continue;
                         }
+                    case 7: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.targetLatencyMs = value;
+                            else
+                                delete message.targetLatencyMs;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
--- a/src/cookie-edge/spreading/update-codec.ts
+++ b/src/cookie-edge/spreading/update-codec.ts
@@ -137,7 +137,7 @@
 }
 
 function encodeRoute(route: Route): sailquay.spreading.IRoute {
-  const { name, address, port, targets, allowedRegions, priority } = route;
+  const { name, address, port, targets, allowedRegions, priority, targetLatencyMs } = route;
   return {
     name,
     address,
@@ -145,17 +145,19 @@
     targets: targets.map(({ service, weight }) => ({ service, weight })),
     allowedRegions: allowedRegions && [...allowedRegions],
     ...(priority !== undefined && { priority }),
+    ...(targetLatencyMs !== undefined && { targetLatencyMs }),
   };
 }
 
 function decodeRoute(route: sailquay.spreading.IRoute): Route {
-  const { name, address, port, targets, allowedRegions, priority } = route;
+  const { name, address, port, targets, allowedRegions, priority, targetLatencyMs } = route;
   return {
     name: name ?? '',
     address: address ?? 0,
     port: port ?? 0,
     ...(allowedRegions && allowedRegions.length > 0 ? { allowedRegions } : {}),
     ...(typeof priority === 'number' && { priority }),
+    ...(targetLatencyMs ? { targetLatencyMs } : {}),
     targets: (targets ?? []).map(({ service, weight }) => ({
       service: service ?? '',
       weight: weight ?? 0,
