--- a/src/cookie-edge/spreading/message-codec.test.ts
+++ b/src/cookie-edge/spreading/message-codec.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type { RouteTable, RoutingUpdate } from '../routing/index.js';
 import { applyTableChange, compareTables } from '../routing/route-table-change.js';
-import { tableAt, updateAt } from '../routing/routing-test-support.js';
+import { backendAt, tableAt, updateAt } from '../routing/routing-test-support.js';
 import { decodePeerMessage, encodePeerMessage } from './message-codec.js';
 import type { PeerMessage, SpreadUpdate } from './types.js';
 
@@ -47,6 +47,38 @@
   t.deepEqual(received({ topic: 'routes', since: -1, update })?.routes, [limited]);
 });
 
+test('the urgency of routes arrives, and its change is a change of the route', (t) => {
+  const [route] = tableAt(5).routes;
+  const urgent = tableAt(6, { routes: [{ ...route!, priority: 0, targetLatencyMs: 261 }] });
+  const update = updateAt(6, { complete: true, routes: [urgent] });
+  t.deepEqual(received({ topic: 'routes', since: -1, update })?.routes, [urgent]);
+  t.is(compareTables(tableAt(5), urgent).routes.length, 1);
+});
+
+test('whether a departed back end may only have lapsed arrives', (t) => {
+  const departed = [
+    { record: backendAt('a', 5), departedAtMs: NOW_MS - 1_000, lapsed: true },
+    { record: backendAt('b', 6), departedAtMs: NOW_MS - 1_000 },
+  ];
+  const arrived = received({
+    topic: 'backends',
+    since: -1,
+    update: updateAt(7, { complete: true, departed }),
+  });
+  t.deepEqual(
+    arrived?.departed?.map(({ lapsed }) => lapsed),
+    [true, undefined],
+  );
+});
+
+test('whether the sender believes its list arrives; one that does not say believes it', (t) => {
+  const message = messageWith({ topic: 'backends', since: 5, update: updateAt(6) });
+  const arrived = (unsettled: boolean) =>
+    decodePeerMessage(encodePeerMessage({ ...message, unsettled }, NOW_MS), NOW_MS)?.unsettled;
+  t.true(arrived(true));
+  t.false(arrived(false));
+});
+
 test('cordons and their removals arrive', (t) => {
   const update = updateAt(9, {
     cordons: [{ zone: 'north', revision: 8 }],
--- a/src/cookie-edge/spreading/spreading-test-support.ts
+++ b/src/cookie-edge/spreading/spreading-test-support.ts
@@ -6,6 +6,7 @@
 import { LoadView } from '../load/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import {
+  BackendSettlement,
   freshnessTimings,
   ProblemLog,
   RoutingKnowledge,
@@ -26,6 +27,7 @@
 /** One daemon of the cluster. */
 export class SimulatedDaemon {
   readonly knowledge: RoutingKnowledge;
+  readonly settlement: BackendSettlement;
   readonly spreader: Spreader;
   readonly endpoint: Endpoint;
   /** Back ends that others ejected, each once. */
@@ -54,6 +56,9 @@
     this.knowledge = new RoutingKnowledge({ clock, events, retentionMs: 60_000, followsCordons });
     this.availability = new SourceAvailability(clock, random, events);
     this.availability.setMinimumRetryDelay(() => this.spreader.minimumRetryDelayMs());
+    const { knowledge } = this;
+    const recordsMayLapse = (): boolean => this.availability.recordsMayLapse();
+    this.settlement = new BackendSettlement({ clock, events, knowledge, recordsMayLapse });
     this.followers = this.followersOf(cluster);
     this.spreader = new Spreader({
       selfId: id,
@@ -68,7 +73,9 @@
       setReading: (isReading) => this.setReading(isReading),
       recordArrival: () => undefined,
       mayHaveWaited: () => false,
-      recordsMayLapse: () => this.availability.recordsMayLapse(),
+      recordsMayLapse,
+      isUnsettled: () => this.settlement.isUnsettled,
+      onSettledPeer: () => this.settlement.recordSettledPeer(),
       applyLoadReport: (report) => this.loads.applyReport(report),
       applyBadAnswerReport: (report) => this.applyBadAnswerReport(report),
       applyEjectionReport: (report) => this.applyEjectionReport(report),
