--- a/src/cli/backend-command.ts
+++ b/src/cli/backend-command.ts
@@ -10,15 +10,9 @@
 import { collectAdmin, connectPlatform, findAdmins, type FleetOptions } from './fleet-options.js';
 import { readFleet, type BalancerReport } from './fleet-status.js';
 
-/**
- * How long a drain is watched, s. Not measured; chosen because edits were in force everywhere within 0.3 s in
- * recorded runs.
- */
+/** How long a drain is watched, s. Edits were in force everywhere within 0.3 s in recorded runs. */
 const DEFAULT_WAIT_SECONDS = 10;
-/**
- * Time between two looks at the fleet while a drain is watched, ms. Not measured; chosen short for a person who
- * waits.
- */
+/** Time between two looks at the fleet while a drain is watched, ms. Short for a person who waits. */
 const WAIT_POLL_MS = 100;
 
 interface BackendFlags extends FleetOptions {
--- a/src/cli/constants.ts
+++ b/src/cli/constants.ts
@@ -8,6 +8,6 @@
 
 /**
  * Interval of a timer that keeps the process alive until its command is done, ms: the timers of the store client do
- * not. Not measured; chosen because any interval keeps it alive.
+ * not. Any interval keeps it alive.
  */
 export const KEEP_ALIVE_MS = 1_000;
--- a/src/cli/fleet-status.ts
+++ b/src/cli/fleet-status.ts
@@ -4,19 +4,13 @@
 import type { BackendStatus, DaemonStatus, DaemonSummary, MemberStatus } from '../gue-edge/daemon/status.js';
 import type { StatusView } from '../observability/index.js';
 
-/**
- * Longest wait for one daemon's answer, ms. Not measured; chosen because a daemon that is slower counts as
- * unreachable.
- */
+/** Longest wait for one daemon's answer, ms. A daemon that is slower counts as unreachable. */
 const STATUS_TIMEOUT_MS = 3_000;
 
-/**
- * Balancers that are asked for what they believe of each back end; the others give counts only. Not measured;
- * chosen as a few.
- */
+/** Balancers that are asked for what they believe of each back end; the others give counts only. A few. */
 const BACKEND_WITNESSES = 5;
 
-/** Daemons asked at the same time. Not measured; chosen to bound sockets on fleets of over 1,000. */
+/** Daemons asked at the same time. Bounds sockets on fleets of over 1,000. */
 const PARALLEL_REQUESTS = 32;
 
 const HTTP_OK = 200;
--- a/src/common/drain.ts
+++ b/src/common/drain.ts
@@ -9,10 +9,7 @@
  */
 import type { Clock } from './clock.js';
 
-/**
- * Interval in ms at which a stopping daemon counts packets; silence is recognized up to this much late. Not measured,
- * and no reason is recorded.
- */
+/** Interval in ms at which a stopping daemon counts packets; silence is recognized up to this much late. */
 const DRAIN_POLL_INTERVAL_MS = 100;
 
 /** Times of a wait in ms. */
--- a/src/common/pause-detector.ts
+++ b/src/common/pause-detector.ts
@@ -11,8 +11,8 @@
  */
 
 /**
- * Delay of a tick, in ms, from which the process counts as paused. Not measured; chosen to be below the 200 ms
- * after which callers retransmit a SYN for the first time.
+ * Delay of a tick, in ms, from which the process counts as paused. Below the 200 ms after which callers
+ * retransmit a SYN for the first time.
  */
 const PAUSE_MS = 150;
 
--- a/src/cookie-edge/backend-health/constants.ts
+++ b/src/cookie-edge/backend-health/constants.ts
@@ -1,86 +1,69 @@
 /** Timeouts and limits of passive health, of probes and of dead verdicts. Durations are in ms. */
 
 /**
- * An opening that its caller has not continued after this long is unanswered. Derived: below the 200 ms after which
- * callers retransmit a SYN. The forwarder checks once a `HOUSEKEEPING_TICK_MS`, so the failure is counted up to
- * that much later.
+ * An opening that its caller has not continued after this long is unanswered. Below the 200 ms after which callers
+ * retransmit a SYN. The forwarder checks once a `HOUSEKEEPING_TICK_MS`, so the failure is counted up to that much
+ * later.
  */
 export const OPENING_ANSWER_MS = 150;
 
 /**
- * Consecutive failures (unanswered openings, retransmitted data) without a sign of life that eject a back end. Not
- * measured; chosen because a single one may be a lost packet.
+ * Consecutive failures (unanswered openings, retransmitted data) without a sign of life that eject a back end. A single
+ * one may be a lost packet.
  */
 export const EJECT_AFTER_FAILURES = 2;
 
-/**
- * First ejection time; each failed trial opening doubles it. Not measured, and no reason is recorded.
- */
+/** First ejection time; each failed trial opening doubles it. */
 export const EJECT_MIN_MS = 1_000;
 
-/**
- * Longest ejection time, reached with the fourth ejection without a sign of life between. Not measured, and no reason
- * is recorded.
- */
+/** Longest ejection time, reached with the fourth ejection without a sign of life between. */
 export const EJECT_MAX_MS = 8_000;
 
 /**
  * A back end with failures, but too few to eject it, is suspect this long after the last one. Another daemon's ejection
- * of the same back end counts as new again after this long, too. Not measured, and no reason is recorded.
+ * of the same back end counts as new again after this long, too.
  */
 export const SUSPECT_MS = 1_000;
 
 /**
- * A back end that another daemon ejected is suspect this long, unless it gives a sign of life here. Not measured
- * against other times, and no reason is recorded. Spreading gossips an ejection for as long.
+ * A back end that another daemon ejected is suspect this long, unless it gives a sign of life here. Spreading gossips
+ * an ejection for as long.
  */
 export const SHARED_SUSPECT_MS = 2_000;
 
 /**
  * Time constant with which a closed flow's weight decays. Without closed flows a back end that holds no long flows gets
- * every short one, since each has ended before the next one comes. With them the busiest back end's load fell from
- * 1.079 to 1.042 times the mean (trials, five seeds). Not measured against other times.
+ * every short one, since each has ended before the next one comes.
  */
 export const CLOSED_FLOW_COUNTS_MS = 2_000;
 
 /**
- * Timeout of a probe. Derived: longer than packets wait on a link that is not overloaded (500 ms, the platform's own
- * measure), so that a busy link is not taken for a dead back end. A lost packet of a probe costs as much.
+ * Timeout of a probe. Longer than packets wait on a link that is not overloaded (500 ms, the platform's own measure),
+ * so that a busy link is not taken for a dead back end. A lost packet of a probe costs as much.
  */
 export const PROBE_TIMEOUT_MS = 600;
 
 /**
  * Delay of the second probe after the first. Both must stay unanswered: with a loss of 3% in each direction one probe
- * is lost in 6% of the cases and both in 0.4%. Derived: overlapping probes take 800 ms instead of 1,200 ms one after
- * the other.
+ * is lost in 6% of the cases and both in 0.4%. Overlapping probes take 800 ms instead of 1,200 ms one after the other.
  */
 export const PROBE_SPACING_MS = 200;
 
-/**
- * Pairs of probes of one back end that may follow each other without a proof. Not measured, and no reason is recorded.
- */
+/** Pairs of probes of one back end that may follow each other without a proof. */
 export const MAX_PROBE_PAIRS = 2;
 
-/**
- * Back ends probed at once. Not measured; chosen as a bound because each probe takes a file descriptor here and a
- * connection there.
- */
+/** Back ends probed at once. Each probe takes a file descriptor here and a connection there. */
 export const MAX_PROBES_AT_ONCE = 64;
 
-/**
- * A back end that answered a probe is not probed again for this long. Not measured, and no reason is recorded.
- */
+/** A back end that answered a probe is not probed again for this long. */
 export const PROBE_AGAIN_MS = 1_000;
 
-/**
- * A probe that ends this much after its timeout is inconclusive, because this process stood still. Not measured, and no
- * reason is recorded for the size.
- */
+/** A probe that ends this much after its timeout is inconclusive, because this process stood still. */
 export const PROBE_LATE_MS = 100;
 
 /**
- * Lifetime of a dead verdict obtained by probing; later probes renew it. Not measured against other times; must exceed
- * `DEAD_RECHECK_MS` plus a pair of probes, which is 1,800 ms.
+ * Lifetime of a dead verdict obtained by probing; later probes renew it. Must exceed `DEAD_RECHECK_MS` plus a pair of
+ * probes, which is 1,800 ms.
  */
 export const DEAD_VERDICT_MS = 2_000;
 
@@ -92,15 +75,12 @@
  */
 export const DEAD_RECHECK_MS = 1_000;
 
-/**
- * Two deaths in a zone within this time put its other back ends in doubt. Not measured, and no reason is recorded.
- */
+/** Two deaths in a zone within this time put its other back ends in doubt. */
 export const DEAD_IN_ZONE_MS = 2_000;
 
 /**
- * A handshake is slow when it takes longer than `SLOW_HANDSHAKE_FACTOR` times the moving average plus this. Not
- * measured against other values; avoiding back ends with a slow handshake cut the requests lost at their last try from
- * 24 to 12 (a trial day, one run each).
+ * A handshake is slow when it takes longer than `SLOW_HANDSHAKE_FACTOR` times the moving average plus this. Avoiding
+ * back ends with a slow handshake cut the requests lost at their last try from 24 to 12 (a trial day, one run each).
  */
 export const SLOW_HANDSHAKE_MARGIN_MS = 5;
 
@@ -109,13 +89,8 @@
  */
 export const SLOW_HANDSHAKE_FACTOR = 2;
 
-/**
- * Weight of the newest handshake in the moving average, which so covers about the last 1 / 0.05 = 20. Not measured.
- */
+/** Weight of the newest handshake in the moving average, which so covers about the last 1 / 0.05 = 20. */
 export const HANDSHAKE_AVERAGE_WEIGHT = 0.05;
 
-/**
- * Moving average before the first handshake; a handshake is then slow from 45 ms. Not measured, and no reason is
- * recorded.
- */
+/** Moving average before the first handshake; a handshake is then slow from 45 ms. */
 export const HANDSHAKE_AVERAGE_START_MS = 20;
--- a/src/cookie-edge/daemon/cookie-daemon.ts
+++ b/src/cookie-edge/daemon/cookie-daemon.ts
@@ -13,8 +13,8 @@
 import { describeStatus, summarize } from './status.js';
 
 /**
- * Interval in ms at which a daemon that is not ready compares its readiness with the last one reported. Not measured;
- * chosen because routers probe far less often.
+ * Interval in ms at which a daemon that is not ready compares its readiness with the last one reported. Routers probe
+ * far less often.
  */
 const READINESS_INTERVAL_MS = 20;
 
--- a/src/cookie-edge/forwarding/constants.ts
+++ b/src/cookie-edge/forwarding/constants.ts
@@ -1,8 +1,8 @@
 /** Durations of cookie forwarding. */
 
 /**
- * Period of the housekeeping, in ms: pending openings, pauses, ejections and expiry. Not measured; chosen to be at most
- * the 150 ms after which an opening is unanswered.
+ * Period of the housekeeping, in ms: pending openings, pauses, ejections and expiry. At most the 150 ms after
+ * which an opening is unanswered.
  */
 export const HOUSEKEEPING_TICK_MS = 150;
 
@@ -23,19 +23,19 @@
 
 /**
  * Data repeated sooner than this, in ms, is a duplicate made by the network. Source: callers retransmit after 200 ms at
- * the earliest; 50 ms less as a margin, which is not measured.
+ * the earliest; 50 ms less as a margin.
  */
 export const REPETITION_MIN_MS = 150;
 
 /**
  * A flow that is closed or still opening is remembered this long after its last packet, in ms, so that its last packets
- * and the retransmissions of its SYN are attributed. Not measured; chosen to outlast a caller's attempt to open a flow,
- * which ends after 1,400 ms.
+ * and the retransmissions of its SYN are attributed. Outlasts a caller's attempt to open a flow, which ends after
+ * 1,400 ms.
  */
 export const CLOSING_MS = 3_000;
 
 /**
- * Time in ms between two sweeps of the flow cache. Not measured; chosen because a flow that expires up to 1 s late does
- * no harm, and each sweep visits every flow.
+ * Time in ms between two sweeps of the flow cache. A flow that expires up to 1 s late does no harm, and each sweep
+ * visits every flow.
  */
 export const EXPIRY_INTERVAL_MS = 1_000;
--- a/src/cookie-edge/load/busy-backends.ts
+++ b/src/cookie-edge/load/busy-backends.ts
@@ -1,7 +1,6 @@
 /**
  * Rule: which back ends are busy. Keeps daemons that each place one flow in a hundred from piling them up where other
- * daemons' flows already are: with reports busiest/mean fell from 2.4 to 1.66 (simulation of 164 back ends and 195
- * daemons). Does no input or output.
+ * daemons' flows already are. Does no input or output.
  *
  * Inputs: rates in calls a second for each unit of capacity. A back end without a rate yet counts neither as busy nor
  * towards the mean. A service without any calls has no busy back end, which is tested before the division by the mean.
--- a/src/cookie-edge/load/constants.ts
+++ b/src/cookie-edge/load/constants.ts
@@ -1,28 +1,20 @@
 /** Durations in ms, levels and sizes of load reports. */
 
-/**
- * Interval in ms between readings of call counts. Not measured against others; chosen because back ends write theirs
- * about every 1.2 s.
- */
+/** Interval in ms between readings of call counts. Back ends write theirs about every 1.2 s. */
 export const LOAD_READ_INTERVAL_MS = 2_000;
 
 /**
- * Below this many daemons no load is read, because each places enough flows to balance by its own counts:
- * busiest/mean 1.03 to 1.08 on 7 machines, 1.27 on 88, 1.7 and more on 195 (docs/records/DECISIONS-MEASURED.md).
- * Not measured between 7 and 88.
+ * Below this many daemons no load is read, because each places enough flows to balance by its own counts.
  */
 export const LOAD_MIN_DAEMONS = 16;
 
 /**
- * Weight of the newest rate in the moving average. Not measured; chosen below 1 because one reading sees only one or
- * two writes of a back end.
+ * Weight of the newest rate in the moving average. Below 1 because one reading sees only one or two writes of a back
+ * end.
  */
 export const RATE_SHARE = 0.4;
 
-/**
- * A back end is busy above this multiple of its service's mean rate. Not measured against others; chosen because less
- * is chance at a few calls a second.
- */
+/** A back end is busy above this multiple of its service's mean rate. Less is chance at a few calls a second. */
 export const BUSY_LEVEL = 1.1;
 
 /**
@@ -31,15 +23,12 @@
  */
 export const MAX_REPORTED = 128;
 
-/**
- * A report is used for this many readings of its page. Not measured; chosen because one may be lost and one may have
- * returned an old list.
- */
+/** A report is used for this many readings of its page. One may be lost and one may have returned an old list. */
 export const VALID_READINGS = 3;
 
 /**
  * A report replaces one of the same page only if it is this much newer, in ms, so that those of two readers are not
- * both gossiped. Not measured; half of `LOAD_READ_INTERVAL_MS`.
+ * both gossiped. Half of `LOAD_READ_INTERVAL_MS`.
  */
 export const LOAD_STEP_MS = 1_000;
 
@@ -49,5 +38,5 @@
  */
 const TAG_BITS = 16;
 
-/** Selects the lowest `TAG_BITS` bits of a hash. Derived: 2^16 - 1. */
+/** Selects the lowest `TAG_BITS` bits of a hash. 2^16 - 1. */
 export const TAG_MASK = 2 ** TAG_BITS - 1;
--- a/src/cookie-edge/placement/constants.ts
+++ b/src/cookie-edge/placement/constants.ts
@@ -9,39 +9,36 @@
 
 /**
  * Panic threshold: share of a service's recorded candidates above which ejections are ignored, because then this
- * balancer's own network is the likelier cause. Not measured; chosen because a majority with some margin must be
- * reachable for ejections to count.
+ * balancer's own network is the likelier cause. A majority with some margin must be reachable for ejections to count.
  */
 export const MAX_EJECTED_SHARE = 0.6;
 
 /**
- * Back ends of equal load among which one that is not busy elsewhere is looked for. By simulation (164 back ends, 726
- * flows, 195 balancers) busiest/mean is 2.4 with one, 2.0 with two, 1.66 with four and 1.65 with eight.
+ * Back ends of equal load among which one that is not busy elsewhere is looked for. More gain
+ * nothing.
  */
 export const LOAD_CHOICES = 4;
 
 /**
  * Own flows for each candidate below which load reports are used. Above it the balancer's own counts tell busy from
- * idle better than a report that is seconds old: with 26 flows for 35 back ends, at 75% load, reports raised the late
- * requests of a run of 34 s from 18 to 69.
+ * idle better than a report that is seconds old.
  */
 export const LOAD_MAX_OWN_SHARE = 0.25;
 
 /**
- * Share of its capacity that a back end in slow start counts with. Without it, runs with releases have 24 late requests
- * more (mean of three seeds on four loads with 13 back ends). Not measured against other shares.
+ * Share of its capacity that a back end in slow start counts with. It works slower until
+ * it is warm.
  */
 export const COLD_CAPACITY_SHARE = 0.5;
 
 /**
- * Balancers that may send new flows to one cold back end. Not measured; chosen because the second covers the loss of
- * the first, which the others notice only after seconds, and more would make each one's part of a low rate too small to
- * use.
+ * Balancers that may send new flows to one cold back end. The second covers the loss of the first, which the others
+ * notice only after seconds, and more would make each one's part of a low rate too small to use.
  */
 export const COLD_OWNERS = 2;
 
 /**
- * Differing views of the fleet, each with its own owners, that must stay within a cold back end's limit together.
- * Derived: the two sides of a network partition.
+ * Differing views of the fleet, each with its own owners, that must stay within a cold back end's limit together. The
+ * two sides of a network partition.
  */
 export const COLD_VIEWS = 2;
--- a/src/cookie-edge/placement/replayed-load.ts
+++ b/src/cookie-edge/placement/replayed-load.ts
@@ -42,10 +42,7 @@
 const SLOTS = 2;
 /** Standard deviation of the logarithm of the work. */
 const WORK_SPREAD = 0.5;
-/**
- * Time in ms in which a report reaches the other balancers. Not measured; chosen as two to three messages, 150 ms
- * apart.
- */
+/** Time in ms in which a report reaches the other balancers. Two to three messages, 150 ms apart. */
 const GOSSIP_MS = 400;
 /** A caller closes the flow of a request that takes longer than this, in ms. */
 const DEADLINE_MS = 2_000;
--- a/src/cookie-edge/routing/constants.ts
+++ b/src/cookie-edge/routing/constants.ts
@@ -1,46 +1,36 @@
 /** Timeouts of following a routing source. Durations are in ms. */
 
 /**
- * Wait of a new reader's first watch: its confirmation shows the other daemons at once that this one reads. Not
- * measured; chosen as practically none.
+ * Wait of a new reader's first watch: its confirmation shows the other daemons at once that this one reads. Practically
+ * none.
  */
 export const FIRST_WATCH_WAIT_MS = 1;
 
-/**
- * Delay of the next watch after a response with changes, so that one response brings several changes. Not measured, and
- * no reason is recorded for the size.
- */
+/** Delay of the next watch after a response with changes, so that one response brings several changes. */
 export const CHANGE_WATCH_DELAY_MS = 120;
 
 /**
  * Delay before a new reader watches the topic with long watches. Most daemons that begin to read together stand down
- * before it passes, and responses about the other topics confirm this one meanwhile. Not measured; no reason is
- * recorded for the size.
+ * before it passes, and responses about the other topics confirm this one meanwhile.
  */
 export const LONG_WATCH_START_MS = 1_000;
 
-/** Interval at which a long watch checks the age of its topic. Not measured, and no reason is recorded. */
+/** Interval at which a long watch checks the age of its topic. */
 export const CONFIRM_CHECK_MS = 100;
 
-/**
- * First delay after a failed call; doubled with each further one, and jittered. Not measured, and no reason is
- * recorded.
- */
+/** First delay after a failed call; doubled with each further one, and jittered. */
 export const RETRY_MIN_MS = 100;
 
-/** Longest delay, jitter and the minimum by the number of readers apart. Not measured, and no reason is recorded. */
+/** Longest delay, jitter and the minimum by the number of readers apart. */
 export const RETRY_MAX_MS = 1_000;
 
-/** Doublings after which the delay stays the same. Derived: 2^10 times `RETRY_MIN_MS` is far above `RETRY_MAX_MS`. */
+/** Doublings after which the delay stays the same. 2^10 times `RETRY_MIN_MS` is far above `RETRY_MAX_MS`. */
 export const RETRY_MAX_DOUBLINGS = 10;
 
-/**
- * Largest part of a delay that jitter adds or takes off. Not measured; chosen because daemons that fail together must
- * not retry together.
- */
+/** Largest part of a delay that jitter adds or takes off. Daemons that fail together must not retry together. */
 export const RETRY_DELAY_JITTER = 0.5;
 
-/** The source counts as lost once calls have failed for this long. Not measured, and no reason is recorded. */
+/** The source counts as lost once calls have failed for this long. */
 export const OUTAGE_AFTER_MS = 1_000;
 
 /**
--- a/src/cookie-edge/routing/freshness.ts
+++ b/src/cookie-edge/routing/freshness.ts
@@ -7,49 +7,44 @@
  * peers (`pullAfterMs`), reads of the source (`readAfterMs` and a random part of `readSpreadMs`).
  */
 
-/** Bound of a deployment that sets none, in ms. Not measured, and no reason is recorded. */
+/** Bound of a deployment that sets none, in ms. */
 export const DEFAULT_FRESHNESS_BOUND_MS = 3_000;
 
-/**
- * Loosest bound that is used, in ms. Not measured; chosen because with looser ones dead readers would stay unnoticed.
- */
+/** Loosest bound that is used, in ms. With looser ones dead readers would stay unnoticed. */
 const LOOSEST_BOUND_MS = 6_000;
 
 /**
- * Parts of the bound, without a unit. Not measured against other shares, and no reason is recorded for their sizes. A
- * reader's wait and the age that it may reach add up to the bound: `WATCH_WAIT_SHARE` + `READER_AGE_SHARE` = 1.
+ * Parts of the bound, without a unit. A reader's wait and the age that it may reach add up to the bound:
+ * `WATCH_WAIT_SHARE` + `READER_AGE_SHARE` = 1.
  */
 const WATCH_WAIT_SHARE = 0.45;
 const READER_AGE_SHARE = 0.55;
 
 /**
- * Not measured against other shares; it equals four ordinary waits. Long watches of cordons alone take at most 1.15
- * times the calls of two topics (simulation).
+ * It equals four ordinary waits. Long watches of cordons alone take at most 1.15 times the calls of two topics
+ * (simulation).
  */
 const LONG_WATCH_WAIT_SHARE = 1.8;
 
-/** Half of the bound. Not measured; a long watch is broken off with half of the bound left. */
+/** Half of the bound. A long watch is broken off with half of the bound left. */
 const CONFIRM_AFTER_SHARE = 0.5;
 
-/** Not measured, and no reason is recorded. */
+/** Shortest wait of a watch. */
 const WATCH_MIN_WAIT_SHARE = 0.1;
 
-/** Not measured, and no reason is recorded; above `READER_AGE_SHARE`. */
+/** Above `READER_AGE_SHARE`. */
 const PULL_AFTER_SHARE = 0.6;
 
-/** Not measured; above `PULL_AFTER_SHARE`, so that a daemon pulls before it reads. */
+/** Above `PULL_AFTER_SHARE`, so that a daemon pulls before it reads. */
 const READ_AFTER_SHARE = 0.667;
 
-/** Not measured; after both shares 0.166 of the bound are left for the first read. */
+/** After both shares 0.166 of the bound are left for the first read. */
 const READ_SPREAD_SHARE = 0.167;
 
-/** Not measured, and no reason is recorded; longer than the bound, as `FreshnessTimings.readerFreshMs` explains. */
+/** Longer than the bound, as `FreshnessTimings.readerFreshMs` explains. */
 const READER_FRESH_SHARE = 1.333;
 
-/**
- * Multiple of the bound without a confirmation after which a reader counts as gone. Not measured, and no reason is
- * recorded.
- */
+/** Multiple of the bound without a confirmation after which a reader counts as gone. */
 const READER_MISSED_BOUNDS = 2;
 
 /** Durations in ms. */
--- a/src/cookie-edge/routing/problem-log.ts
+++ b/src/cookie-edge/routing/problem-log.ts
@@ -7,8 +7,7 @@
 import type { RecordProblem, RoutingTopic } from './types.js';
 
 /**
- * Problems remembered, so that reading the same records again logs nothing; beyond, all are forgotten. Not measured;
- * chosen to bound memory.
+ * Problems remembered, so that reading the same records again logs nothing; beyond, all are forgotten. Bounds memory.
  */
 const MAX_REMEMBERED = 1_000;
 
--- a/src/cookie-edge/spreading/constants.ts
+++ b/src/cookie-edge/spreading/constants.ts
@@ -1,11 +1,11 @@
 /** Durations, sizes and counts of gossip between daemons. */
 
-/** Revision of a topic, or of the table of routes, of which nothing is known. Derived: below 0, the lowest revision. */
+/** Revision of a topic, or of the table of routes, of which nothing is known. Below 0, the lowest revision. */
 export const NOTHING_KNOWN = -1;
 
 /**
- * Interval in ms at which overdue confirmations, the reader role and peers are checked. Not measured; chosen because
- * it is a tenth of the age at which a confirmation is overdue by the default bound.
+ * Interval in ms at which overdue confirmations, the reader role and peers are checked. It is a tenth of the age at
+ * which a confirmation is overdue by the default bound.
  */
 export const GOSSIP_TICK_MS = 200;
 
@@ -16,8 +16,8 @@
 export const TARGET_READERS = 2;
 
 /**
- * Longest delays in ms before a daemon becomes a reader: with no reader left, and while one remains (nothing is
- * overdue then). Not measured; chosen because the first one must end before confirmations are overdue.
+ * Longest delays in ms before a daemon becomes a reader: with no reader left, and while one remains (nothing is overdue
+ * then). The first one must end before confirmations are overdue.
  */
 export const VOLUNTEER_ALONE_MS = 400;
 export const VOLUNTEER_SECOND_MS = 3_000;
@@ -30,23 +30,20 @@
 export const VOLUNTEER_AT_START_MS = 1_600;
 
 /**
- * Daemons without a confirmation read the source one after the other: this many within the first spread, and this
- * many in each second afterwards. Derivation: of 32 daemons one at least reaches a source that refuses nine of ten
- * with a probability of 1 - 0.9^32 = 0.97. Measured with both: in an outage of 6 s 60 simulated daemons made 573
- * calls without pacing and 124 with it, 150 daemons 1,469 and 168.
+ * Daemons without a confirmation read the source one after the other: this many within the first spread, and this many
+ * in each second afterwards. Of 32 daemons one at least reaches a source that refuses nine of ten with a probability of
+ * 1 - 0.9^32 = 0.97.
  */
 export const FIRST_READS = 32;
 export const READS_PER_SECOND = 8;
 
 /**
- * A daemon without a message from any peer for this long, in ms, acts as if it were the only one. Not measured;
- * chosen because it is below the age at which a confirmation is overdue, 1,800 ms by the default bound.
+ * A daemon without a message from any peer for this long, in ms, acts as if it were the only one. It is below the age
+ * at which a confirmation is overdue, 1,800 ms by the default bound.
  */
 export const ALONE_AFTER_MS = 1_500;
 
-/**
- * Shortest time between two rounds of pulls, in ms. Not measured; chosen because a response must have time to arrive.
- */
+/** Shortest time between two rounds of pulls, in ms. A response must have time to arrive. */
 export const PULL_INTERVAL_MS = 250;
 
 /**
@@ -56,50 +53,38 @@
 export const FANOUT_IN_ZONE = 2;
 export const FANOUT_ELSEWHERE = 1;
 
-/** Peers that get a pull at once. Not measured; chosen because the second covers one that is gone. */
+/** Peers that get a pull at once. The second covers one that is gone. */
 export const PULL_FANOUT = 2;
 
 /**
- * A received confirmation is passed on when it is at least this much newer than the last one, in ms. Not measured;
- * chosen because smaller steps would cause a push for each of several nearly equal confirmations.
+ * A received confirmation is passed on when it is at least this much newer than the last one, in ms. Smaller steps
+ * would cause a push for each of several nearly equal confirmations.
  */
 export const CONFIRMATION_STEP_MS = 400;
 
 /**
- * Gather time of confirmations before a push, in ms; changes are sent at once. Not measured; chosen because it joins
- * what several peers send at nearly the same time.
+ * Gather time of confirmations before a push, in ms; changes are sent at once. It joins what several peers send at
+ * nearly the same time.
  */
 export const CONFIRMATION_GATHER_MS = 50;
 
 /**
  * Confirmations are sent again this long after a change, in ms, for the few daemons that the first push missed.
- * Measured with other changes of the same round: the slowest of 48 changes took 1,395 ms before and 265 ms after at
- * 30 simulated daemons.
  */
 export const REPEAT_CONFIRMATION_MS = 200;
 
 /**
- * Changes within this many ms after the last push of changes are sent together. Measured: a burst of 600 changes
- * among 20 simulated daemons caused 679 messages at the busiest daemon without it and at most 200 with it.
+ * Changes within this many ms after the last push of changes are sent together.
  */
 export const CHANGE_GATHER_MS = 100;
 
-/**
- * Time-out of a pull for missing changes, in ms; then the request goes to another peer. Not measured; chosen because a
- * round trip takes less.
- */
+/** Time-out of a pull for missing changes, in ms; then the request goes to another peer. A round trip takes less. */
 export const RESPONSE_TIMEOUT_MS = 100;
 
-/**
- * Added to the age of received data for the network delay, in ms. Not measured; chosen because it is above the
- * one-way delay within a region.
- */
+/** Added to the age of received data for the network delay, in ms. It is above the one-way delay within a region. */
 export const TRANSIT_MS = 5;
 
-/**
- * Largest datagram in bytes; larger updates are fetched over a connection. Derivation: below the MTU of Ethernet of
- * 1,500.
- */
+/** Largest datagram in bytes; larger updates are fetched over a connection. Below the MTU of Ethernet of 1,500. */
 export const MAX_DATAGRAM_BYTES = 1_400;
 
 /**
@@ -109,21 +94,18 @@
  */
 export const EJECTION_GATHER_MS = 200;
 
-/** An ejection is gossiped this long, in ms. Derivation: as long as other daemons act on it (`SHARED_SUSPECT_MS`). */
+/** An ejection is gossiped this long, in ms. As long as other daemons act on it (`SHARED_SUSPECT_MS`). */
 export const EJECTION_GOSSIP_MS = 2_000;
 
-/** Ejections in one message. Not measured; chosen because every message carries them beside changes. */
+/** Ejections in one message. Every message carries them beside changes. */
 export const EJECTIONS_PER_MESSAGE = 8;
 
-/**
- * Bad answers in one message: about 200 bytes. Not measured; chosen because several such messages may be sent a
- * second.
- */
+/** Bad answers in one message: about 200 bytes. Several such messages may be sent a second. */
 export const BAD_ANSWERS_PER_MESSAGE = 8;
 
 /**
- * Pushes, to three peers each, in which a daemon gossips a bad answer that is new to it. Derived: with two pushes of 3
- * peers, six in all, one in 400 daemons misses it (e^-6).
+ * Pushes, to three peers each, in which a daemon gossips a bad answer that is new to it. With two pushes of 3 peers,
+ * six in all, one in 400 daemons misses it (e^-6).
  */
 export const BAD_ANSWER_PUSHES = 2;
 
@@ -134,7 +116,7 @@
 export const BAD_ANSWER_GATHER_MS = 150;
 
 /**
- * A bad answer is gossiped this long, in ms. Chosen because others count it while it is younger than `REPORT_VALID_MS`
+ * A bad answer is gossiped this long, in ms. Others count it while it is younger than `REPORT_VALID_MS`
  * in outliers.
  */
 export const BAD_ANSWER_GOSSIP_MS = 2_000;
@@ -142,21 +124,18 @@
 /** Load reports in one message. One, because a report of `MAX_REPORTED` back ends takes about half of a datagram. */
 export const LOADS_PER_MESSAGE = 1;
 
-/** Random peers introduced in one message. Not measured; chosen because a message stays small. */
+/** Random peers introduced in one message. A message stays small. */
 export const PEERS_PER_MESSAGE = 4;
 
-/** Readers named in one message, besides the sender. Not measured; chosen because it is more than `TARGET_READERS`. */
+/** Readers named in one message, besides the sender. It is more than `TARGET_READERS`. */
 export const READERS_PER_MESSAGE = 3;
 
-/**
- * Peers that are remembered at once; beyond, random ones make room. Not measured; chosen because it bounds memory in
- * a large fleet.
- */
+/** Peers that are remembered at once; beyond, random ones make room. It bounds memory in a large fleet. */
 export const MAX_PEERS = 128;
 
 /**
- * Daemons with the smallest hashes that every daemon remembers, to estimate the fleet's size by them. Derivation: the
- * relative standard error of such an estimate is 1 / sqrt(count - 2), 18% for 32.
+ * Daemons with the smallest hashes that every daemon remembers, to estimate the fleet's size by them. The relative
+ * standard error of such an estimate is 1 / sqrt(count - 2), 18% for 32.
  */
 export const SIZE_SAMPLE = 32;
 
@@ -166,16 +145,10 @@
  */
 export const SIZE_SAMPLE_FORGET_MS = 30_000;
 
-/**
- * Lifetime in ms of a peer that no message mentions. Not measured; chosen because a live peer is mentioned many times
- * within it.
- */
+/** Lifetime in ms of a peer that no message mentions. A live peer is mentioned many times within it. */
 export const PEER_FORGET_MS = 15_000;
 
-/**
- * Changes kept of each topic; a daemon that lags by more fetches the whole state. Not measured; chosen because it
- * bounds memory.
- */
+/** Changes kept of each topic; a daemon that lags by more fetches the whole state. It bounds memory. */
 export const MAX_LOGGED_UPDATES = 64;
 
 /**
@@ -187,17 +160,13 @@
 export const FAR_FETCH_WAIT_MS = 60;
 export const FAR_FETCH_SPREAD_MS = 240;
 
-/**
- * Time-out of a fetch, and shortest time between the starts of two, in ms. Not measured; chosen because both fit into
- * the bound.
- */
+/** Time-out of a fetch, and shortest time between the starts of two, in ms. Both fit into the bound. */
 export const FETCH_TIMEOUT_MS = 800;
 export const FETCH_INTERVAL_MS = 300;
 
 /**
  * Interval in ms at which seeds get a pull while fewer peers than seeds are known, the interval afterwards, and the
- * random part of both. Not measured; chosen because a newcomer must learn soon, and a fleet that split needs one
- * greeting to heal.
+ * random part of both. A newcomer must learn soon, and a fleet that split needs one greeting to heal.
  */
 export const GREETING_MIN_MS = 400;
 export const GREETING_MAX_MS = 10_000;
--- a/src/cookie-edge/spreading/network-transport.ts
+++ b/src/cookie-edge/spreading/network-transport.ts
@@ -17,7 +17,7 @@
 const STATE_PATH = '/state';
 const CONTENT_TYPE = 'application/x-protobuf';
 
-/** Largest state in bytes that is read. Not measured; chosen to bound memory. */
+/** Largest state in bytes that is read. Bounds memory. */
 const MAX_STATE_BYTES = 16_777_216;
 
 /** Transport of one daemon. */
--- a/src/cookie-edge/spreading/reader-role.ts
+++ b/src/cookie-edge/spreading/reader-role.ts
@@ -14,8 +14,8 @@
 const RANKS = 2 ** 32;
 
 /**
- * Random part of a delay, 0 to 1, so that daemons of nearly equal rank do not keep acting at the same time. Not
- * measured; chosen because rank must still dominate.
+ * Random part of a delay, 0 to 1, so that daemons of nearly equal rank do not keep acting at the same time. Rank must
+ * still dominate.
  */
 const POSITION_RANDOM_SHARE = 0.1;
 
--- a/src/cookie-edge/spreading/wire-values.ts
+++ b/src/cookie-edge/spreading/wire-values.ts
@@ -15,8 +15,8 @@
 } as const;
 
 /**
- * Largest age in ms; greater ages are encoded as this one, and a confirmation of this age stands for none. Derived:
- * 2^32 - 1, the largest value of the field.
+ * Largest age in ms; greater ages are encoded as this one, and a confirmation of this age stands for none. 2^32 - 1,
+ * the largest value of the field.
  */
 export const MAX_AGE_MS = 0xffff_ffff;
 
--- a/src/experiment/balancer-actions.ts
+++ b/src/experiment/balancer-actions.ts
@@ -6,10 +6,7 @@
 import { ExperimentError } from './errors.js';
 import { sleepUntil } from './sleep-until.js';
 
-/**
- * Wait between two balancers of a rolling replacement, ms. Not measured; chosen because the replacements then stand
- * apart in the run's timeline.
- */
+/** Wait between two balancers of a rolling replacement, ms. The replacements then stand apart in the run's timeline. */
 const ROLLING_PAUSE_MS = 2_000;
 
 type BalancerActionName =
--- a/src/experiment/experiment-run.ts
+++ b/src/experiment/experiment-run.ts
@@ -26,14 +26,14 @@
 import { median } from './statistics.js';
 
 /**
- * Time between two polls of the callers' totals during a run, ms. Not measured; chosen because a caller that gives
- * no final report then lacks at most about the last second of its counts.
+ * Time between two polls of the callers' totals during a run, ms. A caller that gives no final report then lacks at
+ * most about the last second of its counts.
  */
 const CALLER_POLL_INTERVAL_MS = 1_000;
 
 /**
- * Share of samples that may be late before the imbalance counts as partly measured, of 1. Not measured; chosen
- * because the imbalance is a mean over samples, which a tenth of them moves little.
+ * Share of samples that may be late before the imbalance counts as partly measured, of 1. The imbalance is a mean over
+ * samples, which a tenth of them moves little.
  */
 const MAX_MISSED_SHARE = 0.1;
 
--- a/src/experiment/forwarding/flow-opening.ts
+++ b/src/experiment/forwarding/flow-opening.ts
@@ -5,7 +5,7 @@
 import type { FlowAddress, OpenedFlow } from './types.js';
 import type { Worker } from './worker-channel.js';
 
-/** Flows of one caller address. Not measured; chosen because FLOWS then come from 16 addresses. */
+/** Flows of one caller address. FLOWS then come from 16 addresses. */
 const FLOWS_PER_ADDRESS = 64;
 /** First caller port; any unreserved one would do. */
 const FIRST_PORT = 2_048;
--- a/src/experiment/forwarding/packet-sender.ts
+++ b/src/experiment/forwarding/packet-sender.ts
@@ -11,12 +11,9 @@
 const HEADERS_BYTES = 40;
 const NANOSECONDS_PER_MS = 1e6;
 const MS_PER_SECOND = 1_000;
-/** Pause after each burst of SYNs, ms. Not measured; chosen because balancers read a burst meanwhile. */
+/** Pause after each burst of SYNs, ms. Balancers read a burst meanwhile. */
 const OPEN_BURST_PAUSE_MS = 5;
-/**
- * Most packets sent before other work of the process runs. Not measured; chosen as the burst of openings,
- * OPEN_BURST.
- */
+/** Most packets sent before other work of the process runs. The burst of openings, OPEN_BURST. */
 const BATCH = 64;
 
 /** Where the monotonic time of sending (ms, a double) stands in a packet. */
--- a/src/experiment/http-control.ts
+++ b/src/experiment/http-control.ts
@@ -4,12 +4,12 @@
 import { CONTROL_REQUEST_TIMEOUT_MS } from './constants.js';
 import { ExperimentError } from './errors.js';
 
-/** An idle connection is kept this long, ms. Not measured; chosen because it outlasts the pauses between polls. */
+/** An idle connection is kept this long, ms. It outlasts the pauses between polls. */
 const KEEP_ALIVE_MS = 10_000;
-/** Connections to one address at once. Not measured; chosen because polls, faults and reports may coincide. */
+/** Connections to one address at once. Polls, faults and reports may coincide. */
 const CONNECTIONS_PER_ADDRESS = 4;
 const FIRST_STATUS_NOT_SUCCESSFUL = 300;
-/** Characters of a refusal's body that an error shows. Not measured; chosen because a message of the stand-ins fits. */
+/** Characters of a refusal's body that an error shows. A message of the stand-ins fits. */
 const SHOWN_BODY_CHARACTERS = 200;
 
 /** Reads an endpoint from a ready line: `{host, port}`, `host:port` or a URL of them. */
--- a/src/experiment/measure.ts
+++ b/src/experiment/measure.ts
@@ -168,10 +168,7 @@
   return opened === 0 ? null : exceptions / opened;
 }
 
-/**
- * Shortest time over which a processor share is worked out, ms. Not measured; chosen because shorter ones are
- * mostly noise.
- */
+/** Shortest time over which a processor share is worked out, ms. Shorter ones are mostly noise. */
 const MIN_USAGE_SPAN_MS = 2_000;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
--- a/src/gue-edge/control/budget.ts
+++ b/src/gue-edge/control/budget.ts
@@ -16,8 +16,8 @@
 import { CONTROL_KINDS, type ControlKind } from './types.js';
 
 /**
- * Share of the shared bucket that must remain after a message of the kind was sent from it. Not measured; chosen
- * evenly apart, so that the order of the kinds holds.
+ * Share of the shared bucket that must remain after a message of the kind was sent from it. Evenly apart, so that the
+ * order of the kinds holds.
  */
 const SHARED_FLOOR: Readonly<Record<ControlKind, number>> = {
   membership: 0,
@@ -28,13 +28,10 @@
   status: 0.6,
 };
 
-/**
- * Share of the rate that each kind has for itself, so that none starves. Not measured; six kinds take 24% of the
- * rate.
- */
+/** Share of the rate that each kind has for itself, so that none starves. Six kinds take 24% of the rate. */
 export const MINIMUM_SHARE = 0.04;
 
-/** Time in ms whose budget the shared bucket can hold. Not measured; chosen because the rate is a bound per second. */
+/** Time in ms whose budget the shared bucket can hold. The rate is a bound per second. */
 const BURST_MS = 1_000;
 
 /** Smallest capacity of a kind's own bucket: one full datagram. */
--- a/src/gue-edge/control/constants.ts
+++ b/src/gue-edge/control/constants.ts
@@ -21,20 +21,20 @@
 export const MAX_SENDER_ID_BYTES = 64;
 
 /**
- * Largest accepted difference between the wall clocks of a sender never seen and this process, in ms. Not measured;
- * chosen above what machines with time synchronisation differ by.
+ * Largest accepted difference between the wall clocks of a sender never seen and this process, in ms. Above what
+ * machines with time synchronisation differ by.
  */
 export const MAX_CLOCK_SKEW_MS = 30_000;
 
 /**
- * Sequence numbers behind the highest seen one that are still accepted once each. Not measured; chosen above the
- * datagrams that a sender's whole budget of a second gives.
+ * Sequence numbers behind the highest seen one that are still accepted once each. Above the datagrams that a sender's
+ * whole budget of a second gives.
  */
 export const REPLAY_WINDOW = 1_024;
 
 /**
- * A sender not heard for this long, in ms, is forgotten and must show a fresh clock again. Not measured; chosen far
- * above twice `MAX_CLOCK_SKEW_MS`, below which its recorded datagrams could pass.
+ * A sender not heard for this long, in ms, is forgotten and must show a fresh clock again. Far above twice
+ * `MAX_CLOCK_SKEW_MS`, below which its recorded datagrams could pass.
  */
 export const REPLAY_FORGET_MS = 600_000;
 
@@ -48,8 +48,7 @@
 export const MIN_SECRET_BYTES = 16;
 
 /**
- * Span in ms over which rates are averaged, and slots it is cut into. Not measured; chosen so that a rate follows a
- * change within seconds.
+ * Span in ms over which rates are averaged, and slots it is cut into. A rate follows a change within seconds.
  */
 export const RATE_WINDOW_MS = 5_000;
 export const RATE_WINDOW_SLOTS = 10;
--- a/src/gue-edge/control/udp-channel.ts
+++ b/src/gue-edge/control/udp-channel.ts
@@ -53,7 +53,7 @@
   readonly versions?: VersionRange;
 }
 
-/** Senders that are long silent are forgotten this often, in ms. Not measured; chosen well below `REPLAY_FORGET_MS`. */
+/** Senders that are long silent are forgotten this often, in ms. Well below `REPLAY_FORGET_MS`. */
 const PRUNE_INTERVAL_MS = 60_000;
 const OWN_VERSIONS: VersionRange = { min: PROTOCOL_VERSION_MIN, max: PROTOCOL_VERSION_MAX };
 
--- a/src/gue-edge/control/warning-limiter.ts
+++ b/src/gue-edge/control/warning-limiter.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../../common/clock.js';
 import type { EventDefinition, EventFields, EventLog } from '../../observability/event.js';
 
-/** Not measured; chosen because an operator who looks at the last minutes of a log still sees it. */
+/** An operator who looks at the last minutes of a log still sees it. */
 const WARNING_INTERVAL_MS = 60_000;
 
 /** One for each channel. */
--- a/src/gue-edge/daemon/run.ts
+++ b/src/gue-edge/daemon/run.ts
@@ -14,7 +14,7 @@
 import { DAEMON_EVENTS } from './events.js';
 import { FaultInjection } from './fault-injection.js';
 
-/** Largest seed drawn. Not measured; chosen because any 31-bit number is a valid seed. */
+/** Largest seed drawn. Any 31-bit number is a valid seed. */
 const MAX_SEED = 0x7fff_ffff;
 const EXIT_DONE = 0;
 const EXIT_FAILED = 1;
--- a/src/gue-edge/flow/flow-context.ts
+++ b/src/gue-edge/flow/flow-context.ts
@@ -14,7 +14,7 @@
 import { listOwners, ShardMap } from './shard-map.js';
 
 const MS_PER_SECOND = 1_000;
-/** Members remembered before the gone ones are forgotten. Not measured; chosen to bound the memory. */
+/** Members remembered before the gone ones are forgotten. Bounds the memory. */
 const MAX_FORMER_MEMBERS = 2_000;
 
 /** Shared by the parts of one flow keeper. */
--- a/src/gue-edge/flow/keeper-link.ts
+++ b/src/gue-edge/flow/keeper-link.ts
@@ -6,10 +6,7 @@
 import type { sailquay } from './pb/flow.js';
 import { DigestedShardSet } from './shard-set.js';
 
-/**
- * Acknowledgements kept to answer copies of batches. Not measured; chosen because a batch is sent again only until
- * it is acknowledged.
- */
+/** Acknowledgements kept to answer copies of batches. A batch is sent again only until it is acknowledged. */
 const REMEMBERED_ACKS = 64;
 
 type BatchAck = sailquay.flow.RecordBatchAck.$Properties;
--- a/src/gue-edge/flow/kept-flows.ts
+++ b/src/gue-edge/flow/kept-flows.ts
@@ -18,10 +18,7 @@
 import type { ServicePort } from './service-index.js';
 import type { KeptShard } from './shard-holding.js';
 
-/**
- * Least time in ms between two log events about records of another service. Not measured; chosen so that a burst
- * does not fill the log.
- */
+/** Least time in ms between two log events about records of another service. A burst does not fill the log. */
 const WRONG_SERVICE_EVENT_MS = 10_000;
 
 /** Forwards packets of known flows, opens new ones, and answers for unknown ones. */
--- a/src/gue-edge/flow/knowledge-exchange.ts
+++ b/src/gue-edge/flow/knowledge-exchange.ts
@@ -16,13 +16,12 @@
 const { HandoverMessage } = sailquay.flow;
 
 /**
- * A request is not repeated before this time has passed. Not measured; chosen longer than the first repeats of a
- * record batch (`RESEND_MS`).
+ * A request is not repeated before this time has passed. Longer than the first repeats of a record batch (`RESEND_MS`).
  */
 const REPEAT_MS = 200;
-/** Back end entries in one response. Not measured; chosen to fit one datagram. */
+/** Back end entries in one response. Fits one datagram. */
 const ENTRIES_PER_REPLY = 15;
-/** Back ends in one part of a base. Not measured; chosen to fit one datagram. */
+/** Back ends in one part of a base. Fits one datagram. */
 const BACKENDS_PER_PART = 30;
 const ONE_DAY_MS = 86_400_000;
 
--- a/src/gue-edge/flow/own-placements.ts
+++ b/src/gue-edge/flow/own-placements.ts
@@ -12,7 +12,7 @@
 
 const { ReplicationMessage } = sailquay.flow;
 
-/** Own placements reported in one message. Not measured; chosen as `MAX_BATCH_RECORDS`. */
+/** Own placements reported in one message. `MAX_BATCH_RECORDS`. */
 const MAX_REPORTED = 60;
 
 /** Reports own placements to the keepers of their shards. */
--- a/src/gue-edge/flow/rebase.ts
+++ b/src/gue-edge/flow/rebase.ts
@@ -18,11 +18,11 @@
 import { packShards, unpackShards } from './shard-set.js';
 
 /**
- * Delay in ms before an unanswered advance is sent again. Not measured; chosen longer than `TRANSFER_RESEND_MS`,
- * because nothing waits for it.
+ * Delay in ms before an unanswered advance is sent again. Longer than `TRANSFER_RESEND_MS`, because nothing waits for
+ * it.
  */
 const ADVANCE_RESEND_MS = 250;
-/** Shards in one advance message. Not measured; chosen to fit one datagram. */
+/** Shards in one advance message. Fits one datagram. */
 const MAX_ADVANCE_SHARDS = 400;
 
 /** Starts and finishes rebases. */
--- a/src/gue-edge/flow/replica-holder.ts
+++ b/src/gue-edge/flow/replica-holder.ts
@@ -22,8 +22,8 @@
 const { ReplicationMessage, HandoverMessage } = sailquay.flow;
 
 /**
- * A replica this young, in ms, is not dropped by an assignment that may have been sent before it. Not measured;
- * chosen longer than an assignment travels.
+ * A replica this young, in ms, is not dropped by an assignment that may have been sent before it. Longer than an
+ * assignment travels.
  */
 const ASSIGNMENT_GRACE_MS = 1_000;
 
--- a/src/gue-edge/flow/replica-peer.ts
+++ b/src/gue-edge/flow/replica-peer.ts
@@ -274,5 +274,5 @@
   }
 }
 
-/** Shards named in one release message. Not measured; chosen to fit one datagram. */
+/** Shards named in one release message. Fits one datagram. */
 const MAX_RELEASES = 400;
--- a/src/gue-edge/flow/replica-recovery.ts
+++ b/src/gue-edge/flow/replica-recovery.ts
@@ -11,10 +11,7 @@
 
 const { ShardPurpose } = sailquay.flow;
 
-/**
- * Delay in ms before a refused recovery is offered again. Not measured; chosen as three ticks, so that a refusal is
- * not repeated at once.
- */
+/** Delay in ms before a refused recovery is offered again. Three ticks, so that a refusal is not repeated at once. */
 const RECOVERY_RETRY_MS = 300;
 
 /** Takes replicas whose next keeper is this balancer. */
--- a/src/gue-edge/flow/replica-rules.ts
+++ b/src/gue-edge/flow/replica-rules.ts
@@ -10,8 +10,8 @@
 import { LEASE_MARGIN_MS, LEASE_MS } from './constants.js';
 
 /**
- * A keeper that is silent here but active in the view for this long, in ms, may have chosen another backup. Not
- * measured; chosen above `LEASE_MS` several times, so that lost heartbeats alone do not distrust a replica.
+ * A keeper that is silent here but active in the view for this long, in ms, may have chosen another backup. Above
+ * `LEASE_MS` several times, so that lost heartbeats alone do not distrust a replica.
  */
 const TRUSTED_SILENCE_MS = 10_000;
 
--- a/src/gue-edge/flow/shard-map.ts
+++ b/src/gue-edge/flow/shard-map.ts
@@ -129,8 +129,5 @@
   }
 }
 
-/**
- * Added members beyond which a map is computed from nothing. Not measured; chosen because many small updates cost
- * more than one computation.
- */
+/** Added members beyond which a map is computed from nothing. Many small updates cost more than one computation. */
 const MAX_INCREMENTAL_CHANGES = 16;
--- a/src/gue-edge/flow/shard-receiver.ts
+++ b/src/gue-edge/flow/shard-receiver.ts
@@ -9,16 +9,13 @@
 const { HandoverMessage, ShardStatus } = sailquay.flow;
 
 /**
- * Transfers that are remembered after they ended, and that may be in assembly at once. Not measured; chosen as
- * twice `SHARD_COUNT`, to bound the memory.
+ * Transfers that are remembered after they ended, and that may be in assembly at once. Twice `SHARD_COUNT`, to bound
+ * the memory.
  */
 const REMEMBERED_TRANSFERS = 8_192;
-/**
- * A transfer without a new part for this long, in ms, is forgotten. Not measured; chosen several times
- * `TRANSFER_RESEND_LIMIT_MS`.
- */
+/** A transfer without a new part for this long, in ms, is forgotten. Several times `TRANSFER_RESEND_LIMIT_MS`. */
 const ASSEMBLY_TIMEOUT_MS = 10_000;
-/** Acknowledgements in one message. Not measured; chosen to fit one datagram. */
+/** Acknowledgements in one message. Fits one datagram. */
 const ACKS_PER_MESSAGE = 80;
 
 /** A whole shard as it arrived. */
--- a/src/gue-edge/flow/shard-rules.ts
+++ b/src/gue-edge/flow/shard-rules.ts
@@ -9,8 +9,8 @@
 import { ORPHAN_WAIT_MS } from './constants.js';
 
 /**
- * Waits of `ORPHAN_WAIT_MS` during which a trusted replica held here keeps its shard from being started empty. Not
- * measured; chosen above one, because its keeper may still hand it over.
+ * Waits of `ORPHAN_WAIT_MS` during which a trusted replica held here keeps its shard from being started empty. Above
+ * one, because its keeper may still hand it over.
  */
 const REPLICA_WAITS = 3;
 
--- a/src/gue-edge/health/constants.ts
+++ b/src/gue-edge/health/constants.ts
@@ -1,9 +1,6 @@
 /** Fixed numbers of health, with their units. What a service may set stands in its `HealthPolicy`. */
 
-/**
- * Balancers that probe one back end. Not measured; chosen as the least number of which a majority outvotes one with
- * a broken path.
- */
+/** Balancers that probe one back end. The least number of which a majority outvotes one with a broken path. */
 export const PROBERS_PER_BACKEND = 3;
 /**
  * Probers, in this region, of a back end in a zone where no balancer of this region stands. Counted with the factor
@@ -13,46 +10,40 @@
 /** Factor on the probe interval of such a back end. Counted as above, so that far probes cost half. */
 export const REMOTE_PROBE_INTERVAL_FACTOR = 2;
 /**
- * A probe is sent after the interval times 1 ± this spread, less the spread, so never later than the interval. Not
- * measured; chosen so that probers drift apart.
+ * A probe is sent after the interval times 1 ± this spread, less the spread, so never later than the interval. So that
+ * probers drift apart.
  */
 export const PROBE_JITTER = 0.1;
 /**
- * After a first failed probe, the next follows after this part of the interval. Not measured; chosen so that three
- * more probes fit into one interval.
+ * After a first failed probe, the next follows after this part of the interval, so that three more probes fit into one
+ * interval.
  */
 export const CONFIRM_INTERVAL_SHARE = 0.25;
 /**
- * Time in ms that a member goes on with its vote after it stopped being a prober of the back end. Not measured;
- * chosen so that the new prober has voted before.
+ * Time in ms that a member goes on with its vote after it stopped being a prober of the back end, so that the new
+ * prober has voted before.
  */
 export const VOTE_RETIRE_MS = 10_000;
 
-/**
- * Time in ms between two rounds of gossip. Not measured; chosen as `EVALUATION_INTERVAL_MS`, because a vote has no
- * effect sooner.
- */
+/** Time in ms between two rounds of gossip. `EVALUATION_INTERVAL_MS`, because a vote has no effect sooner. */
 export const GOSSIP_INTERVAL_MS = 100;
 /** Rounds that carry loads are rarer: every so many rounds, so that loads share messages. */
 export const LOAD_ROUNDS = 3;
-/**
- * Members that a round of gossip of votes goes to. Not measured; chosen above one, so that a lost datagram does not
- * stop the spread.
- */
+/** Members that a round of gossip of votes goes to. Above one, so that a lost datagram does not stop the spread. */
 export const VOTE_GOSSIP_FANOUT = 3;
 /**
- * Sends of a changed verdict or passive count by each member that learned it. Not measured; chosen as two rounds of
- * `VOTE_GOSSIP_FANOUT`, so that losses are borne.
+ * Sends of a changed verdict or passive count by each member that learned it. Two rounds of `VOTE_GOSSIP_FANOUT`, so
+ * that losses are borne.
  */
 export const VERDICT_SENDS = 6;
 /**
- * Sends of a changed load report by each member that learned it. Not measured; chosen as one round of
- * `VOTE_GOSSIP_FANOUT`, because the next report replaces a lost one.
+ * Sends of a changed load report by each member that learned it. One round of `VOTE_GOSSIP_FANOUT`, because the next
+ * report replaces a lost one.
  */
 export const LOAD_SENDS = 3;
 /**
- * Time between two anti-entropy rounds in ms, and its jitter. Not measured; chosen as 20 rounds of gossip, because
- * digests only repair what gossip lost; jittered so that members drift apart.
+ * Time between two anti-entropy rounds in ms, and its jitter. 20 rounds of gossip, because digests only repair what
+ * gossip lost; jittered so that members drift apart.
  */
 export const ANTI_ENTROPY_INTERVAL_MS = 2_000;
 export const ANTI_ENTROPY_JITTER = 0.25;
@@ -67,23 +58,19 @@
 /** Bytes a second that reported loads may cost a member; the time between two reports of a back end follows from it. */
 export const LOAD_BYTES_PER_SECOND = 1_500;
 /**
- * Bytes of one load report on the wire, with its share of the envelope. Not measured; chosen as an estimate from
- * which the report interval follows.
+ * Bytes of one load report on the wire, with its share of the envelope. An estimate from which the report interval
+ * follows.
  */
 export const LOAD_REPORT_BYTES = 32;
-/**
- * Least time in ms between two reports of one back end's load. Not measured; chosen so that few back ends are not
- * read without pause.
- */
+/** Least time in ms between two reports of one back end's load, so that few back ends are not read without pause. */
 export const MIN_LOAD_INTERVAL_MS = 1_000;
 /**
- * A reported load older than this, in ms, is not used. Not measured; chosen because placement gives it no weight
- * from then on (`REPORT_MAX_AGE_MS`).
+ * A reported load older than this, in ms, is not used. Placement gives it no weight from then on (`REPORT_MAX_AGE_MS`).
  */
 export const LOAD_MAX_AGE_MS = 60_000;
 /**
- * A report is distrusted when the own count differs from it by more than this many standard deviations. Not
- * measured; chosen because chance alone hardly reaches four.
+ * A report is distrusted when the own count differs from it by more than this many standard deviations. Chance alone
+ * hardly reaches four.
  */
 export const LOAD_CONTRADICTION_DEVIATIONS = 4;
 
@@ -115,30 +102,29 @@
 export const EJECTION_FORGET_MS = 60_000;
 
 /**
- * An opening answered this recently, in ms, contradicts failing probes. Not measured; chosen as
- * `OPENING_SILENCE_MS`, because an older answer may be followed by silence that already counts.
+ * An opening answered this recently, in ms, contradicts failing probes. `OPENING_SILENCE_MS`, because an older answer
+ * may be followed by silence that already counts.
  */
 export const CONFLICT_FRESH_MS = 1_500;
 /**
- * Time in ms over which new flows fade while probes fail and openings are answered. Not measured; chosen as
- * `PASSIVE_WINDOW_MS`, so that passive failures have time to decide.
+ * Time in ms over which new flows fade while probes fail and openings are answered. `PASSIVE_WINDOW_MS`, so that
+ * passive failures have time to decide.
  */
 export const CONFLICT_FADE_MS = 10_000;
 
 /**
- * Part (0–1) of its weight that a back end starts with. Not measured; chosen above 0, because a back end without
- * openings gives no evidence.
+ * Part (0–1) of its weight that a back end starts with. Above 0, because a back end without openings gives no evidence.
  */
 export const INITIAL_WARMUP = 0.1;
 /**
- * Time in ms between two evaluations of back ends whose belief changes with time. Not measured; chosen because it
- * is short beside every time that an evaluation compares.
+ * Time in ms between two evaluations of back ends whose belief changes with time. It is short beside every time that an
+ * evaluation compares.
  */
 export const EVALUATION_INTERVAL_MS = 100;
-/** Pieces of evidence kept for each back end. Not measured; chosen to bound the output of the status. */
+/** Pieces of evidence kept for each back end. Bounds the output of the status. */
 export const MAX_EVIDENCE = 8;
 /**
- * An evaluation that comes this late, in ms, means that the process was paused: silence meanwhile says nothing
- * about back ends. Not measured; chosen as half of `OPENING_SILENCE_MS`, so that a pause cannot pass for silence.
+ * An evaluation that comes this late, in ms, means that the process was paused: silence meanwhile says nothing about
+ * back ends. Half of `OPENING_SILENCE_MS`, so that a pause cannot pass for silence.
  */
 export const PAUSE_DETECTION_MS = 750;
--- a/src/gue-edge/health/gossip.ts
+++ b/src/gue-edge/health/gossip.ts
@@ -26,13 +26,13 @@
 
 /**
  * Votes answered to one digest at most, so that a newcomer of a large fleet does not cause a burst; its next digest
- * requests the rest. Not measured; chosen as ten messages of `VOTES_PER_MESSAGE`.
+ * requests the rest. Ten messages of `VOTES_PER_MESSAGE`.
  */
 const MAX_VOTES_PER_ANSWER = 320;
 
 /**
- * Random picks before a round goes to fewer members than it could. Not measured; chosen well above
- * `VOTE_GOSSIP_FANOUT`, because picks may repeat.
+ * Random picks before a round goes to fewer members than it could. Well above `VOTE_GOSSIP_FANOUT`, because picks may
+ * repeat.
  */
 const MAX_PICKS = 40;
 
--- a/src/gue-edge/health/message.ts
+++ b/src/gue-edge/health/message.ts
@@ -4,7 +4,7 @@
 import type { ReportedLoad, Vote } from './votes.js';
 
 const { HealthMessage } = sailquay.health;
-/** Limits that a received message must keep. Not measured; chosen above what any sender reaches. */
+/** Limits that a received message must keep. Above what any sender reaches. */
 const MAX_MEMBERS_PER_MESSAGE = 1_000;
 const MAX_PASSIVE_FAILURES = 1_000_000;
 
--- a/src/gue-edge/health/probe.ts
+++ b/src/gue-edge/health/probe.ts
@@ -6,9 +6,9 @@
 export const HEALTH_PATH = '/health';
 export const LOAD_PATH = '/load';
 
-/** Longest response read, in bytes. Not measured; chosen to bound what a faulty back end can make this process read. */
+/** Longest response read, in bytes. Bounds what a faulty back end can make this process read. */
 const MAX_PROBE_BODY_BYTES = 4_096;
-/** Estimated bytes of request and response headers, for the statistics only. Not measured; chosen as a typical size. */
+/** Estimated bytes of request and response headers, for the statistics only. A typical size. */
 const PROBE_HEADER_BYTES = 250;
 const STATUS_OK = 200;
 const STATUS_REDIRECT = 300;
--- a/src/gue-edge/health/prober.ts
+++ b/src/gue-edge/health/prober.ts
@@ -29,8 +29,8 @@
 
 const MS_PER_SECOND = 1_000;
 /**
- * An unchanged load is reported again after this part of the age at which it would be dropped. Not measured; chosen
- * so that it is sent several times before.
+ * An unchanged load is reported again after this part of the age at which it would be dropped, so that it is sent
+ * several times before.
  */
 const LOAD_REFRESH_SHARE = 0.25;
 
--- a/src/gue-edge/health/service-rules.ts
+++ b/src/gue-edge/health/service-rules.ts
@@ -8,8 +8,8 @@
 import type { BackendCondition } from './types.js';
 
 /**
- * A service is in panic until the usable share is this much above the limit. Not measured; chosen because without a
- * gap a share at the limit starts and ends the panic with each evaluation.
+ * A service is in panic until the usable share is this much above the limit. Without a gap a share at the limit starts
+ * and ends the panic with each evaluation.
  */
 const PANIC_HYSTERESIS = 0.05;
 
--- a/src/gue-edge/membership/constants.ts
+++ b/src/gue-edge/membership/constants.ts
@@ -53,29 +53,26 @@
 };
 
 /**
- * Longest suspicion (no confirmation) relative to the shortest. Not measured; chosen so that a member that only one
- * other cannot reach gets twice the time to refute.
+ * Longest suspicion (no confirmation) relative to the shortest. A member that only one other cannot reach gets
+ * twice the time to refute.
  */
 export const SUSPICION_MAX_FACTOR = 2;
 
 /**
- * Confirmations by other members that shorten a suspicion to its minimum. Not measured; chosen equal to
- * `INDIRECT_PROBES`, the members that a prober can make see for themselves.
+ * Confirmations by other members that shorten a suspicion to its minimum. Equal to `INDIRECT_PROBES`, the members that
+ * a prober can make see for themselves.
  */
 export const SUSPICION_CONFIRMATIONS = 3;
 
-/** Members asked to repeat a probe. Not measured; chosen small, since each costs two messages. */
+/** Members asked to repeat a probe. Small, since each costs two messages. */
 export const INDIRECT_PROBES = 3;
 
-/**
- * Members that get each gossip round. Not measured; chosen because three reach a region of 400 in about six rounds
- * (3^6 = 729).
- */
+/** Members that get each gossip round. Three reach a region of 400 in about six rounds (3^6 = 729). */
 export const MEMBERSHIP_FANOUT = 3;
 
 /**
- * With less of the byte budget free than this, in bytes a second, gossip goes to one member a round. Not measured;
- * chosen as about 40% of the budget, which leaves the rest to hand-overs.
+ * With less of the byte budget free than this, in bytes a second, gossip goes to one member a round. About 40% of the
+ * budget, which leaves the rest to hand-overs.
  */
 export const GOSSIP_RESERVE_BYTES_PER_SECOND = 12_000;
 
@@ -86,8 +83,8 @@
 export const RETRANSMIT_FACTOR = 4;
 
 /**
- * Bytes of entries in a probe, and in a gossip or state message: about 18 updates of 16 bytes, and what fits a
- * datagram beside the envelope. Not measured against others.
+ * Bytes of entries in a probe, and in a gossip or state message: about 18 updates of 16 bytes, and what fits a datagram
+ * beside the envelope.
  */
 export const PIGGYBACK_BYTES = 300;
 export const GOSSIP_BYTES = 1_000;
@@ -105,73 +102,69 @@
 export const SYNC_CHUNK_INTERVAL_MS = 50;
 
 /**
- * Least time between two state exchanges with the same member that were caused by something unknown, in ms. Not
- * measured; chosen above the time that an exchange of a few messages takes.
+ * Least time between two state exchanges with the same member that were caused by something unknown, in ms. Above the
+ * time that an exchange of a few messages takes.
  */
 export const SYNC_REPEAT_MS = 1_000;
 
 /**
- * Highest local health score: 0 is well; probe times are stretched by score + 1. Not measured; chosen as in the
- * published Lifeguard extensions of SWIM.
+ * Highest local health score: 0 is well; probe times are stretched by score + 1. In the published Lifeguard extensions
+ * of SWIM.
  */
 export const MAX_HEALTH_SCORE = 8;
 
 /**
- * Highest score that unanswered probes alone lead to. Not measured; chosen so that a member that is cut off still
- * notices it within twice the usual time.
+ * Highest score that unanswered probes alone lead to. A member that is cut off still notices it within twice
+ * the usual time.
  */
 export const MAX_BLIND_HEALTH_SCORE = 1;
 
-/**
- * A probe round that starts this late, in ms, is a sign that the process is slow. Not measured; chosen as a fifth
- * of the probe interval.
- */
+/** A probe round that starts this late, in ms, is a sign that the process is slow. A fifth of the probe interval. */
 export const LATE_ROUND_MS = 100;
 
 /**
- * Members that left are remembered this long, in ms, so that a late update cannot revive them. Not measured; chosen
- * well above the longest state exchange interval.
+ * Members that left are remembered this long, in ms, so that a late update cannot revive them. Well above the longest
+ * state exchange interval.
  */
 export const LEFT_RETENTION_MS = 300_000;
 
 /**
- * Members that failed are remembered, and now and then contacted, this long, in ms: a partition may last hours. Not
- * measured; chosen as a day.
+ * Members that failed are remembered, and now and then contacted, this long, in ms: a partition may last hours. A day.
  */
 export const FAILED_RETENTION_MS = 24 * 3_600_000;
 
 /**
- * A zone is silent when more than this share of it fails within ZONE_WINDOW_MS, and at least ZONE_MIN_MEMBERS. Not
- * measured; chosen so that a majority decides, within the time that single failures of a zone are spread over.
+ * A zone is silent when more than this share of it fails within ZONE_WINDOW_MS, and at least ZONE_MIN_MEMBERS. So that
+ * a majority decides, within the time that single failures of a zone are spread over.
  */
 export const ZONE_SILENT_SHARE = 0.5;
 export const ZONE_WINDOW_MS = 5_000;
 export const ZONE_MIN_MEMBERS = 3;
 
 /**
- * First and largest wait between attempts to reach a seed, in ms. Not measured; chosen so that a seed that starts a
- * little later is met at once, and one that is gone costs little.
+ * First and largest wait between attempts to reach a seed, in ms. A seed that starts a little later is met at
+ * once, and one that is gone costs little.
  */
 export const JOIN_RETRY_MIN_MS = 500;
 export const JOIN_RETRY_MAX_MS = 10_000;
 
-/** Seeds asked in one attempt. Not measured; chosen so that two of them may be down. */
+/** Seeds asked in one attempt, so that two of them may be down. */
 export const JOIN_FANOUT = 3;
 
 /**
- * Probes in a row without an answer from the target or from any helper, after which this member counts as cut off.
- * Not measured; chosen so that a single lost round is no cut.
+ * Probes in a row without an answer from the target or from any helper, after which this member counts as cut off. So
+ * that a single lost round is no cut.
  */
 export const BLIND_PROBES = 3;
 
 /**
- * Changes are gathered this long while a zone is silent, so that its loss is one change of the view or a few. Not
- * measured; chosen as ten times the usual `viewBatchMs`.
+ * Changes are gathered this long while a zone is silent, so that its loss is one change of the view or a few. Ten times
+ * the usual `viewBatchMs`.
  */
 export const ZONE_VIEW_BATCH_MS = 1_000;
 
 /**
- * A member enters the quorum base after it was active, without any suspicion, for this long, in ms. Not measured;
- * chosen above the time to notice a cut.
+ * A member enters the quorum base after it was active, without any suspicion, for this long, in ms. Above the time to
+ * notice a cut.
  */
 export const ADMISSION_WAIT_MS = 5_000;
--- a/src/gue-edge/membership/joiner.ts
+++ b/src/gue-edge/membership/joiner.ts
@@ -30,10 +30,7 @@
   readonly isListReader: () => boolean;
 }
 
-/**
- * Share of a retry interval that is random, either way, so that members that start together do not ask together.
- * Not measured.
- */
+/** Share of a retry interval that is random, either way, so that members that start together do not ask together. */
 const RETRY_JITTER = 0.3;
 
 /**
--- a/src/gue-edge/membership/prober.ts
+++ b/src/gue-edge/membership/prober.ts
@@ -46,10 +46,7 @@
   readonly timer: TimerHandle;
 }
 
-/**
- * Probes for other members that wait for an answer at once: a bound on memory against faulty requesters. Not
- * measured.
- */
+/** Probes for other members that wait for an answer at once: a bound on memory against faulty requesters. */
 const MAX_RELAYED_PROBES = 1_024;
 
 /** One prober for each process. */
--- a/src/gue-edge/membership/quorum-exchange.ts
+++ b/src/gue-edge/membership/quorum-exchange.ts
@@ -21,16 +21,13 @@
 
 /** Id hashes in one message: 4 bytes each, which leaves room for the header in a control payload of 1,200 bytes. */
 const HASHES_PER_PART = 250;
-/** Most parts of one base: a bound against faulty senders, 16,000 members. Not measured. */
+/** Most parts of one base: a bound against faulty senders, 16,000 members. */
 const MAX_PARTS = 64;
 
-/** Least time between two requests, in ms. Not measured; chosen above the time that a response takes. */
+/** Least time between two requests, in ms. Above the time that a response takes. */
 const REQUEST_INTERVAL_MS = 500;
 
-/**
- * A quorate member waits this long, in ms, before it fetches: usually it reaches the same epoch by itself. Not
- * measured.
- */
+/** A quorate member waits this long, in ms, before it fetches: usually it reaches the same epoch by itself. */
 const QUORATE_PATIENCE_MS = 3_000;
 
 /** One exchange for each process. */
--- a/src/gue-edge/membership/quorum-lease.ts
+++ b/src/gue-edge/membership/quorum-lease.ts
@@ -17,7 +17,7 @@
 /** `unknown`: not asked yet or trust has run out. `unavailable`: the platform did not answer. */
 export type LeaseStanding = 'unknown' | 'held' | 'held-by-other' | 'unavailable';
 
-/** Renewals in the duration of a lease. Not measured; chosen so that one renewal may be lost. */
+/** Renewals in the duration of a lease, so that one renewal may be lost. */
 const RENEWALS_PER_LEASE = 3;
 
 /** What the lease is kept with. */
--- a/src/gue-edge/membership/sampling.ts
+++ b/src/gue-edge/membership/sampling.ts
@@ -7,8 +7,7 @@
 import type { MemberRecord } from './member-record.js';
 
 /**
- * Draws for each wanted member before the list is searched from a random place. Not measured; four suffice where
- * most members pass.
+ * Draws for each wanted member before the list is searched from a random place. Four suffice where most members pass.
  */
 const TRIES_PER_MEMBER = 4;
 
--- a/src/gue-edge/membership/state-sync.ts
+++ b/src/gue-edge/membership/state-sync.ts
@@ -34,10 +34,7 @@
   readonly messages: WireMessageFields[];
 }
 
-/**
- * State transfers under way at once; further requests are dropped. Not measured; chosen to bound what one member
- * sends.
- */
+/** State transfers under way at once; further requests are dropped. Bounds what one member sends. */
 const MAX_TRANSFERS = 16;
 const ALL_BUCKETS = 0xffff_ffff;
 
--- a/src/gue-edge/membership/swim-membership.ts
+++ b/src/gue-edge/membership/swim-membership.ts
@@ -18,10 +18,7 @@
 import { sampleMembers } from './sampling.js';
 import type { MembershipFeed, MembershipView } from './types.js';
 
-/**
- * Part of the reconnect interval that is drawn at random, so that members do not contact a failed one together. Not
- * measured.
- */
+/** Part of the reconnect interval that is drawn at random, so that members do not contact a failed one together. */
 const RECONNECT_JITTER = 0.5;
 
 /** Call `join`, then `activate` when ready; `leave` and `stop` to go. */
--- a/src/gue-edge/placement/candidates.ts
+++ b/src/gue-edge/placement/candidates.ts
@@ -27,7 +27,7 @@
   excess: number;
 }
 
-/** Least warm-up that a candidate's weight is computed with. Not measured; chosen above 0, because a weight must be. */
+/** Least warm-up that a candidate's weight is computed with. Above 0, because a weight must be. */
 const SMALLEST_WARMUP = 0.01;
 
 /**
--- a/src/gue-edge/placement/constants.ts
+++ b/src/gue-edge/placement/constants.ts
@@ -10,7 +10,7 @@
 export const MAX_BIAS_FLOWS = 40;
 /** The bias is at least this part of a back end's share, so that large counts are not balanced to the last flow. */
 export const MIN_BIAS_SHARE = 0.02;
-/** Bias that a service starts with, in flows. Not measured; chosen because the bias adjusts with every opening. */
+/** Bias that a service starts with, in flows. The bias adjusts with every opening. */
 export const INITIAL_BIAS_FLOWS = 3;
 /** Relative change of the bias for one decision above the target share. */
 export const BIAS_GAIN = 0.03;
@@ -22,8 +22,8 @@
 /** Flows by which an exception must be less loaded than the first choice: the one flow that it moves. */
 export const LEAST_GAIN_FLOWS = 1;
 /**
- * Flows beyond its share that a first choice may hold however strong the preference for the zone. Not measured;
- * chosen above 0, so that only a first choice above its share loses openings to the own zone.
+ * Flows beyond its share that a first choice may hold however strong the preference for the zone. Above 0, so that only
+ * a first choice above its share loses openings to the own zone.
  */
 export const MIN_ZONE_TOLERANCE_FLOWS = 0.5;
 /**
@@ -53,32 +53,23 @@
 /** Window over which the rate of openings, and from it the mean lifetime, is measured. */
 export const RATE_WINDOW_MS = 10_000;
 /**
- * Client addresses that the opening limiter remembers; the least recently used one is forgotten first. Not
- * measured; chosen to bound the memory.
+ * Client addresses that the opening limiter remembers; the least recently used one is forgotten first. Bounds the
+ * memory.
  */
 export const MAX_TRACKED_CLIENTS = 65_536;
-/** Burst that a token bucket takes, as time in ms at its rate. Not measured; chosen because limits are set a second. */
+/** Burst that a token bucket takes, as time in ms at its rate. Limits are set a second. */
 export const BURST_MS = 1_000;
-/**
- * Retries a second that a retry budget always allows. Not measured; chosen so that a service with few openings
- * retries at all.
- */
+/** Retries a second that a retry budget always allows. A service with few openings retries at all. */
 export const RETRY_FLOOR_PER_SECOND = 1;
-/**
- * Time in ms over which a retry budget counts openings. Not measured; chosen as the window of the opening rate
- * (`RATE_WINDOW_MS`).
- */
+/** Time in ms over which a retry budget counts openings. The window of the opening rate (`RATE_WINDOW_MS`). */
 export const RETRY_WINDOW_MS = 10_000;
 /**
- * The share of exceptions is reported when it exceeds its target, or this least target, by the factor. Not
- * measured; chosen so that chance around the target, or around a target near 0, is not reported.
+ * The share of exceptions is reported when it exceeds its target, or this least target, by the factor, so that chance
+ * around the target, or around a target near 0, is not reported.
  */
 export const EXCEPTION_ALARM_FACTOR = 1.5;
 export const EXCEPTION_ALARM_LEAST_TARGET = 0.1;
-/**
- * Decisions over which the share of exceptions is averaged. Not measured; chosen because a share of 0.14 is then
- * known to 0.01.
- */
+/** Decisions over which the share of exceptions is averaged. A share of 0.14 is then known to 0.01. */
 export const EXCEPTION_AVERAGE_DECISIONS = 1_000;
 /** Relative slack on this balancer's part of a back end's capacity, because flows are not split exactly evenly. */
 export const CAPACITY_SLACK = 0.1;
@@ -88,8 +79,8 @@
  */
 export const BYTES_PER_EXCEPTION = 130;
 /**
- * Window in ms over which openings are counted for the byte budget of exceptions. Not measured; chosen shorter than
- * `RATE_WINDOW_MS`, because the budget must follow a rise soon.
+ * Window in ms over which openings are counted for the byte budget of exceptions. Shorter than `RATE_WINDOW_MS`,
+ * because the budget must follow a rise soon.
  */
 export const EXCEPTION_RATE_WINDOW_MS = 5_000;
 /** Bytes a second that the records of exceptions may cost a balancer unless configured otherwise. */
--- a/src/observability/explain-flow.ts
+++ b/src/observability/explain-flow.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * Lines about back ends and balancers count this long before the flow's first and after its last line, in ms. Not
- * measured; chosen above the time in which a crash is noticed.
+ * Lines about back ends and balancers count this long before the flow's first and after its last line, in ms. Above the
+ * time in which a crash is noticed.
  */
 const MARGIN_MS = 5_000;
 
--- a/src/observability/latency-histogram.ts
+++ b/src/observability/latency-histogram.ts
@@ -4,7 +4,7 @@
  * Owns the counts. Relies on its caller for the times.
  */
 
-/** Upper bounds of the buckets in ms; one more bucket takes the rest. Not measured; chosen as a 1-2-5 series. */
+/** Upper bounds of the buckets in ms; one more bucket takes the rest. A 1-2-5 series. */
 const LATENCY_BOUNDS_MS: readonly number[] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
 export class LatencyHistogram {
--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -7,10 +7,7 @@
 import type { Writable } from 'node:stream';
 import type { Clock } from '../common/clock.js';
 
-/**
- * Lines gather this long, in ms, before they are written. Not measured; chosen to save writes without a delay that
- * an operator notices.
- */
+/** Lines gather this long, in ms, before they are written. Saves writes without a delay that an operator notices. */
 const GATHER_MS = 300;
 
 /**
@@ -21,7 +18,7 @@
  */
 const MAX_BLOCK = 4_096;
 
-/** Characters that may wait, gathered or in the stream; more are left out. Not measured; chosen to bound memory. */
+/** Characters that may wait, gathered or in the stream; more are left out. Bounds memory. */
 const MAX_WAITING = 262_144;
 
 /** The part of a stream that is used. Node writes to pipes at once and keeps what they do not take. */
--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -179,10 +179,7 @@
   return service;
 }
 
-/**
- * Changed nodes up to which a tree is checked by its changes alone. Not measured; chosen above the nodes of usual
- * edits.
- */
+/** Changed nodes up to which a tree is checked by its changes alone. Above the nodes of usual edits. */
 const MAX_INCREMENTAL_CHANGES = 64;
 
 /** The indexes of the tree that settings were resolved from; those of the newest version only. */
--- a/src/standin/backend/load-reporter.ts
+++ b/src/standin/backend/load-reporter.ts
@@ -9,12 +9,9 @@
   readonly capacity: number;
 }
 
-/** Time between two samples of the load, ms. Not measured; chosen short beside HISTORY_MS. */
+/** Time between two samples of the load, ms. Short beside HISTORY_MS. */
 const SAMPLE_INTERVAL_MS = 50;
-/**
- * Samples are kept this long, ms: the longest lag that can be told. Not measured; chosen because no scenario asks
- * for more.
- */
+/** Samples are kept this long, ms: the longest lag that can be told. No scenario asks for more. */
 const HISTORY_MS = 30_000;
 
 /** Samples the load so that an old one can be told. */
--- a/src/standin/caller/caller-standin.ts
+++ b/src/standin/caller/caller-standin.ts
@@ -17,9 +17,9 @@
   type CallerReport,
 } from './types.js';
 
-/** Time between two rounds of openings, ms. Not measured; chosen because the rounds then stay small. */
+/** Time between two rounds of openings, ms. The rounds then stay small. */
 const PACE_INTERVAL_MS = 20;
-/** Time between two looks at the flows that still close at a stop, ms. Not measured; chosen as PACE_INTERVAL_MS. */
+/** Time between two looks at the flows that still close at a stop, ms. PACE_INTERVAL_MS. */
 const STOP_POLL_MS = 20;
 
 /** A running process of callers. */
--- a/src/standin/caller/latency.ts
+++ b/src/standin/caller/latency.ts
@@ -3,7 +3,7 @@
 import type { LatencySummary } from './types.js';
 
 const MICROSECONDS_PER_MS = 1_000;
-/** Longest duration that is told apart: two minutes. Not measured; chosen above every limit of a caller. */
+/** Longest duration that is told apart: two minutes. Above every limit of a caller. */
 const HIGHEST_MICROSECONDS = 120_000_000;
 
 /** Records durations with two significant digits or better. */
--- a/src/standin/caller/tally.ts
+++ b/src/standin/caller/tally.ts
@@ -2,10 +2,7 @@
 import { LatencyRecorder } from './latency.js';
 import type { BrokenFlow, CallerReport, FlowCounts, RequestCounts } from './types.js';
 
-/**
- * Broken flows of a process that are described; the counts are complete. Not measured; chosen to bound a report's
- * size.
- */
+/** Broken flows of a process that are described; the counts are complete. Bounds a report's size. */
 const BROKEN_FLOWS_KEPT = 100;
 
 type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
--- a/src/standin/common/control-server.ts
+++ b/src/standin/common/control-server.ts
@@ -2,7 +2,7 @@
 import { fastify, type FastifyInstance } from 'fastify';
 import type { Endpoint } from '../../common/types.js';
 
-/** Largest request, bytes. Not measured; chosen because lists of request ids of a whole run fit. */
+/** Largest request, bytes. Lists of request ids of a whole run fit. */
 const BODY_LIMIT_BYTES = 64 * 1024 * 1024;
 
 /** Starts a JSON server with `routes` on `address` (port 0: the kernel chooses). */
--- a/src/standin/common/datagram-socket.ts
+++ b/src/standin/common/datagram-socket.ts
@@ -2,7 +2,7 @@
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import type { Endpoint } from '../../common/types.js';
 
-/** Receive and send buffer asked for, bytes. Not measured; chosen because a stalled process then loses little. */
+/** Receive and send buffer asked for, bytes. A stalled process then loses little. */
 const BUFFER_BYTES = 4 * 1024 * 1024;
 
 type LookupCallback = (error: Error | null, address: string, family: number) => void;
--- a/src/standin/fabric/balancer-rotation.ts
+++ b/src/standin/fabric/balancer-rotation.ts
@@ -5,15 +5,12 @@
 import type { FabricBalancer } from './types.js';
 
 /**
- * Time between two checks of a balancer, and the wait for an answer, ms. Not measured; chosen because a balancer is
- * then out within about a second of its end.
+ * Time between two checks of a balancer, and the wait for an answer, ms. A balancer is then out within about a second
+ * of its end.
  */
 const CHECK_INTERVAL_MS = 200;
 const CHECK_TIMEOUT_MS = 500;
-/**
- * Consecutive failures that take a balancer out; one success puts it in. Not measured; chosen because one may be
- * lost.
- */
+/** Consecutive failures that take a balancer out; one success puts it in. One may be lost. */
 const FAILURES_UNTIL_OUT = 2;
 const HTTP_OK = 200;
 
--- a/src/standin/platform/in-memory-platform.ts
+++ b/src/standin/platform/in-memory-platform.ts
@@ -17,10 +17,7 @@
 import { ObjectStore, type StoreEntry } from './object-store.js';
 import { RequestCounters, type CounterReport, type RequestKind } from './request-counters.js';
 
-/**
- * How often a client whose watch was cut tries to open it again, ms. Not measured; chosen because simulations count
- * seconds.
- */
+/** How often a client whose watch was cut tries to open it again, ms. Simulations count seconds. */
 const RECONNECT_MS = 1_000;
 /** Simulations see a change of the machine list at once, ms. */
 const NO_MACHINE_LAG_MS = 0;
--- a/src/standin/platform/server.ts
+++ b/src/standin/platform/server.ts
@@ -12,9 +12,9 @@
 import { WatchBody } from './watch-body.js';
 import { RequestCounters, type CounterReport, type RequestKind } from './request-counters.js';
 
-/** Largest object that is stored, bytes. Not measured; chosen far above the tree of 6,300 back ends (1,368 KB). */
+/** Largest object that is stored, bytes. Far above the tree of 6,300 back ends (1,368 KB). */
 const BODY_LIMIT_BYTES = 32 * 1024 * 1024;
-/** The machine list shows a change after this long, ms. Not measured; chosen because the users' list lags, too. */
+/** The machine list shows a change after this long, ms. The users' list lags, too. */
 const DEFAULT_MACHINE_LAG_MS = 2_000;
 
 interface PlatformStandinOptions {
