A held opening whose time runs out while others are decided is not decided late

Cause: on a slow machine deciding many held openings takes longer than the margin before the caller's next copy, which another daemon may place elsewhere, so that one flow would open at two back ends. Change: the time of each is looked at by the clock. The new case of list-that-fills.test.ts failed before (both were sent).

--- a/src/cookie-edge/forwarding/held-openings.ts
+++ b/src/cookie-edge/forwarding/held-openings.ts
@@ -128,7 +128,7 @@
     const nowMs = this.options.clock.now();
     const waitingBefore = this.byFlow.size;
     this.endHolds(nowMs);
-    this.decideAgain(nowMs);
+    this.decideAgain();
     this.logDecided(waitingBefore - this.byFlow.size);
     this.checkSoon();
   }
@@ -143,14 +143,18 @@
     }
   }
 
-  /** Has decided again what may have another outcome by now; what has not is held on. */
-  private decideAgain(nowMs: number): void {
+  /**
+   * Has decided again what may have another outcome by now; what has not is held on. Deciding takes time on a slow
+   * machine, so that each is looked at by the clock: one whose time ran out is left to `endHolds`.
+   */
+  private decideAgain(): void {
     const { hasNews } = this;
     this.hasNews = false;
     const waiting = [...this.byFlow].filter(([, { reason }]) => hasNews || reason === 'yields');
     const routesWithoutRoom = new Set<Route>();
     for (const [flow, opening] of waiting.sort(([, left], [, right]) => compareHeld(left, right))) {
-      if (routesWithoutRoom.has(opening.route)) continue;
+      const nowMs = this.options.clock.now();
+      if (routesWithoutRoom.has(opening.route) || nowMs >= opening.untilMs) continue;
       this.byFlow.delete(flow);
       opening.deliver(nowMs - opening.arrivedAtMs);
       if (this.byFlow.get(flow)?.reason === 'yields') routesWithoutRoom.add(opening.route);
--- a/src/cookie-edge/forwarding/list-that-fills.test.ts
+++ b/src/cookie-edge/forwarding/list-that-fills.test.ts
@@ -228,3 +228,18 @@
   t.is(harness.forwarder.heldOpenings, 0);
   t.is(harness.forwarder.statistics.heldTooLong, 1);
 });
+
+test('an opening whose time runs out while others are decided is not decided late', (t) => {
+  const clock = new VirtualClock();
+  const harness = new ForwarderHarness(clock, 1, [], { settles: true }).know([]);
+  harness.open(1, 1);
+  harness.open(2);
+  harness.onSent(1, () => clock.advance(200));
+  const origin = { since: 10, confirmedAtMs: 0, mayHaveLapsed: false };
+  harness.knowledge.apply('backends', updateAt(11, { backends: [backendAt('a', 11)] }), origin);
+  clock.advance(20);
+  t.deepEqual(harness.sentPorts, [1]);
+  clock.advance(20);
+  t.deepEqual(harness.sentPorts, [1]);
+  t.is(harness.forwarder.statistics.heldTooLong, 1);
+});
