Log by what a back end was taken for superseded, why an open flow was reset, and records that are created anew

The logs could not tell the hypotheses apart. Change: no logic. 1259 names the successor and the revisions by which both were ordered; 1260 for a packet names the proof and the age of the verdict; new event 2019 when the record of a known back end was created anew. The verdict keeps its proof and its begin. The contract's list of events follows: readers of the log get fields more, none is gone. Tests: the folders concerned, contract and docs checks pass; the whole suite was not run on this commit.

--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -7,7 +7,7 @@
 import { pause } from '../../common/pause.js';
 import { formatEndpoint } from '../../common/types.js';
 import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
-import type { EventLog } from '../../observability/event.js';
+import type { EventFields, EventLog } from '../../observability/event.js';
 import { COOKIE_FLOW_EVENTS } from '../forwarding/events.js';
 import { formatFlowId } from '../forwarding/flow-id.js';
 import type { CookieStatistics, FlowCache } from '../forwarding/index.js';
@@ -90,8 +90,14 @@
     const known = this.newestAt.get(address);
     const isLater = isLaterStart(backend, known);
     if (isLater) this.newestAt.set(address, backend);
-    const ended = isLater ? known : backend;
-    if (ended) this.declare(this.options.states.of(ended), 'superseded', Number.POSITIVE_INFINITY);
+    const [ended, successor] = isLater ? [known, backend] : [backend, known];
+    if (!ended) return;
+    this.declare(
+      this.options.states.of(ended),
+      'superseded',
+      Number.POSITIVE_INFINITY,
+      describeOrder(ended, successor),
+    );
   }
 
   /** Forgets a back end. */
@@ -156,7 +162,7 @@
       const decision = judgeRecheck(finding, sinceMs, this.options.states.othersAliveMs(state));
       if (decision === 'revive') return this.endVerdict(state);
       if (decision === 'lapse') return;
-      state.recordDeadVerdict(clock.now() + DEAD_VERDICT_MS);
+      state.renewDeadVerdict(clock.now() + DEAD_VERDICT_MS);
       this.gossip(state, clock.now());
     }
   }
@@ -171,7 +177,7 @@
   }
 
   private endVerdict(state: LocalBackendState): void {
-    state.recordDeadVerdict(this.options.clock.now());
+    state.endDeadVerdict();
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
   }
 
@@ -194,12 +200,17 @@
     }
   }
 
-  private declare(state: LocalBackendState, proof: DeathProof, untilMs: number): void {
+  private declare(
+    state: LocalBackendState,
+    proof: DeathProof,
+    untilMs: number,
+    evidence: EventFields = {},
+  ): void {
     const nowMs = this.options.clock.now();
     // A copy of an opening's SYN may have met another balancer and be open elsewhere, where a reset would end the flow;
     // the next copy that comes here is placed anew.
     const flows = this.options.cache.flowsAt(state).filter(({ phase }) => phase !== 'opening');
-    state.recordDeadVerdict(untilMs);
+    state.recordDeadVerdict(proof, nowMs, untilMs);
     const { backend, lastSignOfLifeMs } = state;
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendDead, {
       backend: backend.id,
@@ -208,6 +219,7 @@
       proof,
       flows: flows.length,
       lastSignOfLifeMs: Number.isFinite(lastSignOfLifeMs) ? Math.round(nowMs - lastSignOfLifeMs) : undefined,
+      ...evidence,
     });
     for (const flow of flows) {
       const target = resetTargetOf(flow);
@@ -223,3 +235,14 @@
     }
   }
 }
+
+/** By what a back end was taken for the earlier of two starts at its address, for a log line. */
+function describeOrder(ended: KnownBackend, successor: KnownBackend | undefined): EventFields {
+  return {
+    departed: ended.departed,
+    createdRevision: ended.record.createdRevision,
+    successor: successor?.id,
+    successorDeparted: successor?.departed,
+    successorCreatedRevision: successor?.record.createdRevision,
+  };
+}
--- a/src/cookie-edge/backend-health/dead-verdict.test.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.test.ts
@@ -127,10 +127,10 @@
 test('a verdict is in force until its time or its end', (t) => {
   const verdict = new DeadVerdict();
   t.false(verdict.isInForce(NOW_MS));
-  verdict.hold(NOW_MS + 1);
+  verdict.hold({ proof: 'silent', sinceMs: NOW_MS }, NOW_MS + 1);
   t.true(verdict.isInForce(NOW_MS));
   t.false(verdict.isInForce(NOW_MS + 1));
-  verdict.hold(Number.POSITIVE_INFINITY);
+  verdict.hold({ proof: 'superseded', sinceMs: NOW_MS }, Number.POSITIVE_INFINITY);
   t.true(verdict.isInForce(NOW_MS));
   verdict.end();
   t.false(verdict.isInForce(NOW_MS));
--- a/src/cookie-edge/backend-health/dead-verdict.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.ts
@@ -136,12 +136,31 @@
   return backend.record.createdRevision > known.record.createdRevision;
 }
 
+/** Why and since when a back end is held dead. */
+export interface VerdictReason {
+  readonly proof: DeathProof;
+  /** When the verdict began; renewals do not change it. */
+  readonly sinceMs: number;
+}
+
 /** The dead verdict of one back end. */
 export class DeadVerdict {
   private untilMs = Number.NEGATIVE_INFINITY;
+  private held: VerdictReason | undefined;
+
+  /** The reason of the verdict that is or was last in force. */
+  get reason(): VerdictReason | undefined {
+    return this.held;
+  }
 
   /** Holds the back end dead until `untilMs`; Infinity after a later start at its address. */
-  hold(untilMs: number): void {
+  hold(reason: VerdictReason, untilMs: number): void {
+    this.held = reason;
+    this.untilMs = untilMs;
+  }
+
+  /** Moves the end of the verdict to `untilMs`. */
+  renew(untilMs: number): void {
     this.untilMs = untilMs;
   }
 
--- a/src/cookie-edge/backend-health/local-backend-state.ts
+++ b/src/cookie-edge/backend-health/local-backend-state.ts
@@ -6,7 +6,7 @@
  */
 import { hashString } from '../../common/hash.js';
 import type { KnownBackend } from '../routing/index.js';
-import { DeadVerdict } from './dead-verdict.js';
+import { DeadVerdict, type DeathProof, type VerdictReason } from './dead-verdict.js';
 import { EjectionReport } from './ejection-report.js';
 import { OwnFlows } from './own-flows.js';
 import { PassiveEjection } from './passive-ejection.js';
@@ -78,9 +78,24 @@
     return this.ejection.judge(nowMs, othersAliveMs) === 'eject';
   }
 
-  /** Records a dead verdict that ends at `untilMs`; the present time ends one at once. */
-  recordDeadVerdict(untilMs: number): void {
-    this.verdict.hold(untilMs);
+  /** Records a dead verdict that ends at `untilMs`. */
+  recordDeadVerdict(proof: DeathProof, nowMs: number, untilMs: number): void {
+    this.verdict.hold({ proof, sinceMs: nowMs }, untilMs);
+  }
+
+  /** Moves the end of the dead verdict to `untilMs`. */
+  renewDeadVerdict(untilMs: number): void {
+    this.verdict.renew(untilMs);
+  }
+
+  /** Ends the dead verdict. */
+  endDeadVerdict(): void {
+    this.verdict.end();
+  }
+
+  /** Why and since when it is held dead; what the last verdict said while none is in force. */
+  get deadReason(): VerdictReason | undefined {
+    return this.verdict.reason;
   }
 
   /** True while a dead verdict is in force. */
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -40,7 +40,7 @@
     const isDead = backend !== undefined && states.of(backend).isDead(nowMs);
     const outcome = decideMidFlow(backend, isDead);
     if (!backend || outcome === 'drop') return this.dropUnknown(packet);
-    if (outcome === 'reset') return this.resetAtDead(packet, flow, backend);
+    if (outcome === 'reset') return this.resetAtDead(packet, flow, backend, nowMs);
     const known = flow ?? this.takeOver(packet, backend, nowMs);
     if (known) follower.follow(packet, known, backend, nowMs);
     sender.forward(backend);
@@ -60,13 +60,21 @@
   }
 
   /** Resets a flow at a dead back end immediately instead of letting its caller wait for its timeout. */
-  private resetAtDead(packet: CookiePacket, flow: Flow | undefined, backend: KnownBackend): void {
-    const { cache, statistics, events, sender } = this.options;
+  private resetAtDead(
+    packet: CookiePacket,
+    flow: Flow | undefined,
+    backend: KnownBackend,
+    nowMs: number,
+  ): void {
+    const { cache, states, statistics, events, sender } = this.options;
     if (flow) cache.remove(flow);
     statistics.resets += 1;
+    const reason = states.of(backend).deadReason;
     events.emit(COOKIE_FLOW_EVENTS.flowReset, {
       flow: formatFlowId(packet),
       backend: backend.id,
+      proof: reason?.proof,
+      verdictAgeMs: reason && Math.round(nowMs - reason.sinceMs),
     });
     if (!packet.rst) sender.reset();
   }
--- a/src/cookie-edge/placement/backend-eligibility.test.ts
+++ b/src/cookie-edge/placement/backend-eligibility.test.ts
@@ -261,7 +261,7 @@
   test(`a back end with ${openFlows} flows, dead until ${deadUntilMs} ms, is ${expected ?? 'not'} excluded by its state`, (t) => {
     const state = new LocalBackendState({ id: 'a' } as KnownBackend);
     state.openFlows = openFlows;
-    state.recordDeadVerdict(deadUntilMs);
+    state.recordDeadVerdict('refused', 0, deadUntilMs);
     t.is(stateExclusionOf(state, 2, 1_000), expected);
   });
 }
--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -5,6 +5,7 @@
  * id; relies on `RoutingKnowledge` to detect gaps.
  */
 import type { Clock } from '../../common/clock.js';
+import { formatEndpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
 import { RESTORED_HOLD_MS } from './constants.js';
 import { ROUTING_EVENTS } from './events.js';
@@ -287,6 +288,7 @@
       this.serviceSet(record.service).add(known);
     }
     const stateChanged = known.departed || known.record.draining !== record.draining;
+    this.logIfRecreated(known, record);
     known.record = record;
     known.departed = false;
     known.lapsed = false;
@@ -298,6 +300,18 @@
     if (stateChanged) this.options.events.emit(ROUTING_EVENTS.backendChanged, describeRecord(record));
   }
 
+  private logIfRecreated(known: KnownBackend, record: RoutedBackend): void {
+    const { createdRevision: previous } = known.record;
+    if (previous === UNKNOWN_REVISION || record.createdRevision <= previous) return;
+    this.options.events.emit(ROUTING_EVENTS.backendRecreated, {
+      backend: known.id,
+      endpoint: formatEndpoint(record.endpoint),
+      createdRevision: record.createdRevision,
+      previousCreatedRevision: previous,
+      departed: known.departed,
+    });
+  }
+
   private forget(backend: KnownBackend): void {
     this.drop(backend);
     this.options.events.emit(ROUTING_EVENTS.backendForgotten, { backend: backend.id });
--- a/src/cookie-edge/routing/events.ts
+++ b/src/cookie-edge/routing/events.ts
@@ -28,6 +28,12 @@
     message: 'Back end started again under its id; what was known of its last life is forgotten',
     action: 'none when it was restarted; otherwise see why it ended',
   },
+  backendRecreated: {
+    number: 2019,
+    level: 'info',
+    message: 'Record of a known back end was created anew; it says nothing of when the process started',
+    action: 'none after an outage of the source; otherwise check whether the back end can write its record',
+  },
   backendsSettled: {
     number: 2018,
     level: 'info',
