Tests that fail: a late record of a crashed back end ends the one that serves at its address

What callers saw: an open flow at a back end that serves is reset by a balancer that has just started. On this code each packet of such a flow is answered with a reset (a proof superseded without an end).

--- /dev/null
+++ b/src/cookie-edge/backend-health/address-reuse.test.ts
@@ -0,0 +1,69 @@
+/** What becomes of open flows when more than one back end is known at an address. */
+import test from 'ava';
+import { hashString } from '../../common/hash.js';
+import { HOUSEKEEPING_TICK_MS } from '../forwarding/constants.js';
+import { ForwarderHarness } from '../forwarding/cookie-test-support.js';
+import type { RoutedBackend, RoutingUpdate } from '../routing/index.js';
+import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { REQUEST, SERVICES } from './dead-backends-test-support.js';
+
+const ADDRESS = { endpoint: { host: '10.128.0.1', port: 8_080 } };
+
+/** The revision of the list that a balancer starts with. */
+const LISTED_AT = 30;
+
+/** A balancer that has just started and read this list. */
+function startWith(records: readonly RoutedBackend[]): ForwarderHarness {
+  return new ForwarderHarness().know(records, { services: SERVICES }, LISTED_AT);
+}
+
+/** Applies a change after those that are known up to `since`. */
+function change(harness: ForwarderHarness, since: number, update: RoutingUpdate): void {
+  const origin = { since, confirmedAtMs: harness.clock.now(), mayHaveLapsed: false };
+  harness.knowledge.apply('backends', update, origin);
+}
+
+/** Where a packet of a flow goes that another balancer placed at back end `id`; undefined for a reset. */
+function takeOver(harness: ForwarderHarness, port: number, id: string): string | undefined {
+  return harness.goOn(port, hashString(id), REQUEST)?.backend;
+}
+
+test('a back end at a reused address keeps its flows although the crashed one was recorded anew later', (t) => {
+  const crashed = backendAt('x', 20, ADDRESS);
+  const successor = backendAt('y', 15, { ...ADDRESS, service: 'beta' });
+  for (const list of [
+    [crashed, successor],
+    [successor, crashed],
+  ]) {
+    const harness = startWith(list);
+    t.is(takeOver(harness, 41_000, 'y'), 'y', 'while both are listed');
+    harness.depart('x', LISTED_AT + 1);
+    harness.clock.advance(HOUSEKEEPING_TICK_MS);
+    t.is(takeOver(harness, 41_001, 'y'), 'y', 'after the late record has run out');
+    t.is(harness.goOn(41_000, hashString('y'))?.backend, 'y');
+    t.is(harness.resets.length, 0);
+  }
+});
+
+test('a late record of a crashed back end and its removal in one change do not end its successor', (t) => {
+  const successor = backendAt('y', 15, { ...ADDRESS, service: 'beta' });
+  const harness = startWith([successor]);
+  const recorded = backendAt('x', LISTED_AT + 1, ADDRESS);
+  const removals = [{ id: 'x', revision: LISTED_AT + 2 }];
+  change(harness, LISTED_AT, updateAt(LISTED_AT + 2, { backends: [recorded], removals }));
+  t.is(takeOver(harness, 41_000, 'y'), 'y');
+  harness.clock.advance(HOUSEKEEPING_TICK_MS);
+  t.is(takeOver(harness, 41_001, 'y'), 'y');
+  t.is(harness.resets.length, 0);
+});
+
+test('a back end whose record has lapsed keeps its flows although its predecessor was recorded anew', (t) => {
+  const predecessor = backendAt('p', 20, { ...ADDRESS, service: 'beta' });
+  const harness = startWith([predecessor]);
+  const departed = [{ record: backendAt('l', 15, ADDRESS), departedAtMs: 0, lapsed: true }];
+  change(harness, LISTED_AT, updateAt(LISTED_AT + 1, { departed }));
+  t.is(takeOver(harness, 41_000, 'l'), 'l');
+  harness.clock.advance(HOUSEKEEPING_TICK_MS);
+  t.is(takeOver(harness, 41_001, 'l'), 'l');
+  t.is(harness.resets.length, 0);
+});
--- a/src/cookie-edge/backend-health/dead-backends-test-support.ts
+++ b/src/cookie-edge/backend-health/dead-backends-test-support.ts
@@ -9,7 +9,7 @@
 export const REQUEST = { payloadBytes: 100, sequence: 500 };
 
 /** Services that the configuration names: a successor at an address may be of another one. */
-const SERVICES = ['alpha', 'beta'].map((name) => ({ name, maxConnections: 2_000 }));
+export const SERVICES = ['alpha', 'beta'].map((name) => ({ name, maxConnections: 2_000 }));
 
 /** Addresses of back ends that a probe does not reach, and how it fails there. */
 export type Unreachable = Map<string, ProbeOutcome>;
