Hold a back end superseded only while its record is gone, and order records by their first creation

What callers saw: a balancer that had just started reset open flows at back ends that serve at a reused address. Cause: of two back ends at an address the one whose record was created earlier was held dead for good, decided once, when a record became known. A record's creation is not its process's start: it is created anew after a lapse, and by a late write of a process that has ended. Class: a proxy (order of writes) taken as a proof of death, which nothing revised. Change: a rule of its own, address-reuse.ts, reviewed with each housekeeping tick and at each registration. The order alone keeps new flows away (disputed). Open flows end only where the record is gone as well, did not lapse, no sign of life came since, and the daemon has run for 5 s, so that peers have told it the first creations; it is revised when that changes. The registry keeps the lowest creation that it was told for a back end, from the source, peers or the roster.

--- a/src/cookie-edge/backend-health/address-reuse.test.ts
+++ b/src/cookie-edge/backend-health/address-reuse.test.ts
@@ -5,6 +5,7 @@
 import { ForwarderHarness } from '../forwarding/cookie-test-support.js';
 import type { RoutedBackend, RoutingUpdate } from '../routing/index.js';
 import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { CREATIONS_LEARNED_MS } from './constants.js';
 import { REQUEST, SERVICES } from './dead-backends-test-support.js';
 
 const ADDRESS = { endpoint: { host: '10.128.0.1', port: 8_080 } };
@@ -67,3 +68,31 @@
   t.is(takeOver(harness, 41_001, 'l'), 'l');
   t.is(harness.resets.length, 0);
 });
+
+test('the flows of a crashed back end are reset once a peer tells that it was known before its successor', (t) => {
+  const crashed = backendAt('x', 20, ADDRESS);
+  const successor = backendAt('y', 15, { ...ADDRESS, service: 'beta' });
+  const harness = startWith([crashed, successor]);
+  const departed = [{ record: backendAt('x', 5, { ...ADDRESS, revision: 20 }), departedAtMs: 0 }];
+  const wholeState = { complete: true, backends: [successor], departed };
+  change(harness, -1, updateAt(LISTED_AT + 1, wholeState));
+  t.is(takeOver(harness, 41_000, 'x'), 'x', 'not before other peers may have told of it');
+  harness.clock.advance(CREATIONS_LEARNED_MS + HOUSEKEEPING_TICK_MS);
+  t.is(takeOver(harness, 41_001, 'x'), undefined);
+  t.is(takeOver(harness, 41_002, 'y'), 'y');
+});
+
+test('a superseded back end that is recorded again keeps the flows that come after that', (t) => {
+  const harness = startWith([backendAt('x', 5, ADDRESS)]);
+  harness.clock.advance(CREATIONS_LEARNED_MS);
+  const successor = backendAt('y', LISTED_AT + 1, { ...ADDRESS, service: 'beta' });
+  change(harness, LISTED_AT, updateAt(LISTED_AT + 1, { backends: [successor] }));
+  harness.depart('x', LISTED_AT + 2);
+  harness.clock.advance(HOUSEKEEPING_TICK_MS);
+  t.is(takeOver(harness, 41_000, 'x'), undefined);
+  const again = backendAt('x', LISTED_AT + 3, ADDRESS);
+  change(harness, LISTED_AT + 2, updateAt(LISTED_AT + 3, { backends: [again] }));
+  harness.clock.advance(HOUSEKEEPING_TICK_MS);
+  t.is(takeOver(harness, 41_001, 'x'), 'x');
+  t.is(harness.open(42_000)?.backend, undefined, 'but no new ones');
+});
--- a/src/cookie-edge/backend-health/constants.ts
+++ b/src/cookie-edge/backend-health/constants.ts
@@ -78,6 +78,12 @@
 /** Two deaths in a zone within this time put its other back ends in doubt. */
 export const DEAD_IN_ZONE_MS = 2_000;
 
+/**
+ * Time after its start in which a daemon has got a peer's whole state, and with it how long each back end has been
+ * known. Fetches that fail or are held back take up to about 2 s.
+ */
+export const CREATIONS_LEARNED_MS = 5_000;
+
 /**
  * A handshake is slow when it takes longer than `SLOW_HANDSHAKE_FACTOR` times the moving average plus this. Avoiding
  * back ends with a slow handshake cut the requests lost at their last try from 24 to 12 (a trial day, one run each).
--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -1,11 +1,10 @@
 /**
- * Probes back ends in doubt, carries out the dead verdicts that `dead-verdict.ts` decides, and resets the flows that
- * are open there. Owns the probes under way, the verdicts that are renewed, and the newest back end at each address.
+ * Probes back ends in doubt, carries out what `dead-verdict.ts` and `address-reuse.ts` decide, and resets the flows
+ * that are open at dead back ends. Owns the probes under way, the verdicts that are renewed, and the index by address.
  * Relies on `LocalBackendStates` for signs of life, and on the flow cache to find a back end's flows.
  */
 import type { MechanismCheck } from '../../common/mechanisms.js';
 import { pause } from '../../common/pause.js';
-import { formatEndpoint } from '../../common/types.js';
 import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
 import type { EventFields, EventLog } from '../../observability/event.js';
 import { COOKIE_FLOW_EVENTS } from '../forwarding/events.js';
@@ -13,20 +12,22 @@
 import type { CookieStatistics, FlowCache } from '../forwarding/index.js';
 import { resetTargetOf } from '../forwarding/reset-target.js';
 import type { KnownBackend } from '../routing/index.js';
+import { decideStanding, type AddressOutcome } from './address-reuse.js';
 import { BackendProber, type BackendProberOptions, type ProbeFinding } from './backend-prober.js';
 import { DEAD_RECHECK_MS, DEAD_VERDICT_MS, MAX_PROBE_PAIRS } from './constants.js';
 import {
   decideProbe,
-  isLaterStart,
   judgeProbes,
   judgeRecheck,
   othersAnswerSince,
   putsZoneInDoubt,
+  type DeathFinding,
   type DeathProof,
   type ZoneDeath,
 } from './dead-verdict.js';
 import type { LocalBackendState } from './local-backend-state.js';
 import type { LocalBackendStates } from './local-backend-states.js';
+import { SharedAddresses } from './shared-addresses.js';
 
 /** What probing and verdicts act on. */
 interface DeadBackendsOptions extends BackendProberOptions {
@@ -48,14 +49,15 @@
   private readonly answeredAtMs = new Map<LocalBackendState, number>();
   /** The last back end of each zone that was found dead by probes, and when. */
   private readonly deaths = new Map<string, ZoneDeath<LocalBackendState>>();
-  /** The back end that was recorded last at each address. */
-  private readonly newestAt = new Map<string, KnownBackend>();
+  private readonly addresses = new SharedAddresses();
   /** Back ends whose verdict is being renewed. */
   private readonly renewing = new Set<LocalBackendState>();
   private readonly prober: BackendProber;
+  private readonly startedAtMs: number;
 
   constructor(private readonly options: DeadBackendsOptions) {
     this.prober = new BackendProber(options);
+    this.startedAtMs = options.clock.now();
   }
 
   /** Probes sent since start. */
@@ -80,31 +82,38 @@
     void this.check(state).finally(() => this.probing.delete(state));
   }
 
-  /**
-   * Registers a back end that became known. Of two starts at one address the earlier one has ended and is declared
-   * dead.
-   */
+  /** Registers a back end that became known, and reviews those at its address. */
   registerBackend(backend: KnownBackend): void {
-    if (!this.options.isOn('dead-back-ends')) return;
-    const address = formatEndpoint(backend.record.endpoint);
-    const known = this.newestAt.get(address);
-    const isLater = isLaterStart(backend, known);
-    if (isLater) this.newestAt.set(address, backend);
-    const [ended, successor] = isLater ? [known, backend] : [backend, known];
-    if (!ended) return;
-    this.declare(
-      this.options.states.of(ended),
-      'superseded',
-      Number.POSITIVE_INFINITY,
-      describeOrder(ended, successor),
-    );
-  }
-
-  /** Forgets a back end. */
+    if (this.options.isOn('dead-back-ends')) this.review(this.addresses.add(backend));
+  }
+
+  /** Forgets a back end, and reviews those that are left at its address. */
   forget(backend: KnownBackend): void {
     this.answeredAtMs.delete(this.options.states.of(backend));
-    const address = formatEndpoint(backend.record.endpoint);
-    if (this.newestAt.get(address) === backend) this.newestAt.delete(address);
+    this.review(this.addresses.remove(backend));
+  }
+
+  /** Reviews every address with more than one back end: records, signs of life and the daemon's age have changed. */
+  reviewAddresses(): void {
+    for (const sharing of this.addresses.all()) this.review(sharing);
+  }
+
+  private review(sharing: ReadonlySet<KnownBackend>): void {
+    const { states, clock } = this.options;
+    const uptimeMs = clock.now() - this.startedAtMs;
+    for (const backend of sharing) {
+      const state = states.of(backend);
+      const { lastSignOfLifeMs } = state;
+      this.applyStanding(state, decideStanding({ backend, sharing, lastSignOfLifeMs, uptimeMs }));
+    }
+  }
+
+  private applyStanding(state: LocalBackendState, { standing, successor }: AddressOutcome): void {
+    const before = state.standing;
+    if (standing === before) return;
+    state.recordStanding(standing, this.options.clock.now());
+    if (standing === 'superseded') this.resetFlows(state, standing, describeOrder(state.backend, successor));
+    else if (before === 'superseded') this.logRevived(state);
   }
 
   /** Probes until the back end answers, gives another sign of life, or is proved dead. */
@@ -168,23 +177,28 @@
   }
 
   /**
-   * False for a departed back end, for one whose verdict has ended, and for one at whose address a later one started.
+   * False for a departed back end, for one whose verdict has ended, and for one at whose address another one probably
+   * listens, whose answers to probes would revive it.
    */
   private mayRenew(state: LocalBackendState): boolean {
-    const { backend } = state;
-    const isNewest = this.newestAt.get(formatEndpoint(backend.record.endpoint)) === backend;
-    return isNewest && !backend.departed && state.isDead(this.options.clock.now());
+    const isUndisputed = state.standing === 'undisputed';
+    return isUndisputed && !state.backend.departed && state.isDead(this.options.clock.now());
   }
 
   private endVerdict(state: LocalBackendState): void {
     state.endDeadVerdict();
-    this.options.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: state.backend.id });
+    this.logRevived(state);
+  }
+
+  private logRevived({ backend }: LocalBackendState): void {
+    this.options.events.emit(COOKIE_FLOW_EVENTS.backendRevived, { backend: backend.id });
   }
 
   /** Declares a back end dead by probes, and probes the rest of its zone where `putsZoneInDoubt` says so. */
-  private declareWithZone(state: LocalBackendState, proof: DeathProof): void {
+  private declareWithZone(state: LocalBackendState, proof: DeathFinding): void {
     const nowMs = this.options.clock.now();
-    this.declare(state, proof, nowMs + DEAD_VERDICT_MS);
+    state.recordDeadVerdict(proof, nowMs, nowMs + DEAD_VERDICT_MS);
+    this.resetFlows(state, proof);
     this.gossip(state, nowMs);
     if (!this.renewing.has(state)) {
       this.renewing.add(state);
@@ -200,17 +214,12 @@
     }
   }
 
-  private declare(
-    state: LocalBackendState,
-    proof: DeathProof,
-    untilMs: number,
-    evidence: EventFields = {},
-  ): void {
+  /** Logs that a back end is dead, and resets its open flows. */
+  private resetFlows(state: LocalBackendState, proof: DeathProof, evidence: EventFields = {}): void {
     const nowMs = this.options.clock.now();
     // A copy of an opening's SYN may have met another balancer and be open elsewhere, where a reset would end the flow;
     // the next copy that comes here is placed anew.
     const flows = this.options.cache.flowsAt(state).filter(({ phase }) => phase !== 'opening');
-    state.recordDeadVerdict(proof, nowMs, untilMs);
     const { backend, lastSignOfLifeMs } = state;
     this.options.events.emit(COOKIE_FLOW_EVENTS.backendDead, {
       backend: backend.id,
@@ -236,7 +245,7 @@
   }
 }
 
-/** By what a back end was taken for the earlier of two starts at its address, for a log line. */
+/** What superseded a back end, for a log line. */
 function describeOrder(ended: KnownBackend, successor: KnownBackend | undefined): EventFields {
   return {
     departed: ended.departed,
--- a/src/cookie-edge/backend-health/dead-verdict.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.ts
@@ -5,11 +5,10 @@
  * monotonic ms.
  *
  * Missing answers to callers' packets are no proof, because a busy back end acknowledges late. Proofs are a refused
- * probe, since a refusal came over a working network; a pair of silent probes while other back ends give signs of life;
- * and a later start recorded at the same address, where only one process can listen. Another daemon's proof does not
- * count, because its links may be cut.
+ * probe, since a refusal came over a working network; and a pair of silent probes while other back ends give signs of
+ * life. Another daemon's proof does not count, because its links may be cut. Whether a later start at its address ended
+ * a back end is decided by `address-reuse.ts`.
  */
-import type { KnownBackend } from '../routing/index.js';
 import type { ProbeFinding, ProbeOutcome } from './backend-prober.js';
 import {
   DEAD_IN_ZONE_MS,
@@ -20,7 +19,7 @@
 } from './constants.js';
 
 /** What probes find at a back end that is dead. */
-type DeathFinding = Exclude<ProbeOutcome, 'answered'>;
+export type DeathFinding = Exclude<ProbeOutcome, 'answered'>;
 
 /** Why a back end has a dead verdict. */
 export type DeathProof = DeathFinding | 'superseded';
@@ -125,17 +124,6 @@
   return before !== undefined && before.state !== death.state && death.atMs - before.atMs < DEAD_IN_ZONE_MS;
 }
 
-/**
- * True when `backend` started later than the one known at its address. One that is recorded started later than one that
- * left: a process that starts again under its id keeps the revision of its creation. Of records with equal revisions
- * the known one stays.
- */
-export function isLaterStart(backend: KnownBackend, known: KnownBackend | undefined): boolean {
-  if (!known) return true;
-  if (backend.departed !== known.departed) return known.departed;
-  return backend.record.createdRevision > known.record.createdRevision;
-}
-
 /** Why and since when a back end is held dead. */
 export interface VerdictReason {
   readonly proof: DeathProof;
@@ -153,7 +141,7 @@
     return this.held;
   }
 
-  /** Holds the back end dead until `untilMs`; Infinity after a later start at its address. */
+  /** Holds the back end dead until `untilMs`. */
   hold(reason: VerdictReason, untilMs: number): void {
     this.held = reason;
     this.untilMs = untilMs;
--- a/src/cookie-edge/backend-health/index.ts
+++ b/src/cookie-edge/backend-health/index.ts
@@ -3,9 +3,9 @@
  * known of each back end and the probes. Relies on forwarding to report answers, failures and placements, on gossip for
  * other daemons' ejections, and on routing for the records.
  *
- * One module a rule: `passive-ejection.ts`, `ejection-report.ts`, `slow-handshake.ts` and `dead-verdict.ts` decide;
- * `local-backend-state.ts` orders them for one back end; `local-backend-states.ts` and `dead-backends.ts` carry the
- * outcomes out and log them.
+ * One module a rule: `passive-ejection.ts`, `ejection-report.ts`, `slow-handshake.ts`, `dead-verdict.ts` and
+ * `address-reuse.ts` decide; `local-backend-state.ts` orders them for one back end; `local-backend-states.ts` and
+ * `dead-backends.ts` carry the outcomes out and log them.
  */
 export type { ConnectProbe, ProbeOutcome } from './backend-prober.js';
 export type { LocalBackendState, Liveness } from './local-backend-state.js';
--- a/src/cookie-edge/backend-health/local-backend-state.ts
+++ b/src/cookie-edge/backend-health/local-backend-state.ts
@@ -2,11 +2,13 @@
  * What this daemon itself observed of one back end: its own flows there, failures and the last sign of life, and from
  * these whether new flows should go there. A sign of life is a caller that continues an opening or acknowledges new
  * data. Owns the observations of one back end; relies on forwarding to report them. The rules stand in
- * `passive-ejection.ts`, `ejection-report.ts`, `dead-verdict.ts` and `slow-handshake.ts`; this class only orders them.
+ * `passive-ejection.ts`, `ejection-report.ts`, `dead-verdict.ts`, `address-reuse.ts` and `slow-handshake.ts`; this
+ * class only orders them.
  */
 import { hashString } from '../../common/hash.js';
 import type { KnownBackend } from '../routing/index.js';
-import { DeadVerdict, type DeathProof, type VerdictReason } from './dead-verdict.js';
+import type { AddressStanding } from './address-reuse.js';
+import { DeadVerdict, type DeathFinding, type VerdictReason } from './dead-verdict.js';
 import { EjectionReport } from './ejection-report.js';
 import { OwnFlows } from './own-flows.js';
 import { PassiveEjection } from './passive-ejection.js';
@@ -28,6 +30,9 @@
   private readonly ejection = new PassiveEjection();
   private readonly report = new EjectionReport();
   private readonly verdict = new DeadVerdict();
+  private addressStanding: AddressStanding = 'undisputed';
+  /** When `addressStanding` last changed. */
+  private standingSinceMs = 0;
 
   constructor(readonly backend: KnownBackend) {
     this.idHash = hashString(backend.id);
@@ -61,6 +66,7 @@
   recordSignOfLife(nowMs: number): boolean {
     this.lastSignOfLifeMs = nowMs;
     this.verdict.end();
+    if (this.addressStanding === 'superseded') this.recordStanding('disputed', nowMs);
     return this.ejection.recordSignOfLife();
   }
 
@@ -79,7 +85,7 @@
   }
 
   /** Records a dead verdict that ends at `untilMs`. */
-  recordDeadVerdict(proof: DeathProof, nowMs: number, untilMs: number): void {
+  recordDeadVerdict(proof: DeathFinding, nowMs: number, untilMs: number): void {
     this.verdict.hold({ proof, sinceMs: nowMs }, untilMs);
   }
 
@@ -93,14 +99,26 @@
     this.verdict.end();
   }
 
+  /** What the other back ends at its address mean for it. */
+  get standing(): AddressStanding {
+    return this.addressStanding;
+  }
+
+  /** Records a change of its standing. */
+  recordStanding(standing: AddressStanding, nowMs: number): void {
+    this.addressStanding = standing;
+    this.standingSinceMs = nowMs;
+  }
+
   /** Why and since when it is held dead; what the last verdict said while none is in force. */
   get deadReason(): VerdictReason | undefined {
-    return this.verdict.reason;
+    if (this.addressStanding !== 'superseded') return this.verdict.reason;
+    return { proof: 'superseded', sinceMs: this.standingSinceMs };
   }
 
-  /** True while a dead verdict is in force. */
+  /** True while a dead verdict is in force, or after it was superseded at its address. */
   isDead(nowMs: number): boolean {
-    return this.verdict.isInForce(nowMs);
+    return this.addressStanding === 'superseded' || this.verdict.isInForce(nowMs);
   }
 
   /** Records an ejection by another daemon at `atMs`; returns false for a report that must not be gossiped further. */
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -117,7 +117,7 @@
 export function createCookieForwarder(environment: CookieForwarderEnvironment): CookieForwarder {
   const { clock, events, knowledge, pauses } = environment;
   const shared = createSharedParts(environment);
-  const { cache, states, pending, answers, outliers, failures } = shared;
+  const { cache, states, dead, pending, answers, outliers, failures } = shared;
   return new CookieForwarder({
     ...shared,
     clock,
@@ -132,6 +132,7 @@
       pending,
       answers,
       states,
+      dead,
       outliers,
       failures,
       expiry: new FlowExpiry({ knowledge, cache, maxFlowAgeMs: environment.maxFlowAgeMs }),
--- a/src/cookie-edge/forwarding/housekeeping.ts
+++ b/src/cookie-edge/forwarding/housekeeping.ts
@@ -1,11 +1,11 @@
 /**
- * The periodic work of forwarding: pauses of the process, unanswered openings, ejections, outliers and expiry. Owns the
- * timer; what is checked belongs to the collaborators.
+ * The periodic work of forwarding: pauses of the process, unanswered openings, ejections, shared addresses, outliers
+ * and expiry. Owns the timer; what is checked belongs to the collaborators.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { PauseDetector } from '../../common/pause-detector.js';
 import type { EventLog } from '../../observability/event.js';
-import type { LocalBackendStates, PendingOpenings } from '../backend-health/index.js';
+import type { DeadBackends, LocalBackendStates, PendingOpenings } from '../backend-health/index.js';
 import type { AnswerTracker, OutlierDetector } from '../outliers/index.js';
 import { HOUSEKEEPING_TICK_MS } from './constants.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -20,6 +20,7 @@
   readonly pending: PendingOpenings;
   readonly answers: AnswerTracker;
   readonly states: LocalBackendStates;
+  readonly dead: DeadBackends;
   readonly outliers: OutlierDetector;
   readonly failures: FlowFailures;
   readonly expiry: FlowExpiry;
@@ -43,11 +44,12 @@
   }
 
   private tick(): void {
-    const { clock, states, answers, outliers, expiry } = this.options;
+    const { clock, states, dead, answers, outliers, expiry } = this.options;
     const nowMs = clock.now();
     this.checkPause(nowMs);
     this.failUnanswered(nowMs);
     states.judgeFailing(nowMs);
+    dead.reviewAddresses();
     answers.check(nowMs);
     outliers.check(nowMs);
     expiry.check(nowMs);
--- a/src/cookie-edge/placement/backend-eligibility.ts
+++ b/src/cookie-edge/placement/backend-eligibility.ts
@@ -5,9 +5,9 @@
  * overrides this rule. Does no input or output.
  *
  * Order: what the record says comes first, because it needs no state of the back end; `cold` is last among these,
- * because only its test costs a ranking of the fleet. Then what this balancer has observed: `full`, `dead`. Missing
- * knowledge: a zone without a region is in no allowed region; a service without a limit of connections or a cold rate
- * is not limited.
+ * because only its test costs a ranking of the fleet. Then what this balancer has observed: `full`, `dead`, `disputed`.
+ * Missing knowledge: a zone without a region is in no allowed region; a service without a limit of connections or a
+ * cold rate is not limited.
  *
  * Relies on the routing knowledge for records, cordons and limits, and on the back end's state for open flows and dead
  * verdicts.
@@ -22,8 +22,11 @@
  */
 export type RecordExclusion = 'departed' | 'draining' | 'cordoned' | 'region' | 'cold';
 
-/** Why the state of a back end excludes it. `full`: it holds its maximum of flows; `dead`: a dead verdict holds. */
-export type StateExclusion = 'full' | 'dead';
+/**
+ * Why the state of a back end excludes it. `full`: it holds its maximum of flows; `dead`: it is held dead; `disputed`:
+ * another back end probably listens at its address.
+ */
+export type StateExclusion = 'full' | 'dead' | 'disputed';
 
 /** Number of excluded back ends, by reason. */
 type ExclusionCounts = Readonly<Partial<Record<RecordExclusion, number>>>;
@@ -47,7 +50,8 @@
   nowMs: number,
 ): StateExclusion | undefined {
   if (state.openFlows >= maxConnections) return 'full';
-  return state.isDead(nowMs) ? 'dead' : undefined;
+  if (state.isDead(nowMs)) return 'dead';
+  return state.standing === 'disputed' ? 'disputed' : undefined;
 }
 
 /** Tests back ends against the rule. Times are monotonic ms. */
--- a/src/cookie-edge/routing/backend-registry.ts
+++ b/src/cookie-edge/routing/backend-registry.ts
@@ -101,6 +101,7 @@
       this.announce(added);
       return true;
     }
+    learnCreation(known, record);
     if (known.remembered && record.revision <= knownRevision) return false;
     if (record.revision <= Math.max(known.record.revision, known.removedRevision)) return false;
     if (isOtherIncarnation(record, known.record)) this.restart(known, record);
@@ -158,7 +159,8 @@
    * counts from when it left, not from now: otherwise new daemons would gossip it to each other for ever.
    */
   putDeparted({ record, departedAtMs, lapsed = false }: DepartedBackend): void {
-    if (this.byId.has(record.id)) return;
+    const listed = this.byId.get(record.id);
+    if (listed) return learnCreation(listed, record);
     if (this.options.clock.now() - departedAtMs >= this.options.retentionMs) return;
     this.put(record, record.revision);
     const known = this.byId.get(record.id);
@@ -172,7 +174,9 @@
    * had not left may be listed again, and counts as lapsed until `settleRemembered`. Returns false for a known one.
    */
   putRemembered(record: RoutedBackend, hasLeft: boolean): boolean {
-    if (this.byId.has(record.id)) return false;
+    const listed = this.byId.get(record.id);
+    if (listed) learnCreation(listed, record);
+    if (listed) return false;
     const added = this.create({ ...record, revision: UNKNOWN_REVISION });
     added.departed = true;
     added.departedAtMs = this.options.clock.now();
@@ -289,7 +293,7 @@
     }
     const stateChanged = known.departed || known.record.draining !== record.draining;
     this.logIfRecreated(known, record);
-    known.record = record;
+    known.record = { ...record, createdRevision: earlierCreation(known.record, record) };
     known.departed = false;
     known.lapsed = false;
     known.remembered = undefined;
@@ -301,8 +305,8 @@
   }
 
   private logIfRecreated(known: KnownBackend, record: RoutedBackend): void {
-    const { createdRevision: previous } = known.record;
-    if (previous === UNKNOWN_REVISION || record.createdRevision <= previous) return;
+    const { createdRevision: previous, revision } = known.record;
+    if (revision === UNKNOWN_REVISION || record.createdRevision <= revision) return;
     this.options.events.emit(ROUTING_EVENTS.backendRecreated, {
       backend: known.id,
       endpoint: formatEndpoint(record.endpoint),
@@ -335,3 +339,17 @@
 }
 
 const NONE: ReadonlySet<KnownBackend> = new Set();
+
+/**
+ * Keeps the revision at which a back end was recorded first. Its record may be created anew while it lives, or after it
+ * ended by a write that is carried out late; a peer may have known it for longer than this daemon.
+ */
+function learnCreation(known: KnownBackend, record: RoutedBackend): void {
+  if (isOtherIncarnation(record, known.record)) return;
+  const createdRevision = earlierCreation(known.record, record);
+  if (createdRevision !== known.record.createdRevision) known.record = { ...known.record, createdRevision };
+}
+
+function earlierCreation(left: RoutedBackend, right: RoutedBackend): number {
+  return Math.min(left.createdRevision, right.createdRevision);
+}
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -84,7 +84,10 @@
   readonly draining: boolean;
   /** Milliseconds for which it is still slow from its start, when this record was written. */
   readonly coldMs: number;
-  /** Revision of the source at which this start was first recorded; -1: in an earlier epoch. */
+  /**
+   * Revision of the source at which the record was created; -1: in an earlier epoch. A record may be created anew, so
+   * that it says nothing of when the process started. What a daemon keeps has the lowest that it has been told.
+   */
   readonly createdRevision: number;
   /** Revision of the last change of this record; orders records of one id. */
   readonly revision: number;
