Learn departed back ends from a peer even if this daemon has seen one leave itself

Cause: the source lists no departed back end, so a new daemon fetches a peer's whole list. It left that out as soon as it remembered any departed back end, also one whose removal it had seen itself a moment after its start. The first creations, by which records at one address are ordered, come with the same list. Change: a rule, mayLearnDeparted: the first whole list always, a second from a peer that remembers more than this daemon.

--- a/src/cookie-edge/spreading/catch-up.ts
+++ b/src/cookie-edge/spreading/catch-up.ts
@@ -12,8 +12,8 @@
 import { SPREADING_EVENTS } from './events.js';
 import { decodePeerMessage } from './message-codec.js';
 import { knownRevisionsOf } from './message-composer.js';
-import { decidePull, mayFetch } from './pull-rule.js';
-import type { KnownRevisions, PeerMessage, PeerTransport } from './types.js';
+import { decidePull, mayFetch, mayLearnDeparted } from './pull-rule.js';
+import type { KnownRevisions, PeerMessage, PeerTransport, SpreadUpdate } from './types.js';
 
 /** Collaborators of catching up. */
 interface CatchUpOptions {
@@ -37,8 +37,8 @@
   private lastFetchMs = Number.NEGATIVE_INFINITY;
   private isFetching = false;
   private fetchCount = 0;
-  /** Back ends that left before the start of this daemon are known, or there were none. */
-  private knowsDeparted = false;
+  /** Whole lists of back ends, departed ones included, that were fetched from peers. */
+  private wholeLists = 0;
 
   constructor(private readonly options: CatchUpOptions) {}
 
@@ -75,13 +75,14 @@
     this.fetchFar(from, isWholeTopic, isStillMissing);
   }
 
-  /** Fetches departed back ends once after the start: the source does not list them, but flows to them may be open. */
-  learnDeparted(from: Endpoint): void {
+  /**
+   * Fetches what only peers know of back ends, as `mayLearnDeparted` says.
+   *
+   * @param departedThere departed back ends that the peer remembers
+   */
+  learnDeparted(from: Endpoint, departedThere: number): void {
     const { knowledge } = this.options;
-    if (this.knowsDeparted || knowledge.backends.departedCount > 0) {
-      this.knowsDeparted = true;
-      return;
-    }
+    if (!mayLearnDeparted(this.wholeLists, departedThere, knowledge.backends.departedCount)) return;
     void this.fetch(from, { ...knownRevisionsOf(knowledge), backends: NOTHING_KNOWN });
   }
 
@@ -119,6 +120,7 @@
       return events.emit(SPREADING_EVENTS.fetchFailed, { peer, error: response.error.message });
     const message = decodePeerMessage(response.value, requestedAtMs);
     if (!message) return events.emit(SPREADING_EVENTS.malformedMessage, { from: peer });
+    if (message.updates.some(isWholeList)) this.wholeLists += 1;
     const ageMs = knowledge.age();
     events.emit(SPREADING_EVENTS.fetched, {
       peer,
@@ -128,3 +130,7 @@
     apply(message, from);
   }
 }
+
+function isWholeList({ topic, update }: SpreadUpdate): boolean {
+  return topic === 'backends' && update.complete;
+}
--- a/src/cookie-edge/spreading/constants.ts
+++ b/src/cookie-edge/spreading/constants.ts
@@ -164,6 +164,12 @@
 export const FETCH_TIMEOUT_MS = 800;
 export const FETCH_INTERVAL_MS = 300;
 
+/**
+ * Whole lists of back ends fetched after a start for what only peers know. The second one serves when the first came
+ * from a peer that had just started as well.
+ */
+export const MAX_WHOLE_LISTS = 2;
+
 /**
  * Interval in ms at which seeds get a pull while fewer peers than seeds are known, the interval afterwards, and the
  * random part of both. A newcomer must learn soon, and a fleet that split needs one greeting to heal.
--- a/src/cookie-edge/spreading/pull-rule.test.ts
+++ b/src/cookie-edge/spreading/pull-rule.test.ts
@@ -1,6 +1,13 @@
 import test from 'ava';
-import { FETCH_INTERVAL_MS, PULL_INTERVAL_MS, RESPONSE_TIMEOUT_MS } from './constants.js';
-import { decidePull, isPullDue, mayFetch, type Gap, type PullOutcome } from './pull-rule.js';
+import { FETCH_INTERVAL_MS, MAX_WHOLE_LISTS, PULL_INTERVAL_MS, RESPONSE_TIMEOUT_MS } from './constants.js';
+import {
+  decidePull,
+  isPullDue,
+  mayFetch,
+  mayLearnDeparted,
+  type Gap,
+  type PullOutcome,
+} from './pull-rule.js';
 
 const SMALL: Gap = {
   isWholeTopic: false,
@@ -46,3 +53,11 @@
   t.false(isPullDue(1_799, 1_800, PULL_INTERVAL_MS));
   t.false(isPullDue(1_800, 1_800, PULL_INTERVAL_MS - 1));
 });
+
+test('a whole list is fetched for departed back ends once, and again from a peer that remembers more', (t) => {
+  t.false(mayLearnDeparted(0, 0, 0), 'the peer remembers none');
+  t.true(mayLearnDeparted(0, 1, 3), 'the first one, whatever was seen here');
+  t.true(mayLearnDeparted(1, 4, 3));
+  t.false(mayLearnDeparted(1, 3, 3));
+  t.false(mayLearnDeparted(MAX_WHOLE_LISTS, 4, 3));
+});
--- a/src/cookie-edge/spreading/spreader.ts
+++ b/src/cookie-edge/spreading/spreader.ts
@@ -270,7 +270,7 @@
       const confirmation = message.confirmations[topic];
       return confirmation !== undefined && !knowledge.applyConfirmation(topic, confirmation);
     });
-    if (message.departedCount > 0) this.catchUp.learnDeparted(from);
+    this.catchUp.learnDeparted(from, message.departedCount);
     if (missing.length > 0) return this.catchUp.requestMissing(missing, message, from);
     this.catchUp.recordNothingMissing(from);
     if (isConfirmationStep(ageBeforeMs, knowledge.age())) this.sender.pushSoon();
--- a/src/cookie-edge/spreading/spreading.test.ts
+++ b/src/cookie-edge/spreading/spreading.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type { Route } from '../routing/index.js';
+import { updateAt } from '../routing/routing-test-support.js';
 import { FANOUT_ELSEWHERE, FANOUT_IN_ZONE, TARGET_READERS } from './constants.js';
 import {
   faultReaders,
@@ -232,6 +233,26 @@
   }
 });
 
+test('a newcomer that sees a back end leave still learns of those that left before it started', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const cluster = await settled(7, seed);
+    for (const id of ['b', 'c']) cluster.source.changeBackend(id);
+    cluster.source.removeBackend('a');
+    await cluster.clock.advanceAsync(1_000, 10);
+    const newcomer = cluster.add();
+    const address = `${newcomer.endpoint.host}:${newcomer.endpoint.port}`;
+    cluster.network.cut.add(address);
+    await cluster.clock.advanceAsync(30, 1);
+    const revision = newcomer.knowledge.revisionOf('backends');
+    const origin = { since: revision, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed: false };
+    const removals = [{ id: 'c', revision }];
+    newcomer.knowledge.apply('backends', updateAt(revision, { removals }), origin);
+    cluster.network.cut.clear();
+    const known = (): boolean => newcomer.knowledge.backends.get('a')?.departed === true;
+    t.true((await cluster.timeUntil(known, 3_000)) <= 1_000, `seed ${seed}`);
+  }
+});
+
 test('when all are killed at once, those that start again found the knowledge anew', async (t) => {
   const cluster = await settled(7);
   for (const daemon of [...cluster.daemons]) cluster.kill(daemon);
