Supersede no back end before a peer has told how long those at its address have been known

Cause: the rule took five seconds after the start for enough to have learnt first creations from peers. A balancer whose fetch failed until then, with an old list that names the late record of a crashed back end, would have ended the one that serves as soon as that one's record lapsed without its noticing. Change: nothing is superseded either while a peer is known to remember back ends that left and none has told which.

--- a/src/cookie-edge/backend-health/address-reuse-rule.test.ts
+++ b/src/cookie-edge/backend-health/address-reuse-rule.test.ts
@@ -3,7 +3,6 @@
 import type { KnownBackend } from '../routing/index.js';
 import { backendAt } from '../routing/routing-test-support.js';
 import { decideStanding, type AddressStanding } from './address-reuse.js';
-import { CREATIONS_LEARNED_MS } from './constants.js';
 
 const NEVER = Number.NEGATIVE_INFINITY;
 const DEPARTED_AT_MS = 20_000;
@@ -31,7 +30,7 @@
   readonly backend: KnownBackend;
   readonly others: readonly KnownBackend[];
   readonly lastSignOfLifeMs?: number;
-  readonly uptimeMs?: number;
+  readonly knowsCreations?: boolean;
   readonly standing: AddressStanding;
 }
 
@@ -94,10 +93,10 @@
     standing: 'superseded',
   },
   {
-    title: 'left, beside a later one, at a daemon that has just started',
+    title: 'left, beside a later one, at a daemon that has not learnt how long they were known',
     backend: departed('a', EARLY),
     others: [recorded('b', LATE)],
-    uptimeMs: CREATIONS_LEARNED_MS - 1,
+    knowsCreations: false,
     standing: 'disputed',
   },
   {
@@ -120,7 +119,7 @@
       [backend, ...others],
       [...others, backend],
     ]) {
-      const request = { lastSignOfLifeMs: NEVER, uptimeMs: CREATIONS_LEARNED_MS, ...more };
+      const request = { lastSignOfLifeMs: NEVER, knowsCreations: true, ...more };
       t.is(decideStanding({ backend, sharing, ...request }).standing, standing);
     }
   });
--- a/src/cookie-edge/backend-health/address-reuse.test.ts
+++ b/src/cookie-edge/backend-health/address-reuse.test.ts
@@ -96,3 +96,15 @@
   t.is(takeOver(harness, 41_001, 'x'), 'x');
   t.is(harness.open(42_000)?.backend, undefined, 'but no new ones');
 });
+
+test('no flow is reset because of a later record before peers have told how long both have been known', (t) => {
+  const surroundings = { hasLearntFromPeers: () => false };
+  const harness = new ForwarderHarness(undefined, 1, [], surroundings);
+  harness.know([backendAt('x', 5, ADDRESS)], { services: SERVICES }, LISTED_AT);
+  const successor = backendAt('y', LISTED_AT + 1, { ...ADDRESS, service: 'beta' });
+  change(harness, LISTED_AT, updateAt(LISTED_AT + 1, { backends: [successor] }));
+  harness.depart('x', LISTED_AT + 2);
+  harness.clock.advance(2 * CREATIONS_LEARNED_MS);
+  t.is(takeOver(harness, 41_000, 'x'), 'x');
+  t.is(harness.resets.length, 0);
+});
--- a/src/cookie-edge/backend-health/address-reuse.ts
+++ b/src/cookie-edge/backend-health/address-reuse.ts
@@ -9,12 +9,11 @@
  * lapsed, or when a write of a process that has ended is carried out late. So it alone keeps new flows away from the
  * probable loser, which costs callers nothing, and never ends open flows. These end only where the record is gone as
  * well, did not merely lapse, and no sign of life came since. A daemon that has just started knows a record only as it
- * was created last, so it decides no end before its peers have told it how long each back end has been known.
+ * was created last, so it decides no end before a peer has told it how long each back end has been known.
  *
  * Every input is present knowledge: the outcome is revised whenever that changes.
  */
 import type { KnownBackend } from '../routing/index.js';
-import { CREATIONS_LEARNED_MS } from './constants.js';
 
 /**
  * `undisputed`: no other back end probably listens at its address. `disputed`: another one probably does, so no new
@@ -29,8 +28,8 @@
   readonly sharing: Iterable<KnownBackend>;
   /** When it last gave a sign of life; -Infinity if never. */
   readonly lastSignOfLifeMs: number;
-  /** Since the start of this daemon. */
-  readonly uptimeMs: number;
+  /** True once this daemon knows how long each back end has been known. */
+  readonly knowsCreations: boolean;
 }
 
 /** The standing of a back end, and the one at its address that it gives way to. */
@@ -53,9 +52,8 @@
 }
 
 /** True when nothing speaks for a back end beside which a later one is known. */
-function hasEnded({ backend, lastSignOfLifeMs, uptimeMs }: AddressRequest): boolean {
-  if (uptimeMs < CREATIONS_LEARNED_MS) return false;
-  if (!backend.departed || backend.lapsed) return false;
+function hasEnded({ backend, lastSignOfLifeMs, knowsCreations }: AddressRequest): boolean {
+  if (!knowsCreations || !backend.departed || backend.lapsed) return false;
   return lastSignOfLifeMs <= (backend.departedAtMs ?? Number.NEGATIVE_INFINITY);
 }
 
--- a/src/cookie-edge/backend-health/constants.ts
+++ b/src/cookie-edge/backend-health/constants.ts
@@ -79,8 +79,8 @@
 export const DEAD_IN_ZONE_MS = 2_000;
 
 /**
- * Time after its start in which a daemon has got a peer's whole state, and with it how long each back end has been
- * known. Fetches that fail or are held back take up to about 2 s.
+ * Time after its start in which a daemon has heard from its peers whether they know more of back ends than the source
+ * lists, and so how long each has been known.
  */
 export const CREATIONS_LEARNED_MS = 5_000;
 
--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -14,7 +14,7 @@
 import type { KnownBackend } from '../routing/index.js';
 import { decideStanding, type AddressOutcome } from './address-reuse.js';
 import { BackendProber, type BackendProberOptions, type ProbeFinding } from './backend-prober.js';
-import { DEAD_RECHECK_MS, DEAD_VERDICT_MS, MAX_PROBE_PAIRS } from './constants.js';
+import { CREATIONS_LEARNED_MS, DEAD_RECHECK_MS, DEAD_VERDICT_MS, MAX_PROBE_PAIRS } from './constants.js';
 import {
   decideProbe,
   judgeProbes,
@@ -39,6 +39,8 @@
   readonly events: EventLog;
   /** Called with each back end that is or may be dead, to gossip it: other daemons with flows there probe it too. */
   readonly onDoubt: (backendId: string, nowMs: number) => void;
+  /** False while peers are known to remember more of back ends than this daemon has been told. */
+  readonly hasLearntFromPeers: () => boolean;
 }
 
 /** The dead back ends of one daemon. Times are monotonic ms. */
@@ -101,10 +103,11 @@
   private review(sharing: ReadonlySet<KnownBackend>): void {
     const { states, clock } = this.options;
     const uptimeMs = clock.now() - this.startedAtMs;
+    const knowsCreations = uptimeMs >= CREATIONS_LEARNED_MS && this.options.hasLearntFromPeers();
     for (const backend of sharing) {
       const state = states.of(backend);
       const { lastSignOfLifeMs } = state;
-      this.applyStanding(state, decideStanding({ backend, sharing, lastSignOfLifeMs, uptimeMs }));
+      this.applyStanding(state, decideStanding({ backend, sharing, lastSignOfLifeMs, knowsCreations }));
     }
   }
 
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -218,6 +218,7 @@
     knowledge,
     settlement,
     fleetSize,
+    hasLearntFromPeers: () => spreader().hasLearntDeparted,
     edge,
     pauses,
     isOn,
--- a/src/cookie-edge/forwarding/cookie-test-support.ts
+++ b/src/cookie-edge/forwarding/cookie-test-support.ts
@@ -45,6 +45,8 @@
   readonly isOwner?: (backendId: string) => boolean;
   /** Outcome of a probe; answered unless given. */
   readonly probe?: ConnectProbe;
+  /** Whether peers have told what they know of back ends; they have unless given. */
+  readonly hasLearntFromPeers?: () => boolean;
   /** Number of daemons; nothing yields unless given. */
   readonly fleetSize?: number;
   /** Follows the state of the list; it is always believed unless given. */
@@ -103,6 +105,7 @@
       isOn: allBut(switchedOff),
       ...(surroundings.fleetSize && { fleetSize: () => surroundings.fleetSize }),
       ...(surroundings.settles && { settlement: this.settlement }),
+      ...(surroundings.hasLearntFromPeers && { hasLearntFromPeers: surroundings.hasLearntFromPeers }),
       regionOf: (zone) => surroundings.regions?.[zone],
       probe: surroundings.probe ?? (() => Promise.resolve('answered')),
       cold: { overage: 1.5, slack: 5, isOwner: surroundings.isOwner ?? (() => true) },
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -62,6 +62,8 @@
   readonly regionOf: (zone: string) => string | undefined;
   /** Number of daemons, this one included; undefined while unknown. Nothing yields unless it is given. */
   readonly fleetSize?: () => number | undefined;
+  /** False while peers are known to remember more of back ends than this daemon has been told; true unless given. */
+  readonly hasLearntFromPeers?: () => boolean;
   /** Whether the list of back ends is to be believed; always unless given. */
   readonly settlement?: Settlement;
   readonly cold: ColdAdmissionOptions;
@@ -153,7 +155,8 @@
     ({ backend }, nowMs) => gossipEjection(backend.id, nowMs),
     isOn,
   );
-  const probing = { clock, pauses, probe, onDoubt: gossipEjection };
+  const { hasLearntFromPeers = () => true } = environment;
+  const probing = { clock, pauses, probe, onDoubt: gossipEjection, hasLearntFromPeers };
   const dead = new DeadBackends({ isOn, states, cache, edge, statistics, events, ...probing });
   const outliers = createOutlierDetector(environment);
   return {
--- a/src/cookie-edge/spreading/catch-up.ts
+++ b/src/cookie-edge/spreading/catch-up.ts
@@ -39,6 +39,7 @@
   private fetchCount = 0;
   /** Whole lists of back ends, departed ones included, that were fetched from peers. */
   private wholeLists = 0;
+  private isWholeListWanted = false;
 
   constructor(private readonly options: CatchUpOptions) {}
 
@@ -47,6 +48,11 @@
     return this.fetchCount;
   }
 
+  /** False while a peer is known to remember back ends that left, and none has told which. */
+  get hasLearntDeparted(): boolean {
+    return this.wholeLists > 0 || !this.isWholeListWanted;
+  }
+
   /** Records that nothing is missing after a message of this peer. */
   recordNothingMissing(from: Endpoint): void {
     if (this.pending?.peer === formatEndpoint(from)) this.pending = undefined;
@@ -83,6 +89,7 @@
   learnDeparted(from: Endpoint, departedThere: number): void {
     const { knowledge } = this.options;
     if (!mayLearnDeparted(this.wholeLists, departedThere, knowledge.backends.departedCount)) return;
+    this.isWholeListWanted = true;
     void this.fetch(from, { ...knownRevisionsOf(knowledge), backends: NOTHING_KNOWN });
   }
 
--- a/src/cookie-edge/spreading/spreader.ts
+++ b/src/cookie-edge/spreading/spreader.ts
@@ -148,6 +148,11 @@
     return this.role.isReading;
   }
 
+  /** False while a peer is known to remember back ends that left, and none has told which. */
+  get hasLearntDeparted(): boolean {
+    return this.catchUp.hasLearntDeparted;
+  }
+
   /** True for the one reader that writes what all daemons together must not lose; two may lead for a moment. */
   get isLeadingReader(): boolean {
     return this.role.isLeading(this.options.clock.now());
--- a/src/cookie-edge/spreading/spreading.test.ts
+++ b/src/cookie-edge/spreading/spreading.test.ts
@@ -248,8 +248,13 @@
     const removals = [{ id: 'c', revision }];
     newcomer.knowledge.apply('backends', updateAt(revision, { removals }), origin);
     cluster.network.cut.clear();
-    const known = (): boolean => newcomer.knowledge.backends.get('a')?.departed === true;
+    let hadToLearn = false;
+    const known = (): boolean => {
+      hadToLearn ||= !newcomer.spreader.hasLearntDeparted;
+      return newcomer.knowledge.backends.get('a')?.departed === true;
+    };
     t.true((await cluster.timeUntil(known, 3_000)) <= 1_000, `seed ${seed}`);
+    t.true(hadToLearn && newcomer.spreader.hasLearntDeparted);
   }
 });
 
