Split the review of shared addresses and the resets of flows from the probes of back ends in doubt

Cause: dead-backends.ts had come to hold three duties. Change: superseded-backends.ts and flow-resetter.ts beside it; no behaviour. Evidence: the cookie edge's, contract's and docs' 872 tests pass unchanged, linter and types too.

--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -1,20 +1,15 @@
 /**
- * Probes back ends in doubt, carries out what `dead-verdict.ts` and `address-reuse.ts` decide, and resets the flows
- * that are open at dead back ends. Owns the probes under way, the verdicts that are renewed, and the index by address.
- * Relies on `LocalBackendStates` for signs of life, and on the flow cache to find a back end's flows.
+ * Probes back ends in doubt, carries out the dead verdicts that `dead-verdict.ts` decides, and has the flows reset that
+ * are open there. Owns the probes under way and the verdicts that are renewed. Relies on `LocalBackendStates` for signs
+ * of life.
  */
 import type { MechanismCheck } from '../../common/mechanisms.js';
 import { pause } from '../../common/pause.js';
-import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
-import type { EventFields, EventLog } from '../../observability/event.js';
+import type { EventLog } from '../../observability/event.js';
 import { COOKIE_FLOW_EVENTS } from '../forwarding/events.js';
-import { formatFlowId } from '../forwarding/flow-id.js';
-import type { CookieStatistics, FlowCache } from '../forwarding/index.js';
-import { resetTargetOf } from '../forwarding/reset-target.js';
 import type { KnownBackend } from '../routing/index.js';
-import { decideStanding, type AddressOutcome } from './address-reuse.js';
 import { BackendProber, type BackendProberOptions, type ProbeFinding } from './backend-prober.js';
-import { CREATIONS_LEARNED_MS, DEAD_RECHECK_MS, DEAD_VERDICT_MS, MAX_PROBE_PAIRS } from './constants.js';
+import { DEAD_RECHECK_MS, DEAD_VERDICT_MS, MAX_PROBE_PAIRS } from './constants.js';
 import {
   decideProbe,
   judgeProbes,
@@ -22,25 +17,20 @@
   othersAnswerSince,
   putsZoneInDoubt,
   type DeathFinding,
-  type DeathProof,
   type ZoneDeath,
 } from './dead-verdict.js';
+import type { FlowResetter } from './flow-resetter.js';
 import type { LocalBackendState } from './local-backend-state.js';
 import type { LocalBackendStates } from './local-backend-states.js';
-import { SharedAddresses } from './shared-addresses.js';
 
 /** What probing and verdicts act on. */
 interface DeadBackendsOptions extends BackendProberOptions {
   readonly isOn: MechanismCheck;
   readonly states: LocalBackendStates;
-  readonly cache: FlowCache;
-  readonly edge: CookieEdgePort;
-  readonly statistics: CookieStatistics;
+  readonly resetter: FlowResetter;
   readonly events: EventLog;
   /** Called with each back end that is or may be dead, to gossip it: other daemons with flows there probe it too. */
   readonly onDoubt: (backendId: string, nowMs: number) => void;
-  /** False while peers are known to remember more of back ends than this daemon has been told. */
-  readonly hasLearntFromPeers: () => boolean;
 }
 
 /** The dead back ends of one daemon. Times are monotonic ms. */
@@ -51,15 +41,12 @@
   private readonly answeredAtMs = new Map<LocalBackendState, number>();
   /** The last back end of each zone that was found dead by probes, and when. */
   private readonly deaths = new Map<string, ZoneDeath<LocalBackendState>>();
-  private readonly addresses = new SharedAddresses();
   /** Back ends whose verdict is being renewed. */
   private readonly renewing = new Set<LocalBackendState>();
   private readonly prober: BackendProber;
-  private readonly startedAtMs: number;
 
   constructor(private readonly options: DeadBackendsOptions) {
     this.prober = new BackendProber(options);
-    this.startedAtMs = options.clock.now();
   }
 
   /** Probes sent since start. */
@@ -84,39 +71,9 @@
     void this.check(state).finally(() => this.probing.delete(state));
   }
 
-  /** Registers a back end that became known, and reviews those at its address. */
-  registerBackend(backend: KnownBackend): void {
-    if (this.options.isOn('dead-back-ends')) this.review(this.addresses.add(backend));
-  }
-
-  /** Forgets a back end, and reviews those that are left at its address. */
+  /** Forgets a back end. */
   forget(backend: KnownBackend): void {
     this.answeredAtMs.delete(this.options.states.of(backend));
-    this.review(this.addresses.remove(backend));
-  }
-
-  /** Reviews every address with more than one back end: records, signs of life and the daemon's age have changed. */
-  reviewAddresses(): void {
-    for (const sharing of this.addresses.all()) this.review(sharing);
-  }
-
-  private review(sharing: ReadonlySet<KnownBackend>): void {
-    const { states, clock } = this.options;
-    const uptimeMs = clock.now() - this.startedAtMs;
-    const knowsCreations = uptimeMs >= CREATIONS_LEARNED_MS && this.options.hasLearntFromPeers();
-    for (const backend of sharing) {
-      const state = states.of(backend);
-      const { lastSignOfLifeMs } = state;
-      this.applyStanding(state, decideStanding({ backend, sharing, lastSignOfLifeMs, knowsCreations }));
-    }
-  }
-
-  private applyStanding(state: LocalBackendState, { standing, successor }: AddressOutcome): void {
-    const before = state.standing;
-    if (standing === before) return;
-    state.recordStanding(standing, this.options.clock.now());
-    if (standing === 'superseded') this.resetFlows(state, standing, describeOrder(state.backend, successor));
-    else if (before === 'superseded') this.logRevived(state);
   }
 
   /** Probes until the back end answers, gives another sign of life, or is proved dead. */
@@ -201,7 +158,7 @@
   private declareWithZone(state: LocalBackendState, proof: DeathFinding): void {
     const nowMs = this.options.clock.now();
     state.recordDeadVerdict(proof, nowMs, nowMs + DEAD_VERDICT_MS);
-    this.resetFlows(state, proof);
+    this.options.resetter.reset(state, proof);
     this.gossip(state, nowMs);
     if (!this.renewing.has(state)) {
       this.renewing.add(state);
@@ -216,45 +173,4 @@
       if (neighbour.backend.record.zone === zone) this.probeIfInDoubt(neighbour);
     }
   }
-
-  /** Logs that a back end is dead, and resets its open flows. */
-  private resetFlows(state: LocalBackendState, proof: DeathProof, evidence: EventFields = {}): void {
-    const nowMs = this.options.clock.now();
-    // A copy of an opening's SYN may have met another balancer and be open elsewhere, where a reset would end the flow;
-    // the next copy that comes here is placed anew.
-    const flows = this.options.cache.flowsAt(state).filter(({ phase }) => phase !== 'opening');
-    const { backend, lastSignOfLifeMs } = state;
-    this.options.events.emit(COOKIE_FLOW_EVENTS.backendDead, {
-      backend: backend.id,
-      service: backend.record.service,
-      zone: backend.record.zone,
-      proof,
-      flows: flows.length,
-      lastSignOfLifeMs: Number.isFinite(lastSignOfLifeMs) ? Math.round(nowMs - lastSignOfLifeMs) : undefined,
-      ...evidence,
-    });
-    for (const flow of flows) {
-      const target = resetTargetOf(flow);
-      this.options.edge.sendResetTo(target);
-      this.options.cache.remove(flow);
-      this.options.statistics.resets += 1;
-      this.options.events.emit(COOKIE_FLOW_EVENTS.flowReset, {
-        flow: formatFlowId(target),
-        backend: backend.id,
-        proof,
-        silentMs: Math.round(nowMs - flow.lastPacketMs),
-      });
-    }
-  }
-}
-
-/** What superseded a back end, for a log line. */
-function describeOrder(ended: KnownBackend, successor: KnownBackend | undefined): EventFields {
-  return {
-    departed: ended.departed,
-    createdRevision: ended.record.createdRevision,
-    successor: successor?.id,
-    successorDeparted: successor?.departed,
-    successorCreatedRevision: successor?.record.createdRevision,
-  };
 }
--- a/src/cookie-edge/backend-health/index.ts
+++ b/src/cookie-edge/backend-health/index.ts
@@ -4,11 +4,13 @@
  * other daemons' ejections, and on routing for the records.
  *
  * One module a rule: `passive-ejection.ts`, `ejection-report.ts`, `slow-handshake.ts`, `dead-verdict.ts` and
- * `address-reuse.ts` decide; `local-backend-state.ts` orders them for one back end; `local-backend-states.ts` and
- * `dead-backends.ts` carry the outcomes out and log them.
+ * `address-reuse.ts` decide; `local-backend-state.ts` orders them for one back end; `local-backend-states.ts`,
+ * `dead-backends.ts` and `superseded-backends.ts` carry the outcomes out and log them.
  */
 export type { ConnectProbe, ProbeOutcome } from './backend-prober.js';
 export type { LocalBackendState, Liveness } from './local-backend-state.js';
 export { LocalBackendStates } from './local-backend-states.js';
 export { DeadBackends } from './dead-backends.js';
+export { FlowResetter } from './flow-resetter.js';
+export { SupersededBackends } from './superseded-backends.js';
 export { PendingOpenings } from './pending-openings.js';
--- a/src/cookie-edge/backend-health/shared-addresses.ts
+++ b/src/cookie-edge/backend-health/shared-addresses.ts
@@ -1,6 +1,6 @@
 /**
- * Which back ends are known at which address. Owns the index by address. Relies on `DeadBackends` to add and remove
- * back ends.
+ * Which back ends are known at which address. Owns the index by address. Relies on `SupersededBackends` to add and
+ * remove back ends.
  */
 import { formatEndpoint } from '../../common/types.js';
 import type { KnownBackend } from '../routing/index.js';
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -8,7 +8,7 @@
 import type { PauseDetector } from '../../common/pause-detector.js';
 import type { CookieEdgeHandler, CookiePacket } from '../../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../../fabric/types.js';
-import type { LocalBackendStates, DeadBackends } from '../backend-health/index.js';
+import type { DeadBackends, LocalBackendStates, SupersededBackends } from '../backend-health/index.js';
 import type { AnswerTracker, BadAnswerReport, OutlierDetector } from '../outliers/index.js';
 import type { ColdAdmission } from '../placement/index.js';
 import type { KnownBackend, RoutingKnowledge } from '../routing/index.js';
@@ -31,6 +31,7 @@
   readonly cache: FlowCache;
   readonly states: LocalBackendStates;
   readonly dead: DeadBackends;
+  readonly superseded: SupersededBackends;
   readonly coldAdmission: ColdAdmission;
   readonly answers: AnswerTracker;
   readonly outliers: OutlierDetector;
@@ -128,27 +129,28 @@
    * whose flows would be reset.
    */
   private registerBackend(backend: KnownBackend): void {
-    const { cookies, dead, knowledge } = this.options;
+    const { cookies, superseded, knowledge } = this.options;
     cookies.add(backend);
-    if (knowledge.routes()?.namesService(backend.record.service)) dead.registerBackend(backend);
+    if (knowledge.routes()?.namesService(backend.record.service)) superseded.registerBackend(backend);
     else this.unnamed.add(backend);
   }
 
   /** Registers the back ends whose service is named by now. */
   private registerNamed(): void {
-    const { dead, knowledge } = this.options;
+    const { superseded, knowledge } = this.options;
     for (const backend of this.unnamed) {
       if (!knowledge.routes()?.namesService(backend.record.service)) continue;
       this.unnamed.delete(backend);
-      dead.registerBackend(backend);
+      superseded.registerBackend(backend);
     }
   }
 
   private forgetBackend(backend: KnownBackend): void {
-    const { dead, cookies, states, coldAdmission, cache } = this.options;
+    const { dead, superseded, cookies, states, coldAdmission, cache } = this.options;
     cache.forgetBackend(states.of(backend));
     this.unnamed.delete(backend);
     dead.forget(backend);
+    superseded.forget(backend);
     cookies.remove(backend);
     states.forget(backend);
     coldAdmission.forget(backend);
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -8,7 +8,9 @@
 import {
   LocalBackendStates,
   DeadBackends,
+  FlowResetter,
   PendingOpenings,
+  SupersededBackends,
   type ConnectProbe,
 } from '../backend-health/index.js';
 import { CrowdAdmission } from '../admission/index.js';
@@ -104,6 +106,7 @@
   readonly cache: FlowCache;
   readonly states: LocalBackendStates;
   readonly dead: DeadBackends;
+  readonly superseded: SupersededBackends;
   readonly pending: PendingOpenings;
   readonly answers: AnswerTracker;
   readonly outliers: OutlierDetector;
@@ -119,7 +122,7 @@
 export function createCookieForwarder(environment: CookieForwarderEnvironment): CookieForwarder {
   const { clock, events, knowledge, pauses } = environment;
   const shared = createSharedParts(environment);
-  const { cache, states, dead, pending, answers, outliers, failures } = shared;
+  const { cache, states, superseded, pending, answers, outliers, failures } = shared;
   return new CookieForwarder({
     ...shared,
     clock,
@@ -134,7 +137,7 @@
       pending,
       answers,
       states,
-      dead,
+      superseded,
       outliers,
       failures,
       expiry: new FlowExpiry({ knowledge, cache, maxFlowAgeMs: environment.maxFlowAgeMs }),
@@ -156,8 +159,9 @@
     isOn,
   );
   const { hasLearntFromPeers = () => true } = environment;
-  const probing = { clock, pauses, probe, onDoubt: gossipEjection, hasLearntFromPeers };
-  const dead = new DeadBackends({ isOn, states, cache, edge, statistics, events, ...probing });
+  const resetter = new FlowResetter({ clock, cache, edge, statistics, events });
+  const verdicts = { clock, isOn, states, resetter, events };
+  const dead = new DeadBackends({ ...verdicts, pauses, probe, onDoubt: gossipEjection });
   const outliers = createOutlierDetector(environment);
   return {
     isOn,
@@ -166,6 +170,7 @@
     cache,
     states,
     dead,
+    superseded: new SupersededBackends({ ...verdicts, hasLearntFromPeers }),
     outliers,
     pending: new PendingOpenings(),
     answers: createAnswerTracker(environment, outliers),
--- a/src/cookie-edge/forwarding/housekeeping.ts
+++ b/src/cookie-edge/forwarding/housekeeping.ts
@@ -5,7 +5,7 @@
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { PauseDetector } from '../../common/pause-detector.js';
 import type { EventLog } from '../../observability/event.js';
-import type { DeadBackends, LocalBackendStates, PendingOpenings } from '../backend-health/index.js';
+import type { LocalBackendStates, PendingOpenings, SupersededBackends } from '../backend-health/index.js';
 import type { AnswerTracker, OutlierDetector } from '../outliers/index.js';
 import { HOUSEKEEPING_TICK_MS } from './constants.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -20,7 +20,7 @@
   readonly pending: PendingOpenings;
   readonly answers: AnswerTracker;
   readonly states: LocalBackendStates;
-  readonly dead: DeadBackends;
+  readonly superseded: SupersededBackends;
   readonly outliers: OutlierDetector;
   readonly failures: FlowFailures;
   readonly expiry: FlowExpiry;
@@ -44,12 +44,12 @@
   }
 
   private tick(): void {
-    const { clock, states, dead, answers, outliers, expiry } = this.options;
+    const { clock, states, superseded, answers, outliers, expiry } = this.options;
     const nowMs = clock.now();
     this.checkPause(nowMs);
     this.failUnanswered(nowMs);
     states.judgeFailing(nowMs);
-    dead.reviewAddresses();
+    superseded.reviewAll();
     answers.check(nowMs);
     outliers.check(nowMs);
     expiry.check(nowMs);
