--- a/src/cookie-edge/spreading/spreading.test.ts
+++ b/src/cookie-edge/spreading/spreading.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { formatEndpoint } from '../../common/types.js';
 import type { Route } from '../routing/index.js';
 import { updateAt } from '../routing/routing-test-support.js';
 import { FANOUT_ELSEWHERE, FANOUT_IN_ZONE, TARGET_READERS } from './constants.js';
@@ -216,16 +217,21 @@
   t.false(newcomer.knowledge.backends.get('b')?.departed);
 });
 
+/** A newcomer that reads the source while it is cut off from its peers; clear `network.cut` to end that. */
+async function addCutOff(cluster: SpreadingCluster): Promise<SimulatedDaemon> {
+  const newcomer = cluster.add();
+  cluster.network.cut.add(formatEndpoint(newcomer.endpoint));
+  await cluster.clock.advanceAsync(30, 1);
+  return newcomer;
+}
+
 test('a newcomer that reads the source itself learns of departed back ends as well', async (t) => {
   for (const seed of [1, 2, 3]) {
     const cluster = await settled(7, seed);
     cluster.source.changeBackend('b');
     cluster.source.removeBackend('a');
     await cluster.clock.advanceAsync(1_000, 10);
-    const newcomer = cluster.add();
-    const address = `${newcomer.endpoint.host}:${newcomer.endpoint.port}`;
-    cluster.network.cut.add(address);
-    await cluster.clock.advanceAsync(30, 1);
+    const newcomer = await addCutOff(cluster);
     t.true(newcomer.knowledge.isComplete(), 'the source answered first');
     cluster.network.cut.clear();
     const known = (): boolean => newcomer.knowledge.backends.get('a')?.departed === true;
@@ -239,10 +245,7 @@
     for (const id of ['b', 'c']) cluster.source.changeBackend(id);
     cluster.source.removeBackend('a');
     await cluster.clock.advanceAsync(1_000, 10);
-    const newcomer = cluster.add();
-    const address = `${newcomer.endpoint.host}:${newcomer.endpoint.port}`;
-    cluster.network.cut.add(address);
-    await cluster.clock.advanceAsync(30, 1);
+    const newcomer = await addCutOff(cluster);
     const revision = newcomer.knowledge.revisionOf('backends');
     const origin = { since: revision, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed: false };
     const removals = [{ id: 'c', revision }];
