Fetch a whole list for departed back ends only soon after a start, unless none is remembered

Evidence: two tests of the rule, the second fails without the time; the spreading, health, forwarding, daemon, contract and docs tests pass (535).

--- a/src/cookie-edge/spreading/catch-up.ts
+++ b/src/cookie-edge/spreading/catch-up.ts
@@ -41,7 +41,11 @@
   private wholeLists = 0;
   private isWholeListWanted = false;
 
-  constructor(private readonly options: CatchUpOptions) {}
+  private readonly startedAtMs: number;
+
+  constructor(private readonly options: CatchUpOptions) {
+    this.startedAtMs = options.clock.now();
+  }
 
   /** Fetches since start. */
   get fetches(): number {
@@ -87,8 +91,11 @@
    * @param departedThere departed back ends that the peer remembers
    */
   learnDeparted(from: Endpoint, departedThere: number): void {
-    const { knowledge } = this.options;
-    if (!mayLearnDeparted(this.wholeLists, departedThere, knowledge.backends.departedCount)) return;
+    const { clock, knowledge } = this.options;
+    const { wholeLists } = this;
+    const uptimeMs = clock.now() - this.startedAtMs;
+    const { departedCount: departedHere } = knowledge.backends;
+    if (!mayLearnDeparted({ uptimeMs, wholeLists, departedThere, departedHere })) return;
     this.isWholeListWanted = true;
     void this.fetch(from, { ...knownRevisionsOf(knowledge), backends: NOTHING_KNOWN });
   }
--- a/src/cookie-edge/spreading/constants.ts
+++ b/src/cookie-edge/spreading/constants.ts
@@ -170,6 +170,9 @@
  */
 export const MAX_WHOLE_LISTS = 2;
 
+/** Time in ms after a start in which a daemon learns from peers what was before it. */
+export const LEARNING_MS = 10_000;
+
 /**
  * Interval in ms at which seeds get a pull while fewer peers than seeds are known, the interval afterwards, and the
  * random part of both. A newcomer must learn soon, and a fleet that split needs one greeting to heal.
--- a/src/cookie-edge/spreading/pull-rule.test.ts
+++ b/src/cookie-edge/spreading/pull-rule.test.ts
@@ -1,10 +1,17 @@
 import test from 'ava';
-import { FETCH_INTERVAL_MS, MAX_WHOLE_LISTS, PULL_INTERVAL_MS, RESPONSE_TIMEOUT_MS } from './constants.js';
+import {
+  FETCH_INTERVAL_MS,
+  LEARNING_MS,
+  MAX_WHOLE_LISTS,
+  PULL_INTERVAL_MS,
+  RESPONSE_TIMEOUT_MS,
+} from './constants.js';
 import {
   decidePull,
   isPullDue,
   mayFetch,
   mayLearnDeparted,
+  type DepartedRequest,
   type Gap,
   type PullOutcome,
 } from './pull-rule.js';
@@ -54,10 +61,20 @@
   t.false(isPullDue(1_800, 1_800, PULL_INTERVAL_MS - 1));
 });
 
-test('a whole list is fetched for departed back ends once, and again from a peer that remembers more', (t) => {
-  t.false(mayLearnDeparted(0, 0, 0), 'the peer remembers none');
-  t.true(mayLearnDeparted(0, 1, 3), 'the first one, whatever was seen here');
-  t.true(mayLearnDeparted(1, 4, 3));
-  t.false(mayLearnDeparted(1, 3, 3));
-  t.false(mayLearnDeparted(MAX_WHOLE_LISTS, 4, 3));
+const JUST_STARTED: DepartedRequest = { uptimeMs: 0, wholeLists: 0, departedThere: 4, departedHere: 3 };
+
+test('after a start a whole list is fetched for departed back ends, and a second one from a peer that remembers more', (t) => {
+  t.true(mayLearnDeparted(JUST_STARTED));
+  t.true(mayLearnDeparted({ ...JUST_STARTED, departedThere: 1 }), 'whatever was seen here');
+  t.false(mayLearnDeparted({ ...JUST_STARTED, departedThere: 0 }), 'the peer remembers none');
+  t.true(mayLearnDeparted({ ...JUST_STARTED, wholeLists: 1 }));
+  t.false(mayLearnDeparted({ ...JUST_STARTED, wholeLists: 1, departedThere: 3 }));
+  t.false(mayLearnDeparted({ ...JUST_STARTED, wholeLists: MAX_WHOLE_LISTS }));
+});
+
+test('a daemon that has run for a while fetches no whole list when back ends leave that it remembers', (t) => {
+  const running = { ...JUST_STARTED, uptimeMs: LEARNING_MS };
+  t.false(mayLearnDeparted(running));
+  t.true(mayLearnDeparted({ ...running, departedHere: 0 }));
+  t.false(mayLearnDeparted({ ...running, departedHere: 0, wholeLists: MAX_WHOLE_LISTS }));
 });
--- a/src/cookie-edge/spreading/pull-rule.ts
+++ b/src/cookie-edge/spreading/pull-rule.ts
@@ -12,7 +12,13 @@
  * once, one of another zone only if no nearer peer closes the gap meanwhile. A response that is lost counts as
  * missing after `RESPONSE_TIMEOUT_MS`; then the request goes to the next peer that announces the change.
  */
-import { FETCH_INTERVAL_MS, MAX_WHOLE_LISTS, PULL_INTERVAL_MS, RESPONSE_TIMEOUT_MS } from './constants.js';
+import {
+  FETCH_INTERVAL_MS,
+  LEARNING_MS,
+  MAX_WHOLE_LISTS,
+  PULL_INTERVAL_MS,
+  RESPONSE_TIMEOUT_MS,
+} from './constants.js';
 
 /** What is known when a peer's message shows that something is missing here. */
 export interface Gap {
@@ -51,16 +57,27 @@
   return unconfirmedMs >= pullAfterMs && sinceLastPullMs >= PULL_INTERVAL_MS;
 }
 
+/** What decides whether a whole list of back ends is fetched for what only peers know. */
+export interface DepartedRequest {
+  /** Time in ms since this daemon started. */
+  readonly uptimeMs: number;
+  /** Whole lists that were fetched since the start. */
+  readonly wholeLists: number;
+  /** Departed back ends that the peer remembers, and that are remembered here. */
+  readonly departedThere: number;
+  readonly departedHere: number;
+}
+
 /**
  * Returns whether a daemon fetches a whole list of back ends from a peer that remembers departed ones. The source lists
  * no departed back end, but flows to it may be open; and it does not say how long one has been known. Removals that
- * this daemon saw itself are no reason to leave that out. A peer that has just started may lack what others remember.
- *
- * @param wholeLists whole lists that were fetched since the start
- * @param departedThere departed back ends that the peer remembers
- * @param departedHere departed back ends that are remembered here
+ * this daemon saw itself soon after its start are no reason to leave that out. A peer that has just started may lack
+ * what others remember. Later only a daemon that remembers none fetches: otherwise the whole fleet would with the first
+ * back end that leaves.
  */
-export function mayLearnDeparted(wholeLists: number, departedThere: number, departedHere: number): boolean {
-  if (departedThere === 0) return false;
-  return wholeLists === 0 || (wholeLists < MAX_WHOLE_LISTS && departedThere > departedHere);
+export function mayLearnDeparted(request: DepartedRequest): boolean {
+  const { uptimeMs, wholeLists, departedThere, departedHere } = request;
+  if (departedThere === 0 || wholeLists >= MAX_WHOLE_LISTS) return false;
+  if (uptimeMs >= LEARNING_MS) return departedHere === 0;
+  return wholeLists === 0 || departedThere > departedHere;
 }
