Keep an open flow at its back end when the other placement of its SYN answers last

What callers saw: a connection that hung. Two balancers placed two copies of a SYN at different back ends. The caller acknowledged one SYN+ACK; the other one arrived later and replaced the cookie that the caller repeats.

Cause: the cookie written into a SYN was the cookie of an established flow, and a cookie always took precedence over the cached flow. So a balancer that had seen the flow open at one back end moved it to the other one.

Change: SYNs carry the second hash of the back end's id, packets of established flows the first one as before. A packet with such an opening cookie stays at the back end of a cached flow that its acknowledgement continues (event 1262).

Two tests of cookie-forwarder.test.ts compared the cookie of a SYN with that of a later packet, or used it to move a flow. They now do so with both kinds of cookies and compare as much as before.

--- a/contract/surfaces/wire-packets.ts
+++ b/contract/surfaces/wire-packets.ts
@@ -115,7 +115,12 @@
   const backends = BACKEND_IDS.map((id) => knownBackend(id, 1));
   backends.forEach((backend) => registry.add(backend));
   const cookies = backends.map((backend) => [backend.id, registry.cookieOf(backend)]);
-  return Promise.resolve({ cookies: Object.fromEntries(cookies) as unknown, colliding: collidingCookies() });
+  const openingCookies = backends.map((backend) => [backend.id, registry.openingCookieOf(backend)]);
+  return Promise.resolve({
+    cookies: Object.fromEntries(cookies) as unknown,
+    openingCookies: Object.fromEntries(openingCookies) as unknown,
+    colliding: collidingCookies(),
+  });
 }
 
 const NO_FLAGS = { syn: false, ack: false, fin: false, rst: false };
--- a/src/cookie-edge/forwarding/constants.ts
+++ b/src/cookie-edge/forwarding/constants.ts
@@ -12,6 +12,12 @@
  */
 export const HOLD_SAFETY_MARGIN_MS = 50;
 
+/**
+ * A packet whose acknowledgement differs by more from that of a cached flow, in bytes, belongs to another flow. The
+ * platform accepts a reset within the same distance from a caller's last acknowledgement.
+ */
+export const MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES = 76_800;
+
 /** Delay in ms between a change and the re-evaluation of held openings. Several changes share one re-evaluation. */
 export const HELD_REEVALUATION_DELAY_MS = 20;
 
--- a/src/cookie-edge/forwarding/cookie-forwarder.test.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.test.ts
@@ -2,7 +2,7 @@
 import { READS_A_TURN } from '../../common/pause-detector.js';
 import { LAPSED_RECORD_TTL_MS } from '../placement/constants.js';
 import { backendAt, SERVICE_PORT } from '../routing/routing-test-support.js';
-import { HOUSEKEEPING_TICK_MS } from './constants.js';
+import { HOUSEKEEPING_TICK_MS, MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES } from './constants.js';
 import { backends, leaveOpeningsUnanswered, ForwarderHarness } from './cookie-test-support.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 
@@ -11,22 +11,52 @@
   const second = new ForwarderHarness().applyRecords(backends(5));
   for (let port = 1; port <= 20; port += 1) {
     const opened = first.establish(port);
-    t.deepEqual(second.sendMidFlow(port, opened.cookie), opened);
+    const established = first.sendMidFlow(port, opened.cookie);
+    t.is(established?.backend, opened.backend);
+    t.deepEqual(second.sendMidFlow(port, opened.cookie), established, 'by the cookie of its SYN');
+    t.deepEqual(second.sendMidFlow(port, established!.cookie), established, 'by its later cookie');
   }
   t.is(second.forwarder.statistics.takenOver, 20);
 });
 
-test('the cookie of a packet takes precedence over the cached flow', (t) => {
+/** Returns a flow at `a`, and both cookies of `b`: that of a SYN and that of an established flow. */
+function flowAndCookiesOfAnotherBackend(harness: ForwarderHarness) {
+  const port = portOpenedAt(harness, 'a', 1);
+  const otherPort = portOpenedAt(harness, 'b', 100);
+  const openingCookie = harness.sent.find((_sent, index) => harness.sentPorts[index] === otherPort)!.cookie;
+  const establishedCookie = harness.sendMidFlow(otherPort, openingCookie)!.cookie;
+  return { port, openingCookie, establishedCookie };
+}
+
+/** Opens flows until one is placed at `backend`, and returns its port. */
+function portOpenedAt(harness: ForwarderHarness, backend: string, fromPort: number): number {
+  let port = fromPort;
+  while (harness.establish(port).backend !== backend) port += 1;
+  return port;
+}
+
+test('the cookie of an established flow takes precedence over the cached flow', (t) => {
   const harness = new ForwarderHarness().applyRecords(backends(3));
-  const opened = harness.establish(1);
-  const other = ['a', 'b', 'c'].find((id) => id !== opened.backend)!;
-  const cookies = new Map<string, number>();
-  for (let port = 10; cookies.size < 3; port += 1) {
-    const placed = harness.establish(port);
-    cookies.set(placed.backend!, placed.cookie);
-  }
-  t.is(harness.sendMidFlow(1, cookies.get(other)!)?.backend, other);
-  t.is(harness.sendMidFlow(1, 0)?.backend, other, 'the cache was updated');
+  const { port, establishedCookie } = flowAndCookiesOfAnotherBackend(harness);
+  t.is(harness.sendMidFlow(port, establishedCookie)?.backend, 'b');
+  t.is(harness.sendMidFlow(port, 0)?.backend, 'b', 'the cache was updated');
+});
+
+test('an opening cookie does not move an open flow, and its packets carry the cookie of its back end', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  const { port, openingCookie, establishedCookie } = flowAndCookiesOfAnotherBackend(harness);
+  t.not(openingCookie, establishedCookie);
+  const kept = harness.sendMidFlow(port, openingCookie, { acknowledgement: 601 });
+  t.is(kept?.backend, 'a');
+  t.deepEqual(harness.sendMidFlow(port, kept!.cookie), kept);
+  t.true(harness.events().includes(COOKIE_FLOW_EVENTS.openingCookieOverruled.number));
+});
+
+test('an opening cookie takes precedence over an earlier flow of the same addresses', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  const { port, openingCookie } = flowAndCookiesOfAnotherBackend(harness);
+  const ofAnotherFlow = { acknowledgement: MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES + 2 };
+  t.is(harness.sendMidFlow(port, openingCookie, ofAnotherFlow)?.backend, 'b');
 });
 
 test('a packet with an unknown cookie and no cached flow is dropped, even if there is only one back end', (t) => {
--- a/src/cookie-edge/forwarding/cookie-registry.test.ts
+++ b/src/cookie-edge/forwarding/cookie-registry.test.ts
@@ -53,6 +53,26 @@
   );
 });
 
+test('a SYN carries another cookie than an established flow, and both find the back end', (t) => {
+  const registry = new CookieRegistry();
+  const [backend] = registerBackends('a') as [KnownBackend];
+  registry.add(backend);
+  const [opening, established] = [registry.openingCookieOf(backend), registry.cookieOf(backend)];
+  t.not(opening, established);
+  t.is(registry.backendOf(opening), backend);
+  t.true(registry.isOpeningCookie(opening, backend));
+  t.false(registry.isOpeningCookie(established, backend));
+});
+
+test('a back end that lost its first cookie to another one uses its second cookie for both purposes', (t) => {
+  const registry = new CookieRegistry();
+  const [earlier, later] = registerBackends(...collidingIds()) as [KnownBackend, KnownBackend];
+  registry.add(earlier);
+  registry.add(later);
+  t.is(registry.openingCookieOf(later), registry.cookieOf(later));
+  t.false(registry.isOpeningCookie(registry.cookieOf(later), later));
+});
+
 test('a removed back end is no longer found by its cookie', (t) => {
   const [backend] = registerBackends('a') as [KnownBackend];
   const registry = new CookieRegistry();
--- a/src/cookie-edge/forwarding/cookie-registry.ts
+++ b/src/cookie-edge/forwarding/cookie-registry.ts
@@ -1,7 +1,9 @@
 /**
- * Maps connection cookies to back ends. A cookie is a hash of the back end's id, so all daemons compute the same cookie
- * without coordination. If two ids collide, the back end whose record was created later uses a second hash; packets
- * with either cookie are accepted. `CookieForwarder` adds and removes the back ends.
+ * Maps connection cookies to back ends. Cookies are two hashes of the back end's id, so all daemons compute the same
+ * cookies without coordination. Packets of an established flow carry the first hash. SYNs carry the second one, the
+ * opening cookie, which tells daemons that the caller may have acknowledged another back end (`mid-flow-rule.ts`). If
+ * the first hashes of two ids collide, the back end whose record was created later uses its second hash for both
+ * purposes. `CookieForwarder` adds and removes the back ends.
  */
 import { hashString } from '../../common/hash.js';
 import type { KnownBackend } from '../routing/index.js';
@@ -44,13 +46,25 @@
     if (this.bySecondaryCookie.get(second) === backend) this.bySecondaryCookie.delete(second);
   }
 
-  /** Returns the cookie for a back end's flows, or 0 if both of its hashes belong to other back ends. */
+  /** Returns the cookie for a back end's established flows, or 0 if both of its hashes belong to other back ends. */
   cookieOf(backend: KnownBackend): number {
     const [first, second] = cookiesOf(backend.id);
     if (this.byPrimaryCookie.get(first) === backend) return first;
     return !this.byPrimaryCookie.has(second) && this.bySecondaryCookie.get(second) === backend ? second : 0;
   }
 
+  /** Returns the cookie for SYNs to a back end; that of established flows if its second hash is not its own. */
+  openingCookieOf(backend: KnownBackend): number {
+    const [, second] = cookiesOf(backend.id);
+    const isOwnCookie = !this.byPrimaryCookie.has(second) && this.bySecondaryCookie.get(second) === backend;
+    return isOwnCookie ? second : this.cookieOf(backend);
+  }
+
+  /** Returns true if a cookie of `backend` was written into a SYN, not into a packet of an established flow. */
+  isOpeningCookie(cookie: number, backend: KnownBackend): boolean {
+    return cookie !== this.cookieOf(backend);
+  }
+
   /** Returns the back end with this cookie, or undefined if there is none. */
   backendOf(cookie: number): KnownBackend | undefined {
     return this.byPrimaryCookie.get(cookie) ?? this.bySecondaryCookie.get(cookie);
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -64,6 +64,12 @@
     message: 'Held openings decided after waiting for a back end to be listed or for their turn',
     action: 'none',
   },
+  openingCookieOverruled: {
+    number: 1262,
+    level: 'warn',
+    message: 'Packet kept at the back end of its open flow: its cookie is from another placement of its SYN',
+    action: 'See the events 1250 of this flow on all daemons',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -12,7 +12,7 @@
 import type { Flow, FlowCache } from './flow-cache.js';
 import type { FlowTracker } from './flow-tracker.js';
 import { formatFlowId } from './flow-id.js';
-import { backendOfPacket, decideMidFlow } from './mid-flow-rule.js';
+import { backendOfPacket, continuesCachedFlow, decideMidFlow } from './mid-flow-rule.js';
 import type { PacketSender } from './packet-sender.js';
 
 /** Dependencies of `MidFlowHandler`. */
@@ -33,9 +33,8 @@
 
   /** Handles a packet other than a SYN. `flow` is the cached flow with its addresses, if any. */
   onMidFlowPacket(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
-    const { cookies, states, flowTracker, sender } = this.options;
-    const cookieBackend = packet.cookie === 0 ? undefined : cookies.backendOf(packet.cookie);
-    const backend = backendOfPacket(cookieBackend, flow?.backendState.backend);
+    const { states, flowTracker, sender } = this.options;
+    const backend = this.findBackend(packet, flow);
     const isDead = backend !== undefined && states.stateOf(backend).isDead(nowMs);
     const outcome = decideMidFlow(backend, isDead);
     if (!backend || outcome === 'drop') return this.dropUnknownCookie(packet);
@@ -45,6 +44,25 @@
     sender.forwardTo(backend);
   }
 
+  private findBackend(packet: CookiePacket, flow: Flow | undefined): KnownBackend | undefined {
+    const { cookies } = this.options;
+    const cookieBackend = packet.cookie === 0 ? undefined : cookies.backendOf(packet.cookie);
+    const cachedBackend = flow?.backendState.backend;
+    const disagrees = cookieBackend !== undefined && flow !== undefined && cookieBackend !== cachedBackend;
+    if (!disagrees) return backendOfPacket(cookieBackend, cachedBackend);
+    const isOverruled =
+      cookies.isOpeningCookie(packet.cookie, cookieBackend) &&
+      continuesCachedFlow(packet.acknowledgement, flow);
+    if (!isOverruled) return cookieBackend;
+    this.options.events.emit(COOKIE_FLOW_EVENTS.openingCookieOverruled, {
+      flow: formatFlowId(packet),
+      backend: flow.backendState.backend.id,
+      cookieBackend: cookieBackend.id,
+      phase: flow.phase,
+    });
+    return cachedBackend;
+  }
+
   /**
    * Caches a flow that a peer placed, or that this daemon placed before a restart. Returns undefined if the cache is
    * full.
--- a/src/cookie-edge/forwarding/mid-flow-rule.test.ts
+++ b/src/cookie-edge/forwarding/mid-flow-rule.test.ts
@@ -1,7 +1,9 @@
-/** Checks each outcome for a packet other than a SYN, and the precedence of its cookie over the cached flow. */
+/** Checks each outcome for a packet other than a SYN, and which of its cookie and the cached flow decides. */
 import test from 'ava';
 import type { KnownBackend } from '../routing/index.js';
-import { backendOfPacket, decideMidFlow, type MidFlowOutcome } from './mid-flow-rule.js';
+import { MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES } from './constants.js';
+import type { FlowPhase } from './flow-cache.js';
+import { backendOfPacket, continuesCachedFlow, decideMidFlow, type MidFlowOutcome } from './mid-flow-rule.js';
 
 const [fromCookie, fromCachedFlow] = [{ id: 'named' }, { id: 'remembered' }] as [KnownBackend, KnownBackend];
 
@@ -63,6 +65,25 @@
   });
 }
 
+const LARGEST_SEQUENCE = 0xffff_ffff;
+
+const CONTINUATIONS: readonly (readonly [string, FlowPhase, number, number, boolean])[] = [
+  ['of the handshake', 'open', 500, 500, true],
+  ['after an answer', 'open', 1_100, 500, true],
+  ['that was overtaken', 'open', 500, 1_100, true],
+  ['across the largest sequence number', 'open', 100, LARGEST_SEQUENCE - 100, true],
+  ['of a closed flow', 'closing', 500, 500, true],
+  ['at the largest distance', 'open', 500 + MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES, 500, true],
+  ['of another back end', 'open', 501 + MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES, 500, false],
+  ['before the handshake is complete', 'opening', 0, 0, false],
+];
+
+for (const [title, phase, acknowledgement, cachedAcknowledgement, expected] of CONTINUATIONS) {
+  test(`an acknowledgement ${title} ${expected ? 'continues' : 'does not continue'} the cached flow`, (t) => {
+    t.is(continuesCachedFlow(acknowledgement, { phase, acknowledgement: cachedAcknowledgement }), expected);
+  });
+}
+
 test('a departed or draining back end keeps its flows', (t) => {
   const departed = { id: 'a', departed: true, lapsed: false, record: { draining: true } } as KnownBackend;
   t.is(decideMidFlow(departed, false), 'forward');
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -91,7 +91,7 @@
     const { route, placement } = outcome;
     this.openFlow(packet, placement, nowMs);
     openingLog.logPlacement(packet, route, placement);
-    sender.forwardTo(placement.state.backend);
+    sender.forwardSynTo(placement.state.backend);
   }
 
   /**
@@ -121,7 +121,7 @@
       if (alternative && outcome === 'another-back-end')
         this.moveToAlternative(packet, flow, alternative, nowMs);
     }
-    sender.forwardTo(flow.backendState.backend);
+    sender.forwardSynTo(flow.backendState.backend);
   }
 
   private moveToAlternative(packet: CookiePacket, flow: Flow, placement: Placement, nowMs: number): void {
--- a/src/cookie-edge/forwarding/packet-sender.ts
+++ b/src/cookie-edge/forwarding/packet-sender.ts
@@ -15,20 +15,26 @@
 export class PacketSender {
   constructor(private readonly options: PacketSenderOptions) {}
 
-  /**
-   * Forwards the packet with the back end's cookie. If other back ends own both of its cookies, drops and counts the
-   * packet.
-   */
+  /** Forwards a packet of an established flow with the back end's cookie. */
   forwardTo(backend: KnownBackend): void {
-    const { edge, cookies, statistics } = this.options;
-    const cookie = cookies.cookieOf(backend);
-    if (cookie === 0) return statistics.countDrop('no-cookie');
-    statistics.forwarded += 1;
-    edge.sendToBackend(backend.id, backend.record.endpoint, cookie);
+    this.forwardWithCookie(backend, this.options.cookies.cookieOf(backend));
+  }
+
+  /** Forwards a SYN with the back end's opening cookie. */
+  forwardSynTo(backend: KnownBackend): void {
+    this.forwardWithCookie(backend, this.options.cookies.openingCookieOf(backend));
   }
 
   /** Answers the caller with a reset. */
   sendReset(): void {
     this.options.edge.sendReset();
   }
+
+  /** If other back ends own both cookies of the back end, drops and counts the packet. */
+  private forwardWithCookie(backend: KnownBackend, cookie: number): void {
+    const { edge, statistics } = this.options;
+    if (cookie === 0) return statistics.countDrop('no-cookie');
+    statistics.forwarded += 1;
+    edge.sendToBackend(backend.id, backend.record.endpoint, cookie);
+  }
 }
