Bound how long a SYN may have waited in the socket, not how late a tick is

A balancer that stood still for up to 299 ms placed a SYN that its caller had already retransmitted, perhaps at another balancer.

Cause: the pause detector compared the delay of a tick with 150 ms, and ticks were 150 ms apart. A pause that began right after a tick was recognized only 300 ms after that tick.

Change: ticks of the detector are 50 ms apart, and the time since the last tick is compared with 150 ms, whether that tick was late or not. A SYN that waited 150 ms or more is always recognized. The same detector guards the messages between daemons.

--- a/src/common/pause-detector.ts
+++ b/src/common/pause-detector.ts
@@ -5,16 +5,21 @@
  * balancer, and a queued message between daemons counts as newer than it is. Does no input or output; owns the time
  * of the last tick and the reads of the current turn of the event loop.
  *
- * Inputs: monotonic ms of the housekeeping's ticks, and the reads of each socket. Order: a pause is recognized by a
- * late tick, also before that tick has run; from then on any datagram may have waited until one turn has read both
- * sockets empty. That end does not depend on time, because a backlog may take any time to read.
+ * Inputs: monotonic ms of the ticks, and the reads of each socket. Order: each tick is followed by a read of both
+ * sockets, so the time since the last tick bounds how long a datagram that is read now can have waited. If that bound
+ * is too long, also before the late tick has run, the process was paused; from then on any datagram may have waited
+ * until one turn has read both sockets empty. That end does not depend on time, because a backlog may take any time to
+ * read.
  */
 
+/** Time between two calls of `recordTick`, in ms. */
+export const PAUSE_TICK_MS = 50;
+
 /**
- * Delay of a tick, in ms, from which the process counts as paused. Below the 200 ms after which callers
- * retransmit a SYN for the first time.
+ * Longest time that a datagram may have waited in its socket, in ms. A SYN that waited less is placed, and its SYN+ACK
+ * has 50 ms to reach the caller before the caller retransmits the SYN after 200 ms.
  */
-const PAUSE_MS = 150;
+const MAX_WAIT_MS = 150;
 
 /**
  * Datagrams that Node.js reads from one socket in one turn of its event loop, at most; a turn that reads fewer has
@@ -37,16 +42,14 @@
   /** Datagrams read in this turn while catching up, by socket. */
   private readonly reads: Record<PausedSocket, number> = { edge: 0, peers: 0 };
 
-  /** @param tickMs time between two calls of `recordTick` */
   constructor(
     nowMs: number,
-    private readonly tickMs: number,
     private readonly afterReads: AfterReads = setImmediate,
   ) {
     this.lastTickMs = nowMs;
   }
 
-  /** Records a tick of the housekeeping timer; returns the length of the pause before it, or 0. */
+  /** Records a tick; returns the length of the pause before it, or 0. */
   recordTick(nowMs: number): number {
     const pausedMs = this.pausedFor(nowMs);
     this.lastTickMs = nowMs;
@@ -77,7 +80,7 @@
   }
 
   private pausedFor(nowMs: number): number {
-    const lateMs = nowMs - this.lastTickMs - this.tickMs;
-    return lateMs >= PAUSE_MS ? lateMs : 0;
+    const sinceTickMs = nowMs - this.lastTickMs;
+    return sinceTickMs >= MAX_WAIT_MS ? sinceTickMs - PAUSE_TICK_MS : 0;
   }
 }
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -11,7 +11,7 @@
 import type { RandomSource } from '../../common/random.js';
 import type { Endpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
-import { createCookieForwarder, HOUSEKEEPING_TICK_MS, type CookieForwarder } from '../forwarding/index.js';
+import { createCookieForwarder, type CookieForwarder } from '../forwarding/index.js';
 import { MIN_DAEMONS_FOR_LOAD_REPORTS, LoadReader, LoadView } from '../load/index.js';
 import { RosterReader, RosterWriter } from '../roster/index.js';
 import {
@@ -84,7 +84,7 @@
   const { clock, events, adapters } = environment;
   const isOn = allBut(config().switchedOff);
   const buffer = new StartupBuffer({ clock, events, isOn });
-  const pauseDetector = new PauseDetector(clock.now(), HOUSEKEEPING_TICK_MS);
+  const pauseDetector = new PauseDetector(clock.now());
   const edge = await adapters.openEdge({ data: config().data, handler: buffer, events, clock });
   buffer.attach(edge);
   const wiring: Wiring = {
--- a/src/cookie-edge/forwarding/cookie-test-support.ts
+++ b/src/cookie-edge/forwarding/cookie-test-support.ts
@@ -111,7 +111,7 @@
       probe: options.probe ?? (() => Promise.resolve('answered')),
       cold: { overage: 1.5, slack: 5, isOwner: options.isOwner ?? (() => true) },
       random: seededRandom(seed),
-      pauses: new PauseDetector(clock.now(), HOUSEKEEPING_TICK_MS, (callback) => this.queued.push(callback)),
+      pauses: new PauseDetector(clock.now(), (callback) => this.queued.push(callback)),
       maxFlowAgeMs: 60_000,
       maxFlows: () => 1_000,
       observer: options.observer,
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -53,7 +53,7 @@
   readonly events: EventLog;
   readonly knowledge: RoutingKnowledge;
   readonly edge: CookieEdgePort;
-  /** The forwarder reports a tick every `HOUSEKEEPING_TICK_MS`. */
+  /** The forwarder reports a tick every `PAUSE_TICK_MS`. */
   readonly pauses: PauseDetector;
   readonly zone: string;
   /** A back end of another zone must have this many fewer flows per unit of capacity to be preferred. */
--- a/src/cookie-edge/forwarding/housekeeping.ts
+++ b/src/cookie-edge/forwarding/housekeeping.ts
@@ -1,9 +1,9 @@
 /**
  * Periodic work of forwarding: checks for process pauses, unanswered openings, ejections, shared addresses, outliers
- * and expired flows. Owns only the timer.
+ * and expired flows. Owns only the timers.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
-import type { PauseDetector } from '../../common/pause-detector.js';
+import { PAUSE_TICK_MS, type PauseDetector } from '../../common/pause-detector.js';
 import type { EventLog } from '../../observability/event.js';
 import type { LocalBackendStates, PendingOpenings, SupersededBackends } from '../backend-health/index.js';
 import type { AnswerTracker, OutlierDetector } from '../outliers/index.js';
@@ -26,27 +26,33 @@
   readonly expiry: FlowExpiry;
 }
 
-/** Runs every `HOUSEKEEPING_TICK_MS`. Times are monotonic ms. */
+/** Checks for pauses every `PAUSE_TICK_MS`, the rest every `HOUSEKEEPING_TICK_MS`. Times are monotonic ms. */
 export class Housekeeping {
   constructor(private readonly options: HousekeepingOptions) {}
 
   /** Runs until `signal` aborts. */
   start(signal: AbortSignal): void {
+    this.repeat(PAUSE_TICK_MS, signal, () => this.checkPause());
+    this.repeat(HOUSEKEEPING_TICK_MS, signal, () => this.tick());
+  }
+
+  private repeat(intervalMs: number, signal: AbortSignal, run: () => void): void {
     let timer: TimerHandle;
-    const scheduleTick = (): void => {
-      timer = this.options.clock.schedule(HOUSEKEEPING_TICK_MS, () => {
-        this.tick();
-        scheduleTick();
+    const schedule = (): void => {
+      timer = this.options.clock.schedule(intervalMs, () => {
+        run();
+        schedule();
       });
     };
-    scheduleTick();
+    schedule();
     signal.addEventListener('abort', () => timer.cancel());
   }
 
   private tick(): void {
     const { clock, states, supersededBackends, answerTracker, outliers, expiry } = this.options;
     const nowMs = clock.now();
-    this.checkPause(nowMs);
+    // After a pause both timers are late, and this one may come first.
+    this.checkPause();
     this.recordUnanswered(nowMs);
     states.evaluateFailing(nowMs);
     supersededBackends.reviewAll();
@@ -59,9 +65,9 @@
    * After a pause of the process, logs it and discards the pending openings and requests. Their answers may be in
    * packets that are not read yet, so answered ones would count as unanswered.
    */
-  private checkPause(nowMs: number): void {
-    const { pauses, events, pendingOpenings, answerTracker } = this.options;
-    const pausedMs = pauses.recordTick(nowMs);
+  private checkPause(): void {
+    const { clock, pauses, events, pendingOpenings, answerTracker } = this.options;
+    const pausedMs = pauses.recordTick(clock.now());
     if (pausedMs === 0) return;
     events.emit(COOKIE_FLOW_EVENTS.paused, { pausedMs: Math.round(pausedMs) });
     pendingOpenings.clear();
--- a/src/cookie-edge/forwarding/index.ts
+++ b/src/cookie-edge/forwarding/index.ts
@@ -3,7 +3,6 @@
  * Uses `placement` for new flows, `backend-health` and `outliers` to evaluate back ends from observed packets,
  * `routing` for routes and records, and the edge of `fabric` for sending.
  */
-export { HOUSEKEEPING_TICK_MS } from './constants.js';
 export type { CookieForwarder } from './cookie-forwarder.js';
 export type { CookieStatistics } from './cookie-statistics.js';
 export { createCookieForwarder } from './create-cookie-forwarder.js';
