Send a retransmitted SYN to another back end once the first one has left the route

What callers saw: a flow that opened at a back end after that back end had said that it leaves, and that the back end closed with its next answer. If the first SYN was lost, the retransmission came 200 or 600 ms later than the decision about the first one.

Cause: a balancer that had placed the first SYN sent each retransmission to the same back end while that was neither ejected nor dead, also after its record said that it drains or has left, or after the route led to another service.

Change: such a flow goes to the back end that a new flow would get. A cordoned or suspect back end keeps it, as before. Event 1252 covers both reasons. Two placements of one opening are now safe, since an opening cookie does not move an open flow.

Evidence: three tests of cookie-forwarder.test.ts (drains, has left, is no longer a target) failed before.

--- a/src/cookie-edge/forwarding/cookie-forwarder.test.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.test.ts
@@ -105,6 +105,55 @@
   t.not(reopened?.backend, opened.backend);
 });
 
+const CHANGES_AFTER_THE_FIRST_SYN: readonly (readonly [
+  string,
+  (harness: ForwarderHarness, id: string) => void,
+])[] = [
+  [
+    'drains',
+    (harness, id) =>
+      harness.applyRecords(
+        backends(3).map((record) =>
+          record.id === id ? { ...record, draining: true, revision: 20 } : record,
+        ),
+        {},
+        20,
+      ),
+  ],
+  ['has left', (harness, id) => harness.removeRecord(id, 20)],
+  [
+    'is no longer a target of the route',
+    (harness, id) =>
+      harness.applyRecords(
+        backends(3).map((record) =>
+          record.id === id ? { ...record, service: 'beta', revision: 20 } : record,
+        ),
+        {},
+        20,
+      ),
+  ],
+];
+
+for (const [change, apply] of CHANGES_AFTER_THE_FIRST_SYN) {
+  test(`a retransmitted SYN does not go to a back end that ${change} since the first SYN`, (t) => {
+    const harness = new ForwarderHarness().applyRecords(backends(3));
+    const first = harness.open(1)?.backend;
+    apply(harness, first!);
+    harness.clock.advance(200);
+    const moved = harness.open(1, 1);
+    t.truthy(moved?.backend);
+    t.not(moved?.backend, first);
+    t.deepEqual(harness.open(1, 2), moved);
+  });
+}
+
+test('a retransmitted SYN stays at a leaving back end if no other can take it', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(1));
+  const first = harness.open(1);
+  harness.applyRecords([{ ...backends(1)[0]!, draining: true, revision: 20 }], {}, 20);
+  t.deepEqual(harness.open(1, 1), first);
+});
+
 test('a retransmitted SYN that waited during a pause of the process is dropped', (t) => {
   const harness = new ForwarderHarness().applyRecords(backends(3));
   t.truthy(harness.open(1));
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -12,8 +12,9 @@
   flowMoved: {
     number: 1252,
     level: 'warn',
-    message: 'Retransmitted SYN assigned to another back end: the first one does not respond',
-    action: 'Check the back end that did not respond',
+    message:
+      'Retransmitted SYN assigned to another back end: the first one does not respond or gets no new flows',
+    action: 'If it drains or has left: none; otherwise check the first back end',
   },
   flowAdopted: {
     number: 1253,
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -114,7 +114,8 @@
       pendingOpenings.stopAwaiting(flow);
       failures.recordFailure(flow, flow.openedAtMs, nowMs);
     }
-    if (mayLeaveFirstBackend(flow.phase, flow.backendState.liveness(nowMs))) {
+    const hasLeft = newFlowRule.hasLeftRoute(packet, flow.backendState.backend, nowMs);
+    if (mayLeaveFirstBackend(flow.phase, flow.backendState.liveness(nowMs), hasLeft)) {
       const alternative = newFlowRule.chooseForRetransmission(packet, nowMs);
       if (alternative) newFlowRule.recordPlacement(alternative, nowMs);
       const outcome = decideRetransmission(flow.backendState, alternative);
--- a/src/cookie-edge/forwarding/retransmission-rule.test.ts
+++ b/src/cookie-edge/forwarding/retransmission-rule.test.ts
@@ -5,19 +5,27 @@
 import type { FlowPhase } from './flow-cache.js';
 import { decideRetransmission, mayLeaveFirstBackend } from './retransmission-rule.js';
 
-/** Phase of the flow, liveness of its back end, and whether another back end is considered. */
-const CASES: readonly (readonly [FlowPhase, Liveness, boolean])[] = [
-  ['opening', 'alive', false],
-  ['opening', 'suspect', false],
-  ['opening', 'trial', false],
-  ['opening', 'ejected', true],
-  ['open', 'ejected', false],
-  ['closing', 'ejected', false],
+/**
+ * Phase of the flow, liveness of its back end, whether that has left the route, and whether another back end is
+ * considered.
+ */
+const CASES: readonly (readonly [FlowPhase, Liveness, boolean, boolean])[] = [
+  ['opening', 'alive', false, false],
+  ['opening', 'suspect', false, false],
+  ['opening', 'trial', false, false],
+  ['opening', 'ejected', false, true],
+  ['open', 'ejected', false, false],
+  ['closing', 'ejected', false, false],
+  ['opening', 'alive', true, true],
+  ['opening', 'suspect', true, true],
+  ['open', 'alive', true, false],
+  ['closing', 'alive', true, false],
 ];
 
-for (const [phase, liveness, expected] of CASES) {
-  test(`a flow that is ${phase} ${expected ? 'may leave' : 'stays at'} a back end that is ${liveness}`, (t) => {
-    t.is(mayLeaveFirstBackend(phase, liveness), expected);
+for (const [phase, liveness, hasLeftRoute, expected] of CASES) {
+  const backend = `a back end that is ${liveness}${hasLeftRoute ? ' and has left the route' : ''}`;
+  test(`a flow that is ${phase} ${expected ? 'may leave' : 'stays at'} ${backend}`, (t) => {
+    t.is(mayLeaveFirstBackend(phase, liveness, hasLeftRoute), expected);
   });
 }
 
--- a/src/cookie-edge/placement/new-flow-rule.ts
+++ b/src/cookie-edge/placement/new-flow-rule.ts
@@ -13,7 +13,7 @@
 import { combine32 } from '../../common/hash.js';
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { LocalBackendState } from '../backend-health/index.js';
-import type { BackendSettlement, Route, RoutingKnowledge } from '../routing/index.js';
+import type { BackendSettlement, KnownBackend, Route, RoutingKnowledge } from '../routing/index.js';
 import type { BackendEligibility } from './backend-eligibility.js';
 import type { ColdAdmission } from './cold-admission.js';
 import { decideWithoutBackend, type NoBackendOutcome } from './no-backend-rule.js';
@@ -81,6 +81,15 @@
     return route && this.choosePlacement(flow, route, nowMs);
   }
 
+  /** Returns true if `backend` leaves or has left, or its service is not a target of the flow's route any more. */
+  hasLeftRoute(flow: FlowAddresses, backend: KnownBackend, nowMs: number): boolean {
+    const route = this.routeOf(flow);
+    if (!route) return false;
+    if (!route.targets.some(({ service }) => service === backend.record.service)) return true;
+    const exclusion = this.options.eligibility.recordExclusionOf(backend, route, nowMs);
+    return exclusion === 'departed' || exclusion === 'draining';
+  }
+
   /**
    * Records a choice. The caller also records a choice that keeps the flow at its first back end, so that the trial
    * opening and the spacing of flows to a cold back end take effect.
