Refuse a retransmitted SYN at once when its route was removed since the first one

What callers saw: a flow that opened by a route that the configuration in force no longer had, up to 600 ms after the change took effect on the same balancer, and that a later balancer would not open again.

Cause: a retransmission followed the cached opening without asking whether its route was still in force.

Change: it is handled as a new flow, and refused with a reset for want of a route. Open flows keep their back ends. The removed opening no longer counts as unanswered at its back end.

Evidence: a test of cookie-forwarder.test.ts failed before (the SYN went to the first back end); the table of syn-rule.test.ts has four cases more.

--- a/src/cookie-edge/forwarding/cookie-forwarder.test.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.test.ts
@@ -147,6 +147,17 @@
   });
 }
 
+test('a retransmitted SYN is refused immediately if its route was removed since the first SYN', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  harness.open(1);
+  const open = harness.establish(2);
+  harness.applyRecords(backends(3), { routes: [] }, 20);
+  harness.clock.advance(200);
+  t.deepEqual(harness.open(1, 1), { backend: undefined, cookie: 0 });
+  t.deepEqual(harness.forwarder.statistics.refusals, { 'no-route': 1 });
+  t.is(harness.open(2, 1)?.backend, open.backend, 'an open flow keeps its back end');
+});
+
 test('a retransmitted SYN stays at a leaving back end if no other can take it', (t) => {
   const harness = new ForwarderHarness().applyRecords(backends(1));
   const first = harness.open(1);
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -46,18 +46,27 @@
   /** Handles a SYN. `flow` is the cached flow with its addresses, if any. */
   onSyn(packet: CookiePacket, flow: Flow | undefined, arrival: Arrival): void {
     const { nowMs } = arrival;
-    const mayHaveWaited = this.options.mayHaveWaited(nowMs);
-    const kind = classifySyn(packet.retransmissionCount, flow?.phase, mayHaveWaited);
+    const route = this.options.newFlowRule.routeOf(packet);
+    const kind = classifySyn({
+      retransmissionCount: packet.retransmissionCount,
+      phase: flow?.phase,
+      hasRoute: route !== undefined,
+      mayHaveWaited: this.options.mayHaveWaited(nowMs),
+    });
     if (kind === 'stale') return this.dropStale(packet);
     if (kind === 'retransmission' && flow) return this.onRetransmission(packet, flow, nowMs);
-    if (flow) this.options.cache.remove(flow);
-    const route = this.options.newFlowRule.routeOf(packet);
+    if (flow) this.removeFlow(flow);
     if (route && this.shouldDefer(route, packet, arrival)) {
       return this.options.heldOpenings.hold(packet, { route, reason: 'yields' }, arrival);
     }
     this.applyOutcome(this.options.newFlowRule.decide(packet, nowMs), packet, arrival);
   }
 
+  private removeFlow(flow: Flow): void {
+    this.options.pendingOpenings.stopAwaiting(flow);
+    this.options.cache.remove(flow);
+  }
+
   private shouldDefer(
     route: Route,
     { retransmissionCount }: CookiePacket,
--- a/src/cookie-edge/forwarding/syn-rule.test.ts
+++ b/src/cookie-edge/forwarding/syn-rule.test.ts
@@ -3,23 +3,29 @@
 import { classifySyn, type SynKind } from './syn-rule.js';
 
 /**
- * Retransmission count, phase of the cached flow, whether the SYN may have waited through a pause, and the expected
- * kind.
+ * Retransmission count, phase of the cached flow, whether its route is in force, whether the SYN may have waited
+ * through a pause, and the expected kind.
  */
-const CASES: readonly (readonly [number, FlowPhase | undefined, boolean, SynKind])[] = [
-  [0, undefined, true, 'stale'],
-  [1, 'opening', true, 'stale'],
-  [0, undefined, false, 'new-flow'],
-  [2, undefined, false, 'new-flow'],
-  [0, 'opening', false, 'retransmission'],
-  [1, 'opening', false, 'retransmission'],
-  [0, 'open', false, 'retransmission'],
-  [0, 'closing', false, 'new-flow'],
-  [1, 'closing', false, 'retransmission'],
+const CASES: readonly (readonly [number, FlowPhase | undefined, boolean, boolean, SynKind])[] = [
+  [0, undefined, true, true, 'stale'],
+  [1, 'opening', true, true, 'stale'],
+  [0, undefined, true, false, 'new-flow'],
+  [2, undefined, true, false, 'new-flow'],
+  [0, 'opening', true, false, 'retransmission'],
+  [1, 'opening', true, false, 'retransmission'],
+  [0, 'open', true, false, 'retransmission'],
+  [0, 'closing', true, false, 'new-flow'],
+  [1, 'closing', true, false, 'retransmission'],
+  [1, 'opening', false, true, 'stale'],
+  [1, 'opening', false, false, 'new-flow'],
+  [1, 'open', false, false, 'retransmission'],
+  [1, 'closing', false, false, 'retransmission'],
 ];
 
-for (const [count, phase, mayHaveWaited, expected] of CASES) {
-  test(`a SYN with retransmission count ${count} of a flow that is ${phase ?? 'unknown'}, ${mayHaveWaited ? 'after' : 'without'} a pause: ${expected}`, (t) => {
-    t.is(classifySyn(count, phase, mayHaveWaited), expected);
+for (const [retransmissionCount, phase, hasRoute, mayHaveWaited, expected] of CASES) {
+  const flow = `a flow that is ${phase ?? 'unknown'}${hasRoute ? '' : ' and has no route'}`;
+  const pause = mayHaveWaited ? 'after' : 'without';
+  test(`a SYN with retransmission count ${retransmissionCount} of ${flow}, ${pause} a pause: ${expected}`, (t) => {
+    t.is(classifySyn({ retransmissionCount, phase, hasRoute, mayHaveWaited }), expected);
   });
 }
--- a/src/cookie-edge/forwarding/syn-rule.ts
+++ b/src/cookie-edge/forwarding/syn-rule.ts
@@ -4,23 +4,31 @@
  * Prevents a flow from being opened at two back ends: while a SYN waits in the socket during a pause of the process,
  * its caller may retransmit it and a peer may place the retransmission. Does no input or output.
  *
- * Inputs: the SYN's retransmission count, the phase of the cached flow with the same addresses, and whether the packet
- * may have waited through a pause (`PauseDetector`). Order: the pause is tested first, because a cached flow may have
- * ended during it. Then a first SYN with the addresses of a closed flow starts a new flow. A retransmission without a
- * cached flow is placed like a first SYN, because the first one may have been lost or have reached another daemon.
+ * Inputs: the SYN's retransmission count, the phase of the cached flow with the same addresses, whether its route is in
+ * force, and whether the packet may have waited through a pause (`PauseDetector`). Order: the pause is tested first,
+ * because a cached flow may have ended during it. Then a first SYN with the addresses of a closed flow starts a new
+ * flow. So does a retransmission of an opening whose route was removed, which is then refused like a first SYN. A
+ * retransmission without a cached flow is placed like a first SYN, because the first one may have been lost or have
+ * reached another daemon.
  */
 import type { FlowPhase } from './flow-cache.js';
 
 /** `stale`: the SYN may have waited through a pause. `retransmission`: its flow is cached. */
 export type SynKind = 'stale' | 'retransmission' | 'new-flow';
 
-/** Classifies a SYN. `phase` is undefined if no flow with its addresses is cached. */
-export function classifySyn(
-  retransmissionCount: number,
-  phase: FlowPhase | undefined,
-  mayHaveWaited: boolean,
-): SynKind {
+/** Inputs of the classification. */
+interface SynEvidence {
+  readonly retransmissionCount: number;
+  /** Phase of the cached flow with the SYN's addresses; undefined if there is none. */
+  readonly phase: FlowPhase | undefined;
+  readonly hasRoute: boolean;
+  readonly mayHaveWaited: boolean;
+}
+
+/** Classifies a SYN. */
+export function classifySyn({ retransmissionCount, phase, hasRoute, mayHaveWaited }: SynEvidence): SynKind {
   if (mayHaveWaited) return 'stale';
   if (phase === undefined) return 'new-flow';
+  if (phase === 'opening' && !hasRoute) return 'new-flow';
   return phase === 'closing' && retransmissionCount === 0 ? 'new-flow' : 'retransmission';
 }
