Name the control call of an experiment that got no answer

What callers saw: nothing. The smoke test of the experiments failed once in five runs with a DOMException, and nothing told which call had timed out.

Change: a call that times out or cannot connect rejects with experiment.no-answer, which names method, address, path, its age, its limit and the cause.

The cause of the failed smoke test is still unknown; its entry in KNOWN-RED.txt stays.

--- a/src/experiment/errors.ts
+++ b/src/experiment/errors.ts
@@ -7,6 +7,7 @@
   | 'experiment.process-failed'
   | 'experiment.not-ready'
   | 'experiment.bad-answer'
+  | 'experiment.no-answer'
   | 'experiment.invalid-document'
   | 'experiment.time-limit'
   | 'experiment.interrupted';
--- a/src/experiment/http-control.ts
+++ b/src/experiment/http-control.ts
@@ -36,6 +36,16 @@
   readonly timeoutMs: number;
 }
 
+/** The complete answer to an exchange. */
+interface ControlAnswer {
+  readonly statusCode: number;
+  readonly text: string;
+}
+
+function describeCall(address: Endpoint, path: string, { method }: ControlRequest): string {
+  return `${method} ${formatEndpoint(address)}${path}`;
+}
+
 /**
  * A client whose connections are kept open until `close`. Each call rejects on a timeout, a failed connection or a
  * refusal.
@@ -72,26 +82,39 @@
     return this.agent.destroy();
   }
 
-  private async exchange(
-    address: Endpoint,
-    path: string,
-    { method, body, timeoutMs }: ControlRequest,
-  ): Promise<unknown> {
-    const answer = await request(`http://${formatEndpoint(address)}${path}`, {
-      method,
-      dispatcher: this.agent,
-      signal: AbortSignal.timeout(timeoutMs),
-      ...(body === undefined
-        ? {}
-        : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
-    });
-    const text = await answer.body.text();
-    if (answer.statusCode < FIRST_STATUS_NOT_SUCCESSFUL) return text ? JSON.parse(text) : undefined;
+  private async exchange(address: Endpoint, path: string, call: ControlRequest): Promise<unknown> {
+    const { statusCode, text } = await this.send(address, path, call);
+    if (statusCode < FIRST_STATUS_NOT_SUCCESSFUL) return text ? JSON.parse(text) : undefined;
     const shown = text.slice(0, SHOWN_BODY_CHARACTERS);
     throw new ExperimentError(
       'experiment.bad-answer',
-      `${method} ${formatEndpoint(address)}${path} answered ${answer.statusCode}: ${shown}`,
+      `${describeCall(address, path, call)} answered ${statusCode}: ${shown}`,
       'Run the tool and the stand-ins from the same build',
     );
   }
+
+  /** Rejects with `experiment.no-answer`, which names the call and its age. */
+  private async send(address: Endpoint, path: string, call: ControlRequest): Promise<ControlAnswer> {
+    const { method, body, timeoutMs } = call;
+    const startedAtMs = performance.now();
+    try {
+      const answer = await request(`http://${formatEndpoint(address)}${path}`, {
+        method,
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(timeoutMs),
+        ...(body === undefined
+          ? {}
+          : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+      });
+      return { statusCode: answer.statusCode, text: await answer.body.text() };
+    } catch (cause) {
+      const ageMs = Math.round(performance.now() - startedAtMs);
+      throw new ExperimentError(
+        'experiment.no-answer',
+        `${describeCall(address, path, call)} had no answer after ${ageMs} ms of ${timeoutMs} ms: ${String(cause)}`,
+        'Check whether the process runs and how busy the machine is',
+        { cause },
+      );
+    }
+  }
 }
