Excuse a listed test only for its listed failure, and list any number

What callers saw: nothing. An entry of KNOWN-RED.txt excused every failure of its test, and the runner allowed three entries.

--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -2,19 +2,19 @@
  * Runs the tests with ava and closes with `N passed, N failed` from the totals that ava's own TAP report ends with.
  *
  * Without arguments the tests that are heavy on real sockets, timers and processes run after all others, one file at a
- * time; arguments go to ava as they are, in a single run. Tests listed in KNOWN-RED.txt (at most three, one a line:
- * `title; cause; issue`) may fail: they are printed and not counted. A run that ends without its totals (ava's TAP
- * reporter breaks off when a test hangs or ends its process) is counted by its single results and one failure more; so
- * is one with an exit code that its totals do not explain.
+ * time; arguments go to ava as they are, in a single run. Tests listed in KNOWN-RED.txt may fail as listed there
+ * (`known-failures.mjs`): they are printed and not counted. A run that ends without its totals (ava's TAP reporter
+ * breaks off when a test hangs or ends its process) is counted by its single results and one failure more; so is one
+ * with an exit code that its totals do not explain.
  */
 import { spawn } from 'node:child_process';
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
+import { isKnownFailure, parseKnownFailures } from './known-failures.mjs';
 
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
-const MAX_KNOWN_RED = 3;
-const TEST_ROOTS = ['src', 'platform', 'contract', 'docs'];
+const TEST_ROOTS = ['src', 'platform', 'contract', 'docs', 'tools'];
 
 /** Files that run one at a time, beside no other. */
 const SERIAL_FILES = [
@@ -30,9 +30,7 @@
 ];
 
 function readKnownRed() {
-  if (!existsSync(KNOWN_RED_FILE)) return [];
-  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
-  return lines.map((line) => line.split(';')[0].trim()).filter((title) => title && !title.startsWith('#'));
+  return existsSync(KNOWN_RED_FILE) ? parseKnownFailures(readFileSync(KNOWN_RED_FILE, 'utf8')) : [];
 }
 
 /** The arguments of each run of ava. */
@@ -48,36 +46,42 @@
   return [files.filter((file) => !SERIAL_FILES.includes(file)), ['--concurrency=1', ...SERIAL_FILES]];
 }
 
-/** Counts and prints a failed test. */
-function noteFailure({ title, line }, totals, knownRed) {
-  const known = knownRed.some((name) => title === name || title.endsWith(` › ${name}`));
-  if (known) totals.known += 1;
+/** Counts and prints a failed test, whose report is complete. */
+function noteFailure({ title, lines }, totals, knownRed) {
+  const isKnown = isKnownFailure(knownRed, title, lines.join('\n'));
+  if (isKnown) totals.known += 1;
   totals.printedFailed += 1;
-  totals.last = title;
-  console.log(known ? `known red: ${title}` : line);
+  if (isKnown) console.log(`known red: ${title}`);
+  for (const line of lines) console.log(line);
 }
 
 /** Reads one TAP report: prints what failed, and returns ava's totals and how many failures are known. */
 async function readReport(lines, knownRed) {
   const totals = { pass: undefined, fail: undefined, known: 0, printedOk: 0, printedFailed: 0, last: 'none' };
-  let printing = false;
+  /** The failed test whose report is being read. */
+  let failure;
+  const endFailure = () => {
+    if (failure) noteFailure(failure, totals, knownRed);
+    failure = undefined;
+  };
   for await (const line of lines) {
     const [, title] = /^not ok \d+ - (.*)$/.exec(line) ?? [];
     const [, total, count] = /^# (pass|fail) (\d+)$/.exec(line) ?? [];
+    if (failure && /^\s/.test(line)) {
+      failure.lines.push(line);
+      continue;
+    }
+    endFailure();
     if (title !== undefined) {
-      noteFailure({ title, line }, totals, knownRed);
-      printing = true;
+      failure = { title, lines: [line] };
+      totals.last = title;
     } else if (/^ok \d+ - /.test(line)) {
       totals.printedOk += 1;
       totals.last = line;
-      printing = false;
-    } else if (total) {
-      totals[total] = Number(count);
-      printing = false;
-    } else if ((printing && /^\s/.test(line)) || /^# \d+ tests? remaining/.test(line)) {
-      console.log(line);
-    }
+    } else if (total) totals[total] = Number(count);
+    else if (/^# \d+ tests? remaining/.test(line)) console.log(line);
   }
+  endFailure();
   return totals;
 }
 
@@ -103,10 +107,6 @@
 const knownRed = readKnownRed();
 let passed = 0;
 let failed = 0;
-if (knownRed.length > MAX_KNOWN_RED) {
-  console.log(`${KNOWN_RED_FILE} lists ${knownRed.length} tests; ${MAX_KNOWN_RED} are allowed`);
-  failed += 1;
-}
 for (const argumentList of planRuns(process.argv.slice(2))) {
   const result = await runAva(argumentList, knownRed);
   passed += result.passed;
