Log how long a placed SYN waited and from which list, before its packet is sent

What callers saw: nothing.

Change: event 1250 has waitedMs and listRevision. The setting log.gatherMs (300 by default, as before) set to 0 writes each line at once; the line of a placement is emitted before its SYN is forwarded.

Evidence: tests of line-writer.test.ts (a line without gathering; the bound holds) and cookie-forwarder.test.ts (logged before sent, with the fields).

--- a/src/cookie-edge/daemon/config.ts
+++ b/src/cookie-edge/daemon/config.ts
@@ -8,6 +8,7 @@
 import { parseEndpoint } from '../../common/endpoint-text.js';
 import { MECHANISMS } from '../../common/mechanisms.js';
 import type { Endpoint } from '../../common/types.js';
+import { DEFAULT_GATHER_MS } from '../../observability/line-writer.js';
 import { DEFAULT_OUTLIER_OPTIONS } from '../outliers/constants.js';
 import { DEFAULT_FRESHNESS_BOUND_MS } from '../routing/freshness.js';
 import * as defaults from './constants.js';
@@ -114,6 +115,11 @@
       level: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info'),
       /** Maximum number of log lines for each event in ten seconds. */
       burst: z._default(z.int().check(z.positive()), defaults.DEFAULT_LOG_BURST),
+      /**
+       * Time in ms for which log lines gather before they are written. With 0 the line of a decision is written before
+       * its packet is sent, and a killed process loses no line. Applied at the start only.
+       */
+      gatherMs: z._default(z.int().check(z.nonnegative()), DEFAULT_GATHER_MS),
     }),
     {},
   ),
--- a/src/cookie-edge/daemon/run.ts
+++ b/src/cookie-edge/daemon/run.ts
@@ -24,7 +24,7 @@
 export async function runCookieDaemon(configPath: string, adapters: DeploymentAdapters): Promise<number> {
   const config = await loadCookieDaemonConfig(configPath);
   const clock = new SystemClock();
-  const writer = new LineWriter(clock);
+  const writer = new LineWriter(clock, process.stdout, config.log.gatherMs);
   const events = new ConsolaEventLog({
     format: 'json',
     level: config.log.level,
--- a/src/cookie-edge/forwarding/cookie-forwarder.test.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.test.ts
@@ -66,6 +66,16 @@
   t.deepEqual(harness.forwarder.statistics.drops, { 'unknown-cookie': 2 });
 });
 
+test('a placement is logged before its SYN is sent, with how long the SYN waited and the list it was chosen from', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3), {}, 17);
+  const loggedBeforeSending: number[] = [];
+  harness.onSent(1, () => loggedBeforeSending.push(...harness.events()));
+  harness.passToForwarder({ sourcePort: 1, syn: true, retransmissionCount: 1 }, 40);
+  t.true(loggedBeforeSending.includes(COOKIE_FLOW_EVENTS.opened.number));
+  const fields = harness.logged.find(({ event }) => event === COOKIE_FLOW_EVENTS.opened)?.fields;
+  t.like(fields, { copy: 1, waitedMs: 40, candidates: 3, listRevision: 17 });
+});
+
 test('retransmissions of a SYN go to the same back end as the first', (t) => {
   const harness = new ForwarderHarness().applyRecords(backends(5));
   const opened = harness.open(1);
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -97,9 +97,9 @@
       openingLog.logRefusal(packet, outcome.reason, outcome.route, nowMs);
       return sender.sendReset();
     }
-    const { route, placement } = outcome;
+    const { placement } = outcome;
     this.openFlow(packet, placement, nowMs);
-    openingLog.logPlacement(packet, route, placement);
+    openingLog.logPlacement(packet, outcome, arrival.waitedMs);
     sender.forwardSynTo(placement.state.backend);
   }
 
--- a/src/cookie-edge/forwarding/opening-log.ts
+++ b/src/cookie-edge/forwarding/opening-log.ts
@@ -14,12 +14,18 @@
   readonly eligibility: BackendEligibility;
 }
 
+/** A placed flow and its route. */
+interface PlacedFlow {
+  readonly route: Route;
+  readonly placement: Placement;
+}
+
 /** Emits the events 1250, 1251, 1252 and 1255. */
 export class OpeningLog {
   constructor(private readonly options: OpeningLogOptions) {}
 
-  /** Logs that a new flow was placed. */
-  logPlacement(packet: CookiePacket, route: Route, placement: Placement): void {
+  /** Logs that a new flow was placed, before its SYN is forwarded. `waitedMs`: time since the SYN was read. */
+  logPlacement(packet: CookiePacket, { route, placement }: PlacedFlow, waitedMs: number): void {
     const { events, knowledge } = this.options;
     events.emit(COOKIE_FLOW_EVENTS.opened, {
       flow: formatFlowId(packet),
@@ -31,7 +37,9 @@
       flowsThere: placement.state.openFlows,
       passedOver: placement.passedOver,
       copy: packet.retransmissionCount,
+      waitedMs: Math.round(waitedMs),
       version: knowledge.routes()?.table.version,
+      listRevision: knowledge.revisionOf('backends'),
       knowledgeAgeMs: Math.round(knowledge.maxTopicAge()),
     });
   }
--- a/src/observability/line-writer.test.ts
+++ b/src/observability/line-writer.test.ts
@@ -29,6 +29,16 @@
   t.deepEqual(stream.taken, ['one\ntwo\n', 'three\n']);
 });
 
+test('without gathering each line is written at once, so that a killed process loses none', (t) => {
+  const stream = new SlowStream();
+  const writer = new LineWriter(new VirtualClock(), stream, 0);
+  writer.write('one');
+  t.deepEqual(stream.taken, ['one\n']);
+  for (let count = 0; count < 1_000; count += 1) writer.write('x'.repeat(1_000));
+  t.true(stream.writableLength <= 262_144 + 2_000, 'what waits is bounded as well');
+  t.true(writer.leftOutCount > 0);
+});
+
 test('what a slow reader leaves behind is bounded; lines beyond are counted, and later ones written again', (t) => {
   const clock = new VirtualClock();
   const stream = new SlowStream();
--- a/src/observability/line-writer.ts
+++ b/src/observability/line-writer.ts
@@ -7,8 +7,8 @@
 import type { Writable } from 'node:stream';
 import type { Clock } from '../common/clock.js';
 
-/** Lines gather this long, in ms, before they are written. Saves writes without a delay that an operator notices. */
-const GATHER_MS = 300;
+/** Lines gather this long by default, in ms, before they are written. Saves writes. */
+export const DEFAULT_GATHER_MS = 300;
 
 /**
  * Lines are handed over in blocks of whole lines up to this length: a pipe takes a block of at most 4,096 bytes in
@@ -34,6 +34,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly stream: LineStream = process.stdout,
+    /** Time in ms for which lines gather; 0 writes each line at once, so that a killed process loses none. */
+    private readonly gatherMs = DEFAULT_GATHER_MS,
   ) {}
 
   /** Lines left out since start. */
@@ -48,9 +50,10 @@
     }
     this.waiting.push(`${line}\n`);
     this.waitingLength += line.length + 1;
+    if (this.gatherMs === 0) return this.flush();
     if (this.scheduled) return;
     this.scheduled = true;
-    this.clock.schedule(GATHER_MS, () => {
+    this.clock.schedule(this.gatherMs, () => {
       this.scheduled = false;
       this.flush();
     });
