--- a/src/gue-edge/flow/model-check.test.ts
+++ b/src/gue-edge/flow/model-check.test.ts
@@ -3,6 +3,7 @@
  * membership views differ. The rules stand in model/; a failure prints its seed, and `checkSeed` shortens the schedule.
  */
 import test from 'ava';
+import * as z from 'zod';
 import { checkSeed, type ActionKind, type ScheduleOptions } from '../testing/flow-model/schedule.js';
 
 interface Mix {
@@ -11,8 +12,11 @@
   readonly rareIntervalMs: number;
   readonly nodes: number;
   readonly seeds: readonly number[];
+  readonly durationMs?: number;
 }
 
+const DEFAULT_DURATION_MS = 30_000;
+
 /** The intervals leave time to replace a lost backup: keeper and backup together are not survived. */
 const MIXES: readonly Mix[] = [
   {
@@ -52,6 +56,21 @@
   },
 ];
 
+const handMixSchema = z.object({
+  name: z.string().default('a mix that was given by hand'),
+  rareKinds: z.array(z.custom<ActionKind>((kind) => typeof kind === 'string')),
+  rareIntervalMs: z.number().positive(),
+  nodes: z.number().int().positive(),
+  seeds: z.array(z.number().int()),
+  durationMs: z.number().positive().default(DEFAULT_DURATION_MS),
+});
+
+/** Returns the mix in the environment variable `MODEL_CHECK_MIX`, as JSON, if it is set; otherwise all mixes. */
+function chooseMixes(): readonly Mix[] {
+  const given = process.env['MODEL_CHECK_MIX'];
+  return given === undefined ? MIXES : [handMixSchema.parse(JSON.parse(given))];
+}
+
 function optionsFor(mix: Mix, seed: number): ScheduleOptions {
   return {
     seed,
@@ -61,7 +80,7 @@
     resetRate: 0.1,
     sprayRate: 0.8,
     budgetBytesPerSecond: 28_000,
-    durationMs: 30_000,
+    durationMs: mix.durationMs ?? DEFAULT_DURATION_MS,
     openings: 120,
     edits: 8,
     rareKinds: mix.rareKinds,
@@ -69,7 +88,7 @@
   };
 }
 
-for (const mix of MIXES) {
+for (const mix of chooseMixes()) {
   test(`one back end for each flow under ${mix.name}`, async (t) => {
     t.timeout(110_000);
     for (const seed of mix.seeds) {
