Let a keeper take a new base only after a replaced backup has let go

Cause, from a traced run: the backup was replaced during a move to a newer base. The replaced backup had not let go yet and took the shard over with the old base.

Change: the end of a move asks for the former backup, as its start does. The repeated advance ends the move later; a move without a backup is given up and starts again.

Evidence: the mix "pauses and cuts" of model-check.test.ts failed before (22 violations) and passes; the other five mixes pass.

--- a/src/gue-edge/flow/keeper-authority-rules.ts
+++ b/src/gue-edge/flow/keeper-authority-rules.ts
@@ -53,6 +53,11 @@
 export function canReplicate(context: AuthorityContext, kept: AuthorityShard): boolean {
   if (!kept.backup) return isAlone(context, kept);
   if (kept.syncingTo !== undefined || !kept.backup.leaseHeld) return false;
+  return hasFormerBackupLetGo(kept);
+}
+
+/** True when the backup before the present one can't take the shard over any more. */
+export function hasFormerBackupLetGo(kept: Pick<AuthorityShard, 'shard' | 'formerBackup'>): boolean {
   return kept.formerBackup?.hasLetGo(kept.shard) ?? true;
 }
 
--- a/src/gue-edge/flow/model-check.test.ts
+++ b/src/gue-edge/flow/model-check.test.ts
@@ -47,6 +47,15 @@
     nodes: 3,
     seeds: [3, 7],
   },
+  // Guards against a keeper that takes a new base while a former backup can still take the shard over with the old one.
+  {
+    name: 'pauses and cuts',
+    rareKinds: ['pause-long', 'partition'],
+    rareIntervalMs: 13_000,
+    nodes: 5,
+    seeds: [22_011],
+    durationMs: 60_000,
+  },
   {
     name: 'everything',
     rareKinds: ['crash', 'join', 'restart', 'leave', 'suspect', 'pause-long'],
--- a/src/gue-edge/flow/rebase-rules.ts
+++ b/src/gue-edge/flow/rebase-rules.ts
@@ -2,8 +2,9 @@
  * Rules of moving a shard to the back ends of a newer settings version: when a move is due, and when it may start.
  *
  * They prevent a flow without a record from being looked for under the wrong base: the new base holds at the backup
- * before it holds at the keeper, and nothing else may change the shard's holders meanwhile. Times are monotonic ms.
- * No input or output.
+ * before it holds at the keeper, and nothing else may change the shard's holders meanwhile. A backup that is replaced
+ * during a move must have let go before the keeper takes the new base (`finishRebase`). Times are monotonic ms. No
+ * input or output.
  */
 
 /** Why a move may not start now. */
--- a/src/gue-edge/flow/rebase.ts
+++ b/src/gue-edge/flow/rebase.ts
@@ -12,6 +12,7 @@
 import { FlowFlag } from './flow-table.js';
 import type { sailquay } from './pb/flow.js';
 import { RecordOperation, RecordStatus } from './record-codec.js';
+import { hasFormerBackupLetGo } from './keeper-authority-rules.js';
 import { isRebaseDue, rebaseObstacle } from './rebase-rules.js';
 import type { ReplicaPeer } from './replica-peer.js';
 import type { KeptShard, RebaseProgress } from './shard-holding.js';
@@ -93,7 +94,7 @@
       complete: kept.complete,
       learnedMs: this.learnedMs(kept),
       learningMs: context.learningMs,
-      formerBackupHasLetGo: () => kept.formerBackup?.hasLetGo(kept.shard) ?? true,
+      formerBackupHasLetGo: () => hasFormerBackupLetGo(kept),
       isCovered: () => kept.backup?.leaseHeld ?? this.needsNoBackup(kept),
     });
     return obstacle === undefined;
@@ -146,7 +147,9 @@
   private advanceWhenReplicated(kept: KeptShard, rebase: RebaseProgress): void {
     if (kept.rebase !== rebase || rebase.outstanding > 0 || kept.unacknowledgedRecords > 0) return;
     rebase.phase = 'advancing';
-    if (!kept.backup) finishRebase(kept);
+    if (kept.backup) return;
+    if (hasFormerBackupLetGo(kept)) finishRebase(kept);
+    else kept.rebase = undefined;
   }
 
   private sendAdvances(): void {
@@ -191,9 +194,13 @@
   return rebase?.phase === 'advancing' && rebase.toVersion === baseVersion;
 }
 
-/** The backup has the new base, so the keeper takes it as well. */
+/**
+ * Lets the keeper take the new base, which its backup has. Does nothing while a former backup could still take the
+ * shard over with the old base; the next advance tries again.
+ */
 export function finishRebase(kept: KeptShard): void {
-  const rebase = kept.rebase!;
+  const { rebase } = kept;
+  if (!rebase || !hasFormerBackupLetGo(kept)) return;
   kept.baseVersion = rebase.toVersion;
   kept.oldestBaseVersion = rebase.toOldestVersion;
   kept.complete ||= rebase.toOldestVersion === rebase.toVersion && rebase.coversAllFlows;
