--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -19,6 +19,9 @@
 /** Files that run one at a time, beside no other. */
 const SERIAL_FILES = [
   'platform/tools/soak/soak.test.ts',
+  'platform/tools/soak/daemon-process.test.ts',
+  'platform/tools/soak/retransmitted-openings.test.ts',
+  'platform/two-placements.test.ts',
   'platform/whole-path.test.ts',
   'platform/lapsed-entries.test.ts',
   'src/cli/commands.test.ts',
