--- a/src/common/mechanisms.ts
+++ b/src/common/mechanisms.ts
@@ -36,6 +36,8 @@
   'departed-backends',
   /** SYNs that may have waited through a pause are dropped. */
   'old-opening-guard',
+  /** Peers are asked where they placed an opening before a retransmitted SYN is placed. */
+  'opening-lookups',
   /** What arrives before anything is known is held. */
   'held-packets',
   /** Readers stand down for others that go before them. */
--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -210,6 +210,8 @@
     applyLoadReport: (report) => isOn('reported-load') && loadView.applyReport(report),
     applyBadAnswerReport: (report) => forwarder().applyBadAnswerReport(report),
     applyEjectionReport: ({ backendId, atMs }) => forwarder().applyEjectionReport(backendId, atMs),
+    answerOpeningQuery: (query) => forwarder().answerOpeningQuery(query),
+    applyOpeningAnswer: (answer, peer) => forwarder().applyOpeningAnswer(answer, peer),
   });
 }
 
@@ -244,6 +246,7 @@
     maxFlows: () => config().limits.maxFlows,
     observer: hashString(id),
     outliers,
+    openingPeers: { askAboutOpening: (query) => gossipNode().askAboutOpening(query) },
     onBadAnswer: (report) => gossipNode().gossipBadAnswer(report),
     onBackendUnhealthy: (backendId, atMs) => gossipNode().gossipEjection({ backendId, atMs }),
   });
--- a/src/cookie-edge/daemon/metrics.ts
+++ b/src/cookie-edge/daemon/metrics.ts
@@ -63,6 +63,13 @@
     'SYN copies placed elsewhere',
     (components) => components.forwarder.statistics.placedAnew,
   ],
+  [
+    'counter',
+    'opening_lookups_total',
+    'Retransmitted SYNs about which peers were asked',
+    (components) => components.forwarder.statistics.lookups,
+    'outcome',
+  ],
   [
     'counter',
     'flows_refused_total',
--- a/src/cookie-edge/daemon/status.ts
+++ b/src/cookie-edge/daemon/status.ts
@@ -61,7 +61,7 @@
   gossipNode,
 }: CookieDaemonComponents): Record<string, number | string> {
   const { packets, forwarded, opened, takenOver, placedAnew, resets, drops, refusals } = forwarder.statistics;
-  const { held, heldTooLong } = forwarder.statistics;
+  const { held, heldTooLong, lookups } = forwarder.statistics;
   return {
     packets,
     forwarded,
@@ -70,6 +70,7 @@
     placedAnew,
     held: JSON.stringify(held),
     heldTooLong,
+    lookups: JSON.stringify(lookups),
     ejections: forwarder.ejections,
     resets,
     probes: forwarder.probes,
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -9,6 +9,7 @@
 import type { CookieEdgeHandler, CookiePacket } from '../../fabric/cookie-edge.js';
 import type { EdgeDropReason } from '../../fabric/types.js';
 import type { DeadBackends, LocalBackendStates, SupersededBackends } from '../backend-health/index.js';
+import type { OpeningAnswer, OpeningLookup, OpeningQuery } from '../opening-lookup/index.js';
 import type { AnswerTracker, BadAnswerReport, OutlierDetector } from '../outliers/index.js';
 import type { ColdAdmission } from '../placement/index.js';
 import type { KnownBackend, RoutingKnowledge } from '../routing/index.js';
@@ -18,6 +19,7 @@
 import type { HeldOpenings } from './held-openings.js';
 import type { Housekeeping } from './housekeeping.js';
 import type { MidFlowHandler } from './mid-flow-handler.js';
+import type { OpeningQueries } from './opening-queries.js';
 import type { OpeningHandler } from './opening-handler.js';
 
 /** Components of a forwarder. */
@@ -37,6 +39,8 @@
   readonly outliers: OutlierDetector;
   readonly openingHandler: OpeningHandler;
   readonly heldOpenings: HeldOpenings;
+  readonly openingLookup?: OpeningLookup;
+  readonly openingQueries: OpeningQueries;
   readonly midFlowHandler: MidFlowHandler;
   readonly housekeeping: Housekeeping;
 }
@@ -103,10 +107,24 @@
     return this.outliers.applyReport(report, clock.now());
   }
 
+  /** Answers a peer that has received a retransmitted SYN. */
+  answerOpeningQuery(query: OpeningQuery): OpeningAnswer {
+    return this.options.openingQueries.answer(query);
+  }
+
+  /** Applies an answer of the peer with this key to the lookup that waits for it. */
+  applyOpeningAnswer(answer: OpeningAnswer, peer: string): void {
+    this.options.openingLookup?.applyAnswer(answer, peer);
+  }
+
   /** Runs the housekeeping until `signal` aborts. */
   start(signal: AbortSignal): void {
-    this.options.housekeeping.start(signal);
-    signal.addEventListener('abort', () => this.options.heldOpenings.stop());
+    const { housekeeping, heldOpenings, openingLookup } = this.options;
+    housekeeping.start(signal);
+    signal.addEventListener('abort', () => {
+      heldOpenings.stop();
+      openingLookup?.stop();
+    });
   }
 
   onDrop(reason: EdgeDropReason): void {
--- a/src/cookie-edge/forwarding/cookie-statistics.ts
+++ b/src/cookie-edge/forwarding/cookie-statistics.ts
@@ -19,10 +19,15 @@
   takenOver = 0;
   /** Milliseconds from the SYN to the caller's next packet. */
   readonly handshake = new LatencyHistogram();
+  private readonly lookupCounts = new Map<string, number>();
   private readonly heldCounts = new Map<string, number>();
   private readonly dropCounts = new Map<string, number>();
   private readonly refusalCounts = new Map<string, number>();
 
+  countLookup(outcome: string): void {
+    this.lookupCounts.set(outcome, (this.lookupCounts.get(outcome) ?? 0) + 1);
+  }
+
   countHeld(reason: string): void {
     this.heldCounts.set(reason, (this.heldCounts.get(reason) ?? 0) + 1);
   }
@@ -35,6 +40,11 @@
     this.refusalCounts.set(reason, (this.refusalCounts.get(reason) ?? 0) + 1);
   }
 
+  /** Ended lookups of openings at peers, by outcome. */
+  get lookups(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.lookupCounts);
+  }
+
   /** Openings held, by reason. */
   get held(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.heldCounts);
--- a/src/cookie-edge/forwarding/cookie-test-support.ts
+++ b/src/cookie-edge/forwarding/cookie-test-support.ts
@@ -10,6 +10,7 @@
 import type { ConnectProbe } from '../backend-health/backend-prober.js';
 import type { LocalBackendState } from '../backend-health/local-backend-state.js';
 import type { BadAnswerReport } from '../outliers/index.js';
+import type { OpeningPeers } from '../opening-lookup/index.js';
 import type { PlacementRequest } from '../placement/index.js';
 import {
   BackendSettlement,
@@ -53,12 +54,14 @@
   readonly tracksSettlement?: boolean;
   /** Identifies the daemon in its reports to peers. */
   readonly observer?: number;
+  /** Peers that the daemon asks about retransmitted SYNs. Default: none. */
+  readonly openingPeers?: OpeningPeers;
   /** Called with the daemon's reports of bad answers. */
   readonly onBadAnswer?: (report: BadAnswerReport) => void;
 }
 
-/** Called with the back end to which a packet was sent; undefined for a reset. */
-type SentListener = (backend: string | undefined, cookie: number) => void;
+/** Called with the back end to which a packet was sent, undefined for a reset, and with the packet. */
+type SentListener = (backend: string | undefined, cookie: number, packet: CookiePacket) => void;
 
 /** One daemon under test. */
 export class ForwarderHarness {
@@ -115,6 +118,7 @@
       maxFlowAgeMs: 60_000,
       maxFlows: () => 1_000,
       observer: options.observer,
+      openingPeers: options.openingPeers,
       onBadAnswer: options.onBadAnswer,
       onBackendUnhealthy: (backendId) => this.gossipedEjections.push(backendId),
     });
@@ -177,7 +181,7 @@
   }
 
   private send(sent: SentPacket): void {
-    this.sentListeners.get(this.currentPacket.sourcePort)?.(sent.backend, sent.cookie);
+    this.sentListeners.get(this.currentPacket.sourcePort)?.(sent.backend, sent.cookie, this.currentPacket);
     this.sent.push(sent);
     this.sentPorts.push(this.currentPacket.sourcePort);
   }
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -71,6 +71,24 @@
     message: 'Packet kept at the back end of its open flow: its cookie is from another placement of its SYN',
     action: 'See the events 1250 of this flow on all daemons',
   },
+  placementFound: {
+    number: 1263,
+    level: 'info',
+    message: 'Retransmitted SYN sent to the back end at which a peer placed the opening',
+    action: 'none',
+  },
+  placementNotFound: {
+    number: 1264,
+    level: 'info',
+    message: 'No peer that answered has placed the opening of a retransmitted SYN; this daemon decides on it',
+    action: 'If unanswered is above 0: check whether a daemon was lost; otherwise none',
+  },
+  supersededSyn: {
+    number: 1265,
+    level: 'warn',
+    message: 'SYN dropped: a peer decides on a later copy of it',
+    action: 'Check the load of the machine, and the network from the callers',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- a/src/cookie-edge/forwarding/flow-cache.ts
+++ b/src/cookie-edge/forwarding/flow-cache.ts
@@ -6,6 +6,7 @@
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { LocalBackendState } from '../backend-health/index.js';
 import type { OutstandingRequest } from '../outliers/index.js';
+import type { FlowAddresses } from '../opening-lookup/index.js';
 import { addressKey } from '../routing/index.js';
 
 /**
@@ -53,8 +54,8 @@
     return this.flowCount;
   }
 
-  /** Returns the flow with a packet's addresses. */
-  find(packet: CookiePacket): Flow | undefined {
+  /** Returns the flow with these addresses. */
+  find(packet: FlowAddresses): Flow | undefined {
     const flows = this.services.get(addressKey(packet.destinationAddress, packet.destinationPort));
     return flows?.get(addressKey(packet.sourceAddress, packet.sourcePort));
   }
--- a/src/cookie-edge/forwarding/held-openings.ts
+++ b/src/cookie-edge/forwarding/held-openings.ts
@@ -11,6 +11,7 @@
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { CookieEdgePort, CookiePacket } from '../../fabric/cookie-edge.js';
 import type { EventLog } from '../../observability/event.js';
+import type { FlowAddresses } from '../opening-lookup/index.js';
 import type { BackendSettlement, Route } from '../routing/index.js';
 import { HOLD_SAFETY_MARGIN_MS, HELD_REEVALUATION_DELAY_MS, MAX_HELD_OPENINGS } from './constants.js';
 import type { CookieStatistics } from './cookie-statistics.js';
@@ -106,7 +107,7 @@
   }
 
   /** Stops holding the opening of a flow that has been decided. */
-  remove(packet: CookiePacket): void {
+  remove(packet: FlowAddresses): void {
     if (this.openingsByFlowId.size > 0) this.openingsByFlowId.delete(formatFlowId(packet));
   }
 
--- a/src/cookie-edge/forwarding/opening-at-two-backends.test.ts
+++ b/src/cookie-edge/forwarding/opening-at-two-backends.test.ts
@@ -12,6 +12,7 @@
   handshakeMs: [QUICK_MS, QUICK_MS, QUICK_MS],
   answerMs: 100,
   kills: [],
+  areDaemonsIsolated: true,
 };
 
 test('a flow opens at the back end that its first SYN was placed at', (t) => {
@@ -67,7 +68,7 @@
       for (const fromMs of CHANGE_TIMES_MS) {
         const routes = [...BASE.routes, { fromMs, daemon: 1 }];
         const kills = isKilled ? [{ atMs: fromMs, daemon: 0 }] : [];
-        const scenario = { ...delay, routes, kills };
+        const scenario = { ...BASE, ...delay, routes, kills };
         if (OpeningModel.play(scenario).misdelivered > 0) misled.push(scenario);
       }
     }
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -1,11 +1,12 @@
 /**
  * Handles SYNs: carries out, counts and logs the outcomes of `syn-rule.ts`, `retransmission-rule.ts` and
  * `placement/new-flow-rule.ts`. Keeps no state of its own. Uses the flow cache to distinguish retransmissions from new
- * flows.
+ * flows, and `opening-lookup` to find the flows that a peer placed.
  */
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { RecoveryAdmission } from '../admission/index.js';
-import type { PendingOpenings } from '../backend-health/index.js';
+import type { LocalBackendState, PendingOpenings } from '../backend-health/index.js';
+import type { LookupOutcome, OpeningLookup, YieldedOpenings } from '../opening-lookup/index.js';
 import type { NewFlowOutcome, NewFlowRule, Placement } from '../placement/index.js';
 import type { Route } from '../routing/index.js';
 import type { CookieStatistics } from './cookie-statistics.js';
@@ -26,6 +27,11 @@
   readonly mayHaveWaited: (nowMs: number) => boolean;
   readonly cache: FlowCache;
   readonly heldOpenings: HeldOpenings;
+  /** Asks peers about retransmitted SYNs. Undefined if they are not asked. */
+  readonly openingLookup?: OpeningLookup;
+  readonly yieldedOpenings: YieldedOpenings;
+  /** Returns the state of the back end with this id; undefined if it is not known. */
+  readonly backendStateOf: (backendId: string) => LocalBackendState | undefined;
   readonly flowsInProgress: FlowsInProgress;
   /** Decides which openings are deferred during a recovery. Undefined if none are. */
   readonly recoveryAdmission?: RecoveryAdmission;
@@ -38,6 +44,7 @@
 
 /** Label of stale SYNs in the metric of dropped packets. */
 const STALE_SYN_LABEL = 'old-opening';
+const SUPERSEDED_SYN_LABEL = 'superseded-opening';
 
 /** Applies the rules about SYNs. Times are monotonic ms. */
 export class OpeningHandler {
@@ -52,16 +59,51 @@
       phase: flow?.phase,
       hasRoute: route !== undefined,
       mayHaveWaited: this.options.mayHaveWaited(nowMs),
+      isLeftToPeer: this.options.yieldedOpenings.hasYielded(packet, packet.retransmissionCount, nowMs),
     });
     if (kind === 'stale') return this.dropStale(packet);
+    if (kind === 'superseded') return this.dropSuperseded(packet);
     if (kind === 'retransmission' && flow) return this.onRetransmission(packet, flow, nowMs);
     if (flow) this.removeFlow(flow);
+    else if (this.isHandledByLookup(packet, route, arrival)) return;
     if (route && this.shouldDefer(route, packet, arrival)) {
       return this.options.heldOpenings.hold(packet, { route, reason: 'yields' }, arrival);
     }
     this.applyOutcome(this.options.newFlowRule.decide(packet, nowMs), packet, arrival);
   }
 
+  /** Asks peers whether one of them placed the opening. Returns true if this daemon need not decide on the SYN now. */
+  private isHandledByLookup(
+    packet: CookiePacket,
+    route: Route | undefined,
+    { nowMs, waitedMs }: Arrival,
+  ): boolean {
+    if (!route) return false;
+    const remainingHoldMs = maxHoldMs(packet.retransmissionCount) - waitedMs;
+    const outcome = this.options.openingLookup?.lookUp({ ...packet, waitedMs, remainingHoldMs });
+    if (outcome?.kind === 'found') return this.followPlacement(packet, outcome, nowMs);
+    return outcome?.kind === 'pending';
+  }
+
+  /** Sends a SYN to the back end at which a peer placed the opening. Returns false if this daemon does not know it. */
+  private followPlacement(
+    packet: CookiePacket,
+    { backendId }: Extract<LookupOutcome, { kind: 'found' }>,
+    nowMs: number,
+  ): boolean {
+    const { backendStateOf, cache, pendingOpenings, sender, heldOpenings } = this.options;
+    const state = backendStateOf(backendId);
+    if (!state) return false;
+    heldOpenings.remove(packet);
+    const flow = cache.add(packet, state, 'opening', nowMs);
+    if (!flow) sender.forwardSynTo(state.backend);
+    else {
+      pendingOpenings.add(flow);
+      this.forwardRetransmission(packet, flow, nowMs);
+    }
+    return true;
+  }
+
   private removeFlow(flow: Flow): void {
     this.options.pendingOpenings.stopAwaiting(flow);
     this.options.cache.remove(flow);
@@ -83,6 +125,12 @@
     this.options.openingLog.logStaleSyn(packet);
   }
 
+  private dropSuperseded(packet: CookiePacket): void {
+    this.options.heldOpenings.remove(packet);
+    this.options.statistics.countDrop(SUPERSEDED_SYN_LABEL);
+    this.options.openingLog.logSupersededSyn(packet);
+  }
+
   private applyOutcome(outcome: NewFlowOutcome, packet: CookiePacket, arrival: Arrival): void {
     const { statistics, sender, openingLog, heldOpenings } = this.options;
     const { nowMs } = arrival;
@@ -117,12 +165,18 @@
   }
 
   private onRetransmission(packet: CookiePacket, flow: Flow, nowMs: number): void {
-    const { newFlowRule, pendingOpenings, failures, sender } = this.options;
+    const { pendingOpenings, failures } = this.options;
     flow.lastPacketAtMs = nowMs;
     if (flow.phase === 'opening') {
       pendingOpenings.stopAwaiting(flow);
       failures.recordFailure(flow, flow.openedAtMs, nowMs);
     }
+    this.forwardRetransmission(packet, flow, nowMs);
+  }
+
+  /** Sends a retransmitted SYN to the back end of its flow, or moves the flow to another one. */
+  private forwardRetransmission(packet: CookiePacket, flow: Flow, nowMs: number): void {
+    const { newFlowRule, sender } = this.options;
     const hasLeft = newFlowRule.hasLeftRoute(packet, flow.backendState.backend, nowMs);
     if (mayLeaveFirstBackend(flow.phase, flow.backendState.liveness(nowMs), hasLeft)) {
       const alternative = newFlowRule.chooseForRetransmission(packet, nowMs);
--- a/src/cookie-edge/forwarding/opening-log.ts
+++ b/src/cookie-edge/forwarding/opening-log.ts
@@ -1,6 +1,7 @@
 /** Logs the outcome of each SYN and the data on which the decision was based. */
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { EventLog } from '../../observability/event.js';
+import type { LookupOutcome, OpeningQuery } from '../opening-lookup/index.js';
 import type { BackendEligibility, Placement } from '../placement/index.js';
 import type { Route, RoutingKnowledge } from '../routing/index.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -20,7 +21,7 @@
   readonly placement: Placement;
 }
 
-/** Emits the events 1250, 1251, 1252 and 1255. */
+/** Emits the events 1250, 1251, 1252, 1255, 1263, 1264 and 1265. */
 export class OpeningLog {
   constructor(private readonly options: OpeningLogOptions) {}
 
@@ -72,6 +73,31 @@
     });
   }
 
+  /** Logs the end of a lookup at peers, before the SYN is handled again. */
+  logLookup(query: OpeningQuery, outcome: LookupOutcome, waitedMs: number): void {
+    const { events } = this.options;
+    const common = {
+      flow: formatFlowId(query),
+      copy: query.retransmissionCount,
+      waitedMs: Math.round(waitedMs),
+    };
+    if (outcome.kind === 'found') {
+      const { backendId: backend, peer } = outcome;
+      events.emit(COOKIE_FLOW_EVENTS.placementFound, { ...common, backend, peer });
+    } else if (outcome.kind === 'not-found') {
+      const { asked, unanswered } = outcome;
+      events.emit(COOKIE_FLOW_EVENTS.placementNotFound, { ...common, asked, unanswered });
+    }
+  }
+
+  /** Logs that a SYN was dropped because a peer decides on a later copy of it. */
+  logSupersededSyn(packet: CookiePacket): void {
+    this.options.events.emit(COOKIE_FLOW_EVENTS.supersededSyn, {
+      flow: formatFlowId(packet),
+      copy: packet.retransmissionCount,
+    });
+  }
+
   /** Logs that a SYN was dropped because it may have waited through a pause. */
   logStaleSyn(packet: CookiePacket): void {
     this.options.events.emit(COOKIE_FLOW_EVENTS.staleSyn, { flow: formatFlowId(packet) });
--- a/src/cookie-edge/forwarding/syn-rule.ts
+++ b/src/cookie-edge/forwarding/syn-rule.ts
@@ -1,20 +1,25 @@
 /**
- * Rule: whether a SYN is stale, is a retransmission or starts a new flow.
+ * Rule: whether a SYN is stale, is superseded, is a retransmission or starts a new flow.
  *
  * Prevents a flow from being opened at two back ends: while a SYN waits in the socket during a pause of the process,
- * its caller may retransmit it and a peer may place the retransmission. Does no input or output.
+ * its caller may retransmit it and a peer may place the retransmission. A SYN may also arrive after a peer asked about
+ * a later copy of it. Does no input or output.
  *
  * Inputs: the SYN's retransmission count, the phase of the cached flow with the same addresses, whether its route is in
- * force, and whether the packet may have waited through a pause (`PauseDetector`). Order: the pause is tested first,
- * because a cached flow may have ended during it. Then a first SYN with the addresses of a closed flow starts a new
- * flow. So does a retransmission of an opening whose route was removed, which is then refused like a first SYN. A
- * retransmission without a cached flow is placed like a first SYN, because the first one may have been lost or have
- * reached another daemon.
+ * force, whether the packet may have waited through a pause (`PauseDetector`), and whether the opening was left to a
+ * peer (`YieldedOpenings`). Order: the pause is tested first, because a cached flow may have ended during it. A SYN
+ * that was left to a peer is superseded unless this daemon has placed the flow since. Then a first SYN with the
+ * addresses of a closed flow starts a new flow. So does a retransmission of an opening whose route was removed, which
+ * is then refused like a first SYN. A retransmission without a cached flow is handled like a first SYN, because the
+ * first one may have been lost or have reached another daemon; `opening-lookup` finds out whether a peer placed it.
  */
 import type { FlowPhase } from './flow-cache.js';
 
-/** `stale`: the SYN may have waited through a pause. `retransmission`: its flow is cached. */
-export type SynKind = 'stale' | 'retransmission' | 'new-flow';
+/**
+ * `stale`: the SYN may have waited through a pause. `superseded`: a peer decides on a later copy. `retransmission`: its
+ * flow is cached.
+ */
+export type SynKind = 'stale' | 'superseded' | 'retransmission' | 'new-flow';
 
 /** Inputs of the classification. */
 interface SynEvidence {
@@ -23,12 +28,15 @@
   readonly phase: FlowPhase | undefined;
   readonly hasRoute: boolean;
   readonly mayHaveWaited: boolean;
+  /** A peer was told that this daemon has not placed the opening, and has received a later copy of the SYN. */
+  readonly isLeftToPeer: boolean;
 }
 
 /** Classifies a SYN. */
-export function classifySyn({ retransmissionCount, phase, hasRoute, mayHaveWaited }: SynEvidence): SynKind {
+export function classifySyn(evidence: SynEvidence): SynKind {
+  const { retransmissionCount, phase, hasRoute, mayHaveWaited, isLeftToPeer } = evidence;
   if (mayHaveWaited) return 'stale';
-  if (phase === undefined) return 'new-flow';
+  if (phase === undefined) return isLeftToPeer ? 'superseded' : 'new-flow';
   if (phase === 'opening' && !hasRoute) return 'new-flow';
   return phase === 'closing' && retransmissionCount === 0 ? 'new-flow' : 'retransmission';
 }
--- a/src/cookie-edge/forwarding/syn-schedule.ts
+++ b/src/cookie-edge/forwarding/syn-schedule.ts
@@ -4,8 +4,11 @@
  * input or output.
  */
 
+/** Time in ms from the first SYN until the caller's attempt to open a flow ends. Set by the platform. */
+export const OPENING_ATTEMPT_MS = 1_400;
+
 /** Times of both retransmissions and of the end of the attempt, in ms after the first SYN. Set by the platform. */
-const NEXT_SYN_AT_MS = [200, 600, 1_400] as const;
+const NEXT_SYN_AT_MS = [200, 600, OPENING_ATTEMPT_MS] as const;
 
 /** Number of SYNs that a caller sends after the first one. */
 const MAX_RETRANSMISSIONS = NEXT_SYN_AT_MS.length - 1;
--- /dev/null
+++ b/src/cookie-edge/forwarding/waiting-callers.test.ts
@@ -0,0 +1,111 @@
+/**
+ * Guards against a caller that waits until its deadline although it got a SYN+ACK: two daemons place two copies of its
+ * SYN at different back ends, the packet that acknowledges the first SYN+ACK is lost, and the SYN+ACK of the other back
+ * end replaces the caller's cookie. Every caller must be served, no matter how it would lose.
+ */
+import test from 'ava';
+import { OpeningModel, type LossyPacket, type OpeningScenario } from './opening-model-test-support.js';
+
+const QUICK_MS = 2;
+const CHANGE_TIMES_MS = [1, 50, 150, 199, 201, 206, 262, 420, 590, 650];
+const HANDSHAKES_MS = [QUICK_MS, 60, 199, 206, 250, 320, 700];
+const ANSWERS_MS = [QUICK_MS, 1_000];
+/** Losses after which the caller continues with the cookie of the SYN+ACK that it acknowledged. */
+const LOSSES_BEFORE_HANDSHAKE: readonly (readonly LossyPacket[])[] = [[], ['first-syn-ack'], ['first-syn']];
+/** Losses after which another SYN+ACK may replace that cookie. */
+const LOSSES_AFTER_HANDSHAKE: readonly (readonly LossyPacket[])[] = [
+  ['first-data'],
+  ['first-data', 'second-data'],
+  ['first-syn-ack', 'first-data'],
+  ['first-syn', 'first-data'],
+];
+
+/** Routers and kills of a scenario. */
+type Change = Pick<OpeningScenario, 'routes' | 'kills'>;
+
+/** Changes of the routers, by the time of the first one. */
+const CHANGES: Readonly<Record<string, (fromMs: number) => Change>> = {
+  'routers change once': (fromMs) => ({
+    routes: [
+      { fromMs: 0, daemon: 0 },
+      { fromMs, daemon: 1 },
+    ],
+    kills: [],
+  }),
+  'routers change twice': (fromMs) => ({
+    routes: [
+      { fromMs: 0, daemon: 0 },
+      { fromMs, daemon: 1 },
+      { fromMs: fromMs + 60, daemon: 2 },
+    ],
+    kills: [],
+  }),
+  'routers change and change back': (fromMs) => ({
+    routes: [
+      { fromMs: 0, daemon: 0 },
+      { fromMs, daemon: 1 },
+      { fromMs: fromMs + 250, daemon: 0 },
+    ],
+    kills: [],
+  }),
+};
+
+/** The first daemon is killed and stays down; routers notice later. */
+function killFirstDaemon(atMs: number): Change {
+  const routes = [
+    { fromMs: 0, daemon: 0 },
+    { fromMs: atMs + 150, daemon: 1 },
+  ];
+  return { routes, kills: [{ atMs, daemon: 0, staysDown: true }] };
+}
+
+/** Returns every combination of a handshake at each of two back ends, a time of answers, and a time of the change. */
+function* scenarios(
+  change: (fromMs: number) => Change,
+  losses: readonly LossyPacket[],
+): Generator<OpeningScenario> {
+  for (const answerMs of ANSWERS_MS) {
+    for (const first of HANDSHAKES_MS) {
+      for (const second of HANDSHAKES_MS) {
+        for (const fromMs of CHANGE_TIMES_MS) {
+          yield { answerMs, handshakeMs: [first, second, QUICK_MS], ...change(fromMs), losses };
+        }
+      }
+    }
+  }
+}
+
+/** Counts the outcomes of all scenarios with each of the losses. */
+function countOutcomes(
+  change: (fromMs: number) => Change,
+  allLosses: readonly (readonly LossyPacket[])[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  const count = (outcome: string): void => void (counts[outcome] = (counts[outcome] ?? 0) + 1);
+  for (const scenario of allLosses.flatMap((losses) => [...scenarios(change, losses)])) {
+    const { callerOutcome, misdelivered } = OpeningModel.play(scenario);
+    count(callerOutcome);
+    if (misdelivered > 0) count('misdelivered');
+  }
+  return counts;
+}
+
+const SCENARIOS_PER_LOSS = ANSWERS_MS.length * HANDSHAKES_MS.length ** 2 * CHANGE_TIMES_MS.length;
+
+for (const [name, change] of Object.entries(CHANGES)) {
+  for (const losses of [...LOSSES_BEFORE_HANDSHAKE, ...LOSSES_AFTER_HANDSHAKE]) {
+    test(`every caller is served if ${name} and these are lost: ${losses.join(', ') || 'none'}`, (t) => {
+      t.deepEqual(countOutcomes(change, [losses]), { served: SCENARIOS_PER_LOSS });
+    });
+  }
+}
+
+test('every caller is served if the first daemon is killed, also if a SYN or a SYN+ACK is lost', (t) => {
+  const served = SCENARIOS_PER_LOSS * LOSSES_BEFORE_HANDSHAKE.length;
+  t.deepEqual(countOutcomes(killFirstDaemon, LOSSES_BEFORE_HANDSHAKE), { served });
+});
+
+test('every caller is served if the first daemon is killed and data is lost', (t) => {
+  const served = SCENARIOS_PER_LOSS * LOSSES_AFTER_HANDSHAKE.length;
+  t.deepEqual(countOutcomes(killFirstDaemon, LOSSES_AFTER_HANDSHAKE), { served });
+});
--- /dev/null
+++ b/src/cookie-edge/opening-lookup/lookup-rule.ts
@@ -0,0 +1,32 @@
+/**
+ * Rule: whether peers are asked before a SYN is placed, and when a lookup ends.
+ *
+ * Prevents an opening from being placed at two back ends: the router may deliver the copies of a SYN to different
+ * daemons. If both back ends answer, the caller acknowledges one of them and repeats the cookie of the other, and no
+ * daemon can tell from its packets which of them it acknowledged. Does no input or output.
+ *
+ * Inputs: the SYN's retransmission count, the time until its caller sends the next SYN, the lookup budget, and the
+ * answers. Order: a first SYN is placed at once, because no other daemon can have received the flow before. A SYN whose
+ * caller is about to retransmit, or for which there is no budget, is placed at once. A lookup ends with the first
+ * answer that names a back end, otherwise when all peers have answered or at `LOOKUP_TIMEOUT_MS`. Missing answers count
+ * as not placed.
+ */
+import { LOOKUP_TIMEOUT_MS } from './constants.js';
+
+/** Inputs of `lookupTimeoutMs`. */
+interface LookupNeed {
+  readonly retransmissionCount: number;
+  /** Time in ms for which the SYN may still be held. */
+  readonly remainingHoldMs: number;
+}
+
+/** Returns how long peers may be waited for, in ms; 0 if the SYN is placed without asking them. */
+export function lookupTimeoutMs({ retransmissionCount, remainingHoldMs }: LookupNeed): number {
+  if (retransmissionCount === 0) return 0;
+  return Math.max(0, Math.min(LOOKUP_TIMEOUT_MS, remainingHoldMs));
+}
+
+/** Returns true if no further answer can change the outcome of a lookup. */
+export function isLookupDecided(backendId: string | undefined, unansweredPeers: number): boolean {
+  return backendId !== undefined || unansweredPeers === 0;
+}
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -7,9 +7,10 @@
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import { ALL_MECHANISMS_ON, type MechanismCheck } from '../../common/mechanisms.js';
 import { jitter, pick, type RandomSource } from '../../common/random.js';
-import type { Endpoint } from '../../common/types.js';
+import { formatEndpoint, type Endpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
 import type { LoadReport } from '../load/index.js';
+import { MAX_ASKED_PEERS, type OpeningAnswer, type OpeningQuery } from '../opening-lookup/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import type { FreshnessTimings, RoutingKnowledge } from '../routing/index.js';
 import { CatchUp } from './catch-up.js';
@@ -33,7 +34,8 @@
 import { UpdateLog } from './update-log.js';
 import { UpdateSender } from './update-sender.js';
 
-interface GossipNodeOptions {
+/** Dependencies and callbacks of a `GossipNode`. */
+export interface GossipNodeOptions {
   readonly selfId: string;
   readonly zone: string;
   /** Called before each pull from the seeds, since a reload of the configuration may change them. */
@@ -67,6 +69,10 @@
   readonly applyBadAnswerReport?: (report: BadAnswerReport) => boolean;
   /** Records an ejection by another daemon; returns true if it is new to this daemon and must be gossiped further. */
   readonly applyEjectionReport?: (report: EjectionReport) => boolean;
+  /** Answers a peer that asks where an opening was placed. */
+  readonly answerOpeningQuery?: (query: OpeningQuery) => OpeningAnswer;
+  /** Applies the answer of a peer, which is identified by the key that `askAboutOpening` returned. */
+  readonly applyOpeningAnswer?: (answer: OpeningAnswer, peer: string) => void;
 }
 
 /** Gossip of one daemon. Call `start` once, and `leave` before the transport closes. */
@@ -204,6 +210,13 @@
     this.sender.scheduleEjectionPush();
   }
 
+  /** Asks the nearest peers where they placed an opening. Returns a key for each peer that is asked. */
+  askAboutOpening(query: OpeningQuery): readonly string[] {
+    const asked = this.peers.nearestPeers(MAX_ASKED_PEERS).map(({ endpoint }) => endpoint);
+    this.channel.send(asked, this.composer.openingQuery(query));
+    return asked.map(formatEndpoint);
+  }
+
   /** Gossips a bad answer. Several within a short time are batched into one message. */
   gossipBadAnswer(report: BadAnswerReport): void {
     this.composer.badAnswerOutbox.add(report);
@@ -257,10 +270,22 @@
     if (message.leaving) this.peers.remove(from);
     else this.peers.recordDirectMessage(from, message.senderZone, nowMs);
     for (const { endpoint, zone, heardAtMs } of message.peers) this.peers.record(endpoint, zone, heardAtMs);
+    if (message.openingQueries) return this.answerOpeningQueries(message.openingQueries, from);
+    if (message.openingAnswers) return this.applyOpeningAnswers(message.openingAnswers, from);
     if (message.type === 'pull') return this.channel.send([from], this.composer.pullResponse(message));
     this.applyMessage(message, from);
   }
 
+  private answerOpeningQueries(queries: readonly OpeningQuery[], from: Endpoint): void {
+    const { answerOpeningQuery } = this.options;
+    if (!answerOpeningQuery) return;
+    this.channel.send([from], this.composer.openingAnswers(queries.map(answerOpeningQuery)));
+  }
+
+  private applyOpeningAnswers(answers: readonly OpeningAnswer[], from: Endpoint): void {
+    for (const answer of answers) this.options.applyOpeningAnswer?.(answer, formatEndpoint(from));
+  }
+
   /** Applies a message. If it shows that changes are still missing, pulls them from its sender. */
   private applyMessage(message: PeerMessage, from: Endpoint): void {
     const { knowledge } = this.options;
--- a/src/cookie-edge/spreading/message-codec.ts
+++ b/src/cookie-edge/spreading/message-codec.ts
@@ -3,6 +3,7 @@
  * decodes to the default of its type, since the sender may run an older version.
  */
 import type { LoadReport } from '../load/index.js';
+import type { FlowAddresses, OpeningAnswer, OpeningQuery } from '../opening-lookup/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import type { RoutingTopic, TopicConfirmation } from '../routing/index.js';
 import { NOTHING_KNOWN, ASSUMED_NETWORK_DELAY_MS } from './constants.js';
@@ -23,6 +24,7 @@
 
 const wire = sailquay.spreading;
 type WireMessage = sailquay.spreading.IPeerMessage;
+type WireFlowAddresses = Omit<sailquay.spreading.IOpeningQuery, 'retransmissionCount'>;
 type WireLoadReport = sailquay.spreading.ILoadReport;
 
 const TYPE_NUMBERS = {
@@ -66,6 +68,8 @@
       observer,
       ageMs: ageOf(nowMs, atMs),
     })),
+    openingQueries: [...(message.openingQueries ?? [])],
+    openingAnswers: (message.openingAnswers ?? []).map(encodeOpeningAnswer),
   }).finish();
 }
 
@@ -96,6 +100,7 @@
     updates: (message.updates ?? []).flatMap((update) => decodeUpdate(update, sentMs) ?? []),
     ...decodeReadersAndPeers(message, sentMs),
     ...decodeReports(message, sentMs),
+    ...decodeOpenings(message),
   };
 }
 
@@ -152,6 +157,44 @@
   };
 }
 
+function decodeFlowAddresses({
+  sourceAddress,
+  sourcePort,
+  destinationAddress,
+  destinationPort,
+}: WireFlowAddresses): FlowAddresses {
+  return {
+    sourceAddress: sourceAddress ?? 0,
+    sourcePort: sourcePort ?? 0,
+    destinationAddress: destinationAddress ?? 0,
+    destinationPort: destinationPort ?? 0,
+  };
+}
+
+/** Decodes the queries and answers about openings in a message. Most messages have none. */
+function decodeOpenings({
+  openingQueries,
+  openingAnswers,
+}: WireMessage): Pick<PeerMessage, 'openingQueries' | 'openingAnswers'> {
+  return {
+    ...(openingQueries?.length && { openingQueries: openingQueries.map(decodeOpeningQuery) }),
+    ...(openingAnswers?.length && { openingAnswers: openingAnswers.map(decodeOpeningAnswer) }),
+  };
+}
+
+function decodeOpeningQuery(query: sailquay.spreading.IOpeningQuery): OpeningQuery {
+  return { ...decodeFlowAddresses(query), retransmissionCount: query.retransmissionCount ?? 0 };
+}
+
+function encodeOpeningAnswer({ backendId, ...flow }: OpeningAnswer): sailquay.spreading.IOpeningAnswer {
+  return { ...flow, ...(backendId !== undefined && { backendId }) };
+}
+
+/** An empty id means that the peer has not placed the opening. */
+function decodeOpeningAnswer(answer: sailquay.spreading.IOpeningAnswer): OpeningAnswer {
+  return { ...decodeFlowAddresses(answer), backendId: answer.backendId || undefined };
+}
+
 function encodeLoad({ page, measuredAtMs, validMs, busy }: LoadReport, nowMs: number): WireLoadReport {
   return {
     page,
--- a/src/cookie-edge/spreading/message-composer.ts
+++ b/src/cookie-edge/spreading/message-composer.ts
@@ -11,6 +11,7 @@
   type RoutingTopic,
   type TopicConfirmation,
 } from '../routing/index.js';
+import type { OpeningAnswer, OpeningQuery } from '../opening-lookup/index.js';
 import { BadAnswerOutbox } from './bad-answer-outbox.js';
 import { LOADS_PER_MESSAGE, NOTHING_KNOWN, PEERS_PER_MESSAGE, READERS_PER_MESSAGE } from './constants.js';
 import type { PeerView } from './peer-view.js';
@@ -103,7 +104,23 @@
    * message takes about as long as forwarding ten packets.
    */
   badAnswerMessage(): PeerMessage {
-    const { selfId, zone, clock } = this.options;
+    const badAnswers = this.badAnswerOutbox.dequeueForPush(this.options.clock.now());
+    return { ...this.emptyMessage(), badAnswers };
+  }
+
+  /** Composes a question to peers about an opening. */
+  openingQuery(query: OpeningQuery): PeerMessage {
+    return { ...this.emptyMessage(), openingQueries: [query] };
+  }
+
+  /** Composes answers to a peer's questions about openings. */
+  openingAnswers(openingAnswers: readonly OpeningAnswer[]): PeerMessage {
+    return { ...this.emptyMessage(), openingAnswers };
+  }
+
+  /** Returns a message without content. */
+  private emptyMessage(): PeerMessage {
+    const { selfId, zone } = this.options;
     return {
       type: 'news',
       senderId: selfId,
@@ -118,7 +135,7 @@
       departedCount: 0,
       tableRevision: NOTHING_KNOWN,
       unsettled: false,
-      badAnswers: this.badAnswerOutbox.dequeueForPush(clock.now()),
+      badAnswers: [],
     };
   }
 
--- /dev/null
+++ b/src/cookie-edge/spreading/opening-queries.test.ts
@@ -0,0 +1,40 @@
+/** Queries about openings reach the nearest peers, and their answers come back, beside the gossip. */
+import test from 'ava';
+import { formatEndpoint } from '../../common/types.js';
+import { chooseNearestPeers } from './peer-choice.js';
+import { startSettledCluster } from './spreading-test-support.js';
+
+const QUERY = {
+  sourceAddress: 0x64400007,
+  sourcePort: 40_001,
+  destinationAddress: 0xc6120001,
+  destinationPort: 443,
+  retransmissionCount: 1,
+};
+
+test('each known peer is asked about an opening and answers whether it has placed it', async (t) => {
+  const cluster = await startSettledCluster(3);
+  const [asking, placing] = cluster.daemons;
+  if (!asking || !placing) return t.fail('no daemons');
+  placing.placedOpenings.set(QUERY.sourcePort, 'a');
+  const asked = asking.gossipNode.askAboutOpening(QUERY);
+  t.is(asked.length, 2);
+  await cluster.clock.advanceAsync(50, 5);
+  t.deepEqual([...asking.openingAnswers.keys()].sort(), [...asked].sort());
+  const { retransmissionCount: _retransmissionCount, ...flow } = QUERY;
+  const answer = asking.openingAnswers.get(formatEndpoint(placing.endpoint));
+  t.deepEqual(answer, { ...flow, backendId: 'a' });
+  const answers = [...asking.openingAnswers.values()];
+  t.is(answers.filter(({ backendId }) => backendId === undefined).length, 1);
+});
+
+test('peers of the own zone are asked first, then those that were heard of last', (t) => {
+  const peer = (host: string, zone: string, heardAtMs: number) => ({
+    endpoint: { host, port: 1 },
+    zone,
+    heardAtMs,
+  });
+  const peers = [peer('a', 'south', 9), peer('b', 'north', 1), peer('c', 'south', 8), peer('d', 'north', 2)];
+  const hosts = chooseNearestPeers(peers, 'north', 3).map(({ endpoint }) => endpoint.host);
+  t.deepEqual(hosts, ['d', 'b', 'a']);
+});
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -1365,6 +1365,182 @@
             type $Shape = sailquay.spreading.LoadReport.$Properties;
         }
 
+        /**
+         * Properties of an OpeningQuery.
+         * @deprecated Use sailquay.spreading.OpeningQuery.$Properties instead.
+         */
+        interface IOpeningQuery extends sailquay.spreading.OpeningQuery.$Properties {
+        }
+
+        /** Represents an OpeningQuery. */
+        class OpeningQuery {
+
+            /**
+             * Constructs a new OpeningQuery.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.spreading.OpeningQuery.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** OpeningQuery sourceAddress. */
+            sourceAddress: number;
+
+            /** OpeningQuery sourcePort. */
+            sourcePort: number;
+
+            /** OpeningQuery destinationAddress. */
+            destinationAddress: number;
+
+            /** OpeningQuery destinationPort. */
+            destinationPort: number;
+
+            /** OpeningQuery retransmissionCount. */
+            retransmissionCount: number;
+
+            /**
+             * Encodes the specified OpeningQuery message. Does not implicitly {@link sailquay.spreading.OpeningQuery.verify|verify} messages.
+             * @param message OpeningQuery message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.spreading.OpeningQuery.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes an OpeningQuery message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.spreading.OpeningQuery & sailquay.spreading.OpeningQuery.$Shape} OpeningQuery
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.OpeningQuery & sailquay.spreading.OpeningQuery.$Shape;
+
+            /**
+             * Gets the type url for OpeningQuery
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace OpeningQuery {
+
+            /** Properties of an OpeningQuery. */
+            interface $Properties {
+
+                /** OpeningQuery sourceAddress */
+                sourceAddress?: (number|null);
+
+                /** OpeningQuery sourcePort */
+                sourcePort?: (number|null);
+
+                /** OpeningQuery destinationAddress */
+                destinationAddress?: (number|null);
+
+                /** OpeningQuery destinationPort */
+                destinationPort?: (number|null);
+
+                /** OpeningQuery retransmissionCount */
+                retransmissionCount?: (number|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of an OpeningQuery. */
+            type $Shape = sailquay.spreading.OpeningQuery.$Properties;
+        }
+
+        /**
+         * Properties of an OpeningAnswer.
+         * @deprecated Use sailquay.spreading.OpeningAnswer.$Properties instead.
+         */
+        interface IOpeningAnswer extends sailquay.spreading.OpeningAnswer.$Properties {
+        }
+
+        /** Represents an OpeningAnswer. */
+        class OpeningAnswer {
+
+            /**
+             * Constructs a new OpeningAnswer.
+             * @param [properties] Properties to set
+             */
+            constructor(properties?: sailquay.spreading.OpeningAnswer.$Properties);
+
+            /** Unknown fields preserved while decoding when enabled */
+            $unknowns?: Uint8Array[];
+
+            /** OpeningAnswer sourceAddress. */
+            sourceAddress: number;
+
+            /** OpeningAnswer sourcePort. */
+            sourcePort: number;
+
+            /** OpeningAnswer destinationAddress. */
+            destinationAddress: number;
+
+            /** OpeningAnswer destinationPort. */
+            destinationPort: number;
+
+            /** OpeningAnswer backendId. */
+            backendId: string;
+
+            /**
+             * Encodes the specified OpeningAnswer message. Does not implicitly {@link sailquay.spreading.OpeningAnswer.verify|verify} messages.
+             * @param message OpeningAnswer message or plain object to encode
+             * @param [writer] Writer to encode to
+             * @returns Writer
+             */
+            static encode(message: sailquay.spreading.OpeningAnswer.$Properties, writer?: $protobuf.Writer): $protobuf.Writer;
+
+            /**
+             * Decodes an OpeningAnswer message from the specified reader or buffer.
+             * @param reader Reader or buffer to decode from
+             * @param [length] Message length if known beforehand
+             * @returns {sailquay.spreading.OpeningAnswer & sailquay.spreading.OpeningAnswer.$Shape} OpeningAnswer
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            static decode(reader: ($protobuf.Reader|Uint8Array), length?: number): sailquay.spreading.OpeningAnswer & sailquay.spreading.OpeningAnswer.$Shape;
+
+            /**
+             * Gets the type url for OpeningAnswer
+             * @param [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns The type url
+             */
+            static getTypeUrl(prefix?: string): string;
+        }
+
+        namespace OpeningAnswer {
+
+            /** Properties of an OpeningAnswer. */
+            interface $Properties {
+
+                /** OpeningAnswer sourceAddress */
+                sourceAddress?: (number|null);
+
+                /** OpeningAnswer sourcePort */
+                sourcePort?: (number|null);
+
+                /** OpeningAnswer destinationAddress */
+                destinationAddress?: (number|null);
+
+                /** OpeningAnswer destinationPort */
+                destinationPort?: (number|null);
+
+                /** OpeningAnswer backendId */
+                backendId?: (string|null);
+
+                /** Unknown fields preserved while decoding when enabled */
+                $unknowns?: Uint8Array[];
+            }
+
+            /** Shape of an OpeningAnswer. */
+            type $Shape = sailquay.spreading.OpeningAnswer.$Properties;
+        }
+
         /**
          * Properties of a PeerMessage.
          * @deprecated Use sailquay.spreading.PeerMessage.$Properties instead.
@@ -1423,6 +1599,12 @@
             /** PeerMessage tableRevision. */
             tableRevision: number;
 
+            /** PeerMessage openingQueries. */
+            openingQueries: sailquay.spreading.OpeningQuery.$Properties[];
+
+            /** PeerMessage openingAnswers. */
+            openingAnswers: sailquay.spreading.OpeningAnswer.$Properties[];
+
             /** PeerMessage unsettled. */
             unsettled: boolean;
 
@@ -1496,6 +1678,12 @@
                 /** PeerMessage tableRevision */
                 tableRevision?: (number|null);
 
+                /** PeerMessage openingQueries */
+                openingQueries?: (sailquay.spreading.OpeningQuery.$Properties[]|null);
+
+                /** PeerMessage openingAnswers */
+                openingAnswers?: (sailquay.spreading.OpeningAnswer.$Properties[]|null);
+
                 /** PeerMessage unsettled */
                 unsettled?: (boolean|null);
 
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -3569,6 +3569,466 @@
             return LoadReport;
         })();
 
+        spreading.OpeningQuery = (function() {
+
+            /**
+             * Properties of an OpeningQuery.
+             * @typedef {Object} sailquay.spreading.OpeningQuery.$Properties
+             * @property {number|null} [sourceAddress] OpeningQuery sourceAddress
+             * @property {number|null} [sourcePort] OpeningQuery sourcePort
+             * @property {number|null} [destinationAddress] OpeningQuery destinationAddress
+             * @property {number|null} [destinationPort] OpeningQuery destinationPort
+             * @property {number|null} [retransmissionCount] OpeningQuery retransmissionCount
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of an OpeningQuery.
+             * @memberof sailquay.spreading
+             * @interface IOpeningQuery
+             * @augments sailquay.spreading.OpeningQuery.$Properties
+             * @deprecated Use sailquay.spreading.OpeningQuery.$Properties instead.
+             */
+
+            /**
+             * Shape of an OpeningQuery.
+             * @typedef {sailquay.spreading.OpeningQuery.$Properties} sailquay.spreading.OpeningQuery.$Shape
+             */
+
+            /**
+             * Constructs a new OpeningQuery.
+             * @memberof sailquay.spreading
+             * @classdesc Represents an OpeningQuery.
+             * @constructor
+             * @param {sailquay.spreading.OpeningQuery.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const OpeningQuery = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * OpeningQuery sourceAddress.
+             * @member {number} sourceAddress
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.sourceAddress = 0;
+
+            /**
+             * OpeningQuery sourcePort.
+             * @member {number} sourcePort
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.sourcePort = 0;
+
+            /**
+             * OpeningQuery destinationAddress.
+             * @member {number} destinationAddress
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.destinationAddress = 0;
+
+            /**
+             * OpeningQuery destinationPort.
+             * @member {number} destinationPort
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.destinationPort = 0;
+
+            /**
+             * OpeningQuery retransmissionCount.
+             * @member {number} retransmissionCount
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.retransmissionCount = 0;
+
+            /**
+             * Encodes the specified OpeningQuery message. Does not implicitly {@link sailquay.spreading.OpeningQuery.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.OpeningQuery
+             * @static
+             * @param {sailquay.spreading.OpeningQuery.$Properties} message OpeningQuery message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            OpeningQuery.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.sourceAddress != null && $Object.hasOwnProperty.call(message, "sourceAddress") && message.sourceAddress !== 0)
+                    writer.uint32(/* id 1, wireType 5 =*/13).fixed32(message.sourceAddress);
+                if (message.sourcePort != null && $Object.hasOwnProperty.call(message, "sourcePort") && message.sourcePort !== 0)
+                    writer.uint32(/* id 2, wireType 0 =*/16).uint32(message.sourcePort);
+                if (message.destinationAddress != null && $Object.hasOwnProperty.call(message, "destinationAddress") && message.destinationAddress !== 0)
+                    writer.uint32(/* id 3, wireType 5 =*/29).fixed32(message.destinationAddress);
+                if (message.destinationPort != null && $Object.hasOwnProperty.call(message, "destinationPort") && message.destinationPort !== 0)
+                    writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.destinationPort);
+                if (message.retransmissionCount != null && $Object.hasOwnProperty.call(message, "retransmissionCount") && message.retransmissionCount !== 0)
+                    writer.uint32(/* id 5, wireType 0 =*/40).uint32(message.retransmissionCount);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes an OpeningQuery message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.OpeningQuery
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.OpeningQuery & sailquay.spreading.OpeningQuery.$Shape} OpeningQuery
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            OpeningQuery.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.OpeningQuery();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.sourceAddress = value;
+                            else
+                                delete message.sourceAddress;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.sourcePort = value;
+                            else
+                                delete message.sourcePort;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.destinationAddress = value;
+                            else
+                                delete message.destinationAddress;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.destinationPort = value;
+                            else
+                                delete message.destinationPort;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.retransmissionCount = value;
+                            else
+                                delete message.retransmissionCount;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for OpeningQuery
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.OpeningQuery
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            OpeningQuery.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.OpeningQuery";
+            };
+
+            return OpeningQuery;
+        })();
+
+        spreading.OpeningAnswer = (function() {
+
+            /**
+             * Properties of an OpeningAnswer.
+             * @typedef {Object} sailquay.spreading.OpeningAnswer.$Properties
+             * @property {number|null} [sourceAddress] OpeningAnswer sourceAddress
+             * @property {number|null} [sourcePort] OpeningAnswer sourcePort
+             * @property {number|null} [destinationAddress] OpeningAnswer destinationAddress
+             * @property {number|null} [destinationPort] OpeningAnswer destinationPort
+             * @property {string|null} [backendId] OpeningAnswer backendId
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+
+            /**
+             * Properties of an OpeningAnswer.
+             * @memberof sailquay.spreading
+             * @interface IOpeningAnswer
+             * @augments sailquay.spreading.OpeningAnswer.$Properties
+             * @deprecated Use sailquay.spreading.OpeningAnswer.$Properties instead.
+             */
+
+            /**
+             * Shape of an OpeningAnswer.
+             * @typedef {sailquay.spreading.OpeningAnswer.$Properties} sailquay.spreading.OpeningAnswer.$Shape
+             */
+
+            /**
+             * Constructs a new OpeningAnswer.
+             * @memberof sailquay.spreading
+             * @classdesc Represents an OpeningAnswer.
+             * @constructor
+             * @param {sailquay.spreading.OpeningAnswer.$Properties=} [properties] Properties to set
+             * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
+             */
+            const OpeningAnswer = function (properties) {
+                if (properties)
+                    for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
+                        if (properties[keys[i]] != null && keys[i] !== "__proto__")
+                            this[keys[i]] = properties[keys[i]];
+            };
+
+            /**
+             * OpeningAnswer sourceAddress.
+             * @member {number} sourceAddress
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.sourceAddress = 0;
+
+            /**
+             * OpeningAnswer sourcePort.
+             * @member {number} sourcePort
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.sourcePort = 0;
+
+            /**
+             * OpeningAnswer destinationAddress.
+             * @member {number} destinationAddress
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.destinationAddress = 0;
+
+            /**
+             * OpeningAnswer destinationPort.
+             * @member {number} destinationPort
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.destinationPort = 0;
+
+            /**
+             * OpeningAnswer backendId.
+             * @member {string} backendId
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.backendId = "";
+
+            /**
+             * Encodes the specified OpeningAnswer message. Does not implicitly {@link sailquay.spreading.OpeningAnswer.verify|verify} messages.
+             * @function encode
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @static
+             * @param {sailquay.spreading.OpeningAnswer.$Properties} message OpeningAnswer message or plain object to encode
+             * @param {$protobuf.Writer} [writer] Writer to encode to
+             * @returns {$protobuf.Writer} Writer
+             */
+            OpeningAnswer.encode = function (message, writer, _depth) {
+                if (!writer)
+                    writer = $Writer.create();
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $util.recursionLimit)
+                    throw $Error("max depth exceeded");
+                if (message.sourceAddress != null && $Object.hasOwnProperty.call(message, "sourceAddress") && message.sourceAddress !== 0)
+                    writer.uint32(/* id 1, wireType 5 =*/13).fixed32(message.sourceAddress);
+                if (message.sourcePort != null && $Object.hasOwnProperty.call(message, "sourcePort") && message.sourcePort !== 0)
+                    writer.uint32(/* id 2, wireType 0 =*/16).uint32(message.sourcePort);
+                if (message.destinationAddress != null && $Object.hasOwnProperty.call(message, "destinationAddress") && message.destinationAddress !== 0)
+                    writer.uint32(/* id 3, wireType 5 =*/29).fixed32(message.destinationAddress);
+                if (message.destinationPort != null && $Object.hasOwnProperty.call(message, "destinationPort") && message.destinationPort !== 0)
+                    writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.destinationPort);
+                if (message.backendId != null && $Object.hasOwnProperty.call(message, "backendId") && message.backendId !== "")
+                    writer.uint32(/* id 5, wireType 2 =*/42).string(message.backendId);
+                if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
+                    for (let i = 0; i < message.$unknowns.length; ++i)
+                        writer.raw(message.$unknowns[i]);
+                return writer;
+            };
+
+            /**
+             * Decodes an OpeningAnswer message from the specified reader or buffer.
+             * @function decode
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @static
+             * @param {$protobuf.Reader|Uint8Array} reader Reader or buffer to decode from
+             * @param {number} [length] Message length if known beforehand
+             * @returns {sailquay.spreading.OpeningAnswer & sailquay.spreading.OpeningAnswer.$Shape} OpeningAnswer
+             * @throws {Error} If the payload is not a reader or valid buffer
+             * @throws {$protobuf.util.ProtocolError} If required fields are missing
+             */
+            OpeningAnswer.decode = function (reader, length, _end, _depth, _target) {
+                if (!(reader instanceof $Reader))
+                    reader = $Reader.create(reader);
+                if (_depth === $undefined)
+                    _depth = 0;
+                if (_depth > $Reader.recursionLimit)
+                    throw $Error("max depth exceeded");
+                let end, message, value;
+                if (length === $undefined)
+                    end = reader.len;
+                else {
+                    end = reader.pos + length;
+                    if (end > reader.len)
+                        throw $RangeError("index out of range");
+                    length = reader.len;
+                    reader.len = end;
+                }
+                message = _target || new $root.sailquay.spreading.OpeningAnswer();
+                while (reader.pos < end) {
+                    let start = reader.pos;
+                    let tag = reader.tag();
+                    if (tag === _end) {
+                        _end = $undefined;
+                        break;
+                    }
+                    let wireType = tag & 7;
+                    switch (tag >>>= 3) {
+                    case 1: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.sourceAddress = value;
+                            else
+                                delete message.sourceAddress;
+                            continue;
+                        }
+                    case 2: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.sourcePort = value;
+                            else
+                                delete message.sourcePort;
+                            continue;
+                        }
+                    case 3: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.destinationAddress = value;
+                            else
+                                delete message.destinationAddress;
+                            continue;
+                        }
+                    case 4: {
+                            if (wireType !== 0)
+                                break;
+                            if (value = reader.uint32())
+                                message.destinationPort = value;
+                            else
+                                delete message.destinationPort;
+                            continue;
+                        }
+                    case 5: {
+                            if (wireType !== 2)
+                                break;
+                            if ((value = reader.stringVerify()).length)
+                                message.backendId = value;
+                            else
+                                delete message.backendId;
+                            continue;
+                        }
+                    }
+                    reader.skipType(wireType, _depth, tag);
+                    if (!reader.discardUnknown) {
+                        $util.makeProp(message, "$unknowns", false);
+                        (message.$unknowns || (message.$unknowns = [])).push(reader.raw(start, reader.pos));
+                    }
+                }
+                if (length !== $undefined) {
+                    if (reader.pos !== end)
+                        throw $RangeError("index out of range");
+                    reader.len = length;
+                }
+                if (_end !== $undefined)
+                    throw $Error("missing end group");
+                return message;
+            };
+
+            /**
+             * Gets the type url for OpeningAnswer
+             * @function getTypeUrl
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @static
+             * @param {string} [prefix] Custom type url prefix, defaults to `"type.googleapis.com"`
+             * @returns {string} The type url
+             */
+            OpeningAnswer.getTypeUrl = function(prefix) {
+                if (prefix === $undefined)
+                    prefix = "type.googleapis.com";
+                return prefix + "/sailquay.spreading.OpeningAnswer";
+            };
+
+            return OpeningAnswer;
+        })();
+
         spreading.PeerMessage = (function() {
 
             /**
@@ -3587,6 +4047,8 @@
              * @property {Array.<sailquay.spreading.LoadReport.$Properties>|null} [loads] PeerMessage loads
              * @property {Array.<sailquay.spreading.BadAnswer.$Properties>|null} [badAnswers] PeerMessage badAnswers
              * @property {number|null} [tableRevision] PeerMessage tableRevision
+             * @property {Array.<sailquay.spreading.OpeningQuery.$Properties>|null} [openingQueries] PeerMessage openingQueries
+             * @property {Array.<sailquay.spreading.OpeningAnswer.$Properties>|null} [openingAnswers] PeerMessage openingAnswers
              * @property {boolean|null} [unsettled] PeerMessage unsettled
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
@@ -3620,6 +4082,8 @@
                 this.suspicions = [];
                 this.loads = [];
                 this.badAnswers = [];
+                this.openingQueries = [];
+                this.openingAnswers = [];
                 if (properties)
                     for (let keys = $Object.keys(properties), i = 0; i < keys.length; ++i)
                         if (properties[keys[i]] != null && keys[i] !== "__proto__")
@@ -3730,6 +4194,22 @@
              */
             PeerMessage.prototype.tableRevision = 0;
 
+            /**
+             * PeerMessage openingQueries.
+             * @member {Array.<sailquay.spreading.OpeningQuery.$Properties>} openingQueries
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.openingQueries = $util.emptyArray;
+
+            /**
+             * PeerMessage openingAnswers.
+             * @member {Array.<sailquay.spreading.OpeningAnswer.$Properties>} openingAnswers
+             * @memberof sailquay.spreading.PeerMessage
+             * @instance
+             */
+            PeerMessage.prototype.openingAnswers = $util.emptyArray;
+
             /**
              * PeerMessage unsettled.
              * @member {boolean} unsettled
@@ -3789,6 +4269,12 @@
                         $root.sailquay.spreading.BadAnswer.encode(message.badAnswers[i], writer.uint32(/* id 13, wireType 2 =*/106).fork(), _depth + 1).ldelim();
                 if (message.unsettled != null && $Object.hasOwnProperty.call(message, "unsettled") && message.unsettled !== false)
                     writer.uint32(/* id 14, wireType 0 =*/112).bool(message.unsettled);
+                if (message.openingQueries != null && message.openingQueries.length)
+                    for (let i = 0; i < message.openingQueries.length; ++i)
+                        $root.sailquay.spreading.OpeningQuery.encode(message.openingQueries[i], writer.uint32(/* id 15, wireType 2 =*/122).fork(), _depth + 1).ldelim();
+                if (message.openingAnswers != null && message.openingAnswers.length)
+                    for (let i = 0; i < message.openingAnswers.length; ++i)
+                        $root.sailquay.spreading.OpeningAnswer.encode(message.openingAnswers[i], writer.uint32(/* id 16, wireType 2 =*/130).fork(), _depth + 1).ldelim();
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3943,6 +4429,22 @@
                                 delete message.tableRevision;
                             continue;
                         }
+                    case 15: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.openingQueries && message.openingQueries.length))
+                                message.openingQueries = [];
+                            message.openingQueries.push($root.sailquay.spreading.OpeningQuery.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
+                    case 16: {
+                            if (wireType !== 2)
+                                break;
+                            if (!(message.openingAnswers && message.openingAnswers.length))
+                                message.openingAnswers = [];
+                            message.openingAnswers.push($root.sailquay.spreading.OpeningAnswer.decode(reader, reader.size(), $undefined, _depth + 1));
+                            continue;
+                        }
                     case 14: {
                             if (wireType !== 0)
                                 break;
--- a/src/cookie-edge/spreading/peer-choice.ts
+++ b/src/cookie-edge/spreading/peer-choice.ts
@@ -62,6 +62,14 @@
   return true;
 }
 
+/** Returns up to `count` peers: those of `zone` first, then the peers that were heard of last. */
+export function chooseNearestPeers(peers: Iterable<Peer>, zone: string, count: number): Peer[] {
+  const isFar = (peer: Peer): number => Number(peer.zone !== zone);
+  return [...peers]
+    .sort((left, right) => isFar(left) - isFar(right) || right.heardAtMs - left.heardAtMs)
+    .slice(0, count);
+}
+
 function peersWithLowestTurns<PeerType extends PeerWithTurn>(
   peers: readonly PeerType[],
   count: number,
--- a/src/cookie-edge/spreading/peer-view.ts
+++ b/src/cookie-edge/spreading/peer-view.ts
@@ -10,7 +10,7 @@
 import { ISOLATED_AFTER_MS, MAX_PEERS, PEER_TTL_MS, SKETCH_SIZE } from './constants.js';
 import { SPREADING_EVENTS } from './events.js';
 import { FleetSizeSketch, hashOfDaemon } from './fleet-size.js';
-import { choosePushTargets, isAmongOwners, type PeerWithTurn } from './peer-choice.js';
+import { chooseNearestPeers, choosePushTargets, isAmongOwners, type PeerWithTurn } from './peer-choice.js';
 import type { Peer } from './types.js';
 
 interface PeerViewOptions {
@@ -114,6 +114,11 @@
     return chosen;
   }
 
+  /** Returns up to `count` peers, those of the own zone first. */
+  nearestPeers(count: number): Peer[] {
+    return chooseNearestPeers(this.peers.values(), this.options.zone, count);
+  }
+
   /** Returns up to `count` random peers. */
   randomPeers(count: number): Peer[] {
     return this.drawRandom([...this.peers.values()], count);
--- a/src/cookie-edge/spreading/spreading-test-support.ts
+++ b/src/cookie-edge/spreading/spreading-test-support.ts
@@ -4,6 +4,7 @@
 import { formatEndpoint, type Endpoint } from '../../common/types.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
 import { LoadView } from '../load/index.js';
+import type { OpeningAnswer } from '../opening-lookup/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import {
   BackendSettlement,
@@ -16,7 +17,7 @@
 } from '../routing/index.js';
 import { SimulatedPeerNetwork, zoneOf } from './simulated-peer-network.js';
 import { SimulatedSource, type SourceFault } from './simulated-source.js';
-import { GossipNode } from './gossip-node.js';
+import { GossipNode, type GossipNodeOptions } from './gossip-node.js';
 import type { EjectionReport } from './types.js';
 
 export type { SourceFault } from './simulated-source.js';
@@ -34,6 +35,10 @@
   readonly ejectionsReceived: string[] = [];
   /** Arrival times of the bad answers that other daemons observed, by `backendId observer`. */
   readonly badAnswerArrivals = new Map<string, number>();
+  /** Back ends at which this daemon placed openings, by the caller's port. */
+  readonly placedOpenings = new Map<number, string>();
+  /** Answers of peers about openings, by peer. */
+  readonly openingAnswers = new Map<string, OpeningAnswer>();
   /** Load of back ends as other daemons reported it. */
   readonly loads = new LoadView();
   private readonly clock: VirtualClock;
@@ -76,14 +81,23 @@
       recordsMayLapse,
       isUnsettled: () => this.settlement.isUnsettled,
       onSettledPeer: () => this.settlement.recordSettledPeer(),
-      applyLoadReport: (report) => this.loads.applyReport(report),
-      applyBadAnswerReport: (report) => this.applyBadAnswerReport(report),
-      applyEjectionReport: (report) => this.applyEjectionReport(report),
+      ...this.messageHandlers(),
     });
     for (const follower of this.followers) void follower.readFirst(this.abort.signal);
     this.gossipNode.start(this.abort.signal);
   }
 
+  /** Returns the handlers of reports, queries and answers of other daemons. */
+  private messageHandlers(): Partial<GossipNodeOptions> {
+    return {
+      applyLoadReport: (report) => this.loads.applyReport(report),
+      applyBadAnswerReport: (report) => this.applyBadAnswerReport(report),
+      applyEjectionReport: (report) => this.applyEjectionReport(report),
+      answerOpeningQuery: (query) => ({ ...query, backendId: this.placedOpenings.get(query.sourcePort) }),
+      applyOpeningAnswer: (answer, peer) => this.openingAnswers.set(peer, answer),
+    };
+  }
+
   /** Version of the route table in force; 0 before the first. */
   get version(): number {
     return this.knowledge.routes()?.table.version ?? 0;
--- a/src/cookie-edge/spreading/types.ts
+++ b/src/cookie-edge/spreading/types.ts
@@ -5,6 +5,7 @@
 import type Result from 'true-myth/result';
 import type { Endpoint } from '../../common/types.js';
 import type { LoadReport } from '../load/index.js';
+import type { OpeningAnswer, OpeningQuery } from '../opening-lookup/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import type { RoutingTopic, RoutingUpdate, TopicConfirmation } from '../routing/index.js';
 import type { SpreadingError } from './errors.js';
@@ -54,6 +55,9 @@
   readonly suspicions: readonly EjectionReport[];
   readonly loads: readonly LoadReport[];
   readonly badAnswers: readonly BadAnswerReport[];
+  /** Openings about which the sender asks, and its answers about openings; absent: none. */
+  readonly openingQueries?: readonly OpeningQuery[];
+  readonly openingAnswers?: readonly OpeningAnswer[];
   /** Number of departed back ends that the sender remembers. */
   readonly departedCount: number;
   /** Revision of the route table in force at the sender; -1 for none. */
