Let the oldest report on a slow back end give way, in whatever order reports arrive

Callers could get a slow back end again too early: a daemon that holds the maximum of reports on a back end refused a new one if the report that arrived first was recent, although an older one was stored behind it. Once the old ones expired, fewer reports than the quorum were left.

Cause: OutlierRecord took the report that arrived first as the oldest; gossip delivers reports in any order.

The oldest one is now found by its time.

--- a/src/cookie-edge/outliers/outlier-record.ts
+++ b/src/cookie-edge/outliers/outlier-record.ts
@@ -49,9 +49,9 @@
     if (previous && report.atMs - previous.atMs < REPORT_VALID_MS / 2) return false;
     if (previous) this.reports = this.reports.filter((other) => other !== previous);
     if (this.reports.length >= MAX_REPORTS_PER_BACKEND) {
-      const oldest = this.reports[0];
-      if (!oldest || nowMs - oldest.atMs < REPORT_VALID_MS / 2) return false;
-      this.reports.shift();
+      const oldest = this.reports.reduce((left, right) => (right.atMs < left.atMs ? right : left));
+      if (nowMs - oldest.atMs < REPORT_VALID_MS / 2) return false;
+      this.reports = this.reports.filter((other) => other !== oldest);
     }
     this.reports.push(report);
     return true;
