Verify priorities and target latencies of a changed route table by a digest

A daemon could keep a route table with a wrong priority or target latency: the digest of a change covers names, addresses, targets and regions only, so a change applied to a table that is wrong in the others passed. After an interruption openings are then deferred or held in the wrong order.

Cause: digestOfRoute covers neither field, though isSameRoute compares both.

Changes carry a second digest in a new field, so that builds can be mixed: earlier ones ignore it, and without it only the first digest is compared. Both values are compared as the wire carries them.

--- a/src/cookie-edge/routing/route-table-change.test.ts
+++ b/src/cookie-edge/routing/route-table-change.test.ts
@@ -62,6 +62,21 @@
   t.is(applyTableChange(tableAt(2, { routes: [...baseTable.routes, ...otherRoutes] }), change), undefined);
 });
 
+// Guards against a table that is wrong only in what the digest of addresses and targets does not cover.
+test('a change is not applied if the result differs in a priority or a target latency only', (t) => {
+  const baseTable = tableAt(2);
+  const [route] = baseTable.routes;
+  const added = { ...route!, name: 'added', port: 1 };
+  const change = diffTables(baseTable, tableAt(7, { routes: [route!, added] }));
+  for (const difference of [{ priority: 3 }, { targetLatencyMs: 250 }]) {
+    const otherTable = tableAt(2, { routes: [{ ...route!, ...difference }] });
+    t.is(applyTableChange(otherTable, change), undefined);
+  }
+  t.is(applyTableChange(baseTable, change)?.routes.length, 2);
+  const { requirementDigest: _requirementDigest, ...olderChange } = change;
+  t.is(applyTableChange(baseTable, olderChange)?.routes.length, 2, 'a sender of an earlier version');
+});
+
 test('a change contains only the routes that differ', (t) => {
   const routesBefore = Array.from({ length: 1_500 }, (_, index): Route => {
     return { name: `r-${index}`, address: index, port: 80, targets: [{ service: 'alpha', weight: 1 }] };
--- a/src/cookie-edge/routing/route-table-change.ts
+++ b/src/cookie-edge/routing/route-table-change.ts
@@ -23,6 +23,7 @@
     routes,
     removedRoutes,
     digest: digestOfRoutes(toTable.routes),
+    requirementDigest: digestOfRequirements(toTable.routes),
   };
 }
 
@@ -37,9 +38,9 @@
   const routes = indexByName(table.routes);
   for (const name of change.removedRoutes) routes.delete(name);
   for (const route of change.routes) routes.set(route.name, route);
-  const { version, revision, idleTimeoutMs, services, digest } = change;
+  const { version, revision, idleTimeoutMs, services } = change;
   const changedRoutes = [...routes.values()];
-  if (digestOfRoutes(changedRoutes) !== digest) return undefined;
+  if (!matchesDigests(changedRoutes, change)) return undefined;
   const epoch = table.epoch === undefined ? {} : { epoch: table.epoch };
   return { version, ...epoch, revision, idleTimeoutMs, services, routes: changedRoutes };
 }
@@ -65,9 +66,33 @@
   return { ...second, fromRevisions, routes: [...routes.values()], removedRoutes: [...removedNames] };
 }
 
-/** Computes a 32-bit digest of routes that does not depend on their order. */
+/** Returns true if the routes are those from which the digests of a change were computed. */
+function matchesDigests(
+  routes: readonly Route[],
+  { digest, requirementDigest }: Pick<RouteTableChange, 'digest' | 'requirementDigest'>,
+): boolean {
+  if (digestOfRoutes(routes) !== digest) return false;
+  return requirementDigest === undefined || digestOfRequirements(routes) === requirementDigest;
+}
+
+/** Computes a 32-bit digest of addresses, targets and regions that does not depend on the order of the routes. */
 export function digestOfRoutes(routes: readonly Route[]): number {
-  return routes.reduce((sum, route) => (sum + digestOfRoute(route)) >>> 0, 0);
+  return sumOfDigests(routes, digestOfRoute);
+}
+
+/**
+ * Computes a 32-bit digest of priorities and target latencies that does not depend on the order of the routes. Both are
+ * taken as the wire carries them: whole numbers, and a target latency of 0 for none.
+ */
+function digestOfRequirements(routes: readonly Route[]): number {
+  return sumOfDigests(routes, ({ name, priority, targetLatencyMs = 0 }) => {
+    const wirePriority = priority === undefined ? '' : Math.trunc(priority);
+    return hashString(`${name} ${wirePriority} ${Math.trunc(targetLatencyMs)}`);
+  });
+}
+
+function sumOfDigests(routes: readonly Route[], digestOf: (route: Route) => number): number {
+  return routes.reduce((sum, route) => (sum + digestOf(route)) >>> 0, 0);
 }
 
 function digestOfRoute({ name, address, port, targets, allowedRegions = [] }: Route): number {
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -68,6 +68,8 @@
   readonly removedRoutes: readonly string[];
   /** `digestOfRoutes` of the new table, to verify the result. */
   readonly digest: number;
+  /** `digestOfRequirements` of the new table; absent if the sender does not support this field. */
+  readonly requirementDigest?: number;
 }
 
 /** Record of a back end process. The process may restart under the same id, as another incarnation. */
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -662,6 +662,9 @@
             /** RouteTableChange digest. */
             digest: number;
 
+            /** RouteTableChange requirementDigest. */
+            requirementDigest?: (number|null);
+
             /**
              * Encodes the specified RouteTableChange message. Does not implicitly {@link sailquay.spreading.RouteTableChange.verify|verify} messages.
              * @param message RouteTableChange message or plain object to encode
@@ -717,6 +720,9 @@
                 /** RouteTableChange digest */
                 digest?: (number|null);
 
+                /** RouteTableChange requirementDigest */
+                requirementDigest?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -1576,6 +1576,7 @@
              * @property {Array.<sailquay.spreading.Service.$Properties>|null} [services] RouteTableChange services
              * @property {Array.<number>|null} [fromRevisions] RouteTableChange fromRevisions
              * @property {number|null} [digest] RouteTableChange digest
+             * @property {number|null} [requirementDigest] RouteTableChange requirementDigest
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -1675,6 +1676,23 @@
              */
             RouteTableChange.prototype.digest = 0;
 
+            /**
+             * RouteTableChange requirementDigest.
+             * @member {number|null|undefined} requirementDigest
+             * @memberof sailquay.spreading.RouteTableChange
+             * @instance
+             */
+            RouteTableChange.prototype.requirementDigest = null;
+
+            // OneOf field names bound to virtual getters and setters
+            let $oneOfFields;
+
+            // Virtual OneOf for proto3 optional field
+            $Object.defineProperty(RouteTableChange.prototype, "_requirementDigest", {
+                get: $util.oneOfGetter($oneOfFields = ["requirementDigest"]),
+                set: $util.oneOfSetter($oneOfFields)
+            });
+
             /**
              * Encodes the specified RouteTableChange message. Does not implicitly {@link sailquay.spreading.RouteTableChange.verify|verify} messages.
              * @function encode
@@ -1710,6 +1728,8 @@
                     writer.uint32(/* id 8, wireType 2 =*/66).doubles(message.fromRevisions);
                 if (message.digest != null && $Object.hasOwnProperty.call(message, "digest") && message.digest !== 0)
                     writer.uint32(/* id 9, wireType 5 =*/77).fixed32(message.digest);
+                if (message.requirementDigest != null && $Object.hasOwnProperty.call(message, "requirementDigest"))
+                    writer.uint32(/* id 10, wireType 5 =*/85).fixed32(message.requirementDigest);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -1828,6 +1848,13 @@
                                 delete message.digest;
                             continue;
                         }
+                    case 10: {
+                            if (wireType !== 5)
+                                break;
+                            message.requirementDigest = reader.fixed32();
+                            message._requirementDigest = "requirementDigest";
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
