Send queries about openings in rounds, and suspend lookups that most peers do not answer

Callers waited for lookups that nobody could answer.

Queries now share rounds: one message to each of at most 24 peers in 20 ms, 8 rounds at once and 2 a second later. After a lookup that most peers did not answer, openings are placed at once for a second, as before the lookups.

--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -246,7 +246,10 @@
     maxFlows: () => config().limits.maxFlows,
     observer: hashString(id),
     outliers,
-    openingPeers: { askAboutOpening: (query) => gossipNode().askAboutOpening(query) },
+    openingPeers: {
+      hasPeers: () => gossipNode().peerCount > 0,
+      askAboutOpenings: (queries) => gossipNode().askAboutOpenings(queries),
+    },
     onBadAnswer: (report) => gossipNode().gossipBadAnswer(report),
     onBackendUnhealthy: (backendId, atMs) => gossipNode().gossipEjection({ backendId, atMs }),
   });
--- a/src/cookie-edge/opening-lookup/constants.ts
+++ b/src/cookie-edge/opening-lookup/constants.ts
@@ -9,12 +9,27 @@
 /** Time in ms for which the outcome of a lookup is kept: longer than a SYN may be held. */
 export const OUTCOME_RETENTION_MS = 1_000;
 
-/** Lookups that a daemon may start at once, and per second later. Bounds the messages after the loss of all daemons. */
-export const LOOKUP_BURST = 64;
-export const LOOKUPS_PER_SECOND = 8;
+/**
+ * Rounds of queries that a daemon may send at once, and per second later. Each round is one message to each asked peer.
+ * Bounds the messages after the loss of all daemons, when most openings are retransmissions.
+ */
+export const ROUND_BURST = 8;
+export const ROUNDS_PER_SECOND = 2;
+
+/**
+ * Lookups are suspended for this long, in ms, after one that most peers did not answer. After the loss of many daemons
+ * the others have nothing to tell, and every opening would wait for the timeout.
+ */
+export const SUSPENSION_MS = 1_000;
+
+/** Minimum time in ms between two rounds. Lookups that start meanwhile share the next round. */
+export const ROUND_INTERVAL_MS = 20;
+
+/** Maximum number of queries in a round. They fit into a datagram. */
+export const MAX_QUERIES_PER_ROUND = 32;
 
-/** Maximum number of peers asked in a lookup, nearest first. Bounds the messages in a large fleet. */
-export const MAX_ASKED_PEERS = 32;
+/** Maximum number of peers asked in a round, nearest first. Bounds the messages in a large fleet. */
+export const MAX_ASKED_PEERS = 24;
 
 /** Maximum number of openings that are remembered as left to a peer. Bounds memory. */
 export const MAX_YIELDED_OPENINGS = 4_096;
--- a/src/cookie-edge/opening-lookup/lookup-rule.ts
+++ b/src/cookie-edge/opening-lookup/lookup-rule.ts
@@ -5,9 +5,10 @@
  * daemons. If both back ends answer, the caller acknowledges one of them and repeats the cookie of the other, and no
  * daemon can tell from its packets which of them it acknowledged. Does no input or output.
  *
- * Inputs: the SYN's retransmission count, the time until its caller sends the next SYN, the lookup budget, and the
+ * Inputs: the SYN's retransmission count, the time until its caller sends the next SYN, the limits of lookups, and the
  * answers. Order: a first SYN is placed at once, because no other daemon can have received the flow before. A SYN whose
- * caller is about to retransmit, or for which there is no budget, is placed at once. A lookup ends with the first
+ * caller is about to retransmit, or that the limits do not admit, is placed at once. So is every SYN for
+ * `SUSPENSION_MS` after a lookup that most peers did not answer. A lookup ends with the first
  * answer that names a back end, otherwise when all peers have answered or at `LOOKUP_TIMEOUT_MS`. Missing answers count
  * as not placed.
  */
@@ -26,6 +27,11 @@
   return Math.max(0, Math.min(LOOKUP_TIMEOUT_MS, remainingHoldMs));
 }
 
+/** Returns true if a lookup that has ended shows that further ones are not worth their wait now. */
+export function shouldSuspendLookups(asked: number, unanswered: number): boolean {
+  return unanswered > asked / 2;
+}
+
 /** Returns true if no further answer can change the outcome of a lookup. */
 export function isLookupDecided(backendId: string | undefined, unansweredPeers: number): boolean {
   return backendId !== undefined || unansweredPeers === 0;
--- a/src/cookie-edge/opening-lookup/opening-lookup.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.ts
@@ -4,10 +4,10 @@
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
-import { OUTCOME_RETENTION_MS } from './constants.js';
+import { OUTCOME_RETENTION_MS, SUSPENSION_MS } from './constants.js';
 import { flowKey } from './flow-key.js';
-import { LookupBudget } from './lookup-budget.js';
-import { isLookupDecided, lookupTimeoutMs } from './lookup-rule.js';
+import { isLookupDecided, lookupTimeoutMs, shouldSuspendLookups } from './lookup-rule.js';
+import { QueryRounds } from './query-rounds.js';
 import type { OpeningAnswer, OpeningPeers, OpeningQuery } from './types.js';
 
 /** A SYN that is about to be placed. */
@@ -32,8 +32,8 @@
   readonly query: OpeningQuery;
   readonly startedAtMs: number;
   readonly waitedBeforeMs: number;
-  readonly asked: number;
-  readonly unansweredPeers: Set<string>;
+  asked: number;
+  unansweredPeers: Set<string>;
   readonly redeliver: (waitedMs: number) => void;
   timer: TimerHandle;
   /** Undefined while the lookup is pending. */
@@ -52,9 +52,12 @@
 /** Lookups of one daemon. */
 export class OpeningLookup {
   private readonly lookups = new Map<string, Lookup>();
-  private readonly budget = new LookupBudget();
+  private readonly rounds: QueryRounds;
+  private suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly options: OpeningLookupOptions) {}
+  constructor(private readonly options: OpeningLookupOptions) {
+    this.rounds = new QueryRounds(options);
+  }
 
   /**
    * Returns the outcome of the lookup for the SYN being handled, and starts the lookup if peers must be asked. The edge
@@ -64,12 +67,10 @@
     const known = this.lookups.get(flowKey(syn));
     if (known?.query.retransmissionCount === syn.retransmissionCount)
       return known.outcome ?? { kind: 'pending' };
+    const { clock, peers } = this.options;
     const timeoutMs = lookupTimeoutMs(syn);
-    if (timeoutMs === 0 || !this.budget.tryTake(this.options.clock.now())) return { kind: 'not-needed' };
-    const peers = this.options.peers.askAboutOpening(queryOf(syn));
-    if (peers.length === 0) return { kind: 'not-needed' };
-    this.start(syn, peers, timeoutMs);
-    return { kind: 'pending' };
+    const isPossible = timeoutMs > 0 && clock.now() >= this.suspendedUntilMs && peers.hasPeers();
+    return { kind: isPossible && this.tryStart(syn, timeoutMs) ? 'pending' : 'not-needed' };
   }
 
   /** Applies an answer of the peer with this key. */
@@ -83,29 +84,39 @@
 
   /** Discards all lookups and their packets. */
   stop(): void {
+    this.rounds.stop();
     for (const { timer } of this.lookups.values()) timer.cancel();
     this.lookups.clear();
   }
 
-  private start(syn: ReceivedSyn, peers: readonly string[], timeoutMs: number): void {
+  /** Starts a lookup and keeps the SYN. Returns false if the limits do not admit it. */
+  private tryStart(syn: ReceivedSyn, timeoutMs: number): boolean {
     const { clock, edge } = this.options;
     const key = flowKey(syn);
-    this.lookups.get(key)?.timer.cancel();
+    const query = queryOf(syn);
+    const isAdmitted = this.rounds.tryAsk(query, (peers) => {
+      lookup.asked = peers.length;
+      lookup.unansweredPeers = new Set(peers);
+    });
+    if (!isAdmitted) return false;
     const lookup: Lookup = {
-      query: queryOf(syn),
+      query,
       startedAtMs: clock.now(),
       waitedBeforeMs: syn.waitedMs,
-      asked: peers.length,
-      unansweredPeers: new Set(peers),
+      asked: 0,
+      unansweredPeers: new Set(),
       redeliver: edge.keepPacket(),
       timer: clock.schedule(timeoutMs, () => this.endWithoutPlacement(key, lookup)),
       outcome: undefined,
     };
     this.lookups.set(key, lookup);
+    return true;
   }
 
   private endWithoutPlacement(key: string, lookup: Lookup): void {
     const { asked, unansweredPeers } = lookup;
+    if (shouldSuspendLookups(asked, unansweredPeers.size))
+      this.suspendedUntilMs = this.options.clock.now() + SUSPENSION_MS;
     this.end(key, lookup, { kind: 'not-found', asked, unanswered: unansweredPeers.size });
   }
 
--- /dev/null
+++ b/src/cookie-edge/opening-lookup/query-rounds.ts
@@ -0,0 +1,67 @@
+/**
+ * Sends queries about openings to peers in rounds: a query is sent in the next turn of the event loop, or shares a
+ * later round with others if one was just sent. Owns the waiting queries and the budget of rounds.
+ */
+import type { Clock, TimerHandle } from '../../common/clock.js';
+import { MAX_QUERIES_PER_ROUND, ROUND_BURST, ROUND_INTERVAL_MS, ROUNDS_PER_SECOND } from './constants.js';
+import type { OpeningPeers, OpeningQuery } from './types.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Called with the keys of the peers that were asked. */
+type AskedCallback = (peers: readonly string[]) => void;
+
+/** Dependencies of `QueryRounds`. */
+interface QueryRoundsOptions {
+  readonly clock: Clock;
+  readonly peers: OpeningPeers;
+}
+
+/** Rounds of queries of one daemon. */
+export class QueryRounds {
+  private waiting: { readonly query: OpeningQuery; readonly onAsked: AskedCallback }[] = [];
+  private timer: TimerHandle | undefined;
+  private lastRoundMs = Number.NEGATIVE_INFINITY;
+  /** Rounds that may be sent now, at most `ROUND_BURST`, as of `refilledAtMs`. */
+  private availableRounds = ROUND_BURST;
+  private refilledAtMs = 0;
+
+  constructor(private readonly options: QueryRoundsOptions) {}
+
+  /** Sends a query with the next round and then calls `onAsked`. Returns false if the limits do not admit it. */
+  tryAsk(query: OpeningQuery, onAsked: AskedCallback): boolean {
+    const { clock } = this.options;
+    const nowMs = clock.now();
+    const sharesRound = this.timer !== undefined;
+    if (sharesRound ? this.waiting.length >= MAX_QUERIES_PER_ROUND : !this.tryTakeRound(nowMs)) return false;
+    this.waiting.push({ query, onAsked });
+    const waitMs = Math.max(0, this.lastRoundMs + ROUND_INTERVAL_MS - nowMs);
+    this.timer ??= clock.schedule(waitMs, () => this.sendRound());
+    return true;
+  }
+
+  /** Discards the waiting queries. */
+  stop(): void {
+    this.timer?.cancel();
+    this.waiting = [];
+  }
+
+  private tryTakeRound(nowMs: number): boolean {
+    const refill = ((nowMs - this.refilledAtMs) * ROUNDS_PER_SECOND) / MILLISECONDS_PER_SECOND;
+    this.availableRounds = Math.min(ROUND_BURST, this.availableRounds + refill);
+    this.refilledAtMs = nowMs;
+    if (this.availableRounds < 1) return false;
+    this.availableRounds -= 1;
+    return true;
+  }
+
+  private sendRound(): void {
+    const { clock, peers } = this.options;
+    const round = this.waiting;
+    this.timer = undefined;
+    this.waiting = [];
+    this.lastRoundMs = clock.now();
+    const asked = peers.askAboutOpenings(round.map(({ query }) => query));
+    for (const { onAsked } of round) onAsked(asked);
+  }
+}
--- a/src/cookie-edge/opening-lookup/types.ts
+++ b/src/cookie-edge/opening-lookup/types.ts
@@ -21,6 +21,8 @@
 
 /** Sends queries to peers. */
 export interface OpeningPeers {
-  /** Sends a query to some peers and returns a key for each of them; answers carry the same keys. */
-  askAboutOpening(query: OpeningQuery): readonly string[];
+  /** Returns false if no peer is known. */
+  hasPeers(): boolean;
+  /** Sends queries to some peers and returns a key for each of these; answers carry the same keys. */
+  askAboutOpenings(queries: readonly OpeningQuery[]): readonly string[];
 }
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -210,10 +210,10 @@
     this.sender.scheduleEjectionPush();
   }
 
-  /** Asks the nearest peers where they placed an opening. Returns a key for each peer that is asked. */
-  askAboutOpening(query: OpeningQuery): readonly string[] {
+  /** Asks the nearest peers where they placed openings. Returns a key for each peer that is asked. */
+  askAboutOpenings(queries: readonly OpeningQuery[]): readonly string[] {
     const asked = this.peers.nearestPeers(MAX_ASKED_PEERS).map(({ endpoint }) => endpoint);
-    this.channel.send(asked, this.composer.openingQuery(query));
+    this.channel.send(asked, this.composer.openingQueries(queries));
     return asked.map(formatEndpoint);
   }
 
--- a/src/cookie-edge/spreading/message-composer.ts
+++ b/src/cookie-edge/spreading/message-composer.ts
@@ -108,9 +108,9 @@
     return { ...this.emptyMessage(), badAnswers };
   }
 
-  /** Composes a question to peers about an opening. */
-  openingQuery(query: OpeningQuery): PeerMessage {
-    return { ...this.emptyMessage(), openingQueries: [query] };
+  /** Composes questions to peers about openings. */
+  openingQueries(openingQueries: readonly OpeningQuery[]): PeerMessage {
+    return { ...this.emptyMessage(), openingQueries };
   }
 
   /** Composes answers to a peer's questions about openings. */
