Hand shards on with the base of their keeper, and move it only with the acknowledgement

A flow without a record would be looked for at another back end; no such flow was seen in the traces.

Cause: the receiver takes a newer base than its sender, which may get the shard back until it is acknowledged.

--- a/src/gue-edge/flow/backup-sync.ts
+++ b/src/gue-edge/flow/backup-sync.ts
@@ -72,9 +72,10 @@
     if (!kept.syncStarted && kept.unacknowledgedRecords === 0) this.startSync(kept, desired.id);
   }
 
-  /** Nothing is left to do until the view changes or the backup is lost. */
+  /** Nothing is left to do until the view changes or the backup is lost. Without a backup no snapshot ends a move. */
   private settle(kept: KeptShard): void {
     kept.syncingTo = undefined;
+    if (!kept.backup && kept.rebase?.phase === 'advancing') finishRebase(kept);
     kept.settledFor = this.context.ownersSequence;
     this.acknowledgeOwed(kept);
   }
--- a/src/gue-edge/flow/falling-base.test.ts
+++ b/src/gue-edge/flow/falling-base.test.ts
@@ -13,3 +13,9 @@
 
 test('a replica that waited in the socket of a paused backup is not handed on in place of the newer one', (t) =>
   checkMix(t, { ...PAUSES_AND_CUTS, name: 'pauses and cuts', nodes: 5, seeds: [22_006, 35_028] }));
+
+test('a keeper that gives an unacknowledged shard back had not taken a newer base than its sender, 5 nodes', (t) =>
+  checkMix(t, { ...PAUSES_AND_CUTS, name: 'pauses and cuts', nodes: 5, seeds: [22_012] }));
+
+test('a keeper that gives an unacknowledged shard back had not taken a newer base than its sender, 7 nodes', (t) =>
+  checkMix(t, { ...PAUSES_AND_CUTS, name: 'pauses and cuts', nodes: 7, seeds: [37_004] }));
--- a/src/gue-edge/flow/flow-context.ts
+++ b/src/gue-edge/flow/flow-context.ts
@@ -17,6 +17,9 @@
 /** Members remembered before the gone ones are forgotten. Bounds the memory. */
 const MAX_FORMER_MEMBERS = 2_000;
 
+/** The bases of a shard, and the move that is under way. */
+type ShardBases = Pick<KeptShard, 'baseVersion' | 'oldestBaseVersion' | 'rebase'>;
+
 /** Shared by the parts of one flow keeper. */
 export class FlowContext {
   readonly catalogue = new BackendCatalogue();
@@ -120,6 +123,14 @@
     return this.firstChoice(fingerprint, oldestBaseVersion, entry.serviceId) === entry;
   }
 
+  /** True when a flow needs no record in a shard. While a move lasts, it must need none before and after it. */
+  needsNoRecord(shard: ShardBases, fingerprint: FlowFingerprint, entry: BackendEntry): boolean {
+    const { rebase, baseVersion, oldestBaseVersion } = shard;
+    if (!this.isReconstructible(fingerprint, entry, baseVersion, oldestBaseVersion)) return false;
+    if (!rebase) return true;
+    return this.isReconstructible(fingerprint, entry, rebase.toVersion, rebase.toOldestVersion);
+  }
+
   /** Counts a flow that became open at a back end. */
   countOpen(entry: BackendEntry): void {
     this.openFlows += 1;
--- a/src/gue-edge/flow/openings.ts
+++ b/src/gue-edge/flow/openings.ts
@@ -209,7 +209,7 @@
   /** An exception, and any flow that the backup may hold an older record of, is replicated before it is sent. */
   private place(opening: Opening, entry: BackendEntry): void {
     const { kept, fingerprint } = opening;
-    const exception = !this.isFirstChoice(kept, fingerprint, entry);
+    const exception = !this.context.needsNoRecord(kept, fingerprint, entry);
     const slot = kept.table.find(fingerprint.high, fingerprint.low);
     const hadRecord = slot >= 0 && kept.table.hasFlag(slot, FlowFlag.EXCEPTION);
     const hasBackup = kept.backup !== undefined;
@@ -230,15 +230,6 @@
     this.send(opening, entry);
   }
 
-  /** During a rebase a first choice needs no record only when it needs none before and after. */
-  private isFirstChoice(kept: KeptShard, fingerprint: FlowFingerprint, entry: BackendEntry): boolean {
-    const { context } = this;
-    const { rebase, baseVersion, oldestBaseVersion } = kept;
-    if (!context.isReconstructible(fingerprint, entry, baseVersion, oldestBaseVersion)) return false;
-    if (!rebase) return true;
-    return context.isReconstructible(fingerprint, entry, rebase.toVersion, rebase.toOldestVersion);
-  }
-
   private replicate(opening: Opening, entry: BackendEntry): void {
     const { kept, fingerprint } = opening;
     kept.unacknowledgedRecords += 1;
--- a/src/gue-edge/flow/rebase.ts
+++ b/src/gue-edge/flow/rebase.ts
@@ -196,11 +196,11 @@
 
 /**
  * Lets the keeper take the new base, which its backup has. Does nothing while a former backup could still take the
- * shard over with the old base; the next advance tries again.
+ * shard over with the old base, or while the shard is being handed on with the old base; the next advance tries again.
  */
 export function finishRebase(kept: KeptShard): void {
   const { rebase } = kept;
-  if (!rebase || !hasFormerBackupLetGo(kept)) return;
+  if (!rebase || kept.role !== 'serving' || !hasFormerBackupLetGo(kept)) return;
   kept.baseVersion = rebase.toVersion;
   kept.oldestBaseVersion = rebase.toOldestVersion;
   kept.complete ||= rebase.toOldestVersion === rebase.toVersion && rebase.coversAllFlows;
--- a/src/gue-edge/flow/shard-installer.ts
+++ b/src/gue-edge/flow/shard-installer.ts
@@ -3,7 +3,7 @@
 import { FlowFlag } from './flow-table.js';
 import { sailquay } from './pb/flow.js';
 import type { ShardRecord } from './record-codec.js';
-import type { KeptShard } from './shard-holding.js';
+import type { KeptShard, RebaseProgress } from './shard-holding.js';
 
 const { ShardPurpose } = sailquay.flow;
 const MS_PER_SECOND = 1_000;
@@ -17,6 +17,14 @@
   'epoch' | 'purpose' | 'baseVersion' | 'oldestBaseVersion' | 'complete' | 'learningMs'
 >;
 
+/**
+ * A move to the present base that ends when the backup has its snapshot, which has the new base. Until then the sender
+ * may get the shard back, so the base stays that of the sender.
+ */
+function moveWithBackup(toVersion: number): RebaseProgress {
+  return { toVersion, toOldestVersion: toVersion, coversAllFlows: true, phase: 'advancing', outstanding: 0 };
+}
+
 /** Installs transfers and recoveries, and starts shards that no balancer holds. */
 export class ShardInstaller {
   constructor(private readonly context: FlowContext) {}
@@ -41,11 +49,11 @@
     const held = kept.role !== 'acquiring';
     if (held && kept.epoch > epoch && kept.complete) return 'superseded';
     const incomingIsNewer = !held || kept.epoch <= epoch;
+    kept.rebase = undefined;
     this.adoptBase(kept, header, held);
     kept.epoch = Math.max(kept.epoch, epoch) + 1;
     kept.heldSinceMs = this.context.now();
     if (!held) kept.role = 'serving';
-    kept.rebase = undefined;
     for (const record of records) this.put(kept, record, incomingIsNewer);
     this.markExceptions(kept);
     return 'installed';
@@ -74,20 +82,22 @@
     const baseVersion = header.baseVersion ?? 0;
     const oldest = header.oldestBaseVersion ?? baseVersion;
     const whole = header.purpose === ShardPurpose.TRANSFER && header.complete === true;
-    const current = this.context.components.settings.current()?.version ?? 0;
-    if (!held && whole) {
-      // Every flow is in the table, so nothing has to be reconstructed from an older base.
-      kept.baseVersion = Math.max(baseVersion, current);
-      kept.oldestBaseVersion = kept.baseVersion;
-      kept.complete = true;
-      return;
-    }
+    if (!held && whole) return this.adoptWhole(kept, baseVersion);
     kept.oldestBaseVersion = held ? Math.min(oldest, kept.oldestBaseVersion) : oldest;
     kept.baseVersion = Math.max(baseVersion, kept.baseVersion);
     kept.complete = false;
     kept.learningSinceMs = this.context.now() - (header.learningMs ?? 0);
   }
 
+  /** Every flow is in the table, so nothing has to be reconstructed from an older base. */
+  private adoptWhole(kept: KeptShard, baseVersion: number): void {
+    const current = this.context.components.settings.current()?.version ?? 0;
+    kept.baseVersion = baseVersion;
+    kept.oldestBaseVersion = baseVersion;
+    kept.complete = true;
+    if (current > baseVersion) kept.rebase = moveWithBackup(current);
+  }
+
   private put(kept: KeptShard, record: ShardRecord, incomingIsNewer: boolean): void {
     const entry = this.context.catalogue.find(record.backendKey)!;
     const slot = kept.table.find(record.high, record.low);
@@ -108,8 +118,7 @@
       if (!table.isOccupied(slot)) continue;
       const entry = this.context.catalogue.at(table.backendIndex(slot));
       const fingerprint = { high: table.high(slot), low: table.low(slot) };
-      const { baseVersion, oldestBaseVersion } = kept;
-      if (this.context.isReconstructible(fingerprint, entry, baseVersion, oldestBaseVersion)) continue;
+      if (this.context.needsNoRecord(kept, fingerprint, entry)) continue;
       table.setFlags(slot, table.flags(slot) | FlowFlag.EXCEPTION);
     }
   }
--- a/src/gue-edge/flow/shard-snapshot.ts
+++ b/src/gue-edge/flow/shard-snapshot.ts
@@ -7,10 +7,11 @@
 
 /**
  * A kept shard: all open flows for the next keeper, or only the exceptions for a backup. While a rebase is being
- * announced the backup may have either base; the snapshot then has the new one, whose exceptions are all recorded.
+ * announced the backup may have either base; its snapshot then has the new one, whose exceptions are all recorded. The
+ * next keeper gets the base of this one, which may get the shard back.
  */
 export function snapshotKept(context: FlowContext, kept: KeptShard, allFlows: boolean): ShardSnapshot {
-  const advancing = kept.rebase?.phase === 'advancing' ? kept.rebase : undefined;
+  const advancing = !allFlows && kept.rebase?.phase === 'advancing' ? kept.rebase : undefined;
   return {
     epoch: kept.epoch,
     baseVersion: advancing?.toVersion ?? kept.baseVersion,
