Keep the base of a keeper that stepped down when an older replica of its shard comes first

Trace: node-5 has base 7 and steps down after a cut. node-7 still has a replica with base 5 from an earlier cut, node-4 one with base 7; both are doubtful, so that node-5 takes them after its wait, the older one first.

Cause: a keeper that stepped down retains its flows and its oldest base, but not its base. It is retained now, and a received shard is merged with it, so that a base which a balancer has had does not fall there.

--- a/src/gue-edge/flow/shard-holding.ts
+++ b/src/gue-edge/flow/shard-holding.ts
@@ -28,7 +28,7 @@
 }
 
 /** What a keeper that stepped down still knows of the shard. */
-type RetainedShard = Pick<KeptShard, 'epoch' | 'oldestBaseVersion' | 'table'>;
+type RetainedShard = Pick<KeptShard, 'epoch' | 'baseVersion' | 'oldestBaseVersion' | 'table'>;
 
 /** A shard that this balancer keeps or is about to keep. */
 export class KeptShard {
--- a/src/gue-edge/flow/shard-installer.ts
+++ b/src/gue-edge/flow/shard-installer.ts
@@ -25,6 +25,15 @@
   return { toVersion, toOldestVersion: toVersion, coversAllFlows: true, phase: 'advancing', outstanding: 0 };
 }
 
+/** The newest and the oldest base of a shard. */
+type Bases = Pick<KeptShard, 'baseVersion' | 'oldestBaseVersion'>;
+
+/** Merges the bases that are known here into received ones. A base does not fall when an older replica comes first. */
+function mergeBases(kept: KeptShard, received: Bases, known: Bases = received): void {
+  kept.oldestBaseVersion = Math.min(received.oldestBaseVersion, known.oldestBaseVersion);
+  kept.baseVersion = Math.max(received.baseVersion, known.baseVersion);
+}
+
 /** Installs transfers and recoveries, and starts shards that no balancer holds. */
 export class ShardInstaller {
   constructor(private readonly context: FlowContext) {}
@@ -83,8 +92,7 @@
     const oldest = header.oldestBaseVersion ?? baseVersion;
     const whole = header.purpose === ShardPurpose.TRANSFER && header.complete === true;
     if (!held && whole) return this.adoptWhole(kept, baseVersion);
-    kept.oldestBaseVersion = held ? Math.min(oldest, kept.oldestBaseVersion) : oldest;
-    kept.baseVersion = Math.max(baseVersion, kept.baseVersion);
+    mergeBases(kept, { baseVersion, oldestBaseVersion: oldest }, held ? kept : kept.retained);
     kept.complete = false;
     kept.learningSinceMs = this.context.now() - (header.learningMs ?? 0);
   }
@@ -92,10 +100,10 @@
   /** Every flow is in the table, so nothing has to be reconstructed from an older base. */
   private adoptWhole(kept: KeptShard, baseVersion: number): void {
     const current = this.context.components.settings.current()?.version ?? 0;
-    kept.baseVersion = baseVersion;
-    kept.oldestBaseVersion = baseVersion;
+    kept.baseVersion = Math.max(baseVersion, kept.retained?.baseVersion ?? 0);
+    kept.oldestBaseVersion = kept.baseVersion;
     kept.complete = true;
-    if (current > baseVersion) kept.rebase = moveWithBackup(current);
+    if (current > kept.baseVersion) kept.rebase = moveWithBackup(current);
   }
 
   private put(kept: KeptShard, record: ShardRecord, incomingIsNewer: boolean): void {
