--- a/src/cookie-edge/forwarding/waiting-callers.test.ts
+++ b/src/cookie-edge/forwarding/waiting-callers.test.ts
@@ -23,40 +23,24 @@
 /** Routers and kills of a scenario. */
 type Change = Pick<OpeningScenario, 'routes' | 'kills'>;
 
+/** Routers that pick daemon 0 from the start, and other daemons from later times on. */
+function routesFrom(...changes: readonly (readonly [fromMs: number, daemon: number])[]): Change['routes'] {
+  return [{ fromMs: 0, daemon: 0 }, ...changes.map(([fromMs, daemon]) => ({ fromMs, daemon }))];
+}
+
 /** Changes of the routers, by the time of the first one. */
 const CHANGES: Readonly<Record<string, (fromMs: number) => Change>> = {
-  'routers change once': (fromMs) => ({
-    routes: [
-      { fromMs: 0, daemon: 0 },
-      { fromMs, daemon: 1 },
-    ],
-    kills: [],
-  }),
-  'routers change twice': (fromMs) => ({
-    routes: [
-      { fromMs: 0, daemon: 0 },
-      { fromMs, daemon: 1 },
-      { fromMs: fromMs + 60, daemon: 2 },
-    ],
-    kills: [],
-  }),
+  'routers change once': (fromMs) => ({ routes: routesFrom([fromMs, 1]), kills: [] }),
+  'routers change twice': (fromMs) => ({ routes: routesFrom([fromMs, 1], [fromMs + 60, 2]), kills: [] }),
   'routers change and change back': (fromMs) => ({
-    routes: [
-      { fromMs: 0, daemon: 0 },
-      { fromMs, daemon: 1 },
-      { fromMs: fromMs + 250, daemon: 0 },
-    ],
+    routes: routesFrom([fromMs, 1], [fromMs + 250, 0]),
     kills: [],
   }),
 };
 
 /** The first daemon is killed and stays down; routers notice later. */
 function killFirstDaemon(atMs: number): Change {
-  const routes = [
-    { fromMs: 0, daemon: 0 },
-    { fromMs: atMs + 150, daemon: 1 },
-  ];
-  return { routes, kills: [{ atMs, daemon: 0, staysDown: true }] };
+  return { routes: routesFrom([atMs + 150, 1]), kills: [{ atMs, daemon: 0, staysDown: true }] };
 }
 
 /** Returns every combination of a handshake at each of two back ends, a time of answers, and a time of the change. */
