Keep a flow that a retransmitted SYN opened when the SYN+ACK of an earlier build comes last

Callers saw: beside a daemon of an earlier build, packets of an open flow went to a back end that does not hold it; with slow answers the caller waited until its deadline.

This build received the retransmission, asked, got no answer (1264, unanswered), placed it at H and saw the caller acknowledge H. Then the SYN+ACK of X arrived and the caller repeated its cookie. The earlier build writes the cookie of established flows into SYNs as well, so this daemon took it for that of an established flow and sent 48 of 48 and 29 of 34 stray packets to X, although it had seen the flow open at H.

Change: the cached flow records what was seen of its handshake (handshake-evidence.ts). If this daemon placed a retransmitted SYN and the caller continued at that back end, the cookie of another back end does not move the flow (mid-flow-rule.ts, event 1262). The cookie is followed if the caller has acknowledged an answer that the cached back end is not known to have sent and then repeats data: a daemon that took the other back end's acknowledgement for that of its own would otherwise hold the flow for ever. Event 1266 logs a packet that follows its cookie away from the cached flow, which no line showed.

Ruled out: that any cookie yields to a cached flow that the acknowledgement continues.

Evidence: the model now plays a daemon of an earlier build.

--- a/src/cookie-edge/forwarding/cookie-forwarder.test.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.test.ts
@@ -49,7 +49,7 @@
   const kept = harness.sendMidFlow(port, openingCookie, { acknowledgement: 601 });
   t.is(kept?.backend, 'a');
   t.deepEqual(harness.sendMidFlow(port, kept!.cookie), kept);
-  t.true(harness.events().includes(COOKIE_FLOW_EVENTS.openingCookieOverruled.number));
+  t.true(harness.events().includes(COOKIE_FLOW_EVENTS.cookieOverruled.number));
 });
 
 test('an opening cookie takes precedence over an earlier flow of the same addresses', (t) => {
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -65,7 +65,7 @@
     message: 'Held openings decided after waiting for a back end to be listed or for their turn',
     action: 'none',
   },
-  openingCookieOverruled: {
+  cookieOverruled: {
     number: 1262,
     level: 'warn',
     message: 'Packet kept at the back end of its open flow: its cookie is from another placement of its SYN',
@@ -89,6 +89,12 @@
     message: 'SYN dropped: a peer decides on a later copy of it',
     action: 'Check the load of the machine, and the network from the callers',
   },
+  cookieFollowed: {
+    number: 1266,
+    level: 'info',
+    message: 'Packet sent to the back end of its cookie although the cached flow is at another one',
+    action: 'If the flow is open: see the events 1250 of this flow on all daemons; otherwise none',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- a/src/cookie-edge/forwarding/flow-cache.ts
+++ b/src/cookie-edge/forwarding/flow-cache.ts
@@ -8,6 +8,7 @@
 import type { OutstandingRequest } from '../outliers/index.js';
 import type { FlowAddresses } from '../opening-lookup/index.js';
 import { addressKey } from '../routing/index.js';
+import type { HandshakeEvidence } from './handshake-evidence.js';
 
 /**
  * `opening`: only SYNs have arrived. `open`: the caller has continued. `closing`: the caller has closed or reset the
@@ -23,6 +24,10 @@
   readonly retransmissionCount: number;
   backendState: LocalBackendState;
   phase: FlowPhase;
+  /** What this daemon has seen of the handshake with the current back end. */
+  handshake: HandshakeEvidence;
+  /** Acknowledgement number of the first packet after the SYNs; 0 while the flow is opening. */
+  handshakeAcknowledgement: number;
   /** Monotonic ms at which the SYN was sent to the current back end. */
   openedAtMs: number;
   /** Monotonic ms of the caller's last packet. */
@@ -71,6 +76,8 @@
       retransmissionCount: packet.retransmissionCount,
       backendState: state,
       phase,
+      handshake: 'unseen',
+      handshakeAcknowledgement: packet.acknowledgement,
       openedAtMs: nowMs,
       lastPacketAtMs: nowMs,
       highestDataSequence: -1,
--- a/src/cookie-edge/forwarding/flow-tracker.ts
+++ b/src/cookie-edge/forwarding/flow-tracker.ts
@@ -12,6 +12,7 @@
 import type { CookieStatistics } from './cookie-statistics.js';
 import type { Flow, FlowCache } from './flow-cache.js';
 import type { FlowFailures } from './flow-failures.js';
+import { isSequenceAfter } from './sequence-number.js';
 
 /** Dependencies of flow tracking. */
 interface FlowTrackerOptions {
@@ -38,7 +39,7 @@
     if (flow.backendState.backend !== backend) cache.moveToBackend(flow, states.stateOf(backend));
     flow.lastPacketAtMs = nowMs;
     if (flow.phase === 'opening') this.completeHandshake(packet, flow, nowMs);
-    else if (packet.ack && isAfter(packet.acknowledgement, flow.acknowledgement)) {
+    else if (packet.ack && isSequenceAfter(packet.acknowledgement, flow.acknowledgement)) {
       this.recordAcknowledgement(packet, flow, nowMs);
     }
     if (packet.payloadBytes > 0) this.trackData(packet, flow, nowMs);
@@ -49,6 +50,7 @@
     const { statistics, pendingOpenings, states } = this.options;
     flow.phase = 'open';
     flow.acknowledgement = packet.acknowledgement;
+    flow.handshakeAcknowledgement = packet.acknowledgement;
     statistics.handshake.observe(nowMs - flow.openedAtMs);
     pendingOpenings.recordAnswer(nowMs - flow.openedAtMs);
     states.recordSignOfLife(flow.backendState, nowMs);
@@ -62,7 +64,7 @@
   }
 
   private trackData(packet: CookiePacket, flow: Flow, nowMs: number): void {
-    if (flow.highestDataSequence < 0 || isAfter(packet.sequence, flow.highestDataSequence)) {
+    if (flow.highestDataSequence < 0 || isSequenceAfter(packet.sequence, flow.highestDataSequence)) {
       flow.highestDataSequence = packet.sequence;
       flow.dataFirstSeenAtMs = nowMs;
       flow.isFailureCounted = false;
@@ -104,8 +106,3 @@
     this.options.cache.markClosed(flow, nowMs);
   }
 }
-
-/** Returns true if sequence number `left` comes after `right` in arithmetic modulo 2^32. */
-function isAfter(left: number, right: number): boolean {
-  return ((left - right) | 0) > 0;
-}
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -12,8 +12,10 @@
 import type { Flow, FlowCache } from './flow-cache.js';
 import type { FlowTracker } from './flow-tracker.js';
 import { formatFlowId } from './flow-id.js';
-import { backendOfPacket, continuesCachedFlow, decideMidFlow } from './mid-flow-rule.js';
+import { handshakeEvidenceAfter } from './handshake-evidence.js';
+import { backendOfPacket, decideContradiction, decideMidFlow, type CookieOutcome } from './mid-flow-rule.js';
 import type { PacketSender } from './packet-sender.js';
+import { isSequenceAfter } from './sequence-number.js';
 
 /** Dependencies of `MidFlowHandler`. */
 interface MidFlowHandlerOptions {
@@ -27,40 +29,72 @@
   readonly statistics: CookieStatistics;
 }
 
+/** A packet whose cookie names another back end than its cached flow. */
+interface Contradiction {
+  readonly packet: CookiePacket;
+  readonly cookieBackend: KnownBackend;
+  readonly flow: Flow;
+  readonly isOpeningCookie: boolean;
+}
+
 /** Forwards packets of open flows. Times are monotonic ms. */
 export class MidFlowHandler {
   constructor(private readonly options: MidFlowHandlerOptions) {}
 
   /** Handles a packet other than a SYN. `flow` is the cached flow with its addresses, if any. */
   onMidFlowPacket(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
-    const { states, flowTracker, sender } = this.options;
-    const backend = this.findBackend(packet, flow);
-    const isDead = backend !== undefined && states.stateOf(backend).isDead(nowMs);
-    const outcome = decideMidFlow(backend, isDead);
+    const { flowTracker, sender } = this.options;
+    const cookieBackend = this.cookieBackendOf(packet);
+    const cookieOutcome = this.decideCookie(packet, cookieBackend, flow);
+    const decidingCookie = cookieOutcome === 'overruled' ? undefined : cookieBackend;
+    const backend = backendOfPacket(decidingCookie, flow?.backendState.backend);
+    const outcome = decideMidFlow(backend, this.isDead(backend, nowMs));
     if (!backend || outcome === 'drop') return this.dropUnknownCookie(packet);
     if (outcome === 'reset') return this.resetFlowAtDeadBackend(packet, flow, backend, nowMs);
+    if (flow) flow.handshake = handshakeEvidenceAfter(flow, packet.acknowledgement, cookieOutcome);
     const trackedFlow = flow ?? this.adoptFlow(packet, backend, nowMs);
     if (trackedFlow) flowTracker.trackPacket(packet, trackedFlow, backend, nowMs);
     sender.forwardTo(backend);
   }
 
-  private findBackend(packet: CookiePacket, flow: Flow | undefined): KnownBackend | undefined {
-    const { cookies } = this.options;
-    const cookieBackend = packet.cookie === 0 ? undefined : cookies.backendOf(packet.cookie);
-    const cachedBackend = flow?.backendState.backend;
-    const disagrees = cookieBackend !== undefined && flow !== undefined && cookieBackend !== cachedBackend;
-    if (!disagrees) return backendOfPacket(cookieBackend, cachedBackend);
-    const isOverruled =
-      cookies.isOpeningCookie(packet.cookie, cookieBackend) &&
-      continuesCachedFlow(packet.acknowledgement, flow);
-    if (!isOverruled) return cookieBackend;
-    this.options.events.emit(COOKIE_FLOW_EVENTS.openingCookieOverruled, {
+  private cookieBackendOf({ cookie }: CookiePacket): KnownBackend | undefined {
+    return cookie === 0 ? undefined : this.options.cookies.backendOf(cookie);
+  }
+
+  private isDead(backend: KnownBackend | undefined, nowMs: number): boolean {
+    return backend !== undefined && this.options.states.stateOf(backend).isDead(nowMs);
+  }
+
+  private decideCookie(
+    packet: CookiePacket,
+    cookieBackend: KnownBackend | undefined,
+    flow: Flow | undefined,
+  ): CookieOutcome {
+    if (!cookieBackend || !flow || cookieBackend === flow.backendState.backend) return 'agrees';
+    const { acknowledgement, sequence, payloadBytes } = packet;
+    const isOpeningCookie = this.options.cookies.isOpeningCookie(packet.cookie, cookieBackend);
+    const repeatsData = payloadBytes > 0 && !isSequenceAfter(sequence, flow.highestDataSequence);
+    const outcome = decideContradiction({ isOpeningCookie, acknowledgement, repeatsData }, flow);
+    this.logContradiction(outcome, { packet, cookieBackend, flow, isOpeningCookie });
+    return outcome;
+  }
+
+  private logContradiction(
+    outcome: CookieOutcome,
+    { packet, cookieBackend, flow, isOpeningCookie }: Contradiction,
+  ): void {
+    const isFollowed = outcome === 'followed';
+    const event = isFollowed ? COOKIE_FLOW_EVENTS.cookieFollowed : COOKIE_FLOW_EVENTS.cookieOverruled;
+    this.options.events.emit(event, {
       flow: formatFlowId(packet),
       backend: flow.backendState.backend.id,
       cookieBackend: cookieBackend.id,
+      isOpeningCookie,
       phase: flow.phase,
+      handshake: flow.handshake,
+      copy: flow.retransmissionCount,
+      acknowledgedBytes: (packet.acknowledgement - flow.acknowledgement) | 0,
     });
-    return cachedBackend;
   }
 
   /**
--- a/src/cookie-edge/forwarding/mid-flow-rule.test.ts
+++ b/src/cookie-edge/forwarding/mid-flow-rule.test.ts
@@ -3,7 +3,14 @@
 import type { KnownBackend } from '../routing/index.js';
 import { MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES } from './constants.js';
 import type { FlowPhase } from './flow-cache.js';
-import { backendOfPacket, continuesCachedFlow, decideMidFlow, type MidFlowOutcome } from './mid-flow-rule.js';
+import type { HandshakeEvidence } from './handshake-evidence.js';
+import {
+  backendOfPacket,
+  continuesCachedFlow,
+  decideContradiction,
+  decideMidFlow,
+  type MidFlowOutcome,
+} from './mid-flow-rule.js';
 
 const [fromCookie, fromCachedFlow] = [{ id: 'named' }, { id: 'remembered' }] as [KnownBackend, KnownBackend];
 
@@ -84,6 +91,61 @@
   });
 }
 
+const HANDSHAKE_ACKNOWLEDGEMENT = 501;
+const ANSWERED = HANDSHAKE_ACKNOWLEDGEMENT + 600;
+
+const CONTRADICTIONS: readonly (readonly [
+  title: string,
+  flow: readonly [retransmissionCount: number, handshake: HandshakeEvidence],
+  packet: readonly [acknowledgement: number, repeatsData: boolean],
+  outcome: 'overruled' | 'followed',
+])[] = [
+  ['a first SYN opened the flow here', [0, 'answered'], [501, false], 'followed'],
+  ['a retransmitted SYN opened the flow here', [1, 'seen'], [501, false], 'overruled'],
+  ['the back end has not answered its first data yet', [1, 'seen'], [501, true], 'overruled'],
+  ['the handshake was not seen', [1, 'unseen'], [501, false], 'followed'],
+  ['an answer came that may be of either back end', [1, 'seen'], [ANSWERED, false], 'overruled'],
+  ['the other back end seems to answer', [1, 'seen'], [ANSWERED, true], 'followed'],
+  ['the back end has answered before', [1, 'answered'], [ANSWERED, true], 'overruled'],
+];
+
+for (const [
+  title,
+  [retransmissionCount, handshake],
+  [acknowledgement, repeatsData],
+  outcome,
+] of CONTRADICTIONS) {
+  const flow = {
+    phase: 'open',
+    acknowledgement: HANDSHAKE_ACKNOWLEDGEMENT,
+    handshakeAcknowledgement: HANDSHAKE_ACKNOWLEDGEMENT,
+    retransmissionCount,
+    handshake,
+  } as const;
+
+  test(`the cookie of an established flow at another back end is ${outcome} if ${title}`, (t) => {
+    t.is(decideContradiction({ isOpeningCookie: false, acknowledgement, repeatsData }, flow), outcome);
+  });
+
+  test(`an opening cookie of another back end is overruled if ${title}`, (t) => {
+    t.is(decideContradiction({ isOpeningCookie: true, acknowledgement, repeatsData }, flow), 'overruled');
+  });
+}
+
+test('a cookie is followed if the packet does not continue the cached flow', (t) => {
+  const flow = {
+    phase: 'open',
+    acknowledgement: HANDSHAKE_ACKNOWLEDGEMENT,
+    handshakeAcknowledgement: HANDSHAKE_ACKNOWLEDGEMENT,
+    retransmissionCount: 1,
+    handshake: 'answered',
+  } as const;
+  const acknowledgement = HANDSHAKE_ACKNOWLEDGEMENT + MAX_ACKNOWLEDGEMENT_ADVANCE_BYTES + 1;
+  for (const isOpeningCookie of [false, true]) {
+    t.is(decideContradiction({ isOpeningCookie, acknowledgement, repeatsData: false }, flow), 'followed');
+  }
+});
+
 test('a departed or draining back end keeps its flows', (t) => {
   const departed = { id: 'a', departed: true, lapsed: false, record: { draining: true } } as KnownBackend;
   t.is(decideMidFlow(departed, false), 'forward');
--- /dev/null
+++ b/src/cookie-edge/forwarding/opening-beside-earlier-build.test.ts
@@ -0,0 +1,96 @@
+/**
+ * Guards against an open flow whose packets are led to another back end beside a daemon of an earlier build. That
+ * daemon placed the first SYN, does not say where, and wrote the cookie of established flows into it. The SYN+ACK
+ * arrives after the caller has opened the flow at the back end to which the retransmission went.
+ */
+import test from 'ava';
+import { backends, ForwarderHarness } from './cookie-test-support.js';
+import { COOKIE_FLOW_EVENTS } from './events.js';
+import { OpeningModel, type LossyPacket, type OpeningScenario } from './opening-model-test-support.js';
+
+const QUICK_MS = 2;
+const CHANGE_TIMES_MS = [1, 50, 100, 150, 199, 201, 203, 206, 230, 262, 303, 350, 420, 500, 590, 610, 650];
+const HANDSHAKES_MS = [QUICK_MS, 60, 199, 206, 250, 320, 700];
+const ANSWERS_MS = [QUICK_MS, 100, 300, 1_000];
+const LOSSES: readonly (readonly LossyPacket[])[] = [[], ['first-syn'], ['first-syn-ack'], ['first-data']];
+
+/** Routers change from a daemon of an earlier build to one of this build at `fromMs`. */
+function besideEarlierBuild(fromMs: number): Pick<OpeningScenario, 'routes' | 'kills' | 'earlierBuilds'> {
+  const routes = [
+    { fromMs: 0, daemon: 0 },
+    { fromMs, daemon: 1 },
+  ];
+  return { routes, kills: [], earlierBuilds: [0] };
+}
+
+/** Returns every combination of a handshake at each of two back ends, a time of answers, and a time of the change. */
+function* scenarios(losses: readonly LossyPacket[]): Generator<OpeningScenario> {
+  for (const answerMs of ANSWERS_MS) {
+    for (const first of HANDSHAKES_MS) {
+      for (const second of HANDSHAKES_MS) {
+        for (const fromMs of CHANGE_TIMES_MS) {
+          yield { answerMs, handshakeMs: [first, second, QUICK_MS], losses, ...besideEarlierBuild(fromMs) };
+        }
+      }
+    }
+  }
+}
+
+test('a late SYN+ACK of a placement by an earlier build does not lead an open flow away', (t) => {
+  const outcome = OpeningModel.play({
+    answerMs: 100,
+    handshakeMs: [320, QUICK_MS, QUICK_MS],
+    ...besideEarlierBuild(150),
+  });
+  t.like(outcome, { placedAt: ['a', 'b'], holder: 'b', misdelivered: 0, callerOutcome: 'served' });
+});
+
+for (const losses of LOSSES) {
+  test(`no packet of an open flow is misdelivered if routers leave an earlier build and these are lost: ${losses.join(', ') || 'none'}`, (t) => {
+    const misled = [...scenarios(losses)].filter((scenario) => OpeningModel.play(scenario).misdelivered > 0);
+    t.deepEqual(misled, []);
+  });
+}
+
+const SECOND_PORT = 1_000;
+const FIRST_ACKNOWLEDGEMENT = 501;
+const DATA_BYTES = 10;
+
+/** Opens a flow at `a` by a retransmitted SYN, and returns the cookie of established flows at `b`. */
+function openByRetransmission(harness: ForwarderHarness) {
+  let port = 1;
+  while (harness.open(port, 1)?.backend !== 'a') port += 1;
+  const openingCookie = harness.sent.at(-1)!.cookie;
+  let otherPort = SECOND_PORT;
+  while (harness.establish(otherPort).backend !== 'b') otherPort += 1;
+  const otherCookie = harness.sendMidFlow(otherPort, harness.sent.at(-1)!.cookie)!.cookie;
+  const data = (sequence: number) => ({
+    sequence,
+    acknowledgement: FIRST_ACKNOWLEDGEMENT,
+    payloadBytes: DATA_BYTES,
+  });
+  const first = harness.sendMidFlow(port, openingCookie, data(2))!;
+  return { port, otherCookie, ownCookie: first.cookie, data };
+}
+
+test('a flow that has been answered stays at its back end when data is repeated with the cookie of another one', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  const { port, otherCookie, ownCookie, data } = openByRetransmission(harness);
+  const answered = { ...data(2 + DATA_BYTES), acknowledgement: FIRST_ACKNOWLEDGEMENT + 600 };
+  t.is(harness.sendMidFlow(port, ownCookie, answered)?.backend, 'a');
+  t.is(harness.sendMidFlow(port, otherCookie, answered)?.backend, 'a');
+  t.true(harness.events().includes(COOKIE_FLOW_EVENTS.cookieOverruled.number));
+});
+
+test('a flow that another back end answers does not wait at the back end of a retransmitted SYN', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  const { port, otherCookie, data } = openByRetransmission(harness);
+  const answered = { ...data(2 + DATA_BYTES), acknowledgement: FIRST_ACKNOWLEDGEMENT + 600 };
+  t.is(
+    harness.sendMidFlow(port, otherCookie, answered)?.backend,
+    'a',
+    'the answer may be of either back end',
+  );
+  t.is(harness.sendMidFlow(port, otherCookie, answered)?.backend, 'b', 'the repeated data was not answered');
+  t.true(harness.events().includes(COOKIE_FLOW_EVENTS.cookieFollowed.number));
+});
--- a/src/cookie-edge/forwarding/opening-model-test-support.ts
+++ b/src/cookie-edge/forwarding/opening-model-test-support.ts
@@ -9,6 +9,7 @@
 import type { OpeningPeers, OpeningQuery } from '../opening-lookup/index.js';
 import type { RoutedBackend } from '../routing/index.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
+import { EarlierBuildDaemon } from './earlier-build-test-support.js';
 
 /** A packet of the caller, or the first SYN+ACK that a back end sends to it. */
 export type LossyPacket = 'first-syn' | 'second-syn' | 'first-syn-ack' | 'first-data' | 'second-data';
@@ -25,6 +26,8 @@
   readonly kills: readonly { readonly atMs: number; readonly daemon: number; readonly staysDown?: boolean }[];
   /** True if the daemons know no peers, so that each places what reaches it. */
   readonly areDaemonsIsolated?: boolean;
+  /** Daemons of a build without opening cookies and lookups. */
+  readonly earlierBuilds?: readonly number[];
   /** Packets that are lost the first time that they are sent. */
   readonly losses?: readonly LossyPacket[];
 }
@@ -81,10 +84,12 @@
   readonly received: Set<number>;
 }
 
+type ModelDaemon = ForwarderHarness | EarlierBuildDaemon;
+
 /** Runs scenarios, each in a new cluster. */
 export class OpeningModel {
   private readonly clock = new VirtualClock();
-  private readonly daemons: ForwarderHarness[];
+  private readonly daemons: ModelDaemon[];
   /** Daemons that receive no packets and messages. */
   private readonly downDaemons = new Set<number>();
   private readonly flows = new Map<string, BackendFlow>();
@@ -121,7 +126,7 @@
     }
     this.clock.advance(ATTEMPT_TIMEOUT_MS + DATA_PACKETS * DATA_INTERVAL_MS);
     while (this.isUnfinished() && this.clock.now() < DEADLINE_MS) this.clock.advance(STEP_MS);
-    for (const daemon of this.daemons) daemon.stop();
+    for (const daemon of this.daemons) stop(daemon);
     const { holder, delivered, misdelivered } = this;
     const callerOutcome = this.callerOutcome();
     return { holder, placedAt: [...this.flows.keys()], delivered, misdelivered, callerOutcome };
@@ -142,7 +147,20 @@
     return this.pendingLosses.delete(packet);
   }
 
-  private startDaemon(index: number): ForwarderHarness {
+  private startDaemon(index: number): ModelDaemon {
+    return this.scenario.earlierBuilds?.includes(index)
+      ? this.startEarlierBuild(index)
+      : this.startForwarder(index);
+  }
+
+  private startEarlierBuild(index: number): EarlierBuildDaemon {
+    const preferredId = idsOfBackends()[index] ?? '';
+    return new EarlierBuildDaemon(backends(BACKEND_COUNT), preferredId, (backend, cookie, packet) =>
+      this.clock.schedule(LINK_MS, () => this.receiveAtBackend(backend, { ...packet, cookie })),
+    );
+  }
+
+  private startForwarder(index: number): ForwarderHarness {
     const openingPeers: OpeningPeers = {
       hasPeers: () => !this.scenario.areDaemonsIsolated,
       askAboutOpenings: (queries) => this.askPeers(index, queries),
@@ -173,21 +191,23 @@
   }
 
   private answerQuery(peer: number, asking: number, query: OpeningQuery): void {
-    if (this.downDaemons.has(peer)) return;
-    const answer = this.daemons[peer]?.forwarder.answerOpeningQuery(query);
-    if (!answer) return;
-    this.clock.schedule(LINK_MS, () =>
-      this.daemons[asking]?.forwarder.applyOpeningAnswer(answer, String(peer)),
-    );
+    const peerDaemon = this.daemons[peer];
+    if (this.downDaemons.has(peer) || !(peerDaemon instanceof ForwarderHarness)) return;
+    const answer = peerDaemon.forwarder.answerOpeningQuery(query);
+    this.clock.schedule(LINK_MS, () => {
+      const askingDaemon = this.daemons[asking];
+      if (askingDaemon instanceof ForwarderHarness)
+        askingDaemon.forwarder.applyOpeningAnswer(answer, String(peer));
+    });
   }
 
   private restartDaemon(index: number): void {
-    this.daemons[index]?.stop();
+    stop(this.daemons[index]);
     this.daemons[index] = this.startDaemon(index);
   }
 
   /** Returns the daemon that the router picks now, or undefined if that one is down. */
-  private routedDaemon(): ForwarderHarness | undefined {
+  private routedDaemon(): ModelDaemon | undefined {
     const nowMs = this.clock.now();
     const route = this.scenario.routes.findLast(({ fromMs }) => fromMs <= nowMs);
     const index = route?.daemon ?? 0;
@@ -271,6 +291,10 @@
   }
 }
 
+function stop(daemon: ModelDaemon | undefined): void {
+  if (daemon instanceof ForwarderHarness) daemon.stop();
+}
+
 /** Names of the caller's packets in `losses`, by number. */
 const SYN_NAMES: readonly LossyPacket[] = ['first-syn', 'second-syn'];
 const DATA_NAMES: readonly LossyPacket[] = ['first-data', 'second-data'];
