Give both kinds of daemons of the opening model one interface

The model asked for the class of a daemon in three places; a daemon of an earlier build now has no forwarder and a stop that does nothing.

--- a/src/cookie-edge/forwarding/earlier-build-test-support.ts
+++ b/src/cookie-edge/forwarding/earlier-build-test-support.ts
@@ -11,6 +11,8 @@
 
 /** A daemon that handles the packets of one flow. */
 export class EarlierBuildDaemon {
+  /** It neither asks nor answers peers. */
+  readonly forwarder = undefined;
   private readonly cookies = new CookieRegistry();
   /** Back end of the cached flow. */
   private cachedBackend: KnownBackend | undefined;
@@ -36,6 +38,9 @@
     this.cachedBackend = backend;
     this.onSent(backend.id, this.cookies.cookieOf(backend), packet);
   }
+
+  /** Does nothing: it has no timers. */
+  stop(): void {}
 }
 
 function knownBackend(record: RoutedBackend): KnownBackend {
--- a/src/cookie-edge/forwarding/opening-model-test-support.ts
+++ b/src/cookie-edge/forwarding/opening-model-test-support.ts
@@ -8,6 +8,7 @@
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import type { OpeningPeers, OpeningQuery } from '../opening-lookup/index.js';
 import type { RoutedBackend } from '../routing/index.js';
+import type { CookieForwarder } from './cookie-forwarder.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
 import { EarlierBuildDaemon } from './earlier-build-test-support.js';
 
@@ -84,7 +85,13 @@
   readonly received: Set<number>;
 }
 
-type ModelDaemon = ForwarderHarness | EarlierBuildDaemon;
+/** A daemon of either build. */
+interface ModelDaemon {
+  /** Undefined for a daemon that neither asks nor answers peers. */
+  readonly forwarder: CookieForwarder | undefined;
+  deliver(packet: Partial<CookiePacket>): unknown;
+  stop(): void;
+}
 
 /** Runs scenarios, each in a new cluster. */
 export class OpeningModel {
@@ -126,7 +133,7 @@
     }
     this.clock.advance(ATTEMPT_TIMEOUT_MS + DATA_PACKETS * DATA_INTERVAL_MS);
     while (this.isUnfinished() && this.clock.now() < DEADLINE_MS) this.clock.advance(STEP_MS);
-    for (const daemon of this.daemons) stop(daemon);
+    for (const daemon of this.daemons) daemon.stop();
     const { holder, delivered, misdelivered } = this;
     const callerOutcome = this.callerOutcome();
     return { holder, placedAt: [...this.flows.keys()], delivered, misdelivered, callerOutcome };
@@ -191,18 +198,16 @@
   }
 
   private answerQuery(peer: number, asking: number, query: OpeningQuery): void {
-    const peerDaemon = this.daemons[peer];
-    if (this.downDaemons.has(peer) || !(peerDaemon instanceof ForwarderHarness)) return;
-    const answer = peerDaemon.forwarder.answerOpeningQuery(query);
-    this.clock.schedule(LINK_MS, () => {
-      const askingDaemon = this.daemons[asking];
-      if (askingDaemon instanceof ForwarderHarness)
-        askingDaemon.forwarder.applyOpeningAnswer(answer, String(peer));
-    });
+    if (this.downDaemons.has(peer)) return;
+    const answer = this.daemons[peer]?.forwarder?.answerOpeningQuery(query);
+    if (!answer) return;
+    this.clock.schedule(LINK_MS, () =>
+      this.daemons[asking]?.forwarder?.applyOpeningAnswer(answer, String(peer)),
+    );
   }
 
   private restartDaemon(index: number): void {
-    stop(this.daemons[index]);
+    this.daemons[index]?.stop();
     this.daemons[index] = this.startDaemon(index);
   }
 
@@ -291,10 +296,6 @@
   }
 }
 
-function stop(daemon: ModelDaemon | undefined): void {
-  if (daemon instanceof ForwarderHarness) daemon.stop();
-}
-
 /** Names of the caller's packets in `losses`, by number. */
 const SYN_NAMES: readonly LossyPacket[] = ['first-syn', 'second-syn'];
 const DATA_NAMES: readonly LossyPacket[] = ['first-data', 'second-data'];
