Do not take the first data of a flow for repeated data

Found by reading, before anything ran on it: the new exception for repeated data compared a packet's sequence number with that of the newest data of the cached flow, which is -1 before the first data. In arithmetic modulo 2^32 every number above 2^31 lies before -1, so that the first data of such a flow counted as repeated, and the flow could follow the cookie of a back end that does not hold it.

FlowTracker tests for -1 already; both use isNewData now. The test with sequence number 0x90000000 failed before. The condition is evaluated only if a packet's cookie contradicts the cached flow.

--- a/src/cookie-edge/forwarding/flow-cache.ts
+++ b/src/cookie-edge/forwarding/flow-cache.ts
@@ -9,6 +9,7 @@
 import type { FlowAddresses } from '../opening-lookup/index.js';
 import { addressKey } from '../routing/index.js';
 import type { HandshakeEvidence } from './handshake-evidence.js';
+import { isSequenceAfter } from './sequence-number.js';
 
 /**
  * `opening`: only SYNs have arrived. `open`: the caller has continued. `closing`: the caller has closed or reset the
@@ -46,6 +47,11 @@
   request: OutstandingRequest | undefined;
 }
 
+/** Returns true if data with this sequence number comes after all data of the flow that this daemon has seen. */
+export function isNewData(sequence: number, { highestDataSequence }: Flow): boolean {
+  return highestDataSequence < 0 || isSequenceAfter(sequence, highestDataSequence);
+}
+
 /** Holds up to `maxFlows` flows, indexed by service address and caller. */
 export class FlowCache {
   private readonly services = new Map<number, Map<number, Flow>>();
--- a/src/cookie-edge/forwarding/flow-tracker.ts
+++ b/src/cookie-edge/forwarding/flow-tracker.ts
@@ -10,7 +10,7 @@
 import type { KnownBackend } from '../routing/index.js';
 import { MIN_RETRANSMISSION_INTERVAL_MS } from './constants.js';
 import type { CookieStatistics } from './cookie-statistics.js';
-import type { Flow, FlowCache } from './flow-cache.js';
+import { isNewData, type Flow, type FlowCache } from './flow-cache.js';
 import type { FlowFailures } from './flow-failures.js';
 import { isSequenceAfter } from './sequence-number.js';
 
@@ -64,7 +64,7 @@
   }
 
   private trackData(packet: CookiePacket, flow: Flow, nowMs: number): void {
-    if (flow.highestDataSequence < 0 || isSequenceAfter(packet.sequence, flow.highestDataSequence)) {
+    if (isNewData(packet.sequence, flow)) {
       flow.highestDataSequence = packet.sequence;
       flow.dataFirstSeenAtMs = nowMs;
       flow.isFailureCounted = false;
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -9,13 +9,12 @@
 import type { CookieRegistry } from './cookie-registry.js';
 import type { CookieStatistics } from './cookie-statistics.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
-import type { Flow, FlowCache } from './flow-cache.js';
+import { isNewData, type Flow, type FlowCache } from './flow-cache.js';
 import type { FlowTracker } from './flow-tracker.js';
 import { formatFlowId } from './flow-id.js';
 import { handshakeEvidenceAfter } from './handshake-evidence.js';
 import { backendOfPacket, decideContradiction, decideMidFlow, type CookieOutcome } from './mid-flow-rule.js';
 import type { PacketSender } from './packet-sender.js';
-import { isSequenceAfter } from './sequence-number.js';
 
 /** Dependencies of `MidFlowHandler`. */
 interface MidFlowHandlerOptions {
@@ -46,8 +45,8 @@
     const { flowTracker, sender } = this.options;
     const cookieBackend = this.cookieBackendOf(packet);
     const cookieOutcome = this.decideCookie(packet, cookieBackend, flow);
-    const decidingCookie = cookieOutcome === 'overruled' ? undefined : cookieBackend;
-    const backend = backendOfPacket(decidingCookie, flow?.backendState.backend);
+    const validCookieBackend = cookieOutcome === 'overruled' ? undefined : cookieBackend;
+    const backend = backendOfPacket(validCookieBackend, flow?.backendState.backend);
     const outcome = decideMidFlow(backend, this.isDead(backend, nowMs));
     if (!backend || outcome === 'drop') return this.dropUnknownCookie(packet);
     if (outcome === 'reset') return this.resetFlowAtDeadBackend(packet, flow, backend, nowMs);
@@ -73,7 +72,7 @@
     if (!cookieBackend || !flow || cookieBackend === flow.backendState.backend) return 'agrees';
     const { acknowledgement, sequence, payloadBytes } = packet;
     const isOpeningCookie = this.options.cookies.isOpeningCookie(packet.cookie, cookieBackend);
-    const repeatsData = payloadBytes > 0 && !isSequenceAfter(sequence, flow.highestDataSequence);
+    const repeatsData = payloadBytes > 0 && !isNewData(sequence, flow);
     const outcome = decideContradiction({ isOpeningCookie, acknowledgement, repeatsData }, flow);
     this.logContradiction(outcome, { packet, cookieBackend, flow, isOpeningCookie });
     return outcome;
--- a/src/cookie-edge/forwarding/mid-flow-rule.ts
+++ b/src/cookie-edge/forwarding/mid-flow-rule.ts
@@ -57,8 +57,8 @@
 }
 
 /**
- * Returns true if a packet with an opening cookie continues a cached flow whose handshake is complete. Each back end
- * numbers its bytes from a sequence number of its own, so the acknowledgement identifies the back end.
+ * Returns true if a packet continues a cached flow whose handshake is complete. Each back end numbers its bytes from a
+ * sequence number of its own, so the acknowledgement identifies the back end.
  */
 export function continuesCachedFlow(acknowledgement: number, flow: CachedHandshake): boolean {
   const advanceBytes = (acknowledgement - flow.acknowledgement) | 0;
--- a/src/cookie-edge/forwarding/opening-beside-earlier-build.test.ts
+++ b/src/cookie-edge/forwarding/opening-beside-earlier-build.test.ts
@@ -4,6 +4,7 @@
  * arrives after the caller has opened the flow at the back end to which the retransmission went.
  */
 import test from 'ava';
+import type { CookiePacket } from '../../fabric/cookie-edge.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
 import { OpeningModel, type LossyPacket, type OpeningScenario } from './opening-model-test-support.js';
@@ -49,8 +50,11 @@
 const FIRST_ACKNOWLEDGEMENT = 501;
 const DATA_BYTES = 10;
 
-/** Opens a flow at `a` by a retransmitted SYN, and returns the cookie of established flows at `b`. */
-function openByRetransmission(harness: ForwarderHarness) {
+/**
+ * Opens a flow at `a` by a retransmitted SYN and a packet with the fields `first`, and returns the cookie of
+ * established flows at `b`.
+ */
+function openByRetransmission(harness: ForwarderHarness, first: Partial<CookiePacket> = {}) {
   let port = 1;
   while (harness.open(port, 1)?.backend !== 'a') port += 1;
   const openingCookie = harness.sent.at(-1)!.cookie;
@@ -62,8 +66,8 @@
     acknowledgement: FIRST_ACKNOWLEDGEMENT,
     payloadBytes: DATA_BYTES,
   });
-  const first = harness.sendMidFlow(port, openingCookie, data(2))!;
-  return { port, otherCookie, ownCookie: first.cookie, data };
+  const opened = harness.sendMidFlow(port, openingCookie, { ...data(2), ...first })!;
+  return { port, otherCookie, ownCookie: opened.cookie, data };
 }
 
 test('a flow that has been answered stays at its back end when data is repeated with the cookie of another one', (t) => {
@@ -87,3 +91,10 @@
   t.is(harness.sendMidFlow(port, otherCookie, answered)?.backend, 'b', 'the repeated data was not answered');
   t.true(harness.events().includes(COOKIE_FLOW_EVENTS.cookieFollowed.number));
 });
+
+test('the first data of a flow is not taken for repeated data, whatever its sequence number', (t) => {
+  const harness = new ForwarderHarness().applyRecords(backends(3));
+  const { port, otherCookie } = openByRetransmission(harness, { payloadBytes: 0 });
+  const firstData = { sequence: 0x9000_0000, acknowledgement: FIRST_ACKNOWLEDGEMENT + 600, payloadBytes: 1 };
+  t.is(harness.sendMidFlow(port, otherCookie, firstData)?.backend, 'a');
+});
