--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,15 +3,12 @@
  * gets new flows long after. See claim.txt.
  */
 import { performance } from 'node:perf_hooks';
-import { fileURLToPath } from 'node:url';
 import { BOUNDS } from '../lib/daemons.mjs';
-import { CONFIRM, Deployment } from '../lib/deployment.mjs';
+import { HAS_TROUBLE, runCase } from '../lib/case.mjs';
+import { CONFIRM } from '../lib/deployment.mjs';
 import { SYN } from '../lib/packet.mjs';
 import { delay, until } from '../lib/record.mjs';
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url));
-const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
-const HAS_TROUBLE = process.env.TROUBLE !== '0';
 /** contact_ms of the sheet, with a second to spare. */
 const WARM_UP_MS = 5000;
 const DEADLINE_MS = 2500;
@@ -82,18 +79,7 @@
     `SYNs at ${leaving.id} more than ${BOUNDS.drain_timeout_ms} ms after it drained: ${lateMs.length}${span}`,
   );
   record.note(lateMs.length > 0 ? 'DRAIN is broken' : 'DRAIN held');
-  return lateMs.length > 0 ? 1 : 0;
+  return lateMs.length > 0;
 }
 
-const deployment = new Deployment(ROOT);
-let code = 2;
-try {
-  code = await run(deployment);
-} catch (error) {
-  deployment.record.note(`could not run: ${error.stack}`);
-} finally {
-  await deployment.close();
-  deployment.record.write(RECORD);
-}
-console.log(`exit code ${code}`);
-process.exit(code);
+await runCase(import.meta.url, run);
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -2,14 +2,11 @@
  * A scanner opens a long flow while its first back end leaves; the daemon is restarted as planned; the scanner's next
  * request is led to the back end that left, which resets the flow. See claim.txt.
  */
-import { fileURLToPath } from 'node:url';
-import { CONFIRM, Deployment } from '../lib/deployment.mjs';
+import { HAS_TROUBLE, runCase } from '../lib/case.mjs';
+import { CONFIRM } from '../lib/deployment.mjs';
 import { decode, SYN, ACK } from '../lib/packet.mjs';
 import { delay, until } from '../lib/record.mjs';
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url));
-const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
-const HAS_TROUBLE = process.env.TROUBLE !== '0';
 /** contact_ms of the sheet, with a second to spare. */
 const WARM_UP_MS = 5000;
 const DEADLINE_MS = 2500;
@@ -99,18 +96,7 @@
   record.note(isBroken ? 'FLOW is broken' : 'FLOW held');
   if (!isBroken && second.how !== 'answered')
     throw new Error('the second request failed without a foreign reset');
-  return isBroken ? 1 : 0;
+  return isBroken;
 }
 
-const deployment = new Deployment(ROOT);
-let code = 2;
-try {
-  code = await run(deployment);
-} catch (error) {
-  deployment.record.note(`could not run: ${error.stack}`);
-} finally {
-  await deployment.close();
-  deployment.record.write(RECORD);
-}
-console.log(`exit code ${code}`);
-process.exit(code);
+await runCase(import.meta.url, run);
