--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -16,7 +16,7 @@
  * The SYN+ACK that the first back end sends again and that of the second one arrive at nearly the same time. The flow
  * of a round opens at the second one, or else the next round is played.
  */
-const ROUNDS = 4;
+const ROUNDS = 7;
 /** The scanner rests between its first and its second confirmation. */
 const REST_MS = 2500;
 /** After its drain_timeout_ms the back end that leaves serves on for some seconds. */
@@ -44,7 +44,7 @@
 
 async function run(deployment) {
   const { record } = deployment;
-  await deployment.start({ backendsAZone: { pickguide: [2, 2, 2], labeldruck: [1, 1, 1] } });
+  await deployment.start({ backendsAZone: { pickguide: [4, 3, 3], labeldruck: [1, 1, 1] } });
   const scanner = await deployment.addClient('halle-nord');
   await delay(WARM_UP_MS);
   const usual = scanner.open(CONFIRM);
