--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -75,10 +75,16 @@
   note(kind, object, gone) {
     const atMs = performance.now();
     this.changes.push({ kind, object: structuredCloneOf(object), gone, revision: this.revision, atMs });
-    while (atMs - this.changes[0].atMs > HISTORY_MS) this.forgottenUpTo = this.changes.shift().revision;
+    this.forgetOldChanges();
     for (const wake of [...this.waiters]) wake();
   }
 
+  forgetOldChanges() {
+    const nowMs = performance.now();
+    while (this.changes.length > 0 && nowMs - this.changes[0].atMs > HISTORY_MS)
+      this.forgottenUpTo = this.changes.shift().revision;
+  }
+
   async serve(request, response) {
     const url = new URL(request.url, 'http://store');
     const [, kind, name] = PATH.exec(url.pathname) ?? [];
@@ -103,6 +109,7 @@
   }
 
   serveWatch(kind, since, waitMs, response) {
+    this.forgetOldChanges();
     if (since < this.forgottenUpTo) return this.answer(response, 410, {});
     const collect = () => this.changes.filter((change) => change.kind === kind && change.revision > since);
     const finish = () => {
