Log the age of the routes, who confirmed them, and why a daemon does not read yet

A flow that was opened by an old version could not be traced to its cause: the lines of openings had the age of the oldest topic only, a retransmitted SYN that stays had no line, and nothing told that a daemon awaits its turn to read.

- 1250, 1251, 1252 and the new 1267 (a retransmitted SYN goes to the back end of its flow) name the version, the age of the routes and who confirmed them: a response of the source, by its topic, or a peer.
- 2210, once: the confirmation is overdue and this daemon reads after others; with the time left and the number of daemons from which the turn was computed.
- TopicConfirmations keeps the confirmations, which knowledge.ts did before, and who gave them.

No decision has changed.

--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -95,6 +95,13 @@
     message: 'Packet sent to the back end of its cookie although the cached flow is at another one',
     action: 'If the flow is open: see the events 1250 of this flow on all daemons; otherwise none',
   },
+  retransmissionStays: {
+    number: 1267,
+    level: 'info',
+    message: 'Retransmitted SYN sent to the back end of its flow',
+    action:
+      'If hasLeftRoute is true: check why no other back end takes new flows of the route; otherwise none',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -176,15 +176,18 @@
 
   /** Sends a retransmitted SYN to the back end of its flow, or moves the flow to another one. */
   private forwardRetransmission(packet: CookiePacket, flow: Flow, nowMs: number): void {
-    const { newFlowRule, sender } = this.options;
+    const { newFlowRule, sender, openingLog } = this.options;
     const hasLeft = newFlowRule.hasLeftRoute(packet, flow.backendState.backend, nowMs);
     if (mayLeaveFirstBackend(flow.phase, flow.backendState.liveness(nowMs), hasLeft)) {
       const alternative = newFlowRule.chooseForRetransmission(packet, nowMs);
       if (alternative) newFlowRule.recordPlacement(alternative, nowMs);
       const outcome = decideRetransmission(flow.backendState, alternative);
-      if (alternative && outcome === 'another-back-end')
+      if (alternative && outcome === 'another-back-end') {
         this.moveToAlternative(packet, flow, alternative, nowMs);
+        return sender.forwardSynTo(flow.backendState.backend);
+      }
     }
+    openingLog.logStay(packet, flow, hasLeft);
     sender.forwardSynTo(flow.backendState.backend);
   }
 
--- a/src/cookie-edge/forwarding/opening-log.ts
+++ b/src/cookie-edge/forwarding/opening-log.ts
@@ -1,6 +1,6 @@
 /** Logs the outcome of each SYN and the data on which the decision was based. */
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
-import type { EventLog } from '../../observability/event.js';
+import type { EventFields, EventLog } from '../../observability/event.js';
 import type { LookupOutcome, OpeningQuery } from '../opening-lookup/index.js';
 import type { BackendEligibility, Placement } from '../placement/index.js';
 import type { Route, RoutingKnowledge } from '../routing/index.js';
@@ -21,7 +21,7 @@
   readonly placement: Placement;
 }
 
-/** Emits the events 1250, 1251, 1252, 1255, 1263, 1264 and 1265. */
+/** Emits the events 1250, 1251, 1252, 1255, 1263, 1264, 1265 and 1267. */
 export class OpeningLog {
   constructor(private readonly options: OpeningLogOptions) {}
 
@@ -39,9 +39,8 @@
       passedOver: placement.passedOver,
       copy: packet.retransmissionCount,
       waitedMs: Math.round(waitedMs),
-      version: knowledge.routes()?.table.version,
       listRevision: knowledge.revisionOf('backends'),
-      knowledgeAgeMs: Math.round(knowledge.maxTopicAge()),
+      ...this.knowledgeFields(),
     });
   }
 
@@ -52,6 +51,19 @@
       before: flow.backendState.backend.id,
       backend: placement.state.backend.id,
       failures: flow.backendState.failuresSinceSignOfLife,
+      ...this.knowledgeFields(),
+    });
+  }
+
+  /** Logs that a retransmitted SYN goes to the back end of its flow. */
+  logStay(packet: CookiePacket, flow: Flow, hasLeftRoute: boolean): void {
+    this.options.events.emit(COOKIE_FLOW_EVENTS.retransmissionStays, {
+      flow: formatFlowId(packet),
+      copy: packet.retransmissionCount,
+      backend: flow.backendState.backend.id,
+      service: flow.backendState.backend.record.service,
+      hasLeftRoute,
+      ...this.knowledgeFields(),
     });
   }
 
@@ -62,14 +74,13 @@
     route: Route | undefined,
     nowMs: number,
   ): void {
-    const { events, knowledge, eligibility } = this.options;
+    const { events, eligibility } = this.options;
     events.emit(COOKIE_FLOW_EVENTS.refused, {
       flow: formatFlowId(packet),
       reason,
       route: route?.name,
       excluded: route && JSON.stringify(eligibility.countRecordExclusions(route, nowMs)),
-      version: knowledge.routes()?.table.version,
-      knowledgeAgeMs: Math.round(knowledge.maxTopicAge()),
+      ...this.knowledgeFields(),
     });
   }
 
@@ -102,4 +113,15 @@
   logStaleSyn(packet: CookiePacket): void {
     this.options.events.emit(COOKIE_FLOW_EVENTS.staleSyn, { flow: formatFlowId(packet) });
   }
+
+  /** The knowledge of a decision: version of the routes, its age and who confirmed it, and the age of all topics. */
+  private knowledgeFields(): EventFields {
+    const { knowledge } = this.options;
+    return {
+      version: knowledge.routes()?.table.version,
+      routesAgeMs: Math.round(knowledge.ageOf('routes')),
+      routesConfirmedBy: knowledge.confirmedBy('routes'),
+      knowledgeAgeMs: Math.round(knowledge.maxTopicAge()),
+    };
+  }
 }
--- a/src/cookie-edge/roster/roster-test-support.ts
+++ b/src/cookie-edge/roster/roster-test-support.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from '../../common/clock.js';
 import type { EventDefinition } from '../../observability/event.js';
 import { RoutingKnowledge, RoutingSourceError, type RoutedBackend } from '../routing/index.js';
-import { backendAt, updateAt } from '../routing/routing-test-support.js';
+import { backendAt, PEER, updateAt } from '../routing/routing-test-support.js';
 import { RosterWriter } from './roster-writer.js';
 import type {
   PageWritePrecondition,
@@ -130,7 +130,7 @@
       await this.clock.advanceAsync(100, 10);
       const { revision, epoch } = this.knowledge.confirmationOf('backends');
       const confirmation = { epoch, revision, changedRevision: revision, confirmedAtMs: this.clock.now() };
-      if (revision >= 0) this.knowledge.applyConfirmation('backends', confirmation);
+      if (revision >= 0) this.knowledge.applyConfirmation('backends', confirmation, PEER);
     }
   }
 
--- a/src/cookie-edge/routing/knowledge.test.ts
+++ b/src/cookie-edge/routing/knowledge.test.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from '../../common/clock.js';
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
 import { RoutingKnowledge, type UpdateOrigin } from './knowledge.js';
-import { backendAt, SERVICE_ADDRESS, SERVICE_PORT, tableAt, updateAt } from './routing-test-support.js';
+import { backendAt, PEER, SERVICE_ADDRESS, SERVICE_PORT, tableAt, updateAt } from './routing-test-support.js';
 import type { RoutedBackend, RoutingUpdate } from './types.js';
 
 const RETENTION_MS = 60_000;
@@ -146,12 +146,18 @@
   clock.advance(10_000);
   knowledge.apply('backends', completeUpdate(3, backendAt('a', 3)), originSince(-1, 1_000));
   t.is(knowledge.ageOf('backends'), 9_000);
-  t.false(knowledge.applyConfirmation('backends', { revision: 8, changedRevision: 5, confirmedAtMs: 9_000 }));
+  t.false(
+    knowledge.applyConfirmation('backends', { revision: 8, changedRevision: 5, confirmedAtMs: 9_000 }, PEER),
+  );
   t.is(knowledge.ageOf('backends'), 9_000);
-  t.true(knowledge.applyConfirmation('backends', { revision: 8, changedRevision: 3, confirmedAtMs: 9_000 }));
+  t.true(
+    knowledge.applyConfirmation('backends', { revision: 8, changedRevision: 3, confirmedAtMs: 9_000 }, PEER),
+  );
   t.is(knowledge.ageOf('backends'), 1_000);
   t.is(knowledge.revisionOf('backends'), 8);
-  t.true(knowledge.applyConfirmation('backends', { revision: 4, changedRevision: 3, confirmedAtMs: 9_900 }));
+  t.true(
+    knowledge.applyConfirmation('backends', { revision: 4, changedRevision: 3, confirmedAtMs: 9_900 }, PEER),
+  );
   t.is(knowledge.ageOf('backends'), 1_000, 'an older revision confirms nothing');
 });
 
@@ -193,7 +199,7 @@
   const gossiped: { readonly update: RoutingUpdate; readonly since: number }[] = [];
   first.subscribe((applied) => gossiped.push(applied));
   first.apply('routes', updateAt(3, { complete: true, routes: [tableAt(3)] }), originSince(-1));
-  first.applyConfirmation('routes', { revision: 8, changedRevision: 3, confirmedAtMs: 0 });
+  first.applyConfirmation('routes', { revision: 8, changedRevision: 3, confirmedAtMs: 0 }, PEER);
   first.apply('routes', updateAt(9, { routes: [tableAt(9, { routes: [] })] }), originSince(8));
   const { update, since } = gossiped[1]!;
   t.deepEqual(update.routes, []);
--- a/src/cookie-edge/routing/knowledge.ts
+++ b/src/cookie-edge/routing/knowledge.ts
@@ -11,7 +11,8 @@
 import type { RouteIndex } from './route-index.js';
 import { RoutesInForce } from './routes-in-force.js';
 import { compareEpochs, epochOf, isBefore, type EpochRelation } from './source-epoch.js';
-import type { RoutingTopic, RoutingUpdate, TopicConfirmation } from './types.js';
+import { TopicConfirmations, UNKNOWN_REVISION } from './topic-confirmations.js';
+import type { ConfirmationOrigin, RoutingTopic, RoutingUpdate, TopicConfirmation } from './types.js';
 import { ZoneCordons } from './zone-cordons.js';
 
 /** An update that changed the state, in the form in which it is gossiped. */
@@ -54,13 +55,6 @@
 const TOPICS: readonly RoutingTopic[] = ['routes', 'backends'];
 const TOPICS_WITH_CORDONS: readonly RoutingTopic[] = [...TOPICS, 'cordons'];
 
-const UNKNOWN_REVISION = -1;
-const NEVER_CONFIRMED: TopicConfirmation = {
-  revision: UNKNOWN_REVISION,
-  changedRevision: UNKNOWN_REVISION,
-  confirmedAtMs: Number.NEGATIVE_INFINITY,
-};
-
 /**
  * The routing state of one daemon. Updates may arrive in any order and repeatedly; outdated content is never applied.
  */
@@ -70,11 +64,7 @@
   /** Topics that this daemon follows; updates of other topics are ignored. */
   readonly topics: readonly RoutingTopic[];
   private readonly routesInForce: RoutesInForce;
-  private readonly confirmations: Record<RoutingTopic, TopicConfirmation> = {
-    routes: NEVER_CONFIRMED,
-    backends: NEVER_CONFIRMED,
-    cordons: NEVER_CONFIRMED,
-  };
+  private readonly confirmations = new TopicConfirmations();
   private readonly appliedUpdates = new Subject<AppliedUpdate>();
 
   constructor(private readonly options: RoutingKnowledgeOptions) {
@@ -96,17 +86,17 @@
 
   /** Returns true once every topic has been received, even without a route table. */
   hasAllTopics(): boolean {
-    return this.topics.every((topic) => this.confirmations[topic].revision > UNKNOWN_REVISION);
+    return this.topics.every((topic) => this.confirmations.of(topic).revision > UNKNOWN_REVISION);
   }
 
   /** Returns the revision up to which a topic is known, in its epoch; -1 before the first complete update. */
   revisionOf(topic: RoutingTopic): number {
-    return this.confirmations[topic].revision;
+    return this.confirmations.of(topic).revision;
   }
 
   /** Returns the epoch of the source up to which a topic is known; 0 before the first complete update. */
   epochOf(topic: RoutingTopic): number {
-    return epochOf(this.confirmations[topic]);
+    return epochOf(this.confirmations.of(topic));
   }
 
   /**
@@ -119,7 +109,7 @@
 
   /** Returns the ms since a topic was last confirmed as current; Infinity before the first confirmation. */
   ageOf(topic: RoutingTopic): number {
-    return this.options.clock.now() - this.confirmations[topic].confirmedAtMs;
+    return this.options.clock.now() - this.confirmations.of(topic).confirmedAtMs;
   }
 
   /** Returns the age of the oldest topic, in ms. */
@@ -129,7 +119,12 @@
 
   /** Returns the freshness confirmation of a topic, as it is gossiped. */
   confirmationOf(topic: RoutingTopic): TopicConfirmation {
-    return this.confirmations[topic];
+    return this.confirmations.of(topic);
+  }
+
+  /** Returns who confirmed a topic last; undefined before the first confirmation. */
+  confirmedBy(topic: RoutingTopic): ConfirmationOrigin | undefined {
+    return this.confirmations.originOf(topic);
   }
 
   /** Calls `listener` after each update that changed something; returns an unsubscribe function. */
@@ -151,21 +146,22 @@
     return this.applyInEpoch(topic, update, origin, relation === 'later');
   }
 
-  /** Applies a peer's freshness confirmation; returns false when it covers changes that are missing here. */
-  applyConfirmation(topic: RoutingTopic, confirmation: TopicConfirmation): boolean {
-    const known = this.confirmations[topic];
+  /**
+   * Applies a peer's freshness confirmation; returns false when it covers changes that are missing here.
+   *
+   * @param peer `host:port` of the peer
+   */
+  applyConfirmation(topic: RoutingTopic, confirmation: TopicConfirmation, peer: string): boolean {
+    const known = this.confirmations.of(topic);
     const { epoch, changedRevision } = confirmation;
     if (isBefore(known, { epoch, revision: changedRevision })) return false;
     if (compareEpochs(confirmation, known) !== 'same') return true;
-    this.advanceConfirmation(topic, {
-      ...confirmation,
-      changedRevision: Math.max(changedRevision, known.changedRevision),
-    });
+    this.confirmations.advance(topic, confirmation, `peer-${peer}`);
     return true;
   }
 
   private epochRelationOf(topic: RoutingTopic, update: RoutingUpdate): EpochRelation {
-    const known = this.confirmations[topic];
+    const known = this.confirmations.of(topic);
     return known.revision === UNKNOWN_REVISION ? 'same' : compareEpochs(update, known);
   }
 
@@ -175,10 +171,10 @@
     origin: UpdateOrigin,
     beginsEpoch: boolean,
   ): boolean {
-    const isFirst = this.confirmations[topic].revision === UNKNOWN_REVISION;
+    const isFirst = this.confirmations.of(topic).revision === UNKNOWN_REVISION;
     if (beginsEpoch) this.beginEpoch(topic, update);
     const { revision: previousRevision, changedRevision: previousChangedRevision } =
-      this.confirmations[topic];
+      this.confirmations.of(topic);
     const previousTable = this.routes()?.table;
     const hasGap = !update.complete && origin.since > previousRevision;
     if (!this.applyTopic(topic, update, { ...origin, hasGap, beginsEpoch, isFirstUpdate: isFirst }))
@@ -187,8 +183,9 @@
     const { revision, epoch } = update;
     const { confirmedAtMs } = origin;
     const changedRevision = changed ? revision : previousChangedRevision;
-    this.advanceConfirmation(topic, { epoch, revision, changedRevision, confirmedAtMs });
-    this.confirmUpTo({ epoch, revision }, confirmedAtMs);
+    const confirmedBy = `source-${topic}` as const;
+    this.confirmations.advance(topic, { epoch, revision, changedRevision, confirmedAtMs }, confirmedBy);
+    this.confirmations.confirmUpTo(this.topics, { epoch, revision }, confirmedAtMs, confirmedBy);
     if (!changed || revision <= previousRevision) return true;
     const updateToGossip =
       topic === 'routes' ? this.routesInForce.updateToGossip(update, previousTable, beginsEpoch) : update;
@@ -201,7 +198,7 @@
    * ones.
    */
   private beginEpoch(topic: RoutingTopic, { epoch, revision }: RoutingUpdate): void {
-    const known = this.confirmations[topic];
+    const known = this.confirmations.of(topic);
     this.options.events.emit(ROUTING_EVENTS.epochBegan, {
       topic,
       epoch,
@@ -209,35 +206,11 @@
       knownEpoch: epochOf(known),
       knownRevision: known.revision,
     });
-    this.confirmations[topic] = { ...NEVER_CONFIRMED, epoch };
+    this.confirmations.beginEpoch(topic, epoch);
     if (topic === 'backends') this.backends.beginEpoch();
     if (topic === 'cordons') this.cordons.beginEpoch();
   }
 
-  /**
-   * Confirms every topic that is known up to `position`, because all topics share one revision counter. A topic of an
-   * earlier epoch is not confirmed, because the restore may have changed it.
-   */
-  private confirmUpTo(position: { readonly epoch?: number; readonly revision: number }, atMs: number): void {
-    for (const topic of this.topics) {
-      const known = this.confirmations[topic];
-      const isCurrent = compareEpochs(known, position) === 'same' && known.revision >= position.revision;
-      if (isCurrent) this.advanceConfirmation(topic, { ...known, confirmedAtMs: atMs });
-    }
-  }
-
-  /** Stores a confirmation, unless its revision is older than the stored one. */
-  private advanceConfirmation(topic: RoutingTopic, confirmation: TopicConfirmation): void {
-    const known = this.confirmations[topic];
-    if (confirmation.revision < known.revision) return;
-    this.confirmations[topic] = {
-      epoch: confirmation.epoch,
-      revision: confirmation.revision,
-      changedRevision: Math.max(known.changedRevision, confirmation.changedRevision),
-      confirmedAtMs: Math.max(known.confirmedAtMs, confirmation.confirmedAtMs),
-    };
-  }
-
   /** Returns false when the topic is not known up to the update's revision. */
   private applyTopic(topic: RoutingTopic, update: RoutingUpdate, context: ApplyContext): boolean {
     switch (topic) {
@@ -252,7 +225,7 @@
 
   /** Applies all records of the update; returns false when earlier records may be missing. */
   private applyBackends(update: RoutingUpdate, context: ApplyContext): boolean {
-    const { revision: known } = this.confirmations.backends;
+    const { revision: known } = this.confirmations.of('backends');
     if (update.complete && context.isFirstUpdate)
       this.backends.putFirstList(update.backends, update.revision);
     if (context.beginsEpoch) update.backends.forEach((record) => this.backends.putRestored(record));
@@ -269,7 +242,7 @@
 
   /** Applies all cordons of the update; returns false when earlier cordons may be missing. */
   private applyCordons(update: RoutingUpdate, { hasGap, beginsEpoch }: ApplyContext): boolean {
-    const { revision: known } = this.confirmations.cordons;
+    const { revision: known } = this.confirmations.of('cordons');
     const { cordons = [], cordonRemovals = [] } = update;
     const isUpToDate = update.complete && update.revision >= known;
     cordons.forEach((cordon) => this.cordons.put(cordon, isUpToDate ? UNKNOWN_REVISION : known));
--- a/src/cookie-edge/routing/restored-source.test.ts
+++ b/src/cookie-edge/routing/restored-source.test.ts
@@ -7,7 +7,7 @@
 import { SILENT_EVENT_LOG } from '../../observability/event.js';
 import { RESTORED_HOLD_MS } from './constants.js';
 import { RoutingKnowledge, type UpdateOrigin } from './knowledge.js';
-import { backendAt, tableAt, updateAt } from './routing-test-support.js';
+import { backendAt, PEER, tableAt, updateAt } from './routing-test-support.js';
 import type { RoutedBackend, RoutingUpdate } from './types.js';
 
 const ZONE = 'north';
@@ -68,7 +68,9 @@
   const outdated = updateAt(30, { complete: true, backends: [backendAt('c', 29)] });
   t.true(knowledge.apply('backends', outdated, originSince(-1, 900)));
   t.is(knowledge.backends.get('c'), undefined);
-  t.true(knowledge.applyConfirmation('backends', { revision: 30, changedRevision: 5, confirmedAtMs: 900 }));
+  t.true(
+    knowledge.applyConfirmation('backends', { revision: 30, changedRevision: 5, confirmedAtMs: 900 }, PEER),
+  );
   t.is(knowledge.ageOf('backends'), 1_000);
 });
 
@@ -82,7 +84,7 @@
 test('a confirmation of a later epoch reveals a gap', (t) => {
   const { knowledge } = createKnowledge();
   const confirmation = { epoch: 1, revision: 16, changedRevision: 3, confirmedAtMs: 0 };
-  t.false(knowledge.applyConfirmation('routes', confirmation));
+  t.false(knowledge.applyConfirmation('routes', confirmation, PEER));
 });
 
 test('the table in force stays when the backup has an older version, until a newer one is written', (t) => {
--- a/src/cookie-edge/routing/routing-test-support.ts
+++ b/src/cookie-edge/routing/routing-test-support.ts
@@ -16,6 +16,9 @@
 export const SERVICE_ADDRESS = 0xc6120001;
 export const SERVICE_PORT = 8443;
 
+/** A peer that sends confirmations. */
+export const PEER = '10.1.0.1:7720';
+
 /** Builds a table with one route to `alpha` at `SERVICE_ADDRESS`. */
 export function tableAt(revision: number, overrides: Partial<RouteTable> = {}): RouteTable {
   const targets = [{ service: 'alpha', weight: 1 }];
--- a/src/cookie-edge/routing/types.ts
+++ b/src/cookie-edge/routing/types.ts
@@ -160,6 +160,12 @@
   readonly problems?: readonly RecordProblem[];
 }
 
+/**
+ * Who confirmed a topic: a response of the source about the named topic, which confirms other topics as well, or a peer
+ * (`host:port`).
+ */
+export type ConfirmationOrigin = `source-${RoutingTopic}` | `peer-${string}`;
+
 /** Revision up to which a topic is known, and when this was last confirmed as current. */
 export interface TopicConfirmation {
   /** Epoch of the source's history to which the revisions belong; absent: 0. */
--- a/src/cookie-edge/spreading/events.ts
+++ b/src/cookie-edge/spreading/events.ts
@@ -57,4 +57,10 @@
     message: 'The socket between daemons reported an error',
     action: 'Check the network between daemons; gossip repeats lost messages',
   },
+  awaitingTurn: {
+    number: 2210,
+    level: 'warn',
+    message: 'Confirmation overdue; this daemon reads the source after others had their turn',
+    action: 'Check the source, and the network between daemons',
+  },
 });
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -90,6 +90,7 @@
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private nextSeedPullMs = 0;
   private isOverdue = false;
+  private isAwaitingTurn = false;
 
   constructor(private readonly options: GossipNodeOptions) {
     const { selfId, zone, transport, random, events, knowledge, timings, clock, recordArrival } = options;
@@ -247,6 +248,7 @@
     const daemons = this.peers.reachableDaemons(nowMs);
     const completeness = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasAllTopics() };
     const reason = this.role.decide({ nowMs, ageMs, daemons, ...completeness });
+    this.logAwaitedTurn(ageMs, daemons);
     if (!reason) return;
     this.options.setReading(this.role.isReading);
     this.logRoleChange(reason);
@@ -292,6 +294,7 @@
     const mayHaveWaited = this.options.mayHaveWaited();
     const mayHaveLapsed = this.options.recordsMayLapse();
     const previousAgeMs = knowledge.maxTopicAge();
+    const peer = formatEndpoint(from);
     for (const { topic, since, update } of message.updates) {
       knowledge.apply(topic, update, { since, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
     }
@@ -303,7 +306,7 @@
     message.badAnswers.forEach((report) => this.applyBadAnswerReport(report));
     const missing = knowledge.topics.filter((topic) => {
       const confirmation = message.confirmations[topic];
-      return confirmation !== undefined && !knowledge.applyConfirmation(topic, confirmation);
+      return confirmation !== undefined && !knowledge.applyConfirmation(topic, confirmation, peer);
     });
     this.catchUp.fetchDepartedBackends(from, message.departedCount);
     if (missing.length > 0) return this.catchUp.closeGap(missing, message, from);
@@ -341,6 +344,17 @@
     this.options.events.emit(event, { ageMs: roundFinite(ageMs), peers: this.peers.size });
   }
 
+  /** Logs once that this daemon awaits its turn to read, and the inputs from which the turn was computed. */
+  private logAwaitedTurn(ageMs: number, daemons: number): void {
+    const remainingMs = this.role.awaitedTurnMs;
+    const isNowAwaiting = remainingMs !== undefined;
+    if (isNowAwaiting === this.isAwaitingTurn) return;
+    this.isAwaitingTurn = isNowAwaiting;
+    if (!isNowAwaiting) return;
+    const fields = { remainingMs: Math.round(remainingMs), daemons, ageMs: roundFinite(ageMs) };
+    this.options.events.emit(SPREADING_EVENTS.awaitingTurn, { ...fields, peers: this.peers.size });
+  }
+
   private logRoleChange(reason: RoleReason): void {
     const { clock, knowledge, events } = this.options;
     const event = this.role.isReading ? SPREADING_EVENTS.reading : SPREADING_EVENTS.standingDown;
--- a/src/cookie-edge/spreading/reader-role.ts
+++ b/src/cookie-edge/spreading/reader-role.ts
@@ -52,6 +52,7 @@
   /** Random position among the daemons that lack a confirmation, from 0 (reads first) to 1. */
   private overduePosition: number;
   private reading = false;
+  private remainingTurnMs: number | undefined;
   private startedAtMs: number | undefined;
   private hasSeenOtherReaders = false;
 
@@ -70,6 +71,11 @@
     return this.reading;
   }
 
+  /** Time in ms until this daemon reads an overdue topic, as of the last decision; undefined if it awaits no turn. */
+  get awaitedTurnMs(): number | undefined {
+    return this.remainingTurnMs;
+  }
+
   /** Returns whether this daemon has the highest rank among the readers with a recent confirmation. */
   isLeading(nowMs: number): boolean {
     return this.reading && this.countFreshHigherRanked(this.otherReaders(nowMs), nowMs) === 0;
@@ -122,7 +128,9 @@
       canStandDown: this.isOn('standing-down'),
       isPaced: this.isOn('asking-turns'),
     };
-    return this.applyOutcome(decideReaderRole(situation, this.timings), nowMs);
+    const outcome = decideReaderRole(situation, this.timings);
+    this.remainingTurnMs = outcome.kind === 'await-overdue-turn' ? outcome.remainingMs : undefined;
+    return this.applyOutcome(outcome, nowMs);
   }
 
   private applyOutcome(outcome: ReaderOutcome, nowMs: number): RoleReason | undefined {
--- a/src/cookie-edge/spreading/reader-rule.test.ts
+++ b/src/cookie-edge/spreading/reader-rule.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import { freshnessTimings } from '../routing/index.js';
 import {
+  FIRST_READS,
+  READS_PER_SECOND,
   TARGET_READERS,
   VOLUNTEER_NO_READER_MS,
   VOLUNTEER_AT_START_MS,
@@ -43,14 +45,18 @@
   [
     'overdue, last of many',
     { ageMs: LONG_OVERDUE_MS, unconfirmedMs: LONG_OVERDUE_MS, daemons: 1_000 },
-    { kind: 'await-overdue-turn' },
+    { kind: 'await-overdue-turn', remainingMs: ((999 - FIRST_READS) / READS_PER_SECOND) * 1_000 },
   ],
   [
     'overdue before the first lists',
     { ...OVERDUE, overduePosition: 0, hasBeenRead: false },
     { kind: 'read-overdue' },
   ],
-  ['overdue, not paced, last', { ...OVERDUE, isPaced: false }, { kind: 'await-overdue-turn' }],
+  [
+    'overdue, not paced, last',
+    { ...OVERDUE, isPaced: false },
+    { kind: 'await-overdue-turn', remainingMs: TIMINGS.readSpreadMs },
+  ],
   [
     'overdue, not paced, after the spread',
     { unconfirmedMs: LONG_OVERDUE_MS, isPaced: false, daemons: 1_000 },
--- a/src/cookie-edge/spreading/reader-rule.ts
+++ b/src/cookie-edge/spreading/reader-rule.ts
@@ -60,8 +60,8 @@
   | { readonly kind: 'keep-reading' | 'stand-down' }
   /** Starts reading at once, since the confirmation is overdue. */
   | { readonly kind: 'read-overdue' }
-  /** Waits, although the confirmation is overdue: other daemons read first. */
-  | { readonly kind: 'await-overdue-turn' }
+  /** Waits for another `remainingMs`, although the confirmation is overdue: other daemons read first. */
+  | { readonly kind: 'await-overdue-turn'; readonly remainingMs: number }
   /** Waits for the first lists, which are being read. */
   | { readonly kind: 'await-first-lists' }
   /** Enough other daemons read; cancels a scheduled start. */
@@ -74,8 +74,9 @@
   if (situation.isReading)
     return { kind: shouldStandDown(situation, timings) ? 'stand-down' : 'keep-reading' };
   if (situation.unconfirmedMs >= timings.readAfterMs) {
-    const isDue = situation.unconfirmedMs >= timings.readAfterMs + overdueDelayMs(situation, timings);
-    return { kind: isDue ? 'read-overdue' : 'await-overdue-turn' };
+    const dueAfterMs = timings.readAfterMs + overdueDelayMs(situation, timings);
+    const remainingMs = dueAfterMs - situation.unconfirmedMs;
+    return remainingMs <= 0 ? { kind: 'read-overdue' } : { kind: 'await-overdue-turn', remainingMs };
   }
   if (!situation.hasBeenRead) return { kind: 'await-first-lists' };
   if (situation.otherReaders >= TARGET_READERS) return { kind: 'leave-to-others' };
