Reproduce the late configuration: daemons that reach the source wait for a turn beyond the bound

The source answers everybody, but some daemons have the change after 3,245 to 5,205 ms (bound 3,000).

--- a/src/cookie-edge/spreading/simulated-peer-network.ts
+++ b/src/cookie-edge/spreading/simulated-peer-network.ts
@@ -14,6 +14,8 @@
   lossRate = 0;
   /** Daemons (`host:port`) that are isolated from all others. */
   readonly isolatedDaemons = new Set<string>();
+  /** Daemons (`host:port`) whose fetches fail. */
+  readonly daemonsWithoutFetch = new Set<string>();
   bytesSent = 0;
   /** Total size of the fetched states. */
   fetchedBytes = 0;
@@ -59,7 +61,8 @@
   ): Promise<Result<Uint8Array, SpreadingError>> {
     const peerKey = formatEndpoint(peer);
     await new Promise<void>((resolve) => void this.clock.schedule(2 * MEAN_DELAY_MS, resolve));
-    const handler = this.canReach(requesterKey, peerKey) ? this.handlers.get(peerKey) : undefined;
+    const canFetch = this.canReach(requesterKey, peerKey) && !this.daemonsWithoutFetch.has(requesterKey);
+    const handler = canFetch ? this.handlers.get(peerKey) : undefined;
     if (!handler) return Result.err(fetchError(peer, new Error('simulated')));
     const bytes = handler.provideState(known);
     this.fetchedBytes += bytes.length;
