Read the source without awaiting a turn when a peer has announced a change that is missing

What callers saw: flows opened or refused by an older version although the newer one had been confirmed for longer than the bound (CONFIG), on a fleet of 74 daemons.

Cause, one of two: a daemon whose confirmation is overdue reads in turn, at a pace computed from the fleet's size, because one response reaches everybody by gossip. A daemon that does not get the change by gossip (its fetches fail or come late, its peers are gone) waits for that turn all the same, up to 5 s beyond the bound, though it has heard from a peer that there is a newer revision, and so knows that the source answers.

Change: CatchUp keeps the newest position that peers announced for each topic. An announcement counts even if its message waited through a pause, since only the time of a confirmation is in doubt then.

Why it works: the turn protects a source that answers nobody. An announced change proves that it answered somebody after the last change known here. In an outage nothing new is announced, so the pace is as before: the tests that bound the calls in an outage pass unchanged.

--- a/src/cookie-edge/spreading/catch-up.ts
+++ b/src/cookie-edge/spreading/catch-up.ts
@@ -1,13 +1,13 @@
 /**
  * Closes gaps in this daemon's knowledge by pulling from peers. `pull-rule.ts` decides between two ways: a request,
  * which the peer answers from its update log in one datagram, and a fetch over a connection, preferably from a peer in
- * the same zone. Owns the pending request and the running fetch.
+ * the same zone. Owns the pending request, the running fetch and the newest changes that peers announced.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { RandomSource } from '../../common/random.js';
 import { formatEndpoint, type Endpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
-import { isBefore, type RoutingKnowledge, type RoutingTopic } from '../routing/index.js';
+import { isBefore, type RoutingKnowledge, type RoutingTopic, type SourcePosition } from '../routing/index.js';
 import { CROSS_ZONE_FETCH_JITTER_MS, CROSS_ZONE_FETCH_DELAY_MS, NOTHING_KNOWN } from './constants.js';
 import { SPREADING_EVENTS } from './events.js';
 import { decodePeerMessage } from './message-codec.js';
@@ -33,6 +33,8 @@
   /** The request that waits for its response. */
   private pendingRequest: { readonly peer: string; readonly atMs: number } | undefined;
   private crossZoneFetchTimer: TimerHandle | undefined;
+  /** Position of the newest change of each topic that a peer announced while it was missing here. */
+  private readonly announced: Partial<Record<RoutingTopic, SourcePosition>> = {};
   private lastFetchMs = Number.NEGATIVE_INFINITY;
   private isFetching = false;
   private fetchCount = 0;
@@ -55,6 +57,27 @@
     return this.completeListsFetched > 0 || !this.isCompleteListNeeded;
   }
 
+  /** True while a change is missing that a peer has announced: the source has answered another daemon. */
+  get lacksAnnouncedChange(): boolean {
+    const { knowledge } = this.options;
+    return knowledge.topics.some((topic) => {
+      const position = this.announced[topic];
+      return position !== undefined && isBefore(knowledge.confirmationOf(topic), position);
+    });
+  }
+
+  /** Records which changes a peer's message announces. The message may have waited before it was read. */
+  recordAnnouncement({ confirmations }: PeerMessage): void {
+    const { knowledge } = this.options;
+    for (const topic of knowledge.topics) {
+      const confirmation = confirmations[topic];
+      if (!confirmation) continue;
+      const position = { epoch: confirmation.epoch, revision: confirmation.changedRevision };
+      const newest = this.announced[topic] ?? knowledge.confirmationOf(topic);
+      if (isBefore(newest, position)) this.announced[topic] = position;
+    }
+  }
+
   /**
    * Clears the pending request if it went to this peer. Call when a message of the peer shows that nothing is missing.
    */
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -176,6 +176,7 @@
       ageMs: knowledge.maxTopicAge(),
       pullAfterMs: timings.pullAfterMs,
       daemons: this.peers.reachableDaemons(clock.now()),
+      lacksAnnouncedChange: this.catchUp.lacksAnnouncedChange,
     });
   }
 
@@ -247,7 +248,8 @@
     if (nowMs >= this.nextSeedPullMs) this.pullFromSeeds(nowMs);
     const daemons = this.peers.reachableDaemons(nowMs);
     const completeness = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasAllTopics() };
-    const reason = this.role.decide({ nowMs, ageMs, daemons, ...completeness });
+    const { lacksAnnouncedChange } = this.catchUp;
+    const reason = this.role.decide({ nowMs, ageMs, daemons, lacksAnnouncedChange, ...completeness });
     this.logAwaitedTurn(ageMs, daemons);
     if (!reason) return;
     this.options.setReading(this.role.isReading);
@@ -298,6 +300,7 @@
     for (const { topic, since, update } of message.updates) {
       knowledge.apply(topic, update, { since, confirmedAtMs: Number.NEGATIVE_INFINITY, mayHaveLapsed });
     }
+    this.catchUp.recordAnnouncement(message);
     if (mayHaveWaited) return;
     if (!message.unsettled && message.confirmations.backends) this.options.onSettledPeer?.();
     message.readers.forEach((reader) => this.role.recordReader(reader));
--- a/src/cookie-edge/spreading/minimum-retry-delay.test.ts
+++ b/src/cookie-edge/spreading/minimum-retry-delay.test.ts
@@ -8,6 +8,7 @@
   ageMs: 2_000,
   pullAfterMs: 1_800,
   daemons: 10 * READS_PER_SECOND,
+  lacksAnnouncedChange: false,
 };
 
 const CASES = [
@@ -15,6 +16,7 @@
   { name: 'few daemons', change: { daemons: READS_PER_SECOND }, delayMs: 0 },
   { name: 'pacing switched off', change: { isPaced: false }, delayMs: 0 },
   { name: 'no complete data yet', change: { isComplete: false }, delayMs: 0 },
+  { name: 'a change that a peer announced is missing', change: { lacksAnnouncedChange: true }, delayMs: 0 },
   { name: 'a current confirmation', change: { ageMs: 1_799 }, delayMs: 0 },
 ];
 
--- a/src/cookie-edge/spreading/reader-role.ts
+++ b/src/cookie-edge/spreading/reader-role.ts
@@ -33,6 +33,8 @@
   readonly hasBeenRead: boolean;
   /** Estimated number of daemons that make this decision, including this one. */
   readonly daemons: number;
+  /** Whether a peer has announced a change that is missing here. */
+  readonly lacksAnnouncedChange: boolean;
 }
 
 /** A sighted reader with its rank. The readers of the highest ranks keep reading. */
@@ -111,20 +113,19 @@
   }
 
   /** Starts or stops reading if the rule says so; returns the reason, or undefined if nothing changes. */
-  decide({ nowMs, ageMs, isComplete, hasBeenRead, daemons }: RoleInputs): RoleReason | undefined {
+  decide(inputs: RoleInputs): RoleReason | undefined {
+    const { nowMs, ageMs, ...shared } = inputs;
     const others = this.otherReaders(nowMs);
     this.startedAtMs ??= nowMs;
     const situation: ReaderSituation = {
+      ...shared,
       isReading: this.reading,
       ageMs,
       unconfirmedMs: Math.min(ageMs, nowMs - this.startedAtMs),
-      isComplete,
-      hasBeenRead,
       otherReaders: others.length,
       freshHigherRanked: this.countFreshHigherRanked(others, nowMs),
       hasSeenOtherReaders: this.hasSeenOtherReaders,
       overduePosition: this.overduePosition,
-      daemons,
       canStandDown: this.isOn('standing-down'),
       isPaced: this.isOn('asking-turns'),
     };
--- a/src/cookie-edge/spreading/reader-rule.test.ts
+++ b/src/cookie-edge/spreading/reader-rule.test.ts
@@ -22,6 +22,7 @@
   hasSeenOtherReaders: true,
   overduePosition: 1,
   daemons: 1,
+  lacksAnnouncedChange: false,
   canStandDown: true,
   isPaced: true,
 };
@@ -47,6 +48,16 @@
     { ageMs: LONG_OVERDUE_MS, unconfirmedMs: LONG_OVERDUE_MS, daemons: 1_000 },
     { kind: 'await-overdue-turn', remainingMs: ((999 - FIRST_READS) / READS_PER_SECOND) * 1_000 },
   ],
+  [
+    'overdue, last of many, lacks a change that a peer announced, after the spread',
+    { unconfirmedMs: LONG_OVERDUE_MS, daemons: 1_000, lacksAnnouncedChange: true },
+    { kind: 'read-overdue' },
+  ],
+  [
+    'overdue, last of many, lacks a change that a peer announced, before its turn',
+    { ...OVERDUE, daemons: 1_000, lacksAnnouncedChange: true },
+    { kind: 'await-overdue-turn', remainingMs: TIMINGS.readSpreadMs },
+  ],
   [
     'overdue before the first lists',
     { ...OVERDUE, overduePosition: 0, hasBeenRead: false },
--- a/src/cookie-edge/spreading/reader-rule.ts
+++ b/src/cookie-edge/spreading/reader-rule.ts
@@ -10,7 +10,8 @@
  *
  * For a daemon that does not read, the conditions are checked in this order:
  * - An overdue confirmation comes first. The daemon reads even if there are readers, after a delay that depends only on
- *   the fleet size and its random position: if the source refuses some daemons, others still try.
+ *   the fleet size and its random position: if the source refuses some daemons, others still try. The fleet size does
+ *   not count if a peer has announced a change that is missing here, since the source answers other daemons then.
  * - A daemon that has not received both lists yet is already reading them. It does not follow the source as well: that
  *   would only add calls, since all daemons that started at the same time are in the same state.
  * - The number of readers comes last. Below the target the daemon volunteers after a delay, which is shorter for a
@@ -49,6 +50,8 @@
   readonly overduePosition: number;
   /** Estimated number of daemons that make this decision, including this one. */
   readonly daemons: number;
+  /** A peer has announced a change that is missing here. */
+  readonly lacksAnnouncedChange: boolean;
   /** The mechanism `standing-down` is on. */
   readonly canStandDown: boolean;
   /** The mechanism `asking-turns` is on. */
@@ -90,10 +93,11 @@
 }
 
 function overdueDelayMs(
-  { isPaced, overduePosition, daemons }: ReaderSituation,
+  { isPaced, overduePosition, daemons, lacksAnnouncedChange }: ReaderSituation,
   { readSpreadMs }: FreshnessTimings,
 ): number {
-  return isPaced ? readDelayMs(overduePosition, daemons, readSpreadMs) : overduePosition * readSpreadMs;
+  const waitsForFleet = isPaced && !lacksAnnouncedChange;
+  return waitsForFleet ? readDelayMs(overduePosition, daemons, readSpreadMs) : overduePosition * readSpreadMs;
 }
 
 function volunteerSpreadMs({ otherReaders, hasSeenOtherReaders }: ReaderSituation): number {
--- a/src/cookie-edge/spreading/source-read-pacing.ts
+++ b/src/cookie-edge/spreading/source-read-pacing.ts
@@ -47,15 +47,17 @@
   readonly pullAfterMs: number;
   /** Estimated number of daemons that lack a confirmation, including this one. */
   readonly daemons: number;
+  /** A peer has announced a change that is missing here. */
+  readonly lacksAnnouncedChange: boolean;
 }
 
 /**
  * Returns the minimum backoff in ms before the next call to a source that does not respond. A daemon without routes or
- * back ends cannot serve and does not wait for others. If the confirmation is current, the outage does not affect the
- * whole fleet, and no backoff is needed.
+ * back ends cannot serve and does not wait for others. If the confirmation is current, or a peer has announced a change
+ * that is missing here, the outage does not affect the whole fleet, and no backoff is needed.
  */
 export function minimumRetryDelayMs(situation: RetrySituation): number {
-  const { isPaced, isComplete, ageMs, pullAfterMs, daemons } = situation;
-  if (!isPaced || !isComplete || ageMs < pullAfterMs) return 0;
+  const { isPaced, isComplete, ageMs, pullAfterMs, daemons, lacksAnnouncedChange } = situation;
+  if (!isPaced || !isComplete || ageMs < pullAfterMs || lacksAnnouncedChange) return 0;
   return readBackoffMs(daemons);
 }
