--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -21,13 +21,13 @@
   PULL_FANOUT,
   GOSSIP_TICK_MS,
 } from './constants.js';
-import { SPREADING_EVENTS } from './events.js';
+import { FreshnessLog } from './freshness-log.js';
 import { shouldForwardConfirmation } from './gossip-rule.js';
 import { MessageChannel, type MessageCounts } from './message-channel.js';
 import { MessageComposer } from './message-composer.js';
 import { PeerView } from './peer-view.js';
 import { isPullDue } from './pull-rule.js';
-import { ReaderRole, type RoleReason } from './reader-role.js';
+import { ReaderRole } from './reader-role.js';
 import { RecentEjections } from './recent-ejections.js';
 import { minimumRetryDelayMs } from './source-read-pacing.js';
 import type { EjectionReport, PeerMessage, PeerTransport } from './types.js';
@@ -85,12 +85,11 @@
   private readonly composer: MessageComposer;
   private readonly sender: UpdateSender;
   private readonly catchUp: CatchUp;
+  private readonly freshnessLog: FreshnessLog;
   private tickTimer: TimerHandle | undefined;
   private startedAtMs = 0;
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private nextSeedPullMs = 0;
-  private isOverdue = false;
-  private isAwaitingTurn = false;
 
   constructor(private readonly options: GossipNodeOptions) {
     const { selfId, zone, transport, random, events, knowledge, timings, clock, recordArrival } = options;
@@ -99,6 +98,7 @@
     const log = new UpdateLog(isOn);
     const peers = (this.peers = new PeerView({ self: transport.endpoint, zone, random, events }));
     const role = (this.role = new ReaderRole(selfId, random, timings, isOn));
+    this.freshnessLog = new FreshnessLog({ events, knowledge, peers, role, timings });
     const { ejections } = this;
     const composer = new MessageComposer({
       selfId,
@@ -241,7 +241,7 @@
     const nowMs = clock.now();
     const ageMs = knowledge.maxTopicAge();
     this.peers.prune(nowMs);
-    this.logOverdueChange(ageMs);
+    this.freshnessLog.logOverdueChange(ageMs);
     const unconfirmedMs = Math.min(ageMs, nowMs - this.startedAtMs);
     const { pullAfterMs } = this.options.timings;
     if (isPullDue(unconfirmedMs, pullAfterMs, nowMs - this.lastPullMs)) this.pullFromPeers(nowMs);
@@ -250,10 +250,10 @@
     const completeness = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasAllTopics() };
     const { lacksAnnouncedChange } = this.catchUp;
     const reason = this.role.decide({ nowMs, ageMs, daemons, lacksAnnouncedChange, ...completeness });
-    this.logAwaitedTurn(ageMs, daemons);
+    this.freshnessLog.logAwaitedTurn(ageMs, daemons);
     if (!reason) return;
     this.options.setReading(this.role.isReading);
-    this.logRoleChange(reason);
+    this.freshnessLog.logRoleChange(reason, nowMs);
   }
 
   /**
@@ -338,40 +338,4 @@
     const chosen = this.peers.randomPeers(PULL_FANOUT).map(({ endpoint }) => endpoint);
     for (const endpoint of chosen.length > 0 ? chosen : this.options.seeds()) this.sendPullRequest(endpoint);
   }
-
-  private logOverdueChange(ageMs: number): void {
-    const isNowOverdue = ageMs >= this.options.timings.pullAfterMs;
-    if (isNowOverdue === this.isOverdue) return;
-    this.isOverdue = isNowOverdue;
-    const event = isNowOverdue ? SPREADING_EVENTS.overdue : SPREADING_EVENTS.currentAgain;
-    this.options.events.emit(event, { ageMs: roundFinite(ageMs), peers: this.peers.size });
-  }
-
-  /** Logs once that this daemon awaits its turn to read, and the inputs from which the turn was computed. */
-  private logAwaitedTurn(ageMs: number, daemons: number): void {
-    const remainingMs = this.role.awaitedTurnMs;
-    const isNowAwaiting = remainingMs !== undefined;
-    if (isNowAwaiting === this.isAwaitingTurn) return;
-    this.isAwaitingTurn = isNowAwaiting;
-    if (!isNowAwaiting) return;
-    const fields = { remainingMs: Math.round(remainingMs), daemons, ageMs: roundFinite(ageMs) };
-    this.options.events.emit(SPREADING_EVENTS.awaitingTurn, { ...fields, peers: this.peers.size });
-  }
-
-  private logRoleChange(reason: RoleReason): void {
-    const { clock, knowledge, events } = this.options;
-    const event = this.role.isReading ? SPREADING_EVENTS.reading : SPREADING_EVENTS.standingDown;
-    const otherReaders = this.role.otherReaders(clock.now()).length;
-    events.emit(event, {
-      reason,
-      otherReaders,
-      ageMs: roundFinite(knowledge.maxTopicAge()),
-      peers: this.peers.size,
-    });
-  }
-}
-
-/** Rounds to whole ms; undefined for an infinite age, before the first confirmation. */
-function roundFinite(ageMs: number): number | undefined {
-  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
 }
