Compute the turn to read from the daemons that answer, not from all that were ever known

Cause, the other of two: the turn and the backoff of a daemon whose confirmation is overdue were computed from the estimated size of the fleet, in which a lost daemon counts for 15 to 30 s. Where most of 74 daemons were lost or frozen, those that were left waited for the turns of daemons that could not read.

Change: PullAnswers keeps the pulls of the last 2 s and which of them were answered. Their peers are chosen at random, so the share that answered estimates the share of the fleet that can be reached; the number of daemons is multiplied by it.

Why it works: turns and backoff bound the calls of the daemons that share one fate. In an outage of the source all peers answer pulls, the share is 1 and the pace is as before.

--- a/src/cookie-edge/spreading/constants.ts
+++ b/src/cookie-edge/spreading/constants.ts
@@ -54,6 +54,12 @@
 /** Number of peers asked in each round of pulls. The second is asked in case the first is gone. */
 export const PULL_FANOUT = 2;
 
+/** A peer that has not answered a pull after this long, in ms, counts as unreachable until it answers. */
+export const PULL_ANSWER_TIMEOUT_MS = 200;
+
+/** Pulls of the last so many ms are the sample from which the reachable share of the fleet is estimated. */
+export const PULL_SAMPLE_MS = 2_000;
+
 /**
  * A received confirmation is forwarded when it is at least this much newer than the previous one, in ms. With a smaller
  * value, each of several nearly equal confirmations would cause a push.
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -26,6 +26,7 @@
 import { MessageChannel, type MessageCounts } from './message-channel.js';
 import { MessageComposer } from './message-composer.js';
 import { PeerView } from './peer-view.js';
+import { PullAnswers } from './pull-answers.js';
 import { isPullDue } from './pull-rule.js';
 import { ReaderRole } from './reader-role.js';
 import { RecentEjections } from './recent-ejections.js';
@@ -85,6 +86,7 @@
   private readonly composer: MessageComposer;
   private readonly sender: UpdateSender;
   private readonly catchUp: CatchUp;
+  private readonly pullAnswers = new PullAnswers();
   private readonly freshnessLog: FreshnessLog;
   private tickTimer: TimerHandle | undefined;
   private startedAtMs = 0;
@@ -175,7 +177,7 @@
       isComplete: knowledge.isComplete(),
       ageMs: knowledge.maxTopicAge(),
       pullAfterMs: timings.pullAfterMs,
-      daemons: this.peers.reachableDaemons(clock.now()),
+      daemons: this.reachableDaemons(clock.now()),
       lacksAnnouncedChange: this.catchUp.lacksAnnouncedChange,
     });
   }
@@ -246,7 +248,7 @@
     const { pullAfterMs } = this.options.timings;
     if (isPullDue(unconfirmedMs, pullAfterMs, nowMs - this.lastPullMs)) this.pullFromPeers(nowMs);
     if (nowMs >= this.nextSeedPullMs) this.pullFromSeeds(nowMs);
-    const daemons = this.peers.reachableDaemons(nowMs);
+    const daemons = this.reachableDaemons(nowMs);
     const completeness = { isComplete: knowledge.isComplete(), hasBeenRead: knowledge.hasAllTopics() };
     const { lacksAnnouncedChange } = this.catchUp;
     const reason = this.role.decide({ nowMs, ageMs, daemons, lacksAnnouncedChange, ...completeness });
@@ -256,6 +258,12 @@
     this.freshnessLog.logRoleChange(reason, nowMs);
   }
 
+  /** Estimated number of daemons that reach each other now, including this one. */
+  private reachableDaemons(nowMs: number): number {
+    const share = this.pullAnswers.answeredShare(nowMs);
+    return Math.max(1, Math.round(share * this.peers.reachableDaemons(nowMs)));
+  }
+
   /**
    * Sends a pull to all seeds while fewer peers than seeds are known, since some seeds may be down or stale; later to
    * one random seed, which reunites a fleet after a partition.
@@ -273,6 +281,7 @@
   private receive(message: PeerMessage, from: Endpoint, nowMs: number): void {
     if (message.leaving) this.peers.remove(from);
     else this.peers.recordDirectMessage(from, message.senderZone, nowMs);
+    this.pullAnswers.recordMessage(formatEndpoint(from));
     for (const { endpoint, zone, heardAtMs } of message.peers) this.peers.record(endpoint, zone, heardAtMs);
     if (message.openingQueries) return this.answerOpeningQueries(message.openingQueries, from);
     if (message.openingAnswers) return this.applyOpeningAnswers(message.openingAnswers, from);
@@ -336,6 +345,7 @@
   private pullFromPeers(nowMs: number): void {
     this.lastPullMs = nowMs;
     const chosen = this.peers.randomPeers(PULL_FANOUT).map(({ endpoint }) => endpoint);
+    for (const endpoint of chosen) this.pullAnswers.recordPull(formatEndpoint(endpoint), nowMs);
     for (const endpoint of chosen.length > 0 ? chosen : this.options.seeds()) this.sendPullRequest(endpoint);
   }
 }
