End the wait before a retry early once fewer daemons share the source

Cause: after a failed call in an outage a daemon waits for the number of daemons divided by 8 calls a second, 4.6 to 13.9 s in a fleet of 74. The wait was computed once, at the failure. If most daemons are lost meanwhile, nobody else reads when the source is back, and those that are left sleep on.

Change: a follower checks every 200 ms whether its wait would be shorter now (RetryWait). Only a daemon whose confirmation is overdue does so: one that gossip keeps current would otherwise call at the same time as all others.

--- a/src/cookie-edge/routing/constants.ts
+++ b/src/cookie-edge/routing/constants.ts
@@ -24,6 +24,9 @@
 /** Upper bound of the backoff, before jitter. A larger minimum set by the number of readers overrides it. */
 export const RETRY_MAX_MS = 1_000;
 
+/** Interval at which a follower that waits for its next call checks whether the wait has become shorter. */
+export const RETRY_CHECK_INTERVAL_MS = 200;
+
 /** Upper bound of doublings. 2^10 times `RETRY_MIN_MS` is far above `RETRY_MAX_MS`. */
 export const RETRY_MAX_DOUBLINGS = 10;
 
--- a/src/cookie-edge/routing/source-availability.test.ts
+++ b/src/cookie-edge/routing/source-availability.test.ts
@@ -53,11 +53,11 @@
 
 test('the backoff grows up to a bound, and restarts when the daemon reads again', (t) => {
   const { availability } = createAvailability();
-  const delays = Array.from({ length: 12 }, () => availability.recordFailure('routes', FAILURE));
+  const delays = Array.from({ length: 12 }, () => availability.recordFailure('routes', FAILURE).lengthMs);
   t.true(delays[0]! <= RETRY_MIN_MS * 1.5);
   t.true(Math.max(...delays) <= RETRY_MAX_MS * 1.5);
   t.true(delays.at(-1)! >= RETRY_MAX_MS * 0.5);
   availability.endReading();
   availability.beginReading();
-  t.true(availability.recordFailure('routes', FAILURE) <= RETRY_MIN_MS * 1.5);
+  t.true(availability.recordFailure('routes', FAILURE).lengthMs <= RETRY_MIN_MS * 1.5);
 });
--- a/src/cookie-edge/routing/source-availability.ts
+++ b/src/cookie-edge/routing/source-availability.ts
@@ -10,6 +10,7 @@
 import type { RoutingSourceError } from './errors.js';
 import { ROUTING_EVENTS } from './events.js';
 import { recordsMayLapse } from './lapsed-records.js';
+import { RetryWait } from './retry-wait.js';
 import { isOutage, retryDelayMs } from './source-retry.js';
 import type { RoutingTopic } from './types.js';
 
@@ -30,7 +31,8 @@
   }
 
   /**
-   * Sets the function that returns the minimum retry delay in ms, before jitter. It is called at each failure.
+   * Sets the function that returns the minimum retry delay in ms, before jitter. It is called at each failure, and
+   * again during the wait that follows.
    */
   setMinimumRetryDelay(minimumRetryDelayMs: () => number): void {
     this.minimumRetryDelayMs = minimumRetryDelayMs;
@@ -75,10 +77,10 @@
   }
 
   /**
-   * Records and logs a failed call; returns the jittered delay before the next one, in ms. A follower passes its own
+   * Records and logs a failed call; returns the jittered wait before the next one. A follower passes its own
    * `consecutiveFailures` when calls in between succeed without making progress.
    */
-  recordFailure(topic: RoutingTopic, error: RoutingSourceError, consecutiveFailures = 1): number {
+  recordFailure(topic: RoutingTopic, error: RoutingSourceError, consecutiveFailures = 1): RetryWait {
     const silentMs = Math.round(this.clock.now() - this.lastResponseMs);
     this.failedCalls += 1;
     this.events.emit(ROUTING_EVENTS.sourceCallFailed, {
@@ -92,7 +94,7 @@
       this.events.emit(ROUTING_EVENTS.sourceLost, { silentMs, kind: error.kind });
     }
     const failures = Math.max(this.failedCalls, consecutiveFailures);
-    const delayMs = retryDelayMs(failures, this.minimumRetryDelayMs());
-    return jitter(delayMs, RETRY_DELAY_JITTER, this.random);
+    const jitterFactor = jitter(1, RETRY_DELAY_JITTER, this.random);
+    return new RetryWait(() => jitterFactor * retryDelayMs(failures, this.minimumRetryDelayMs()));
   }
 }
--- a/src/cookie-edge/routing/source-follower.ts
+++ b/src/cookie-edge/routing/source-follower.ts
@@ -9,6 +9,7 @@
   CHANGE_WATCH_DELAY_MS,
   CONFIRMATION_CHECK_INTERVAL_MS,
   LONG_WATCH_START_DELAY_MS,
+  RETRY_CHECK_INTERVAL_MS,
 } from './constants.js';
 import { RoutingSourceError } from './errors.js';
 import type { FreshnessTimings } from './freshness.js';
@@ -250,7 +251,19 @@
     consecutiveFailures?: number,
   ): Promise<void> {
     if (signal.aborted || error.kind === 'routing.cancelled') return;
-    const waitMs = this.options.availability.recordFailure(this.topic, error, consecutiveFailures);
-    await pause(this.options.clock, waitMs, signal);
+    const { availability, clock } = this.options;
+    const wait = availability.recordFailure(this.topic, error, consecutiveFailures);
+    const failedAtMs = clock.now();
+    const remainingMs = (): number => failedAtMs + wait.lengthMs - clock.now();
+    while (remainingMs() > 0 && !signal.aborted) {
+      await pause(clock, Math.min(remainingMs(), RETRY_CHECK_INTERVAL_MS), signal);
+      if (this.isKnowledgeOverdue()) wait.shorten();
+    }
+  }
+
+  /** False while gossip keeps this daemon current: it then does not need to call early. */
+  private isKnowledgeOverdue(): boolean {
+    const { knowledge, timings } = this.options;
+    return knowledge.maxTopicAge() >= timings.pullAfterMs;
   }
 }
--- a/src/cookie-edge/spreading/overdue-reads.test.ts
+++ b/src/cookie-edge/spreading/overdue-reads.test.ts
@@ -9,6 +9,8 @@
 const FLEET_SIZE = 74;
 /** Longest wait in ms for a moment at which all daemons were just confirmed. */
 const CONFIRMATION_WAIT_MS = 5_000;
+/** Duration of an outage in which every daemon's confirmation becomes overdue, in ms. */
+const OUTAGE_MS = 6_000;
 /** Age of a confirmation that was just received, in ms. */
 const JUST_CONFIRMED_MS = 300;
 
@@ -41,3 +43,16 @@
   const tookMs = await timeUntilVersion(cluster, cluster.source.changeRoutes({ routes: MANY_ROUTES }));
   t.true(tookMs <= BOUND_MS, `the change took ${tookMs} ms`);
 });
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`a change after an outage reaches the few daemons that are left within the bound, seed ${seed}`, async (t) => {
+    const cluster = await startSettledCluster(FLEET_SIZE, seed);
+    const left = cluster.daemons.slice(-4);
+    cluster.source.faults.set('*', 'silent');
+    await cluster.clock.advanceAsync(OUTAGE_MS, 10);
+    for (const daemon of [...cluster.daemons]) if (!left.includes(daemon)) cluster.killDaemon(daemon);
+    cluster.source.faults.clear();
+    const tookMs = await timeUntilVersion(cluster, cluster.source.changeRoutes());
+    t.true(tookMs <= BOUND_MS, `the change took ${tookMs} ms`);
+  });
+}
