Read the whole topic when the response to a watch cannot be decoded

Cause: a response that is not valid JSON counted as a failed call, and the follower watched again from the same revision. The store repeats the response, with the broken record in it, until its history is gone. Salvaging such a response did not work, since it presumed an order of fields that the platform does not use.

Change: after such a response the follower reads the whole topic, which is salvaged record by record, and watches from there. Repeated failures wait ever longer.

A test changes: that the known state stays after failed calls was asserted with a source that answered lists and sent malformed watches, and called it lost. It answers lists, so it is not; now all calls fail, and the assertions are the same. What happens when only watches are malformed has tests of its own.

--- a/src/cookie-edge/routing/source-follower.test.ts
+++ b/src/cookie-edge/routing/source-follower.test.ts
@@ -143,23 +143,50 @@
 
 for (const kind of FAILURES) {
   test(`the known state stays after ${kind}, and calls are retried with backoff`, async (t) => {
-    const { clock, source, knowledge, availability, stop } = startFollower((call, virtualClock) =>
-      call.kind === 'read'
-        ? resolveAfter<SourceResponse>(virtualClock, 4, FIRST_LIST)
-        : resolveAfter<SourceResponse>(virtualClock, 4, kind),
-    );
+    let calls = 0;
+    const { clock, source, knowledge, availability, stop } = startFollower((_call, virtualClock) => {
+      calls += 1;
+      return resolveAfter<SourceResponse>(virtualClock, 4, calls === 1 ? FIRST_LIST : kind);
+    });
     await clock.advanceAsync(10_000, 5);
     t.truthy(knowledge.backends.get('a'));
     t.false(knowledge.backends.get('a')?.departed);
     t.true(availability.isLost);
     t.true(availability.recordsMayLapse());
-    const watches = source.calls.length - 1;
-    t.true(watches >= 10_000 / (RETRY_MAX_MS * 1.5 + 10), `${watches} calls`);
-    t.true(watches <= 30, `${watches} calls`);
+    const retries = source.calls.length - 1;
+    t.true(retries >= 10_000 / (RETRY_MAX_MS * 1.5 + 10), `${retries} calls`);
+    t.true(retries <= 30, `${retries} calls`);
     stop();
   });
 }
 
+test('a response to a watch that cannot be read hides no change', async (t) => {
+  const { clock, source, knowledge, stop } = startFollower((call, virtualClock) => {
+    if (call.kind === 'watch') {
+      const isBeforeBrokenRecord = call.revision < 8;
+      return isBeforeBrokenRecord ? resolveAfter(virtualClock, 4, 'routing.malformed' as const) : PENDING;
+    }
+    const isFirst = call.freshness === 'any';
+    const leaving = updateAt(8, { complete: true, backends: [backendAt('a', 7, { draining: true })] });
+    return resolveAfter(virtualClock, 4, isFirst ? FIRST_LIST : leaving);
+  });
+  await clock.advanceAsync(500, 5);
+  t.true(knowledge.backends.get('a')?.record.draining);
+  t.is(source.calls.at(-1)?.revision, 8, 'the next watch starts after the broken record');
+  stop();
+});
+
+test('watches that can never be read cost few calls and keep the topic current', async (t) => {
+  const RUN_MS = 10_000;
+  const { clock, source, knowledge, stop } = startFollower((call, virtualClock) =>
+    resolveAfter<SourceResponse>(virtualClock, 4, call.kind === 'read' ? FIRST_LIST : 'routing.malformed'),
+  );
+  await clock.advanceAsync(RUN_MS, 5);
+  t.true(knowledge.ageOf('backends') < TIMINGS.pullAfterMs, String(knowledge.ageOf('backends')));
+  t.true(source.calls.length <= 60, `${source.calls.length} calls`);
+  stop();
+});
+
 test('records that disappear just after an outage count as lapsed', async (t) => {
   let isSourceDown = true;
   const { clock, knowledge, stop } = startFollower((call, virtualClock) => {
--- a/src/cookie-edge/routing/source-follower.ts
+++ b/src/cookie-edge/routing/source-follower.ts
@@ -54,7 +54,7 @@
   /** Revision of the last response to a watch; `isRevisionStable`: the previous response had the same revision. */
   private lastWatchRevision = -1;
   private isRevisionStable = false;
-  /** Consecutive watches whose response did not continue the known history. */
+  /** Consecutive watches whose response did not continue the known history, or could not be read. */
   private consecutiveGaps = 0;
 
   constructor(
@@ -148,6 +148,7 @@
         this.options.history.recordHistoryGone(this.topic, since);
         return this.handleGap(response.error, signal);
       }
+      if (response.error.kind === 'routing.malformed') return this.handleUnreadable(response.error, signal);
       await this.backOff(response.error, signal);
       return true;
     }
@@ -185,6 +186,16 @@
     return false;
   }
 
+  /**
+   * Always returns false: the whole topic must be read. The source would repeat an unreadable response to a watch from
+   * the same revision, and with it hide every later change.
+   */
+  private async handleUnreadable(error: RoutingSourceError, signal: AbortSignal): Promise<boolean> {
+    this.consecutiveGaps += 1;
+    await this.backOff(error, signal, this.consecutiveGaps);
+    return false;
+  }
+
   private logIfOlderRevision(update: RoutingUpdate): void {
     const { history, knowledge } = this.options;
     const known = { epoch: knowledge.epochOf(this.topic), revision: knowledge.revisionOf(this.topic) };
