Run the mixes of the model check one after the other, each within its own time limit

Trace: the six tests share one thread and use 92 s of processor time together. They started at once, so the time limit of each, 110 s, ran through all six: beside a load of 19 to 26 they took 111 to 112 s each, just within it.

Change: test.serial, as in falling-base.test.ts.

--- a/src/gue-edge/flow/model-check.test.ts
+++ b/src/gue-edge/flow/model-check.test.ts
@@ -70,6 +70,7 @@
   return given === undefined ? MIXES : [handMixSchema.parse(JSON.parse(given))];
 }
 
+// One after the other: they share one thread, and the time limit of each would else run through all of them.
 for (const mix of chooseMixes()) {
-  test(`one back end for each flow under ${mix.name}`, (t) => checkMix(t, mix));
+  test.serial(`one back end for each flow under ${mix.name}`, (t) => checkMix(t, mix));
 }
