--- a/src/cookie-edge/spreading/simulated-source.ts
+++ b/src/cookie-edge/spreading/simulated-source.ts
@@ -28,6 +28,8 @@
   readonly removedBackendId?: string;
   readonly cordonedZone?: string;
   readonly uncordonedZone?: string;
+  /** Watch responses that contain this change cannot be decoded. */
+  readonly isUnreadable?: boolean;
 }
 
 /** State of the source at some time. */
@@ -84,6 +86,12 @@
     return this.recordChange({ revision: this.revision, topic: 'backends', removedBackendId: id });
   }
 
+  /** Writes a record that cannot be decoded under an id of its own. */
+  writeUnreadableBackend(): number {
+    this.revision += 1;
+    return this.recordChange({ revision: this.revision, topic: 'backends', isUnreadable: true });
+  }
+
   /** Cordons a zone. */
   cordon(zone: string): number {
     this.revision += 1;
@@ -130,7 +138,7 @@
   asSeenBy(id: string): RoutingSource {
     return {
       read: (topic, _freshness, signal) =>
-        this.call(id, signal, () => Promise.resolve(this.completeUpdateOf(topic))),
+        this.call(id, signal, () => Promise.resolve(Result.ok(this.completeUpdateOf(topic)))),
       watch: (topic, revision, waitMs, signal) =>
         this.call(id, signal, () => this.waitForChange(topic, revision, waitMs, signal)),
     };
@@ -145,7 +153,7 @@
   private async call(
     id: string,
     signal: AbortSignal,
-    respond: () => Promise<RoutingUpdate | undefined>,
+    respond: () => Promise<Result<RoutingUpdate, RoutingSourceError>>,
   ): Promise<Result<RoutingUpdate, RoutingSourceError>> {
     this.calls += 1;
     await this.sleep(RESPONSE_DELAY_MS, signal);
@@ -153,10 +161,9 @@
     if (fault === 'refuse') return failure('routing.unavailable');
     if (fault === 'throttle') return failure('routing.throttled');
     if (fault !== 'silent') {
-      const update = await respond();
+      const response = await respond();
       const faultAfterResponse = this.faultOf(id);
-      if (faultAfterResponse !== 'silent')
-        return update ? Result.ok(update) : failure('routing.history-gone');
+      if (faultAfterResponse !== 'silent') return response;
     }
     await this.sleep(CALL_TIMEOUT_MS, signal);
     return failure('routing.timeout');
@@ -186,15 +193,16 @@
     since: number,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<RoutingUpdate | undefined> {
+  ): Promise<Result<RoutingUpdate, RoutingSourceError>> {
     const hasHistory = (): boolean => since >= this.historyStartRevision && since <= this.revision;
     const hasChanged = (): boolean =>
       this.changes.some((change) => change.topic === topic && change.revision > since);
-    if (!hasHistory()) return undefined;
+    if (!hasHistory()) return failure('routing.history-gone');
     if (!hasChanged()) await this.waitUntil(() => hasChanged() || !hasHistory(), waitMs, signal);
-    if (!hasHistory()) return undefined;
+    if (!hasHistory()) return failure('routing.history-gone');
     const changes = this.changes.filter((change) => change.topic === topic && change.revision > since);
-    return updateAt(this.revision, {
+    if (changes.some(({ isUnreadable }) => isUnreadable)) return failure('routing.malformed');
+    const update = updateAt(this.revision, {
       epoch: this.epoch,
       routes: topic === 'routes' && changes.length > 0 ? this.currentTables() : [],
       backends: changes.flatMap(({ backend }) => backend ?? []),
@@ -204,6 +212,7 @@
         zone ? [{ zone, revision }] : [],
       ),
     });
+    return Result.ok(update);
   }
 
   private waitUntil(condition: () => boolean, waitMs: number, signal: AbortSignal): Promise<void> {
