--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -249,6 +249,7 @@
     openingPeers: {
       hasPeers: () => gossipNode().peerCount > 0,
       askAboutOpenings: (queries) => gossipNode().askAboutOpenings(queries),
+      shareHandshakes: (records) => gossipNode().shareHandshakes(records),
     },
     onBadAnswer: (report) => gossipNode().gossipBadAnswer(report),
     onBackendUnhealthy: (backendId, atMs) => gossipNode().gossipEjection({ backendId, atMs }),
--- a/src/cookie-edge/daemon/cookie-daemon.ts
+++ b/src/cookie-edge/daemon/cookie-daemon.ts
@@ -115,6 +115,7 @@
     const { drain } = this.current.config;
     const { minMs, maxMs } = drain;
     events.emit(COOKIE_DAEMON_EVENTS.stopping, { flows: forwarder.flowCount, minMs, maxMs });
+    forwarder.handOver();
     await shutDown(drain, {
       clock,
       packetsReceived: () => forwarder.statistics.packets,
--- /dev/null
+++ b/src/cookie-edge/forwarding/contest-rule.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import {
+  contestAfterPacket,
+  contestOfNewFlow,
+  shouldShare,
+  showsHandshake,
+  type FlowContest,
+} from './contest-rule.js';
+import type { FlowPhase } from './flow-cache.js';
+import type { CookieOutcome } from './mid-flow-rule.js';
+
+test('a flow that is placed by a retransmitted SYN is contested', (t) => {
+  t.is(contestOfNewFlow(0), 'none');
+  t.is(contestOfNewFlow(1), 'contested');
+});
+
+const PACKETS: readonly (readonly [FlowContest, CookieOutcome, FlowContest])[] = [
+  ['none', 'agrees', 'none'],
+  ['none', 'overruled', 'contested'],
+  ['none', 'followed', 'contested'],
+  ['contested', 'agrees', 'contested'],
+  ['shared', 'agrees', 'shared'],
+  ['shared', 'overruled', 'shared'],
+  ['shared', 'followed', 'contested'],
+];
+
+for (const [before, cookie, after] of PACKETS) {
+  test(`a flow with contest ${before} and a cookie that ${cookie} has contest ${after}`, (t) => {
+    t.is(contestAfterPacket(before, cookie), after);
+  });
+}
+
+test('a contested flow is shared once it is open', (t) => {
+  const phases: readonly FlowPhase[] = ['opening', 'open', 'closing'];
+  const shared = phases.filter((phase) => shouldShare('contested', phase));
+  t.deepEqual(shared, ['open']);
+  t.false(shouldShare('none', 'open'));
+  t.false(shouldShare('shared', 'open'));
+});
+
+test('a flow that was adopted by an opening cookie shows nothing to peers', (t) => {
+  t.false(showsHandshake({ handshake: 'unseen', hasEstablishedCookie: false }));
+  t.true(showsHandshake({ handshake: 'unseen', hasEstablishedCookie: true }));
+  t.true(showsHandshake({ handshake: 'seen', hasEstablishedCookie: false }));
+});
--- /dev/null
+++ b/src/cookie-edge/forwarding/contest-rule.ts
@@ -0,0 +1,51 @@
+/**
+ * Rule: whether a flow is contested, so that peers are told at which back end it opened, and whether a cached flow
+ * shows that to a peer which asks.
+ *
+ * Prevents a daemon that does not know a flow from leading it to a back end that does not hold it. Every back end that
+ * received the SYN and was not acknowledged repeats its SYN+ACK for seconds, and each of them replaces the caller's
+ * cookie. Only the first packet after the handshake shows which back end the caller acknowledged. Does no input or
+ * output. Creates no objects, because it runs for each packet.
+ *
+ * Inputs: how the flow was placed, how its packet's cookie was judged, and the evidence of its handshake. Order: a flow
+ * is contested once its SYN was moved, once it was placed by a retransmission, since the first SYN may have been placed
+ * elsewhere, once a peer has asked about its opening, or once a packet came with the cookie of another back end. It is
+ * shared when its caller has sent a packet other than a SYN, and again if a packet moves it. An opening cookie that was
+ * followed without the handshake shows nothing to a peer.
+ */
+import type { FlowPhase } from './flow-cache.js';
+import type { HandshakeEvidence } from './handshake-evidence.js';
+import type { CookieOutcome } from './mid-flow-rule.js';
+
+/**
+ * `none`: no other back end is known to have received a SYN of the flow. `contested`: another one may have. `shared`:
+ * contested, and peers were told the flow's back end.
+ */
+export type FlowContest = 'none' | 'contested' | 'shared';
+
+/** The part of a cached flow that shows where it opened. */
+interface KnownHandshake {
+  readonly handshake: HandshakeEvidence;
+  readonly hasEstablishedCookie: boolean;
+}
+
+/** Returns whether a flow is contested from its first SYN at this daemon on. */
+export function contestOfNewFlow(retransmissionCount: number): FlowContest {
+  return retransmissionCount > 0 ? 'contested' : 'none';
+}
+
+/** Returns whether a flow is contested after a packet other than a SYN. */
+export function contestAfterPacket(contest: FlowContest, cookie: CookieOutcome): FlowContest {
+  if (cookie === 'followed') return 'contested';
+  return cookie === 'overruled' && contest === 'none' ? 'contested' : contest;
+}
+
+/** Returns true if peers are to be told now at which back end a flow opened. */
+export function shouldShare(contest: FlowContest, phase: FlowPhase): boolean {
+  return contest === 'contested' && phase === 'open';
+}
+
+/** Returns true if a cached flow is known to have opened at its back end. */
+export function showsHandshake({ handshake, hasEstablishedCookie }: KnownHandshake): boolean {
+  return handshake !== 'unseen' || hasEstablishedCookie;
+}
--- a/src/cookie-edge/forwarding/cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/cookie-forwarder.ts
@@ -21,6 +21,7 @@
 import type { MidFlowHandler } from './mid-flow-handler.js';
 import type { OpeningQueries } from './opening-queries.js';
 import type { OpeningHandler } from './opening-handler.js';
+import type { SharedHandshakes } from './shared-handshakes.js';
 
 /** Components of a forwarder. */
 interface CookieForwarderOptions {
@@ -41,6 +42,7 @@
   readonly heldOpenings: HeldOpenings;
   readonly openingLookup?: OpeningLookup;
   readonly openingQueries: OpeningQueries;
+  readonly sharedHandshakes: SharedHandshakes;
   readonly midFlowHandler: MidFlowHandler;
   readonly housekeeping: Housekeeping;
 }
@@ -112,18 +114,26 @@
     return this.options.openingQueries.answer(query);
   }
 
-  /** Applies an answer of the peer with this key to the lookup that waits for it. */
+  /** Applies an answer or a handshake record of the peer with this key. */
   applyOpeningAnswer(answer: OpeningAnswer, peer: string): void {
-    this.options.openingLookup?.applyAnswer(answer, peer);
+    const { openingLookup, sharedHandshakes, clock } = this.options;
+    if (answer.acknowledgement === undefined) openingLookup?.applyAnswer(answer, peer);
+    else sharedHandshakes.applyRecord(answer, peer, clock.now());
+  }
+
+  /** Call when the daemon begins to stop. */
+  handOver(): void {
+    this.options.sharedHandshakes.handOver(this.options.clock.now());
   }
 
   /** Runs the housekeeping until `signal` aborts. */
   start(signal: AbortSignal): void {
-    const { housekeeping, heldOpenings, openingLookup } = this.options;
+    const { housekeeping, heldOpenings, openingLookup, sharedHandshakes } = this.options;
     housekeeping.start(signal);
     signal.addEventListener('abort', () => {
       heldOpenings.stop();
       openingLookup?.stop();
+      sharedHandshakes.stop();
     });
   }
 
@@ -139,7 +149,7 @@
     this.statistics.packets += 1;
     const flow = cache.find(packet);
     if (packet.syn && !packet.ack) openingHandler.onSyn(packet, flow, { nowMs, waitedMs });
-    else midFlowHandler.onMidFlowPacket(packet, flow, nowMs);
+    else midFlowHandler.onMidFlowPacket(packet, flow, nowMs, waitedMs);
   }
 
   /**
--- a/src/cookie-edge/forwarding/create-cookie-forwarder.ts
+++ b/src/cookie-edge/forwarding/create-cookie-forwarder.ts
@@ -42,7 +42,12 @@
     pauses,
     knowledge,
     openingHandler: createOpeningHandler(environment, shared),
-    openingQueries: new OpeningQueries({ clock, cache, yieldedOpenings: shared.yieldedOpenings }),
+    openingQueries: new OpeningQueries({
+      clock,
+      cache,
+      yieldedOpenings: shared.yieldedOpenings,
+      sharedHandshakes: shared.sharedHandshakes,
+    }),
     midFlowHandler: createMidFlowHandler(environment, shared),
     housekeeping: new Housekeeping({
       clock,
@@ -140,8 +145,8 @@
   { events, knowledge }: CookieForwarderEnvironment,
   shared: SharedComponents,
 ): MidFlowHandler {
-  const { isOn, statistics, cookies, cache, states, pendingOpenings, answerTracker, failures, sender } =
-    shared;
+  const { isOn, statistics, cookies, cache, states, sender, sharedHandshakes } = shared;
+  const { pendingOpenings, answerTracker, failures } = shared;
   const flowTracker = new FlowTracker({
     cache,
     states,
@@ -160,5 +165,6 @@
     flowTracker,
     sender,
     statistics,
+    sharedHandshakes,
   });
 }
--- a/src/cookie-edge/forwarding/create-opening-handler.ts
+++ b/src/cookie-edge/forwarding/create-opening-handler.ts
@@ -1,7 +1,12 @@
 /** Creates the components that decide on SYNs. */
 import { RecoveryAdmission } from '../admission/index.js';
 import type { LocalBackendState } from '../backend-health/index.js';
-import { OpeningLookup, YieldedOpenings } from '../opening-lookup/index.js';
+import {
+  HandshakeRecords,
+  HandshakeReplicator,
+  OpeningLookup,
+  YieldedOpenings,
+} from '../opening-lookup/index.js';
 import {
   BackendEligibility,
   ColdAdmission,
@@ -13,11 +18,12 @@
 import type { CookieForwarderEnvironment, SharedComponents } from './forwarder-environment.js';
 import { OpeningHandler } from './opening-handler.js';
 import { OpeningLog } from './opening-log.js';
+import { SharedHandshakes } from './shared-handshakes.js';
 
 /** Components that decide on SYNs. */
 type OpeningComponents = Pick<
   SharedComponents,
-  'coldAdmission' | 'eligibility' | 'openingLog' | 'openingLookup' | 'yieldedOpenings'
+  'coldAdmission' | 'eligibility' | 'openingLog' | 'openingLookup' | 'sharedHandshakes' | 'yieldedOpenings'
 >;
 
 /** Creates the handler of SYNs. */
@@ -55,6 +61,7 @@
     sender: shared.sender,
     statistics: shared.statistics,
     openingLog: shared.openingLog,
+    sharedHandshakes: shared.sharedHandshakes,
     mayHaveWaited: (nowMs) => isOn('old-opening-guard') && pauses.mayHaveWaited(nowMs),
   });
 }
@@ -80,14 +87,36 @@
   const stateOf = (backend: KnownBackend): LocalBackendState => states.stateOf(backend);
   const eligibility = new BackendEligibility({ knowledge, coldAdmission, regionOf, stateOf });
   const openingLog = new OpeningLog({ events, knowledge, eligibility });
-  const openingLookup = createOpeningLookup(environment, { isOn, statistics, openingLog });
-  return { coldAdmission, eligibility, openingLog, openingLookup, yieldedOpenings: new YieldedOpenings() };
+  const logs = { isOn, statistics, openingLog };
+  return {
+    coldAdmission,
+    eligibility,
+    openingLog,
+    openingLookup: createLookup(environment, logs),
+    sharedHandshakes: createSharedHandshakes(environment, logs),
+    yieldedOpenings: new YieldedOpenings(),
+  };
 }
 
+/** Handshakes have a lookup with a budget of their own, so that retransmitted SYNs do not use it up. */
+function createSharedHandshakes(environment: CookieForwarderEnvironment, logs: LookupLogs): SharedHandshakes {
+  const { clock, events, knowledge, openingPeers: peers, maxFlowAgeMs } = environment;
+  return new SharedHandshakes({
+    events,
+    records: new HandshakeRecords(maxFlowAgeMs),
+    lookup: createLookup(environment, logs),
+    replicator: peers && logs.isOn('opening-lookups') ? new HandshakeReplicator({ clock, peers }) : undefined,
+    backendOf: (id) => knowledge.backends.get(id),
+  });
+}
+
+/** What records the outcomes of lookups. */
+type LookupLogs = Pick<SharedComponents, 'isOn' | 'statistics' | 'openingLog'>;
+
 /** Returns undefined if peers are not asked about openings. */
-function createOpeningLookup(
+function createLookup(
   { clock, edge, openingPeers: peers }: CookieForwarderEnvironment,
-  { isOn, statistics, openingLog }: Pick<SharedComponents, 'isOn' | 'statistics' | 'openingLog'>,
+  { isOn, statistics, openingLog }: LookupLogs,
 ): OpeningLookup | undefined {
   if (!peers || !isOn('opening-lookups')) return undefined;
   return new OpeningLookup({
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -102,6 +102,30 @@
     action:
       'If hasLeftRoute is true: check why no other back end takes new flows of the route; otherwise none',
   },
+  handshakeShared: {
+    number: 1268,
+    level: 'info',
+    message: 'Peers are told at which back end a flow opened whose SYN may have reached another one too',
+    action: 'none',
+  },
+  handshakeFound: {
+    number: 1269,
+    level: 'info',
+    message: 'Flow forwarded to the back end at which it opened; its cookie may be from another placement',
+    action: 'none',
+  },
+  handshakeNotFound: {
+    number: 1270,
+    level: 'info',
+    message: 'No peer that answered knows where a flow opened; its opening cookie is followed',
+    action: 'If unanswered is above 0: check whether a daemon was lost; otherwise none',
+  },
+  handshakesHandedOver: {
+    number: 1271,
+    level: 'info',
+    message: 'Stopping daemon tells its peers where contested flows opened',
+    action: 'none',
+  },
   paused: {
     number: 1258,
     level: 'warn',
--- a/src/cookie-edge/forwarding/flow-cache.ts
+++ b/src/cookie-edge/forwarding/flow-cache.ts
@@ -8,6 +8,7 @@
 import type { OutstandingRequest } from '../outliers/index.js';
 import type { FlowAddresses } from '../opening-lookup/index.js';
 import { addressKey } from '../routing/index.js';
+import { contestOfNewFlow, type FlowContest } from './contest-rule.js';
 import type { HandshakeEvidence } from './handshake-evidence.js';
 import { isSequenceAfter } from './sequence-number.js';
 
@@ -27,6 +28,9 @@
   phase: FlowPhase;
   /** What this daemon has seen of the handshake with the current back end. */
   handshake: HandshakeEvidence;
+  contest: FlowContest;
+  /** True once a packet has come with the cookie that the back end receives in packets other than SYNs. */
+  hasEstablishedCookie: boolean;
   /** Acknowledgement number of the first packet after the SYNs; 0 while the flow is opening. */
   handshakeAcknowledgement: number;
   /** Monotonic ms at which the SYN was sent to the current back end. */
@@ -83,6 +87,8 @@
       backendState: state,
       phase,
       handshake: 'unseen',
+      contest: contestOfNewFlow(packet.retransmissionCount),
+      hasEstablishedCookie: false,
       handshakeAcknowledgement: packet.acknowledgement,
       openedAtMs: nowMs,
       lastPacketAtMs: nowMs,
--- a/src/cookie-edge/forwarding/forwarder-environment.ts
+++ b/src/cookie-edge/forwarding/forwarder-environment.ts
@@ -25,6 +25,7 @@
 import type { HeldOpenings } from './held-openings.js';
 import type { OpeningLog } from './opening-log.js';
 import type { PacketSender } from './packet-sender.js';
+import type { SharedHandshakes } from './shared-handshakes.js';
 
 /** Dependencies and settings of a cookie forwarder. */
 export interface CookieForwarderEnvironment {
@@ -100,4 +101,5 @@
   readonly eligibility: BackendEligibility;
   readonly openingLookup: OpeningLookup | undefined;
   readonly yieldedOpenings: YieldedOpenings;
+  readonly sharedHandshakes: SharedHandshakes;
 }
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../../observability/event.js';
 import type { LocalBackendStates } from '../backend-health/index.js';
 import type { KnownBackend, RoutingKnowledge } from '../routing/index.js';
+import { contestAfterPacket } from './contest-rule.js';
 import type { CookieRegistry } from './cookie-registry.js';
 import type { CookieStatistics } from './cookie-statistics.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -15,6 +16,7 @@
 import { handshakeEvidenceAfter } from './handshake-evidence.js';
 import { backendOfPacket, decideContradiction, decideMidFlow, type CookieOutcome } from './mid-flow-rule.js';
 import type { PacketSender } from './packet-sender.js';
+import type { SharedHandshakes } from './shared-handshakes.js';
 
 /** Dependencies of `MidFlowHandler`. */
 interface MidFlowHandlerOptions {
@@ -26,6 +28,7 @@
   readonly flowTracker: FlowTracker;
   readonly sender: PacketSender;
   readonly statistics: CookieStatistics;
+  readonly sharedHandshakes: SharedHandshakes;
 }
 
 /** A packet whose cookie names another back end than its cached flow. */
@@ -41,9 +44,23 @@
   constructor(private readonly options: MidFlowHandlerOptions) {}
 
   /** Handles a packet other than a SYN. `flow` is the cached flow with its addresses, if any. */
-  onMidFlowPacket(packet: CookiePacket, flow: Flow | undefined, nowMs: number): void {
-    const { flowTracker, sender } = this.options;
+  onMidFlowPacket(packet: CookiePacket, flow: Flow | undefined, nowMs: number, waitedMs: number): void {
+    const { cookies, sharedHandshakes } = this.options;
     const cookieBackend = this.cookieBackendOf(packet);
+    if (flow || !cookieBackend || !cookies.isOpeningCookie(packet.cookie, cookieBackend))
+      return this.forward(packet, flow, cookieBackend, nowMs);
+    const backend = sharedHandshakes.findBackend(packet, cookieBackend, { nowMs, waitedMs });
+    if (backend) this.forward(packet, flow, backend, nowMs);
+  }
+
+  /** `cookieBackend`: the back end that the cookie names, or at which the flow of an opening cookie opened. */
+  private forward(
+    packet: CookiePacket,
+    flow: Flow | undefined,
+    cookieBackend: KnownBackend | undefined,
+    nowMs: number,
+  ): void {
+    const { flowTracker, sender, sharedHandshakes } = this.options;
     const cookieOutcome = this.decideCookie(packet, cookieBackend, flow);
     const validCookieBackend = cookieOutcome === 'overruled' ? undefined : cookieBackend;
     const backend = backendOfPacket(validCookieBackend, flow?.backendState.backend);
@@ -52,10 +69,22 @@
     if (outcome === 'reset') return this.resetFlowAtDeadBackend(packet, flow, backend, nowMs);
     if (flow) flow.handshake = handshakeEvidenceAfter(flow, packet.acknowledgement, cookieOutcome);
     const trackedFlow = flow ?? this.adoptFlow(packet, backend, nowMs);
-    if (trackedFlow) flowTracker.trackPacket(packet, trackedFlow, backend, nowMs);
+    if (trackedFlow) {
+      flowTracker.trackPacket(packet, trackedFlow, backend, nowMs);
+      this.updateContest(packet, trackedFlow, cookieOutcome);
+      sharedHandshakes.shareIfOpen(packet, trackedFlow, nowMs);
+    }
     sender.forwardTo(backend);
   }
 
+  /** Notes what a packet's cookie shows about the placements of its flow. */
+  private updateContest(packet: CookiePacket, flow: Flow, cookieOutcome: CookieOutcome): void {
+    flow.contest = contestAfterPacket(flow.contest, cookieOutcome);
+    if (cookieOutcome === 'followed') flow.hasEstablishedCookie = false;
+    if (flow.hasEstablishedCookie || cookieOutcome === 'overruled') return;
+    flow.hasEstablishedCookie = packet.cookie === this.options.cookies.cookieOf(flow.backendState.backend);
+  }
+
   private cookieBackendOf({ cookie }: CookiePacket): KnownBackend | undefined {
     return cookie === 0 ? undefined : this.options.cookies.backendOf(cookie);
   }
@@ -108,6 +137,7 @@
       backend: backend.id,
       service: backend.record.service,
       departed: backend.departed,
+      isOpeningCookie: packet.cookie !== this.options.cookies.cookieOf(backend),
     });
     return cache.add(packet, states.stateOf(backend), 'open', nowMs);
   }
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -16,6 +16,7 @@
 import type { FlowsInProgress } from './flows-in-progress.js';
 import type { OpeningLog } from './opening-log.js';
 import type { PacketSender } from './packet-sender.js';
+import type { SharedHandshakes } from './shared-handshakes.js';
 import { decideRetransmission, mayLeaveFirstBackend } from './retransmission-rule.js';
 import { classifySyn } from './syn-rule.js';
 import { isLastTransmission, sinceFirstSynMs } from './syn-schedule.js';
@@ -40,6 +41,7 @@
   readonly sender: PacketSender;
   readonly statistics: CookieStatistics;
   readonly openingLog: OpeningLog;
+  readonly sharedHandshakes: SharedHandshakes;
 }
 
 /** Label of stale SYNs in the metric of dropped packets. */
@@ -59,7 +61,7 @@
       phase: flow?.phase,
       hasRoute: route !== undefined,
       mayHaveWaited: this.options.mayHaveWaited(nowMs),
-      isLeftToPeer: this.options.yieldedOpenings.hasYielded(packet, packet.retransmissionCount, nowMs),
+      isSuperseded: this.isSuperseded(packet, nowMs),
     });
     if (kind === 'stale') return this.dropStale(packet);
     if (kind === 'superseded') return this.dropSuperseded(packet);
@@ -72,6 +74,13 @@
     this.applyOutcome(this.options.newFlowRule.decide(packet, nowMs), packet, arrival);
   }
 
+  /** Returns true if a peer decides on the opening, or its caller has sent a packet of the open flow meanwhile. */
+  private isSuperseded(packet: CookiePacket, nowMs: number): boolean {
+    const { yieldedOpenings, sharedHandshakes } = this.options;
+    if (yieldedOpenings.hasYielded(packet, packet.retransmissionCount, nowMs)) return true;
+    return packet.retransmissionCount > 0 && sharedHandshakes.isFindingBackend(packet);
+  }
+
   /** Asks peers whether one of them placed the opening. Returns true if this daemon need not decide on the SYN now. */
   private isHandledByLookup(
     packet: CookiePacket,
@@ -80,7 +89,12 @@
   ): boolean {
     if (!route) return false;
     const remainingHoldMs = maxHoldMs(packet.retransmissionCount) - waitedMs;
-    const outcome = this.options.openingLookup?.lookUp({ ...packet, waitedMs, remainingHoldMs });
+    const outcome = this.options.openingLookup?.lookUp({
+      ...packet,
+      acknowledgement: undefined,
+      waitedMs,
+      remainingHoldMs,
+    });
     if (outcome?.kind === 'found') return this.followPlacement(packet, outcome, nowMs);
     return outcome?.kind === 'pending';
   }
@@ -157,6 +171,7 @@
   private openFlow(packet: CookiePacket, placement: Placement, nowMs: number): void {
     const { newFlowRule, cache, pendingOpenings, statistics, recoveryAdmission, flowsInProgress } =
       this.options;
+    this.options.sharedHandshakes.forgetEarlierFlow(packet);
     newFlowRule.recordPlacement(placement, nowMs);
     const flow = cache.add(packet, placement.state, 'opening', nowMs);
     if (flow) pendingOpenings.add(flow);
@@ -197,6 +212,7 @@
     statistics.placedAnew += 1;
     pendingOpenings.stopAwaiting(flow);
     cache.moveToBackend(flow, placement.state);
+    flow.contest = 'contested';
     flow.openedAtMs = nowMs;
     flow.isFailureCounted = false;
     pendingOpenings.add(flow);
--- a/src/cookie-edge/forwarding/opening-log.ts
+++ b/src/cookie-edge/forwarding/opening-log.ts
@@ -21,7 +21,7 @@
   readonly placement: Placement;
 }
 
-/** Emits the events 1250, 1251, 1252, 1255, 1263, 1264, 1265 and 1267. */
+/** Emits the events 1250, 1251, 1252, 1255, 1263, 1264, 1265, 1267 and 1270. */
 export class OpeningLog {
   constructor(private readonly options: OpeningLogOptions) {}
 
@@ -92,12 +92,15 @@
       copy: query.retransmissionCount,
       waitedMs: Math.round(waitedMs),
     };
-    if (outcome.kind === 'found') {
+    // Event 1269 logs each packet for which a handshake was found.
+    if (outcome.kind === 'found' && query.acknowledgement === undefined) {
       const { backendId: backend, peer } = outcome;
       events.emit(COOKIE_FLOW_EVENTS.placementFound, { ...common, backend, peer });
     } else if (outcome.kind === 'not-found') {
       const { asked, unanswered } = outcome;
-      events.emit(COOKIE_FLOW_EVENTS.placementNotFound, { ...common, asked, unanswered });
+      const isHandshake = query.acknowledgement !== undefined;
+      const event = isHandshake ? COOKIE_FLOW_EVENTS.handshakeNotFound : COOKIE_FLOW_EVENTS.placementNotFound;
+      events.emit(event, { ...common, asked, unanswered });
     }
   }
 
--- a/src/cookie-edge/forwarding/opening-model-test-support.ts
+++ b/src/cookie-edge/forwarding/opening-model-test-support.ts
@@ -6,7 +6,7 @@
  */
 import { VirtualClock } from '../../common/clock.js';
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
-import type { OpeningPeers, OpeningQuery } from '../opening-lookup/index.js';
+import type { HandshakeRecord, OpeningPeers, OpeningQuery } from '../opening-lookup/index.js';
 import type { RoutedBackend } from '../routing/index.js';
 import type { CookieForwarder } from './cookie-forwarder.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
@@ -25,6 +25,12 @@
   readonly answerMs: number;
   /** Daemons that lose their memory: each is killed at this time and started again at once, unless it stays down. */
   readonly kills: readonly { readonly atMs: number; readonly daemon: number; readonly staysDown?: boolean }[];
+  /** Daemons that are stopped as planned: each hands over what it alone knows, and is started again at once. */
+  readonly restarts?: readonly { readonly atMs: number; readonly daemon: number }[];
+  /** True if a back end repeats its SYN+ACK until the caller acknowledges it. Default: one for each SYN. */
+  readonly repeatsSynAcks?: boolean;
+  /** Time between two data packets of the caller. Default: `DATA_INTERVAL_MS`. */
+  readonly dataIntervalMs?: number;
   /** True if the daemons know no peers, so that each places what reaches it. */
   readonly areDaemonsIsolated?: boolean;
   /** Daemons of a build without opening cookies and lookups. */
@@ -62,6 +68,8 @@
 /** Delay before unanswered data is sent again, in ms: the first one, which doubles, and the longest one. */
 const FIRST_RETRANSMISSION_MS = 200;
 const MAX_RETRANSMISSION_MS = 1_600;
+/** Number of times that a back end repeats a SYN+ACK. */
+const SYN_ACK_TRIES = 8;
 const DATA_BYTES = 14;
 const ANSWER_BYTES = 600;
 /** One-way delay between the caller and a daemon, and between a daemon and a back end, in ms. */
@@ -83,6 +91,8 @@
   cookie: number;
   /** Sequence numbers of the data that the back end received. */
   readonly received: Set<number>;
+  /** True once the caller has acknowledged the SYN+ACK. */
+  isAcknowledged: boolean;
 }
 
 /** A daemon of either build. */
@@ -131,6 +141,9 @@
         if (staysDown) this.downDaemons.add(daemon);
       });
     }
+    for (const { atMs, daemon } of this.scenario.restarts ?? []) {
+      this.clock.schedule(atMs, () => this.stopAndRestartDaemon(daemon));
+    }
     this.clock.advance(ATTEMPT_TIMEOUT_MS + DATA_PACKETS * DATA_INTERVAL_MS);
     while (this.isUnfinished() && this.clock.now() < DEADLINE_MS) this.clock.advance(STEP_MS);
     for (const daemon of this.daemons) daemon.stop();
@@ -171,6 +184,7 @@
     const openingPeers: OpeningPeers = {
       hasPeers: () => !this.scenario.areDaemonsIsolated,
       askAboutOpenings: (queries) => this.askPeers(index, queries),
+      shareHandshakes: (records) => this.shareWithPeers(index, records),
     };
     const daemon = new ForwarderHarness(this.clock, 1, [], { openingPeers });
     daemon.onSent(CALLER_PORT, (backend, cookie, packet) =>
@@ -197,6 +211,15 @@
     return others.map(String);
   }
 
+  private shareWithPeers(sender: number, records: readonly HandshakeRecord[]): void {
+    if (this.scenario.areDaemonsIsolated) return;
+    for (const [peer, daemon] of this.daemons.entries()) {
+      if (peer === sender || this.downDaemons.has(peer)) continue;
+      for (const record of records)
+        this.clock.schedule(LINK_MS, () => daemon.forwarder?.applyOpeningAnswer(record, String(sender)));
+    }
+  }
+
   private answerQuery(peer: number, asking: number, query: OpeningQuery): void {
     if (this.downDaemons.has(peer)) return;
     const answer = this.daemons[peer]?.forwarder?.answerOpeningQuery(query);
@@ -206,6 +229,12 @@
     );
   }
 
+  /** The daemon forwards until what it hands over is on its way. */
+  private stopAndRestartDaemon(index: number): void {
+    this.daemons[index]?.forwarder?.handOver();
+    this.clock.schedule(LINK_MS, () => this.restartDaemon(index));
+  }
+
   private restartDaemon(index: number): void {
     this.daemons[index]?.stop();
     this.daemons[index] = this.startDaemon(index);
@@ -229,7 +258,7 @@
     if (this.sentData >= DATA_PACKETS) return;
     this.sendData(this.sentData, FIRST_RETRANSMISSION_MS);
     this.sentData += 1;
-    this.clock.schedule(DATA_INTERVAL_MS, () => this.sendNextData());
+    this.clock.schedule(this.scenario.dataIntervalMs ?? DATA_INTERVAL_MS, () => this.sendNextData());
   }
 
   /** Sends the data packet `index` now and again after `retransmissionMs`, unless it is answered. */
@@ -255,7 +284,10 @@
     if (packet.syn) return this.answerSyn(id, cookie);
     const flow = this.flows.get(id);
     const isAcknowledged = flow !== undefined && isSameBackend(acknowledgement, flow.firstSequence);
-    if (isAcknowledged) this.holder ??= id;
+    if (isAcknowledged) {
+      this.holder ??= id;
+      flow.isAcknowledged = true;
+    }
     if (this.holder === undefined) return;
     if (!isAcknowledged) this.misdelivered += 1;
     else this.answerData(flow, sequence, cookie);
@@ -277,15 +309,37 @@
     const index = idsOfBackends().indexOf(id);
     const firstSequence = (index + 1) * SEQUENCE_DISTANCE;
     const nextSequence = firstSequence + 1;
-    const flow = this.flows.get(id) ?? { firstSequence, nextSequence, cookie, received: new Set() };
+    const newFlow = {
+      firstSequence,
+      nextSequence,
+      cookie,
+      received: new Set<number>(),
+      isAcknowledged: false,
+    };
+    const flow = this.flows.get(id) ?? newFlow;
     this.flows.set(id, flow);
     flow.cookie = cookie;
+    if (this.scenario.repeatsSynAcks) this.repeatSynAck(index, flow, 0);
     if (this.isLost('first-syn-ack')) return;
+    this.sendSynAck(index, flow);
+  }
+
+  private sendSynAck(index: number, { firstSequence, cookie }: BackendFlow): void {
     this.clock.schedule(this.scenario.handshakeMs[index] ?? 0, () =>
       this.receiveAtCaller(firstSequence + 1, cookie),
     );
   }
 
+  private repeatSynAck(index: number, flow: BackendFlow, tries: number): void {
+    if (tries >= SYN_ACK_TRIES) return;
+    const waitMs = Math.min(FIRST_RETRANSMISSION_MS * 2 ** tries, MAX_RETRANSMISSION_MS);
+    this.clock.schedule(waitMs, () => {
+      if (flow.isAcknowledged) return;
+      this.sendSynAck(index, flow);
+      this.repeatSynAck(index, flow, tries + 1);
+    });
+  }
+
   private receiveAtCaller(nextSequence: number, cookie: number): void {
     const isFirst = this.acknowledgement === 0;
     if (this.hasBeenReset || (isFirst && this.clock.now() >= ATTEMPT_TIMEOUT_MS)) return;
--- a/src/cookie-edge/forwarding/syn-rule.test.ts
+++ b/src/cookie-edge/forwarding/syn-rule.test.ts
@@ -26,12 +26,12 @@
   const flow = `a flow that is ${phase ?? 'unknown'}${hasRoute ? '' : ' and has no route'}`;
   const pause = mayHaveWaited ? 'after' : 'without';
   test(`a SYN with retransmission count ${retransmissionCount} of ${flow}, ${pause} a pause: ${expected}`, (t) => {
-    t.is(classifySyn({ retransmissionCount, phase, hasRoute, mayHaveWaited, isLeftToPeer: false }), expected);
+    t.is(classifySyn({ retransmissionCount, phase, hasRoute, mayHaveWaited, isSuperseded: false }), expected);
   });
 }
 
 test('a SYN that was left to a peer is dropped unless this daemon has placed the flow since', (t) => {
-  const evidence = { retransmissionCount: 0, hasRoute: true, mayHaveWaited: false, isLeftToPeer: true };
+  const evidence = { retransmissionCount: 0, hasRoute: true, mayHaveWaited: false, isSuperseded: true };
   t.is(classifySyn({ ...evidence, phase: undefined }), 'superseded');
   t.is(classifySyn({ ...evidence, phase: 'opening' }), 'retransmission');
 });
--- a/src/cookie-edge/opening-lookup/constants.ts
+++ b/src/cookie-edge/opening-lookup/constants.ts
@@ -31,5 +31,20 @@
 /** Maximum number of peers asked in a round, nearest first. Bounds the messages in a large fleet. */
 export const MAX_ASKED_PEERS = 24;
 
+/** Maximum number of packets of one open flow that wait for the end of a lookup: what a caller sends at once. */
+export const MAX_KEPT_PACKETS = 16;
+
+/** Maximum number of handshake records in a message. They fit into a datagram. */
+export const MAX_RECORDS_PER_MESSAGE = 16;
+
+/** Maximum number of handshake records that are kept, and that wait to be sent. Bounds memory to about 2 MB. */
+export const MAX_HANDSHAKE_RECORDS = 8_192;
+
+/**
+ * A packet whose acknowledgement differs by more from that of a handshake record, in bytes, belongs to another flow.
+ * More than a flow receives in its lifetime after an opening that was sent to two back ends.
+ */
+export const MAX_RECORD_ADVANCE_BYTES = 16_777_216;
+
 /** Maximum number of openings that are remembered as left to a peer. Bounds memory. */
 export const MAX_YIELDED_OPENINGS = 4_096;
--- a/src/cookie-edge/opening-lookup/opening-lookup.test.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.test.ts
@@ -44,6 +44,7 @@
         this.queries.push(...queries);
         return this.peers;
       },
+      shareHandshakes: () => undefined,
     },
     onEnd: (_query, outcome) => this.ended.push(outcome),
   });
--- a/src/cookie-edge/opening-lookup/opening-lookup.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.ts
@@ -1,26 +1,27 @@
 /**
- * Asks peers whether they have placed an opening before this daemon places a retransmitted SYN. The edge keeps the
- * packet meanwhile and delivers it again. Owns the lookups; `lookup-rule.ts` decides when one starts and ends.
+ * Asks peers whether they have placed an opening before this daemon places a retransmitted SYN, or whether they know
+ * where its handshake was completed. The edge keeps the packets meanwhile and delivers them again. Owns the lookups;
+ * `lookup-rule.ts` decides when one starts and ends.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
-import { OUTCOME_RETENTION_MS, SUSPENSION_MS } from './constants.js';
+import { MAX_KEPT_PACKETS, OUTCOME_RETENTION_MS, SUSPENSION_MS } from './constants.js';
 import { flowKey } from './flow-key.js';
 import { isLookupDecided, lookupTimeoutMs, shouldSuspendLookups } from './lookup-rule.js';
 import { QueryRounds } from './query-rounds.js';
-import type { OpeningAnswer, OpeningPeers, OpeningQuery } from './types.js';
+import type { FlowAddresses, OpeningAnswer, OpeningPeers, OpeningQuery } from './types.js';
 
-/** A SYN that is about to be placed. */
-interface ReceivedSyn extends OpeningQuery {
-  /** Time in ms since the SYN arrived. */
+/** A packet whose back end is about to be decided. */
+interface ReceivedPacket extends OpeningQuery {
+  /** Time in ms since the packet arrived. */
   readonly waitedMs: number;
-  /** Time in ms for which the SYN may still be held. */
+  /** Time in ms for which the packet may still be held. */
   readonly remainingHoldMs: number;
 }
 
 /**
- * `pending`: the SYN waits for answers. `not-needed`: no peer was asked. `found`: a peer has placed the opening.
- * `not-found`: no peer that answered has placed it.
+ * `pending`: the packet waits for answers. `not-needed`: no peer was asked. `found`: a peer knows the back end.
+ * `not-found`: no peer that answered knows it.
  */
 export type LookupOutcome =
   | { readonly kind: 'pending' | 'not-needed' }
@@ -34,7 +35,8 @@
   readonly waitedBeforeMs: number;
   asked: number;
   unansweredPeers: Set<string>;
-  readonly redeliver: (waitedMs: number) => void;
+  /** Deliver the kept packets, in the order of their arrival. */
+  readonly redeliveries: ((waitedMs: number) => void)[];
   timer: TimerHandle;
   /** Undefined while the lookup is pending. */
   outcome: LookupOutcome | undefined;
@@ -45,7 +47,7 @@
   readonly clock: Clock;
   readonly edge: Pick<CookieEdgePort, 'keepPacket'>;
   readonly peers: OpeningPeers;
-  /** Called when a lookup ends, before the edge delivers its SYN again. `waitedMs`: time since the SYN arrived. */
+  /** Called when a lookup ends, before its packets are delivered again. `waitedMs`: time since the first arrived. */
   readonly onEnd: (query: OpeningQuery, outcome: LookupOutcome, waitedMs: number) => void;
 }
 
@@ -60,17 +62,31 @@
   }
 
   /**
-   * Returns the outcome of the lookup for the SYN being handled, and starts the lookup if peers must be asked. The edge
-   * delivers the SYN again when a pending lookup ends.
+   * Returns the outcome of the lookup for the packet being handled, and starts the lookup if peers must be asked. The
+   * edge delivers the packet again when a pending lookup ends.
    */
-  lookUp(syn: ReceivedSyn): LookupOutcome {
-    const known = this.lookups.get(flowKey(syn));
-    if (known?.query.retransmissionCount === syn.retransmissionCount)
-      return known.outcome ?? { kind: 'pending' };
+  lookUp(packet: ReceivedPacket): LookupOutcome {
+    const known = this.lookups.get(flowKey(packet));
+    if (known?.query.retransmissionCount === packet.retransmissionCount) return this.joinLookup(known);
     const { clock, peers } = this.options;
-    const timeoutMs = lookupTimeoutMs(syn);
+    const timeoutMs = lookupTimeoutMs(packet);
     const isPossible = timeoutMs > 0 && clock.now() >= this.suspendedUntilMs && peers.hasPeers();
-    return { kind: isPossible && this.tryStart(syn, timeoutMs) ? 'pending' : 'not-needed' };
+    return { kind: isPossible && this.tryStart(packet, timeoutMs) ? 'pending' : 'not-needed' };
+  }
+
+  /** Returns the outcome of a lookup. While it is pending, a further packet of an open flow is kept like the first. */
+  private joinLookup({ outcome, query, redeliveries }: Lookup): LookupOutcome {
+    if (outcome) return outcome;
+    if (query.acknowledgement !== undefined && redeliveries.length < MAX_KEPT_PACKETS)
+      redeliveries.push(this.options.edge.keepPacket());
+    return { kind: 'pending' };
+  }
+
+  /** Returns true while a lookup of the flow with these addresses waits for answers. */
+  isPending(flow: FlowAddresses): boolean {
+    if (this.lookups.size === 0) return false;
+    const lookup = this.lookups.get(flowKey(flow));
+    return lookup !== undefined && lookup.outcome === undefined;
   }
 
   /** Applies an answer of the peer with this key. */
@@ -89,11 +105,11 @@
     this.lookups.clear();
   }
 
-  /** Starts a lookup and keeps the SYN. Returns false if the limits do not admit it. */
-  private tryStart(syn: ReceivedSyn, timeoutMs: number): boolean {
+  /** Starts a lookup and keeps the packet. Returns false if the limits do not admit it. */
+  private tryStart(packet: ReceivedPacket, timeoutMs: number): boolean {
     const { clock, edge } = this.options;
-    const key = flowKey(syn);
-    const query = queryOf(syn);
+    const key = flowKey(packet);
+    const query = queryOf(packet);
     const isAdmitted = this.rounds.tryAsk(query, (peers) => {
       lookup.asked = peers.length;
       lookup.unansweredPeers = new Set(peers);
@@ -102,10 +118,10 @@
     const lookup: Lookup = {
       query,
       startedAtMs: clock.now(),
-      waitedBeforeMs: syn.waitedMs,
+      waitedBeforeMs: packet.waitedMs,
       asked: 0,
       unansweredPeers: new Set(),
-      redeliver: edge.keepPacket(),
+      redeliveries: [edge.keepPacket()],
       timer: clock.schedule(timeoutMs, () => this.endWithoutPlacement(key, lookup)),
       outcome: undefined,
     };
@@ -120,7 +136,7 @@
     this.end(key, lookup, { kind: 'not-found', asked, unanswered: unansweredPeers.size });
   }
 
-  /** Delivers the SYN again. The outcome is kept until then, also if the SYN is held for another reason meanwhile. */
+  /** Delivers the packets again. The outcome is kept until then, also if a SYN is held for another reason meanwhile. */
   private end(key: string, lookup: Lookup, outcome: LookupOutcome): void {
     const { clock, onEnd } = this.options;
     const waitedMs = lookup.waitedBeforeMs + clock.now() - lookup.startedAtMs;
@@ -130,7 +146,7 @@
       if (this.lookups.get(key) === lookup) this.lookups.delete(key);
     });
     onEnd(lookup.query, outcome, waitedMs);
-    lookup.redeliver(waitedMs);
+    for (const redeliver of lookup.redeliveries.splice(0)) redeliver(waitedMs);
   }
 }
 
@@ -141,6 +157,14 @@
   destinationAddress,
   destinationPort,
   retransmissionCount,
+  acknowledgement,
 }: OpeningQuery): OpeningQuery {
-  return { sourceAddress, sourcePort, destinationAddress, destinationPort, retransmissionCount };
+  return {
+    sourceAddress,
+    sourcePort,
+    destinationAddress,
+    destinationPort,
+    retransmissionCount,
+    ...(acknowledgement !== undefined && { acknowledgement }),
+  };
 }
--- a/src/cookie-edge/opening-lookup/query-rounds.ts
+++ b/src/cookie-edge/opening-lookup/query-rounds.ts
@@ -3,11 +3,10 @@
  * later round with others if one was just sent. Owns the waiting queries and the budget of rounds.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
-import { MAX_QUERIES_PER_ROUND, ROUND_BURST, ROUND_INTERVAL_MS, ROUNDS_PER_SECOND } from './constants.js';
+import { MAX_QUERIES_PER_ROUND, ROUND_INTERVAL_MS } from './constants.js';
+import { RoundBudget } from './round-budget.js';
 import type { OpeningPeers, OpeningQuery } from './types.js';
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** Called with the keys of the peers that were asked. */
 type AskedCallback = (peers: readonly string[]) => void;
 
@@ -22,9 +21,7 @@
   private waiting: { readonly query: OpeningQuery; readonly onAsked: AskedCallback }[] = [];
   private timer: TimerHandle | undefined;
   private lastRoundMs = Number.NEGATIVE_INFINITY;
-  /** Rounds that may be sent now, at most `ROUND_BURST`, as of `refilledAtMs`. */
-  private availableRounds = ROUND_BURST;
-  private refilledAtMs = 0;
+  private readonly budget = new RoundBudget();
 
   constructor(private readonly options: QueryRoundsOptions) {}
 
@@ -33,7 +30,8 @@
     const { clock } = this.options;
     const nowMs = clock.now();
     const sharesRound = this.timer !== undefined;
-    if (sharesRound ? this.waiting.length >= MAX_QUERIES_PER_ROUND : !this.tryTakeRound(nowMs)) return false;
+    if (sharesRound ? this.waiting.length >= MAX_QUERIES_PER_ROUND : !this.budget.tryTake(nowMs))
+      return false;
     this.waiting.push({ query, onAsked });
     const waitMs = Math.max(0, this.lastRoundMs + ROUND_INTERVAL_MS - nowMs);
     this.timer ??= clock.schedule(waitMs, () => this.sendRound());
@@ -46,15 +44,6 @@
     this.waiting = [];
   }
 
-  private tryTakeRound(nowMs: number): boolean {
-    const refill = ((nowMs - this.refilledAtMs) * ROUNDS_PER_SECOND) / MILLISECONDS_PER_SECOND;
-    this.availableRounds = Math.min(ROUND_BURST, this.availableRounds + refill);
-    this.refilledAtMs = nowMs;
-    if (this.availableRounds < 1) return false;
-    this.availableRounds -= 1;
-    return true;
-  }
-
   private sendRound(): void {
     const { clock, peers } = this.options;
     const round = this.waiting;
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -10,7 +10,12 @@
 import { formatEndpoint, type Endpoint } from '../../common/types.js';
 import type { EventLog } from '../../observability/event.js';
 import type { LoadReport } from '../load/index.js';
-import { MAX_ASKED_PEERS, type OpeningAnswer, type OpeningQuery } from '../opening-lookup/index.js';
+import {
+  MAX_ASKED_PEERS,
+  type HandshakeRecord,
+  type OpeningAnswer,
+  type OpeningQuery,
+} from '../opening-lookup/index.js';
 import type { BadAnswerReport } from '../outliers/index.js';
 import type { FreshnessTimings, RoutingKnowledge } from '../routing/index.js';
 import { CatchUp } from './catch-up.js';
@@ -221,6 +226,12 @@
     return asked.map(formatEndpoint);
   }
 
+  /** Sends handshake records to the nearest peers, which are those that ask this daemon about openings. */
+  shareHandshakes(records: readonly HandshakeRecord[]): void {
+    const peers = this.peers.nearestPeers(MAX_ASKED_PEERS).map(({ endpoint }) => endpoint);
+    this.channel.send(peers, this.composer.openingAnswers(records));
+  }
+
   /** Gossips a bad answer. Several within a short time are batched into one message. */
   gossipBadAnswer(report: BadAnswerReport): void {
     this.composer.badAnswerOutbox.add(report);
--- a/src/cookie-edge/spreading/message-codec.ts
+++ b/src/cookie-edge/spreading/message-codec.ts
@@ -24,7 +24,7 @@
 
 const wire = sailquay.spreading;
 type WireMessage = sailquay.spreading.IPeerMessage;
-type WireFlowAddresses = Omit<sailquay.spreading.IOpeningQuery, 'retransmissionCount'>;
+type WireFlowAddresses = Omit<sailquay.spreading.IOpeningQuery, 'retransmissionCount' | 'acknowledgement'>;
 type WireLoadReport = sailquay.spreading.ILoadReport;
 
 const TYPE_NUMBERS = {
@@ -183,16 +183,32 @@
 }
 
 function decodeOpeningQuery(query: sailquay.spreading.IOpeningQuery): OpeningQuery {
-  return { ...decodeFlowAddresses(query), retransmissionCount: query.retransmissionCount ?? 0 };
+  const { retransmissionCount } = query;
+  return {
+    ...decodeFlowAddresses(query),
+    retransmissionCount: retransmissionCount ?? 0,
+    ...decodeAcknowledgement(query),
+  };
+}
+
+function encodeOpeningAnswer({ backendId, ...answer }: OpeningAnswer): sailquay.spreading.IOpeningAnswer {
+  return { ...answer, ...(backendId !== undefined && { backendId }) };
 }
 
-function encodeOpeningAnswer({ backendId, ...flow }: OpeningAnswer): sailquay.spreading.IOpeningAnswer {
-  return { ...flow, ...(backendId !== undefined && { backendId }) };
+/** A missing field, or 0, means that the sender does not know of a completed handshake. */
+function decodeAcknowledgement({
+  acknowledgement,
+}: Pick<sailquay.spreading.IOpeningQuery, 'acknowledgement'>): { readonly acknowledgement?: number } {
+  return acknowledgement ? { acknowledgement } : {};
 }
 
 /** An empty id means that the peer has not placed the opening. */
 function decodeOpeningAnswer(answer: sailquay.spreading.IOpeningAnswer): OpeningAnswer {
-  return { ...decodeFlowAddresses(answer), backendId: answer.backendId || undefined };
+  return {
+    ...decodeFlowAddresses(answer),
+    backendId: answer.backendId || undefined,
+    ...decodeAcknowledgement(answer),
+  };
 }
 
 function encodeLoad({ page, measuredAtMs, validMs, busy }: LoadReport, nowMs: number): WireLoadReport {
--- a/src/cookie-edge/spreading/opening-queries.test.ts
+++ b/src/cookie-edge/spreading/opening-queries.test.ts
@@ -38,3 +38,13 @@
   const hosts = chooseNearestPeers(peers, 'north', 3).map(({ endpoint }) => endpoint.host);
   t.deepEqual(hosts, ['d', 'b', 'a']);
 });
+
+test('a handshake record reaches the peers that ask about openings', async (t) => {
+  const cluster = await startSettledCluster(4);
+  const [sharing, ...others] = cluster.daemons;
+  const { retransmissionCount: _retransmissionCount, ...flow } = QUERY;
+  const record = { ...flow, backendId: 'a', acknowledgement: 0xfedc_ba98 };
+  sharing?.gossipNode.shareHandshakes([record]);
+  await cluster.clock.advanceAsync(50, 5);
+  for (const { openingAnswers } of others) t.deepEqual([...openingAnswers.values()], [record]);
+});
--- a/src/cookie-edge/spreading/pb/spreading.d.ts
+++ b/src/cookie-edge/spreading/pb/spreading.d.ts
@@ -1405,6 +1405,9 @@
             /** OpeningQuery retransmissionCount. */
             retransmissionCount: number;
 
+            /** OpeningQuery acknowledgement. */
+            acknowledgement: number;
+
             /**
              * Encodes the specified OpeningQuery message. Does not implicitly {@link sailquay.spreading.OpeningQuery.verify|verify} messages.
              * @param message OpeningQuery message or plain object to encode
@@ -1451,6 +1454,9 @@
                 /** OpeningQuery retransmissionCount */
                 retransmissionCount?: (number|null);
 
+                /** OpeningQuery acknowledgement */
+                acknowledgement?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
@@ -1493,6 +1499,9 @@
             /** OpeningAnswer backendId. */
             backendId: string;
 
+            /** OpeningAnswer acknowledgement. */
+            acknowledgement: number;
+
             /**
              * Encodes the specified OpeningAnswer message. Does not implicitly {@link sailquay.spreading.OpeningAnswer.verify|verify} messages.
              * @param message OpeningAnswer message or plain object to encode
@@ -1539,6 +1548,9 @@
                 /** OpeningAnswer backendId */
                 backendId?: (string|null);
 
+                /** OpeningAnswer acknowledgement */
+                acknowledgement?: (number|null);
+
                 /** Unknown fields preserved while decoding when enabled */
                 $unknowns?: Uint8Array[];
             }
--- a/src/cookie-edge/spreading/pb/spreading.js
+++ b/src/cookie-edge/spreading/pb/spreading.js
@@ -3606,6 +3606,7 @@
              * @property {number|null} [destinationAddress] OpeningQuery destinationAddress
              * @property {number|null} [destinationPort] OpeningQuery destinationPort
              * @property {number|null} [retransmissionCount] OpeningQuery retransmissionCount
+             * @property {number|null} [acknowledgement] OpeningQuery acknowledgement
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -3677,6 +3678,14 @@
              */
             OpeningQuery.prototype.retransmissionCount = 0;
 
+            /**
+             * OpeningQuery acknowledgement.
+             * @member {number} acknowledgement
+             * @memberof sailquay.spreading.OpeningQuery
+             * @instance
+             */
+            OpeningQuery.prototype.acknowledgement = 0;
+
             /**
              * Encodes the specified OpeningQuery message. Does not implicitly {@link sailquay.spreading.OpeningQuery.verify|verify} messages.
              * @function encode
@@ -3703,6 +3712,8 @@
                     writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.destinationPort);
                 if (message.retransmissionCount != null && $Object.hasOwnProperty.call(message, "retransmissionCount") && message.retransmissionCount !== 0)
                     writer.uint32(/* id 5, wireType 0 =*/40).uint32(message.retransmissionCount);
+                if (message.acknowledgement != null && $Object.hasOwnProperty.call(message, "acknowledgement") && message.acknowledgement !== 0)
+                    writer.uint32(/* id 6, wireType 5 =*/53).fixed32(message.acknowledgement);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -3792,6 +3803,15 @@
                                 delete message.retransmissionCount;
                             continue;
                         }
+                    case 6: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.acknowledgement = value;
+                            else
+                                delete message.acknowledgement;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
@@ -3836,6 +3856,7 @@
              * @property {number|null} [destinationAddress] OpeningAnswer destinationAddress
              * @property {number|null} [destinationPort] OpeningAnswer destinationPort
              * @property {string|null} [backendId] OpeningAnswer backendId
+             * @property {number|null} [acknowledgement] OpeningAnswer acknowledgement
              * @property {Array.<Uint8Array>} [$unknowns] Unknown fields preserved while decoding when enabled
              */
 
@@ -3907,6 +3928,14 @@
              */
             OpeningAnswer.prototype.backendId = "";
 
+            /**
+             * OpeningAnswer acknowledgement.
+             * @member {number} acknowledgement
+             * @memberof sailquay.spreading.OpeningAnswer
+             * @instance
+             */
+            OpeningAnswer.prototype.acknowledgement = 0;
+
             /**
              * Encodes the specified OpeningAnswer message. Does not implicitly {@link sailquay.spreading.OpeningAnswer.verify|verify} messages.
              * @function encode
@@ -3933,6 +3962,8 @@
                     writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.destinationPort);
                 if (message.backendId != null && $Object.hasOwnProperty.call(message, "backendId") && message.backendId !== "")
                     writer.uint32(/* id 5, wireType 2 =*/42).string(message.backendId);
+                if (message.acknowledgement != null && $Object.hasOwnProperty.call(message, "acknowledgement") && message.acknowledgement !== 0)
+                    writer.uint32(/* id 6, wireType 5 =*/53).fixed32(message.acknowledgement);
                 if (message.$unknowns != null && $Object.hasOwnProperty.call(message, "$unknowns"))
                     for (let i = 0; i < message.$unknowns.length; ++i)
                         writer.raw(message.$unknowns[i]);
@@ -4022,6 +4053,15 @@
                                 delete message.backendId;
                             continue;
                         }
+                    case 6: {
+                            if (wireType !== 5)
+                                break;
+                            if (value = reader.fixed32())
+                                message.acknowledgement = value;
+                            else
+                                delete message.acknowledgement;
+                            continue;
+                        }
                     }
                     reader.skipType(wireType, _depth, tag);
                     if (!reader.discardUnknown) {
