Tell a reset probe from a refused one, and log each probe that was not accepted

Nothing changes for callers. The log could not tell whether the back end's host refused the connection or reset it after accepting it.

Change: `probeConnect` returns `reset` for ECONNRESET; both still count as refused. Event 1272 has the outcome and the finding of each probe that was not accepted.

--- a/src/cookie-edge/backend-health/backend-prober.ts
+++ b/src/cookie-edge/backend-health/backend-prober.ts
@@ -7,14 +7,20 @@
 import type { PauseDetector } from '../../common/pause-detector.js';
 import { pause } from '../../common/pause.js';
 import type { Endpoint } from '../../common/types.js';
+import type { EventLog } from '../../observability/event.js';
+import { COOKIE_FLOW_EVENTS } from '../forwarding/events.js';
+import type { KnownBackend } from '../routing/index.js';
 import { PROBE_SPACING_MS, PROBE_TIMEOUT_MS } from './constants.js';
 import { evaluateProbe, combineFindings } from './dead-verdict.js';
 
-/** How a connection to a back end's address ended; `silent`: no response before the timeout. */
-export type ProbeOutcome = 'answered' | 'refused' | 'silent';
+/**
+ * How a connection to a back end's address ended. `answered`: it was accepted. `reset`: it was reset after its
+ * handshake. `refused`: the first packet was answered with a reset. `silent`: no response before the timeout.
+ */
+export type ProbeOutcome = 'answered' | 'reset' | 'refused' | 'silent';
 
 /** Result of one probe or of a pair; `inconclusive`: this process may have been paused when the answer came. */
-export type ProbeFinding = ProbeOutcome | 'inconclusive';
+export type ProbeFinding = Exclude<ProbeOutcome, 'reset'> | 'inconclusive';
 
 /** Opens a connection and closes it as soon as the other side answers. Never rejects. */
 export type ConnectProbe = (endpoint: Endpoint, timeoutMs: number) => Promise<ProbeOutcome>;
@@ -24,6 +30,7 @@
   readonly clock: Clock;
   readonly pauses: PauseDetector;
   readonly probe: ConnectProbe;
+  readonly events: EventLog;
 }
 
 /** Probes back ends and counts the probes. */
@@ -43,21 +50,30 @@
    *
    * @param onUnanswered called just before the second probe is sent
    */
-  async probeTwice(endpoint: Endpoint, onUnanswered: () => void): Promise<ProbeFinding> {
-    const firstProbe = this.probeOnce(endpoint);
+  async probeTwice(backend: KnownBackend, onUnanswered: () => void): Promise<ProbeFinding> {
+    const firstProbe = this.probeOnce(backend);
     const earlyResult = await Promise.race([firstProbe, pause(this.options.clock, PROBE_SPACING_MS)]);
     if (earlyResult === 'answered' || earlyResult === 'refused') return earlyResult;
     onUnanswered();
-    const secondFinding = await this.probeOnce(endpoint);
+    const secondFinding = await this.probeOnce(backend);
     return combineFindings(await firstProbe, secondFinding);
   }
 
-  private async probeOnce(endpoint: Endpoint): Promise<ProbeFinding> {
-    const { clock, probe, pauses } = this.options;
+  private async probeOnce({ id, record }: KnownBackend): Promise<ProbeFinding> {
+    const { clock, probe, pauses, events } = this.options;
     const startedMs = clock.now();
     this.probeCount += 1;
-    const outcome = await probe(endpoint, PROBE_TIMEOUT_MS);
+    const outcome = await probe(record.endpoint, PROBE_TIMEOUT_MS);
     const nowMs = clock.now();
-    return evaluateProbe(outcome, nowMs - startedMs, pauses.mayHaveWaited(nowMs));
+    const tookMs = nowMs - startedMs;
+    const finding = evaluateProbe(outcome, tookMs, pauses.mayHaveWaited(nowMs));
+    if (outcome !== 'answered')
+      events.emit(COOKIE_FLOW_EVENTS.probeFailed, {
+        backend: id,
+        outcome,
+        finding,
+        tookMs: Math.round(tookMs),
+      });
+    return finding;
   }
 }
--- a/src/cookie-edge/backend-health/dead-backends.ts
+++ b/src/cookie-edge/backend-health/dead-backends.ts
@@ -5,7 +5,6 @@
  */
 import type { MechanismCheck } from '../../common/mechanisms.js';
 import { pause } from '../../common/pause.js';
-import type { EventLog } from '../../observability/event.js';
 import { COOKIE_FLOW_EVENTS } from '../forwarding/events.js';
 import type { KnownBackend } from '../routing/index.js';
 import { BackendProber, type BackendProberOptions, type ProbeFinding } from './backend-prober.js';
@@ -28,7 +27,6 @@
   readonly isOn: MechanismCheck;
   readonly states: LocalBackendStates;
   readonly resetter: FlowResetter;
-  readonly events: EventLog;
   /** Called with each back end that is or may be dead, to gossip it, so that daemons with flows there probe it too. */
   readonly onSuspect: (backendId: string, nowMs: number) => void;
 }
@@ -99,9 +97,7 @@
 
   private probeTwice(state: LocalBackendState): Promise<ProbeFinding> {
     const probesStartedMs = this.options.clock.now();
-    return this.prober.probeTwice(state.backend.record.endpoint, () =>
-      this.gossipUnansweredProbe(state, probesStartedMs),
-    );
+    return this.prober.probeTwice(state.backend, () => this.gossipUnansweredProbe(state, probesStartedMs));
   }
 
   /**
--- a/src/cookie-edge/backend-health/dead-verdict.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.ts
@@ -22,7 +22,7 @@
 } from './constants.js';
 
 /** A probe finding that proves a back end dead. */
-export type DeathFinding = Exclude<ProbeOutcome, 'answered'>;
+export type DeathFinding = 'refused' | 'silent';
 
 /** Proof behind a dead verdict; `superseded`: another back end has its address. */
 export type DeathProof = DeathFinding | 'superseded';
@@ -66,7 +66,9 @@
   mayHaveBeenPaused: boolean,
 ): ProbeFinding {
   if (outcome === 'answered') return outcome;
-  return tookMs > PROBE_TIMEOUT_MS + PROBE_TIMEOUT_SLACK_MS || mayHaveBeenPaused ? 'inconclusive' : outcome;
+  const isInconclusive = tookMs > PROBE_TIMEOUT_MS + PROBE_TIMEOUT_SLACK_MS || mayHaveBeenPaused;
+  if (isInconclusive) return 'inconclusive';
+  return outcome === 'reset' ? 'refused' : outcome;
 }
 
 /**
--- a/src/cookie-edge/daemon/connect-probe.ts
+++ b/src/cookie-edge/daemon/connect-probe.ts
@@ -6,8 +6,19 @@
 import type { Endpoint } from '../../common/types.js';
 import type { ProbeOutcome } from '../backend-health/index.js';
 
-/** Error codes of a reset by the remote host: no process listens at the address. */
-const REFUSED_ERROR_CODES: ReadonlySet<string | undefined> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+/**
+ * Outcomes of the errors that the remote host causes. In TCP, a reset in answer to the first packet is `ECONNREFUSED`;
+ * `ECONNRESET` comes only after the remote host has accepted the handshake.
+ */
+const OUTCOMES_BY_ERROR_CODE: Readonly<Record<string, ProbeOutcome>> = {
+  ECONNREFUSED: 'refused',
+  ECONNRESET: 'reset',
+};
+
+/** Returns the outcome of a connection that failed with this error code. */
+export function outcomeOfError(code: string | undefined): ProbeOutcome {
+  return OUTCOMES_BY_ERROR_CODE[code ?? ''] ?? 'silent';
+}
 
 /**
  * Opens a TCP connection and closes it without sending data. An accepted connection shows that the process is alive,
@@ -24,8 +35,6 @@
     };
     const timer = setTimeout(() => setImmediate(() => finish('silent')), timeoutMs);
     socket.on('connect', () => finish('answered'));
-    socket.on('error', ({ code }: NodeJS.ErrnoException) =>
-      finish(REFUSED_ERROR_CODES.has(code) ? 'refused' : 'silent'),
-    );
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => finish(outcomeOfError(code)));
   });
 }
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -126,6 +126,12 @@
     message: 'Stopping daemon tells its peers where contested flows opened',
     action: 'none',
   },
+  probeFailed: {
+    number: 1272,
+    level: 'info',
+    message: 'Probe of a back end that may be dead ended without an accepted connection',
+    action: 'If finding is refused or silent: check the back end and the network to it; otherwise none',
+  },
   paused: {
     number: 1258,
     level: 'warn',
