Count a probe that was reset after its handshake as answered

The back end was full; daemons probed it because it does not answer SYNs.

Cause: a back end at its connection limit accepts a probe and resets it. The daemon usually sees it accepted first, and counts an answer. While its event loop is busy, the reset arrives before it looks, and the same probe counted as refused, which alone proves a back end dead. What a probe proved depended on a race within the daemon.

Change: a reset counts as an answer, as the accepted connection does. In TCP only a reset in answer to the first packet, ECONNREFUSED, shows that no process listens; ECONNRESET needs a handshake that the other side accepted. A verdict ends by a reset probe too, for the same reason.

What it costs: a process that dies between the handshake and the reset is found one probe later. Where a device on the way accepts connections for a dead back end and resets them, it was taken as alive before whenever the daemon was not busy.

--- a/src/cookie-edge/backend-health/dead-backends.test.ts
+++ b/src/cookie-edge/backend-health/dead-backends.test.ts
@@ -7,7 +7,7 @@
 import { backends, ForwarderHarness } from '../forwarding/cookie-test-support.js';
 import { backendAt, updateAt } from '../routing/routing-test-support.js';
 import type { ProbeOutcome } from './backend-prober.js';
-import { PROBE_SPACING_MS, PROBE_TIMEOUT_MS } from './constants.js';
+import { DEAD_RECHECK_DELAY_MS, PROBE_SPACING_MS, PROBE_TIMEOUT_MS } from './constants.js';
 import {
   hostOf,
   openFlowAtEach,
@@ -21,6 +21,7 @@
 
 const DEAD_EVENT = 1259;
 const RESET_EVENT = 1260;
+const REVIVED_EVENT = 1257;
 
 for (const outcome of ['silent', 'refused'] as const) {
   test(`flows at a back end whose probes are ${outcome} are reset, including idle ones, and it gets no new ones`, async (t) => {
@@ -74,6 +75,22 @@
   t.is(harness.resets.length, 0);
 });
 
+// Guards against the loss of all open flows of a back end that is full: it accepts each probe and resets it.
+test('flows at a full back end that resets probes stay open, and its verdict ends', async (t) => {
+  const { harness, unreachable } = createHarnessWithProbes(3);
+  const flows = openFlowAtEach(harness);
+  unreachable.set(hostOf('a'), 'reset');
+  await retransmitRequest(harness, flows.get('a')!, [flows.get('b')!]);
+  t.false(harness.events().includes(DEAD_EVENT));
+  t.deepEqual(harness.resets, []);
+  unreachable.set(hostOf('b'), 'refused');
+  await retransmitRequest(harness, flows.get('b')!, [flows.get('c')!]);
+  t.true(harness.events().includes(DEAD_EVENT));
+  unreachable.set(hostOf('b'), 'reset');
+  await advanceInSteps(harness.clock, DEAD_RECHECK_DELAY_MS + PROBE_TIMEOUT_MS);
+  t.true(harness.events().includes(REVIVED_EVENT), 'a process listens again');
+});
+
 test('a refused probe proves a back end dead even while no other back end gives signs of life', async (t) => {
   const { harness, unreachable } = createHarnessWithProbes(2);
   const flows = openFlowAtEach(harness);
--- a/src/cookie-edge/backend-health/dead-verdict.test.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.test.ts
@@ -61,6 +61,13 @@
   t.is(evaluateProbe('answered', lateMs, true), 'answered');
 });
 
+// Guards against a live back end at its connection limit that counts as dead: it accepts connections and resets them.
+test('a probe that was reset after its handshake counts as answered', (t) => {
+  const lateMs = PROBE_TIMEOUT_MS + PROBE_TIMEOUT_SLACK_MS + 1;
+  t.is(evaluateProbe('reset', 1, false), 'answered');
+  t.is(evaluateProbe('reset', lateMs, true), 'answered');
+});
+
 /** Findings in order of precedence, highest first. */
 const FINDINGS_BY_STRENGTH: readonly ProbeFinding[] = ['answered', 'refused', 'inconclusive', 'silent'];
 
--- a/src/cookie-edge/backend-health/dead-verdict.ts
+++ b/src/cookie-edge/backend-health/dead-verdict.ts
@@ -6,7 +6,7 @@
  *
  * Missing answers to callers' packets prove nothing, because a busy back end acknowledges late. Two findings prove that
  * a back end is dead:
- * - a refused probe, because the refusal came over a working network;
+ * - a refused probe, because the refusal came over a working network and no process accepted the connection;
  * - a pair of unanswered probes while other back ends give signs of life.
  *
  * Another daemon's proof does not count, because that daemon's links may be cut. `address-reuse.ts` decides whether a
@@ -57,18 +57,18 @@
 }
 
 /**
- * Evaluates one probe. An answer always counts. A refusal or silence counts only if the probe ended in time and this
- * process was not paused, since it may have missed an answer while it was.
+ * Evaluates one probe. An answer always counts. So does a reset, because it follows a handshake that the back end's
+ * host accepted: had this process read the handshake first, the probe would have been answered. A refusal or silence
+ * counts only if the probe ended in time and this process was not paused, since it may have missed an answer while it
+ * was.
  */
 export function evaluateProbe(
   outcome: ProbeOutcome,
   tookMs: number,
   mayHaveBeenPaused: boolean,
 ): ProbeFinding {
-  if (outcome === 'answered') return outcome;
-  const isInconclusive = tookMs > PROBE_TIMEOUT_MS + PROBE_TIMEOUT_SLACK_MS || mayHaveBeenPaused;
-  if (isInconclusive) return 'inconclusive';
-  return outcome === 'reset' ? 'refused' : outcome;
+  if (outcome === 'answered' || outcome === 'reset') return 'answered';
+  return tookMs > PROBE_TIMEOUT_MS + PROBE_TIMEOUT_SLACK_MS || mayHaveBeenPaused ? 'inconclusive' : outcome;
 }
 
 /**
