Share no handshake that was only guessed

Cause: a daemon that gets an opening cookie of an unknown flow, and no answer from its peers in time, follows the cookie. It then told its peers that the flow opened there, and replaced the record of a daemon that had seen the handshake.

Change: such a flow is unconfirmed, and is shared only once the cookie that the back end receives in established flows has come back.

--- a/src/cookie-edge/forwarding/contest-rule.test.ts
+++ b/src/cookie-edge/forwarding/contest-rule.test.ts
@@ -14,19 +14,24 @@
   t.is(contestOfNewFlow(1), 'contested');
 });
 
-const PACKETS: readonly (readonly [FlowContest, CookieOutcome, FlowContest])[] = [
-  ['none', 'agrees', 'none'],
-  ['none', 'overruled', 'contested'],
-  ['none', 'followed', 'contested'],
-  ['contested', 'agrees', 'contested'],
-  ['shared', 'agrees', 'shared'],
-  ['shared', 'overruled', 'shared'],
-  ['shared', 'followed', 'contested'],
+const PACKETS: readonly (readonly [FlowContest, CookieOutcome, boolean, FlowContest])[] = [
+  ['none', 'agrees', true, 'none'],
+  ['none', 'overruled', true, 'contested'],
+  ['none', 'followed', false, 'contested'],
+  ['unconfirmed', 'agrees', false, 'unconfirmed'],
+  ['unconfirmed', 'overruled', false, 'unconfirmed'],
+  ['unconfirmed', 'agrees', true, 'contested'],
+  ['unconfirmed', 'followed', false, 'contested'],
+  ['contested', 'agrees', true, 'contested'],
+  ['shared', 'agrees', true, 'shared'],
+  ['shared', 'overruled', true, 'shared'],
+  ['shared', 'followed', true, 'contested'],
 ];
 
-for (const [before, cookie, after] of PACKETS) {
-  test(`a flow with contest ${before} and a cookie that ${cookie} has contest ${after}`, (t) => {
-    t.is(contestAfterPacket(before, cookie), after);
+for (const [before, cookie, isEstablished, after] of PACKETS) {
+  const evidence = isEstablished ? 'with' : 'without';
+  test(`a flow with contest ${before} and a cookie that ${cookie}, ${evidence} an established one: ${after}`, (t) => {
+    t.is(contestAfterPacket(before, cookie, isEstablished), after);
   });
 }
 
@@ -35,6 +40,7 @@
   const shared = phases.filter((phase) => shouldShare('contested', phase));
   t.deepEqual(shared, ['open']);
   t.false(shouldShare('none', 'open'));
+  t.false(shouldShare('unconfirmed', 'open'));
   t.false(shouldShare('shared', 'open'));
 });
 
--- a/src/cookie-edge/forwarding/contest-rule.ts
+++ b/src/cookie-edge/forwarding/contest-rule.ts
@@ -10,18 +10,20 @@
  * Inputs: how the flow was placed, how its packet's cookie was judged, and the evidence of its handshake. Order: a flow
  * is contested once its SYN was moved, once it was placed by a retransmission, since the first SYN may have been placed
  * elsewhere, once a peer has asked about its opening, or once a packet came with the cookie of another back end. It is
- * shared when its caller has sent a packet other than a SYN, and again if a packet moves it. An opening cookie that was
- * followed without the handshake shows nothing to a peer.
+ * shared when its caller has sent a packet other than a SYN, and again if a packet moves it. A flow that was adopted by
+ * an opening cookie which no peer could confirm is shared only once an established cookie shows that its back end holds
+ * it, so that a guess replaces no record of a peer. Until then it shows nothing to a peer that asks.
  */
 import type { FlowPhase } from './flow-cache.js';
 import type { HandshakeEvidence } from './handshake-evidence.js';
 import type { CookieOutcome } from './mid-flow-rule.js';
 
 /**
- * `none`: no other back end is known to have received a SYN of the flow. `contested`: another one may have. `shared`:
- * contested, and peers were told the flow's back end.
+ * `none`: no other back end is known to have received a SYN of the flow. `unconfirmed`: adopted by an opening cookie;
+ * another back end may hold the flow. `contested`: another back end may have received a SYN.
+ * `shared`: contested, and peers were told the flow's back end.
  */
-export type FlowContest = 'none' | 'contested' | 'shared';
+export type FlowContest = 'none' | 'unconfirmed' | 'contested' | 'shared';
 
 /** The part of a cached flow that shows where it opened. */
 interface KnownHandshake {
@@ -35,8 +37,13 @@
 }
 
 /** Returns whether a flow is contested after a packet other than a SYN. */
-export function contestAfterPacket(contest: FlowContest, cookie: CookieOutcome): FlowContest {
+export function contestAfterPacket(
+  contest: FlowContest,
+  cookie: CookieOutcome,
+  hasEstablishedCookie: boolean,
+): FlowContest {
   if (cookie === 'followed') return 'contested';
+  if (contest === 'unconfirmed') return hasEstablishedCookie ? 'contested' : contest;
   return cookie === 'overruled' && contest === 'none' ? 'contested' : contest;
 }
 
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -79,10 +79,10 @@
 
   /** Notes what a packet's cookie shows about the placements of its flow. */
   private updateContest(packet: CookiePacket, flow: Flow, cookieOutcome: CookieOutcome): void {
-    flow.contest = contestAfterPacket(flow.contest, cookieOutcome);
     if (cookieOutcome === 'followed') flow.hasEstablishedCookie = false;
-    if (flow.hasEstablishedCookie || cookieOutcome === 'overruled') return;
-    flow.hasEstablishedCookie = packet.cookie === this.options.cookies.cookieOf(flow.backendState.backend);
+    if (!flow.hasEstablishedCookie && cookieOutcome !== 'overruled')
+      flow.hasEstablishedCookie = packet.cookie === this.options.cookies.cookieOf(flow.backendState.backend);
+    flow.contest = contestAfterPacket(flow.contest, cookieOutcome, flow.hasEstablishedCookie);
   }
 
   private cookieBackendOf({ cookie }: CookiePacket): KnownBackend | undefined {
@@ -130,16 +130,22 @@
    * full.
    */
   private adoptFlow(packet: CookiePacket, backend: KnownBackend, nowMs: number): Flow | undefined {
-    const { statistics, events, cache, states } = this.options;
+    const { statistics, events, cache, states, cookies, sharedHandshakes } = this.options;
+    const isOpeningCookie = packet.cookie !== cookies.cookieOf(backend);
     statistics.takenOver += 1;
     events.emit(COOKIE_FLOW_EVENTS.flowAdopted, {
       flow: formatFlowId(packet),
       backend: backend.id,
       service: backend.record.service,
       departed: backend.departed,
-      isOpeningCookie: packet.cookie !== this.options.cookies.cookieOf(backend),
+      isOpeningCookie,
     });
-    return cache.add(packet, states.stateOf(backend), 'open', nowMs);
+    const flow = cache.add(packet, states.stateOf(backend), 'open', nowMs);
+    if (flow && isOpeningCookie) {
+      const isRecorded = sharedHandshakes.recordedBackendOf(packet, nowMs) === backend;
+      flow.contest = isRecorded ? 'shared' : 'unconfirmed';
+    }
+    return flow;
   }
 
   /** Resets a flow at a dead back end immediately, so that its caller need not wait for a timeout. */
--- a/src/cookie-edge/forwarding/moved-opening.test.ts
+++ b/src/cookie-edge/forwarding/moved-opening.test.ts
@@ -19,8 +19,8 @@
 class ForwarderCluster {
   readonly clock = new VirtualClock();
   readonly daemons: ForwarderHarness[] = [];
-  /** True if peers neither get records nor answer. */
-  isPartitioned = false;
+  /** True if no answer of a peer arrives. */
+  areAnswersLost = false;
 
   constructor(t: ExecutionContext, size: number) {
     for (let index = 0; index < size; index += 1) this.daemons.push(this.startDaemon(index));
@@ -51,6 +51,7 @@
         this.sendToPeers(index, (peer, name) => {
           const answers = queries.map((query) => peer.forwarder.answerOpeningQuery(query));
           this.clock.schedule(LINK_MS, () => {
+            if (this.areAnswersLost) return;
             for (const answer of answers) this.daemon(index).forwarder.applyOpeningAnswer(answer, name);
           });
         }),
@@ -65,10 +66,7 @@
 
   private sendToPeers(sender: number, deliver: (peer: ForwarderHarness, name: string) => void): string[] {
     const peers = [...this.daemons.keys()].filter((index) => index !== sender);
-    for (const peer of peers)
-      this.clock.schedule(LINK_MS, () => {
-        if (!this.isPartitioned) deliver(this.daemon(peer), String(peer));
-      });
+    for (const peer of peers) this.clock.schedule(LINK_MS, () => deliver(this.daemon(peer), String(peer)));
     return peers.map(String);
   }
 }
@@ -102,6 +100,14 @@
   };
 }
 
+/** Returns the opening cookie of another back end than this one. */
+function openingCookieOfAnother(cluster: ForwarderCluster, backend: string | undefined): number {
+  for (let port = PORT + 1; ; port += 1) {
+    const opened = cluster.daemon(2).open(port)!;
+    if (opened.backend !== backend) return opened.cookie;
+  }
+}
+
 /** The caller completes the handshake with the back end of `cookie`. */
 function acknowledge(cluster: ForwarderCluster, cookie: number): void {
   cluster.daemon(0).sendMidFlow(PORT, cookie, { acknowledgement: ACKNOWLEDGEMENT });
@@ -192,7 +198,7 @@
 test('a packet of an opening cookie is forwarded although no peer answers', (t) => {
   const cluster = new ForwarderCluster(t, 3);
   const opened = cluster.daemon(0).open(PORT)!;
-  cluster.isPartitioned = true;
+  cluster.areAnswersLost = true;
   t.is(nextBackend(cluster, 1, opened.cookie), opened.backend);
 });
 
@@ -209,3 +215,27 @@
   cluster.kill(0);
   t.is(nextBackend(cluster, 1, otherCookie), opened.backend);
 });
+
+// Guards against a guess of a daemon whose peers do not answer in time, which would replace what they know.
+test('a daemon that gets no answer does not replace the records of its peers', (t) => {
+  const cluster = new ForwarderCluster(t, 3);
+  const { first, second, firstCookie, secondCookie } = moveOpening(cluster);
+  acknowledge(cluster, secondCookie);
+  cluster.kill(2);
+  cluster.areAnswersLost = true;
+  t.is(nextBackend(cluster, 2, firstCookie), first, 'nobody told it');
+  cluster.areAnswersLost = false;
+  cluster.kill(0);
+  t.is(nextBackend(cluster, 1, firstCookie), second);
+});
+
+test('a flow that was adopted by its opening cookie is shared once its back end has answered', (t) => {
+  const cluster = new ForwarderCluster(t, 3);
+  const opened = cluster.daemon(0).open(PORT)!;
+  cluster.kill(0);
+  t.is(nextBackend(cluster, 1, opened.cookie), opened.backend);
+  const established = cluster.daemon(1).sent.at(-1)!.cookie;
+  t.is(nextBackend(cluster, 1, established), opened.backend);
+  cluster.kill(1);
+  t.is(nextBackend(cluster, 0, openingCookieOfAnother(cluster, opened.backend)), opened.backend);
+});
--- a/src/cookie-edge/forwarding/shared-handshakes.ts
+++ b/src/cookie-edge/forwarding/shared-handshakes.ts
@@ -46,16 +46,18 @@
    * undefined while peers are asked; the edge then delivers the packet again.
    */
   findBackend(packet: CookiePacket, cookieBackend: KnownBackend, arrival: Arrival): KnownBackend | undefined {
-    const { records, backendOf } = this.options;
-    const record = records.find(packet, packet.acknowledgement, arrival.nowMs);
-    const backend = record && backendOf(record.backendId);
-    if (backend) {
-      this.logFound(packet, backend, cookieBackend);
-      return backend;
+    const recordedBackend = this.recordedBackendOf(packet, arrival.nowMs);
+    if (recordedBackend) {
+      this.logFound(packet, recordedBackend, cookieBackend);
+      return recordedBackend;
     }
-    if (packet.ack && this.isLookupPending(packet, arrival.waitedMs)) return undefined;
-    this.share(packet, cookieBackend.id, arrival.nowMs);
-    return cookieBackend;
+    return packet.ack && this.isLookupPending(packet, arrival.waitedMs) ? undefined : cookieBackend;
+  }
+
+  /** Returns the back end at which a packet's flow opened, as far as this daemon has a record of it. */
+  recordedBackendOf(packet: OpenFlowPacket, nowMs: number): KnownBackend | undefined {
+    const record = this.options.records.find(packet, packet.acknowledgement, nowMs);
+    return record && this.options.backendOf(record.backendId);
   }
 
   /** Returns true while a packet of an open flow waits for peers: its caller has received a SYN+ACK. */
