Reset a probe's connection without a second thread in its test

The test stopped the event loop with a thread and shared memory until the reset had arrived. The kernel resets a connection that waits to be accepted when its listening socket closes, so closing it in the same turn gives the same order of events.

--- a/src/cookie-edge/daemon/connect-probe.test.ts
+++ b/src/cookie-edge/daemon/connect-probe.test.ts
@@ -1,6 +1,4 @@
-import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
-import { Worker } from 'node:worker_threads';
 import test from 'ava';
 import { outcomeOfError, probeConnect } from './connect-probe.js';
 
@@ -24,31 +22,15 @@
   t.is(await probeConnect({ host: LOOPBACK, port }, AMPLE_TIMEOUT_MS), 'refused');
 });
 
-/** Accepts one connection, resets it, and then sets the shared flag. Runs in a thread of its own. */
-const RESETTING_SERVER = `
-  const { createServer } = require('node:net');
-  const { parentPort, workerData } = require('node:worker_threads');
-  const server = createServer((socket) => {
-    socket.resetAndDestroy();
-    setImmediate(() => {
-      Atomics.store(workerData.isReset, 0, 1);
-      Atomics.notify(workerData.isReset, 0);
-      server.close();
-    });
-  });
-  server.listen(0, '${LOOPBACK}', () => parentPort.postMessage(server.address().port));
-`;
-
 // Guards against a live back end at its connection limit that counts as dead: it accepts connections and resets them.
 test('a connection that is accepted and reset before this process sees it accepted is not refused', async (t) => {
-  const isReset = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
-  const server = new Worker(RESETTING_SERVER, { eval: true, workerData: { isReset } });
-  t.teardown(() => server.terminate());
-  const [port] = (await once(server, 'message')) as [number];
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  const { port } = server.address() as AddressInfo;
   const probe = probeConnect({ host: LOOPBACK, port }, AMPLE_TIMEOUT_MS);
-  // The connection begins in the next tick. The event loop then stands still until the reset has arrived.
+  // The connection begins in the next tick. The kernel completes its handshake, and resets it when the socket closes.
   await new Promise((resolve) => process.nextTick(resolve));
-  Atomics.wait(isReset, 0, 0);
+  server.close();
   t.is(await probe, 'reset');
 });
 
