Wait for the first peer before a daemon that has just started decides on a copy or an opening cookie

Cause: a daemon learns routes and back ends from the store some ms before it hears of its first peer. Packets that arrive in between counted as if the daemon were alone. The trace: balancer-4 moves the opening of flow 1752 (1252), sees it open at i- and tells its peers (1268), is killed and started again; 89 ms after its start it adopts the flow at i- by its opening cookie (1253), without 1269 or 1270, while three peers live that have the record.

Change: for a second after its start a daemon without peers keeps such packets like any lookup, and asks as soon as it knows a peer. The same holds for retransmitted SYNs, which it placed without asking. Without a peer it decides after the 50 ms of a lookup.

Evidence: opening-lookup.test.ts and opening-queries.test.ts have the case.

--- a/src/cookie-edge/daemon/components.ts
+++ b/src/cookie-edge/daemon/components.ts
@@ -247,7 +247,7 @@
     observer: hashString(id),
     outliers,
     openingPeers: {
-      hasPeers: () => gossipNode().peerCount > 0,
+      hasPeers: () => gossipNode().peerCount > 0 || gossipNode().isSearchingPeers,
       askAboutOpenings: (queries) => gossipNode().askAboutOpenings(queries),
       shareHandshakes: (records) => gossipNode().shareHandshakes(records),
     },
--- a/src/cookie-edge/opening-lookup/opening-lookup.test.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.test.ts
@@ -33,11 +33,12 @@
   readonly redelivered: number[] = [];
   readonly ended: LookupOutcome[] = [];
   peers: readonly string[] = ['north', 'south'];
+  isSearchingPeers = false;
   readonly lookup = new OpeningLookup({
     clock: this.clock,
     edge: { keepPacket: () => (waitedMs) => this.redelivered.push(waitedMs) },
     peers: {
-      hasPeers: () => this.peers.length > 0,
+      hasPeers: () => this.peers.length > 0 || this.isSearchingPeers,
       askAboutOpenings: (queries) => {
         this.rounds += 1;
         if (this.areAnswersPrompt) this.clock.schedule(1, () => this.answerAll(queries));
@@ -113,6 +114,30 @@
   t.deepEqual(harness.lookup.lookUp(SYN), { kind: 'not-needed' });
 });
 
+// Guards against a daemon that has just started and decides on a packet before it knows its peers.
+test('a daemon that searches for peers asks as soon as it knows them', (t) => {
+  const harness = new LookupHarness();
+  harness.peers = [];
+  harness.isSearchingPeers = true;
+  t.is(harness.start(), 'pending');
+  harness.clock.advance(ROUND_INTERVAL_MS - 1);
+  harness.peers = ['north'];
+  harness.clock.advance(1);
+  harness.answer('north', 'b');
+  t.deepEqual(harness.ended, [{ kind: 'found', backendId: 'b', peer: 'north' }]);
+});
+
+test('a daemon that finds no peer decides after the timeout', (t) => {
+  const harness = new LookupHarness();
+  harness.peers = [];
+  harness.isSearchingPeers = true;
+  harness.start();
+  harness.clock.advance(LOOKUP_TIMEOUT_MS);
+  t.deepEqual(harness.ended, [{ kind: 'not-found', asked: 0, unanswered: 0 }]);
+  harness.isSearchingPeers = false;
+  t.is(harness.start({ ...SYN, sourcePort: 1 }), 'not-needed');
+});
+
 test('the next retransmission of a SYN is looked up again', (t) => {
   const harness = new LookupHarness();
   harness.start();
--- a/src/cookie-edge/opening-lookup/query-rounds.ts
+++ b/src/cookie-edge/opening-lookup/query-rounds.ts
@@ -1,6 +1,7 @@
 /**
  * Sends queries about openings to peers in rounds: a query is sent in the next turn of the event loop, or shares a
- * later round with others if one was just sent. Owns the waiting queries and the budget of rounds.
+ * later round with others if one was just sent or no peer is known yet. Owns the waiting queries and the budget of
+ * rounds.
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import { MAX_QUERIES_PER_ROUND, ROUND_INTERVAL_MS } from './constants.js';
@@ -10,6 +11,11 @@
 /** Called with the keys of the peers that were asked. */
 type AskedCallback = (peers: readonly string[]) => void;
 
+interface WaitingQuery {
+  readonly query: OpeningQuery;
+  readonly onAsked: AskedCallback;
+}
+
 /** Dependencies of `QueryRounds`. */
 interface QueryRoundsOptions {
   readonly clock: Clock;
@@ -18,7 +24,7 @@
 
 /** Rounds of queries of one daemon. */
 export class QueryRounds {
-  private waiting: { readonly query: OpeningQuery; readonly onAsked: AskedCallback }[] = [];
+  private waiting: WaitingQuery[] = [];
   private timer: TimerHandle | undefined;
   private lastRoundMs = Number.NEGATIVE_INFINITY;
   private readonly budget = new RoundBudget();
@@ -51,6 +57,13 @@
     this.waiting = [];
     this.lastRoundMs = clock.now();
     const asked = peers.askAboutOpenings(round.map(({ query }) => query));
+    if (asked.length === 0 && peers.hasPeers()) return this.sendLater(round);
     for (const { onAsked } of round) onAsked(asked);
   }
+
+  /** Keeps the queries of a daemon that has just started until it knows a peer. */
+  private sendLater(round: readonly WaitingQuery[]): void {
+    this.waiting = [...round];
+    this.timer = this.options.clock.schedule(ROUND_INTERVAL_MS, () => this.sendRound());
+  }
 }
--- a/src/cookie-edge/opening-lookup/types.ts
+++ b/src/cookie-edge/opening-lookup/types.ts
@@ -32,9 +32,12 @@
 
 /** Sends queries to peers. */
 export interface OpeningPeers {
-  /** Returns false if no peer is known. */
+  /** Returns false if no peer is known and this daemon does not search for peers any more. */
   hasPeers(): boolean;
-  /** Sends queries to some peers and returns a key for each of these; answers carry the same keys. */
+  /**
+   * Sends queries to some peers and returns a key for each of these; answers carry the same keys. Returns none if no
+   * peer is known yet.
+   */
   askAboutOpenings(queries: readonly OpeningQuery[]): readonly string[];
   /** Sends records to the peers that are asked. */
   shareHandshakes(records: readonly HandshakeRecord[]): void;
--- a/src/cookie-edge/spreading/constants.ts
+++ b/src/cookie-edge/spreading/constants.ts
@@ -182,3 +182,9 @@
 export const SEED_PULL_MIN_MS = 400;
 export const SEED_PULL_MAX_MS = 10_000;
 export const SEED_PULL_JITTER = 0.3;
+
+/**
+ * Time after its start in ms within which a daemon that knows no peer expects to find one. Seeds answer within a
+ * round-trip time; without an answer for this long, the daemon acts as if it were alone.
+ */
+export const PEER_SEARCH_MS = 1_000;
--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -23,6 +23,7 @@
   SEED_PULL_JITTER,
   SEED_PULL_MAX_MS,
   SEED_PULL_MIN_MS,
+  PEER_SEARCH_MS,
   PULL_FANOUT,
   GOSSIP_TICK_MS,
 } from './constants.js';
@@ -94,12 +95,13 @@
   private readonly pullAnswers = new PullAnswers();
   private readonly freshnessLog: FreshnessLog;
   private tickTimer: TimerHandle | undefined;
-  private startedAtMs = 0;
+  private startedAtMs: number;
   private lastPullMs = Number.NEGATIVE_INFINITY;
   private nextSeedPullMs = 0;
 
   constructor(private readonly options: GossipNodeOptions) {
     const { selfId, zone, transport, random, events, knowledge, timings, clock, recordArrival } = options;
+    this.startedAtMs = clock.now();
     const channel = (this.channel = new MessageChannel({ transport, clock, events, recordArrival }));
     const isOn = (this.isOn = options.isOn ?? ALL_MECHANISMS_ON);
     const log = new UpdateLog(isOn);
@@ -148,6 +150,11 @@
     return this.peers.size;
   }
 
+  /** True for a daemon that has just started and knows no peer yet. */
+  get isSearchingPeers(): boolean {
+    return this.peers.size === 0 && this.options.clock.now() - this.startedAtMs < PEER_SEARCH_MS;
+  }
+
   /** Estimated number of daemons, including this one. */
   get fleetSize(): number {
     return this.peers.fleetSize;
--- a/src/cookie-edge/spreading/opening-queries.test.ts
+++ b/src/cookie-edge/spreading/opening-queries.test.ts
@@ -1,8 +1,9 @@
 /** Queries about openings reach the nearest peers, and their answers come back, beside the gossip. */
 import test from 'ava';
 import { formatEndpoint } from '../../common/types.js';
+import { PEER_SEARCH_MS } from './constants.js';
 import { chooseNearestPeers } from './peer-choice.js';
-import { startSettledCluster } from './spreading-test-support.js';
+import { SpreadingCluster, startSettledCluster } from './spreading-test-support.js';
 
 const QUERY = {
   sourceAddress: 0x64400007,
@@ -48,3 +49,16 @@
   await cluster.clock.advanceAsync(50, 5);
   for (const { openingAnswers } of others) t.deepEqual([...openingAnswers.values()], [record]);
 });
+
+test('a daemon that has just started searches for peers until it hears of one, or for a limited time', async (t) => {
+  const cluster = new SpreadingCluster(2);
+  const alone = new SpreadingCluster(1);
+  const [daemon, single] = [cluster.daemons[0]!.gossipNode, alone.daemons[0]!.gossipNode];
+  t.true(daemon.isSearchingPeers);
+  await cluster.clock.advanceAsync(50, 5);
+  t.false(daemon.isSearchingPeers);
+  await alone.clock.advanceAsync(PEER_SEARCH_MS - 5, 5);
+  t.true(single.isSearchingPeers);
+  await alone.clock.advanceAsync(5, 5);
+  t.false(single.isSearchingPeers);
+});
