Ask peers about open flows however long their packets waited, and after others did not answer

Besides, a lookup that most peers did not answer suspended all lookups for a second, although the peers that are left may know the flow.

Event 1270 with asked 0 shows a cookie that was followed without a question.

Evidence: "peers are asked about a packet that waited for the start of its daemon" and "peers are asked about open flows also after most of them did not answer" fail without the change.

--- a/src/cookie-edge/forwarding/create-opening-handler.ts
+++ b/src/cookie-edge/forwarding/create-opening-handler.ts
@@ -26,6 +26,9 @@
   'coldAdmission' | 'eligibility' | 'openingLog' | 'openingLookup' | 'sharedHandshakes' | 'yieldedOpenings'
 >;
 
+/** What records the outcomes of lookups. */
+type LookupLogs = Pick<SharedComponents, 'isOn' | 'statistics' | 'openingLog'>;
+
 /** Creates the handler of SYNs. */
 export function createOpeningHandler(
   environment: CookieForwarderEnvironment,
@@ -110,9 +113,6 @@
   });
 }
 
-/** What records the outcomes of lookups. */
-type LookupLogs = Pick<SharedComponents, 'isOn' | 'statistics' | 'openingLog'>;
-
 /** Returns undefined if peers are not asked about openings. */
 function createLookup(
   { clock, edge, openingPeers: peers }: CookieForwarderEnvironment,
--- a/src/cookie-edge/forwarding/events.ts
+++ b/src/cookie-edge/forwarding/events.ts
@@ -118,7 +118,8 @@
     number: 1270,
     level: 'info',
     message: 'No peer that answered knows where a flow opened; its opening cookie is followed',
-    action: 'If unanswered is above 0: check whether a daemon was lost; otherwise none',
+    action:
+      'If unanswered is above 0: check whether a daemon was lost; if asked is 0, no peer was known or too many were lost; otherwise none',
   },
   handshakesHandedOver: {
     number: 1271,
--- a/src/cookie-edge/forwarding/moved-opening.test.ts
+++ b/src/cookie-edge/forwarding/moved-opening.test.ts
@@ -6,7 +6,7 @@
 import { VirtualClock } from '../../common/clock.js';
 import type { OpeningPeers } from '../opening-lookup/index.js';
 import { updateAt } from '../routing/routing-test-support.js';
-import { MAX_RECORD_ADVANCE_BYTES } from '../opening-lookup/constants.js';
+import { LOOKUP_TIMEOUT_MS, MAX_RECORD_ADVANCE_BYTES } from '../opening-lookup/constants.js';
 import { backends, ForwarderHarness } from './cookie-test-support.js';
 
 const LINK_MS = 1;
@@ -177,6 +177,19 @@
   t.deepEqual(sequences, [2, 12, 22]);
 });
 
+// Guards against a daemon that does not ask about packets which waited for its start.
+test('peers are asked about a packet that waited for the start of its daemon', (t) => {
+  const cluster = new ForwarderCluster(t, 3);
+  const { second, firstCookie, secondCookie } = moveOpening(cluster);
+  acknowledge(cluster, secondCookie);
+  cluster.kill(0);
+  const daemon = cluster.daemon(0);
+  const packet = { sourcePort: PORT, ack: true, cookie: firstCookie, acknowledgement: ACKNOWLEDGEMENT };
+  daemon.passToForwarder(packet, 2 * LOOKUP_TIMEOUT_MS);
+  cluster.clock.advance(2 * LOOKUP_TIMEOUT_MS);
+  t.is(daemon.sent.at(-1)?.backend, second);
+});
+
 test('a record does not apply to a later flow with the same addresses', (t) => {
   const cluster = new ForwarderCluster(t, 3);
   const { first, firstCookie, secondCookie } = moveOpening(cluster);
--- a/src/cookie-edge/forwarding/opening-handler.ts
+++ b/src/cookie-edge/forwarding/opening-handler.ts
@@ -16,8 +16,8 @@
 import type { FlowsInProgress } from './flows-in-progress.js';
 import type { OpeningLog } from './opening-log.js';
 import type { PacketSender } from './packet-sender.js';
-import type { SharedHandshakes } from './shared-handshakes.js';
 import { decideRetransmission, mayLeaveFirstBackend } from './retransmission-rule.js';
+import type { SharedHandshakes } from './shared-handshakes.js';
 import { classifySyn } from './syn-rule.js';
 import { isLastTransmission, sinceFirstSynMs } from './syn-schedule.js';
 
--- a/src/cookie-edge/forwarding/shared-handshakes.ts
+++ b/src/cookie-edge/forwarding/shared-handshakes.ts
@@ -51,7 +51,7 @@
       this.logFound(packet, recordedBackend, cookieBackend);
       return recordedBackend;
     }
-    return packet.ack && this.isLookupPending(packet, arrival.waitedMs) ? undefined : cookieBackend;
+    return packet.ack && this.isLookupPending(packet, arrival) ? undefined : cookieBackend;
   }
 
   /** Returns the back end at which a packet's flow opened, as far as this daemon has a record of it. */
@@ -113,11 +113,18 @@
     this.options.replicator?.stop();
   }
 
-  private isLookupPending(packet: CookiePacket, waitedMs: number): boolean {
-    const { lookup } = this.options;
-    const remainingHoldMs = LOOKUP_TIMEOUT_MS - waitedMs;
-    const request = { ...packet, retransmissionCount: 0, waitedMs, remainingHoldMs };
-    return lookup?.lookUp(request).kind === 'pending';
+  /** Asks peers, however long the packet has waited: its caller only sends it again. */
+  private isLookupPending(packet: CookiePacket, { waitedMs }: Arrival): boolean {
+    const { lookup, events } = this.options;
+    const request = { ...packet, retransmissionCount: 0, waitedMs, remainingHoldMs: LOOKUP_TIMEOUT_MS };
+    const outcome = lookup?.lookUp(request);
+    if (outcome?.kind === 'not-needed')
+      events.emit(COOKIE_FLOW_EVENTS.handshakeNotFound, {
+        flow: formatFlowId(packet),
+        waitedMs: Math.round(waitedMs),
+        asked: 0,
+      });
+    return outcome?.kind === 'pending';
   }
 
   private share(packet: OpenFlowPacket, backendId: string, nowMs: number): void {
--- a/src/cookie-edge/opening-lookup/opening-lookup.test.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.test.ts
@@ -51,7 +51,7 @@
   });
 
   /** Starts a lookup and sends its query. */
-  start(syn = SYN): LookupOutcome['kind'] {
+  start(syn: typeof SYN & { readonly acknowledgement?: number } = SYN): LookupOutcome['kind'] {
     const { kind } = this.lookup.lookUp(syn);
     this.clock.advance(0);
     return kind;
@@ -186,6 +186,15 @@
   t.is(harness.start({ ...SYN, sourcePort: 1 }), 'pending');
 });
 
+// Guards against an opening cookie that is followed without a question to the few peers that are left.
+test('peers are asked about open flows also after most of them did not answer', (t) => {
+  const harness = new LookupHarness();
+  const packet = { ...SYN, retransmissionCount: 0, acknowledgement: 7, remainingHoldMs: LOOKUP_TIMEOUT_MS };
+  t.is(harness.start(packet), 'pending');
+  harness.clock.advance(LOOKUP_TIMEOUT_MS);
+  t.is(harness.start({ ...packet, sourcePort: 1 }), 'pending');
+});
+
 test('a stopped daemon delivers no SYN', (t) => {
   const harness = new LookupHarness();
   harness.start();
--- a/src/cookie-edge/opening-lookup/opening-lookup.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.ts
@@ -131,7 +131,8 @@
 
   private endWithoutPlacement(key: string, lookup: Lookup): void {
     const { asked, unansweredPeers } = lookup;
-    if (shouldSuspendLookups(asked, unansweredPeers.size))
+    const isSyn = lookup.query.acknowledgement === undefined;
+    if (isSyn && shouldSuspendLookups(asked, unansweredPeers.size))
       this.suspendedUntilMs = this.options.clock.now() + SUSPENSION_MS;
     this.end(key, lookup, { kind: 'not-found', asked, unanswered: unansweredPeers.size });
   }
