--- a/src/cookie-edge/opening-lookup/lookup-rule.ts
+++ b/src/cookie-edge/opening-lookup/lookup-rule.ts
@@ -9,10 +9,10 @@
  *
  * Inputs: whether the packet is a SYN, its retransmission count, the time for which it may be held, the limits of
  * lookups, and the answers. Order: a first SYN is placed at once, because no other daemon can have received the flow
- * before. A SYN whose caller is about to retransmit, or that the limits do not admit, is placed at once. So is every SYN
- * for `SUSPENSION_MS` after a lookup that most peers did not answer; an open flow is still looked up, because following
- * a wrong cookie would end it. A lookup ends with the first answer that names a back end, otherwise when all peers have
- * answered or at `LOOKUP_TIMEOUT_MS`. Missing answers count as not known.
+ * before. A SYN whose caller is about to retransmit, or that the limits do not admit, is placed at once. So is every
+ * SYN for `SUSPENSION_MS` after a lookup that most peers did not answer; an open flow is still looked up, because
+ * following a wrong cookie would end it. A lookup ends with the first answer that names a back end, otherwise when all
+ * peers have answered or at `LOOKUP_TIMEOUT_MS`. Missing answers count as not known.
  */
 import { LOOKUP_TIMEOUT_MS } from './constants.js';
 
