--- a/src/cookie-edge/opening-lookup/constants.ts
+++ b/src/cookie-edge/opening-lookup/constants.ts
@@ -37,7 +37,7 @@
 /** Maximum number of handshake records in a message. They fit into a datagram. */
 export const MAX_RECORDS_PER_MESSAGE = 16;
 
-/** Maximum number of handshake records that are kept, and that wait to be sent. Bounds memory to about 2 MB. */
+/** Maximum number of handshake records that are kept, and that wait to be sent. Bounds memory to about 4 MB. */
 export const MAX_HANDSHAKE_RECORDS = 8_192;
 
 /**
