--- a/src/cookie-edge/forwarding/opening-model-test-support.ts
+++ b/src/cookie-edge/forwarding/opening-model-test-support.ts
@@ -6,11 +6,7 @@
  */
 import { VirtualClock } from '../../common/clock.js';
 import type { CookiePacket } from '../../fabric/cookie-edge.js';
-import type { HandshakeRecord, OpeningPeers, OpeningQuery } from '../opening-lookup/index.js';
-import type { RoutedBackend } from '../routing/index.js';
-import type { CookieForwarder } from './cookie-forwarder.js';
-import { backends, ForwarderHarness } from './cookie-test-support.js';
-import { EarlierBuildDaemon } from './earlier-build-test-support.js';
+import { CALLER_PORT, idsOfBackends, LINK_MS, ModelDaemons } from './opening-model-daemons-test-support.js';
 
 /** A packet of the caller, or the first SYN+ACK that a back end sends to it. */
 export type LossyPacket = 'first-syn' | 'second-syn' | 'first-syn-ack' | 'first-data' | 'second-data';
@@ -72,16 +68,10 @@
 const SYN_ACK_TRIES = 8;
 const DATA_BYTES = 14;
 const ANSWER_BYTES = 600;
-/** One-way delay between the caller and a daemon, and between a daemon and a back end, in ms. */
-const LINK_MS = 1;
 /** Step of the virtual clock in ms while the caller waits for answers. */
 const STEP_MS = 200;
-const CALLER_PORT = 40_001;
 /** Distance between the first sequence numbers of two back ends. */
 const SEQUENCE_DISTANCE = 0x1000_0000;
-const BACKEND_COUNT = 3;
-/** Revision of the cordons; above that of the records. */
-const CORDON_REVISION = 11;
 
 /** A back end's view of the flow. */
 interface BackendFlow {
@@ -95,20 +85,10 @@
   isAcknowledged: boolean;
 }
 
-/** A daemon of either build. */
-interface ModelDaemon {
-  /** Undefined for a daemon that neither asks nor answers peers. */
-  readonly forwarder: CookieForwarder | undefined;
-  deliver(packet: Partial<CookiePacket>): unknown;
-  stop(): void;
-}
-
 /** Runs scenarios, each in a new cluster. */
 export class OpeningModel {
   private readonly clock = new VirtualClock();
-  private readonly daemons: ModelDaemon[];
-  /** Daemons that receive no packets and messages. */
-  private readonly downDaemons = new Set<number>();
+  private readonly daemons: ModelDaemons;
   private readonly flows = new Map<string, BackendFlow>();
   private holder: string | undefined;
   private delivered = 0;
@@ -124,7 +104,12 @@
 
   private constructor(private readonly scenario: OpeningScenario) {
     this.pendingLosses = new Set(scenario.losses);
-    this.daemons = Array.from({ length: BACKEND_COUNT }, (_unused, index) => this.startDaemon(index));
+    this.daemons = new ModelDaemons(this.clock, scenario, {
+      onReset: () => {
+        this.hasBeenReset = true;
+      },
+      receiveAtBackend: (backend, packet) => this.receiveAtBackend(backend, packet),
+    });
   }
 
   /** Plays a scenario to its end. */
@@ -135,18 +120,10 @@
 
   private run(): OpeningOutcome {
     SYN_TIMES_MS.forEach((atMs, copy) => this.clock.schedule(atMs, () => this.sendSyn(copy)));
-    for (const { atMs, daemon, staysDown } of this.scenario.kills) {
-      this.clock.schedule(atMs, () => {
-        this.restartDaemon(daemon);
-        if (staysDown) this.downDaemons.add(daemon);
-      });
-    }
-    for (const { atMs, daemon } of this.scenario.restarts ?? []) {
-      this.clock.schedule(atMs, () => this.stopAndRestartDaemon(daemon));
-    }
+    this.daemons.scheduleFaults();
     this.clock.advance(ATTEMPT_TIMEOUT_MS + DATA_PACKETS * DATA_INTERVAL_MS);
     while (this.isUnfinished() && this.clock.now() < DEADLINE_MS) this.clock.advance(STEP_MS);
-    for (const daemon of this.daemons) daemon.stop();
+    this.daemons.stop();
     const { holder, delivered, misdelivered } = this;
     const callerOutcome = this.callerOutcome();
     return { holder, placedAt: [...this.flows.keys()], delivered, misdelivered, callerOutcome };
@@ -167,87 +144,6 @@
     return this.pendingLosses.delete(packet);
   }
 
-  private startDaemon(index: number): ModelDaemon {
-    return this.scenario.earlierBuilds?.includes(index)
-      ? this.startEarlierBuild(index)
-      : this.startForwarder(index);
-  }
-
-  private startEarlierBuild(index: number): EarlierBuildDaemon {
-    const preferredId = idsOfBackends()[index] ?? '';
-    return new EarlierBuildDaemon(backends(BACKEND_COUNT), preferredId, (backend, cookie, packet) =>
-      this.clock.schedule(LINK_MS, () => this.receiveAtBackend(backend, { ...packet, cookie })),
-    );
-  }
-
-  private startForwarder(index: number): ForwarderHarness {
-    const openingPeers: OpeningPeers = {
-      hasPeers: () => !this.scenario.areDaemonsIsolated,
-      askAboutOpenings: (queries) => this.askPeers(index, queries),
-      shareHandshakes: (records) => this.shareWithPeers(index, records),
-    };
-    const daemon = new ForwarderHarness(this.clock, 1, [], { openingPeers });
-    daemon.onSent(CALLER_PORT, (backend, cookie, packet) =>
-      this.clock.schedule(LINK_MS, () => {
-        if (backend === undefined) this.hasBeenReset = true;
-        else this.receiveAtBackend(backend, { ...packet, cookie });
-      }),
-    );
-    const zones = idsOfBackends().map(zoneOfBackend);
-    daemon.applyRecords(backendsInOwnZones());
-    daemon.cordon(
-      zones.filter((_zone, other) => other !== index),
-      CORDON_REVISION,
-    );
-    return daemon;
-  }
-
-  /** Sends queries of a daemon to all others. A daemon that is down never answers. */
-  private askPeers(asking: number, queries: readonly OpeningQuery[]): readonly string[] {
-    const others = [...this.daemons.keys()].filter((index) => index !== asking);
-    for (const peer of others) {
-      for (const query of queries) this.clock.schedule(LINK_MS, () => this.answerQuery(peer, asking, query));
-    }
-    return others.map(String);
-  }
-
-  private shareWithPeers(sender: number, records: readonly HandshakeRecord[]): void {
-    if (this.scenario.areDaemonsIsolated) return;
-    for (const [peer, daemon] of this.daemons.entries()) {
-      if (peer === sender || this.downDaemons.has(peer)) continue;
-      for (const record of records)
-        this.clock.schedule(LINK_MS, () => daemon.forwarder?.applyOpeningAnswer(record, String(sender)));
-    }
-  }
-
-  private answerQuery(peer: number, asking: number, query: OpeningQuery): void {
-    if (this.downDaemons.has(peer)) return;
-    const answer = this.daemons[peer]?.forwarder?.answerOpeningQuery(query);
-    if (!answer) return;
-    this.clock.schedule(LINK_MS, () =>
-      this.daemons[asking]?.forwarder?.applyOpeningAnswer(answer, String(peer)),
-    );
-  }
-
-  /** The daemon forwards until what it hands over is on its way. */
-  private stopAndRestartDaemon(index: number): void {
-    this.daemons[index]?.forwarder?.handOver();
-    this.clock.schedule(LINK_MS, () => this.restartDaemon(index));
-  }
-
-  private restartDaemon(index: number): void {
-    this.daemons[index]?.stop();
-    this.daemons[index] = this.startDaemon(index);
-  }
-
-  /** Returns the daemon that the router picks now, or undefined if that one is down. */
-  private routedDaemon(): ModelDaemon | undefined {
-    const nowMs = this.clock.now();
-    const route = this.scenario.routes.findLast(({ fromMs }) => fromMs <= nowMs);
-    const index = route?.daemon ?? 0;
-    return this.downDaemons.has(index) ? undefined : this.daemons[index];
-  }
-
   private sendSyn(copy: number): void {
     if (this.acknowledgement !== 0 || this.hasBeenReset) return;
     if (copy < SYN_NAMES.length && this.isLost(SYN_NAMES[copy] as LossyPacket)) return;
@@ -275,7 +171,7 @@
 
   /** Sends a packet of the caller through the daemon that the router picks now. */
   private send(packet: Partial<CookiePacket>): void {
-    const daemon = this.routedDaemon();
+    const daemon = this.daemons.routedDaemon();
     this.clock.schedule(LINK_MS, () => daemon?.deliver({ ...packet, sourcePort: CALLER_PORT }));
   }
 
@@ -368,16 +264,3 @@
 function isSameBackend(left: number, right: number): boolean {
   return Math.abs(left - right) < SEQUENCE_DISTANCE / 2;
 }
-
-function idsOfBackends(): readonly string[] {
-  return backends(BACKEND_COUNT).map(({ id }) => id);
-}
-
-function zoneOfBackend(id: string): string {
-  return `zone-${id}`;
-}
-
-/** Returns records of back ends that are each alone in a zone, so that a daemon can cordon all but one. */
-function backendsInOwnZones(): RoutedBackend[] {
-  return backends(BACKEND_COUNT).map((record) => ({ ...record, zone: zoneOfBackend(record.id) }));
-}
