Let the lookup of an open flow wait until a daemon that has just started knows a peer

Cause: balancer-4 sees flow 1745 open at i- and tells its peers (1268), is stopped and started again. 124 ms after its start it has no peer yet, because its event loop stood still for 108 ms; its lookup ends after 50 ms with asked 0 (1270), and the flow follows the opening cookie of i-, while balancer-1 and balancer-3 live.

The caller sends the packet again meanwhile; a wrong back end would end the flow.

Evidence: "the lookup of an open flow goes on until a daemon that has just started knows a peer" fails without the change.

--- a/src/cookie-edge/opening-lookup/opening-lookup.test.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.test.ts
@@ -127,6 +127,34 @@
   t.deepEqual(harness.ended, [{ kind: 'found', backendId: 'b', peer: 'north' }]);
 });
 
+// Guards against an open flow that is led astray by a daemon whose first peer answers late after its start.
+test('the lookup of an open flow goes on until a daemon that has just started knows a peer', (t) => {
+  const harness = new LookupHarness();
+  const packet = { ...SYN, retransmissionCount: 0, acknowledgement: 7, remainingHoldMs: LOOKUP_TIMEOUT_MS };
+  harness.peers = [];
+  harness.isSearchingPeers = true;
+  t.is(harness.start(packet), 'pending');
+  harness.clock.advance(3 * LOOKUP_TIMEOUT_MS + 1);
+  t.deepEqual(harness.ended, []);
+  harness.peers = ['north'];
+  harness.clock.advance(ROUND_INTERVAL_MS);
+  harness.answer('north', 'b');
+  t.deepEqual(harness.ended, [{ kind: 'found', backendId: 'b', peer: 'north' }]);
+  t.is(harness.redelivered.length, 1);
+});
+
+test('the lookup of an open flow ends when a daemon gives up its search for peers', (t) => {
+  const harness = new LookupHarness();
+  const packet = { ...SYN, retransmissionCount: 0, acknowledgement: 7, remainingHoldMs: LOOKUP_TIMEOUT_MS };
+  harness.peers = [];
+  harness.isSearchingPeers = true;
+  harness.start(packet);
+  harness.clock.advance(3 * LOOKUP_TIMEOUT_MS);
+  harness.isSearchingPeers = false;
+  harness.clock.advance(LOOKUP_TIMEOUT_MS);
+  t.deepEqual(harness.ended, [{ kind: 'not-found', asked: 0, unanswered: 0 }]);
+});
+
 test('a daemon that finds no peer decides after the timeout', (t) => {
   const harness = new LookupHarness();
   harness.peers = [];
--- a/src/cookie-edge/opening-lookup/opening-lookup.ts
+++ b/src/cookie-edge/opening-lookup/opening-lookup.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, TimerHandle } from '../../common/clock.js';
 import type { CookieEdgePort } from '../../fabric/cookie-edge.js';
-import { MAX_KEPT_PACKETS, OUTCOME_RETENTION_MS, SUSPENSION_MS } from './constants.js';
+import { LOOKUP_TIMEOUT_MS, MAX_KEPT_PACKETS, OUTCOME_RETENTION_MS, SUSPENSION_MS } from './constants.js';
 import { flowKey } from './flow-key.js';
 import { isLookupDecided, lookupTimeoutMs, shouldSuspendLookups } from './lookup-rule.js';
 import { QueryRounds } from './query-rounds.js';
@@ -122,13 +122,25 @@
       asked: 0,
       unansweredPeers: new Set(),
       redeliveries: [edge.keepPacket()],
-      timer: clock.schedule(timeoutMs, () => this.endWithoutPlacement(key, lookup)),
+      timer: clock.schedule(timeoutMs, () => this.onTimeout(key, lookup)),
       outcome: undefined,
     };
     this.lookups.set(key, lookup);
     return true;
   }
 
+  /**
+   * Ends a lookup. That of an open flow goes on while this daemon has not found a peer to ask since its start, because
+   * a wrong back end would end the flow, and its caller sends the packet again meanwhile.
+   */
+  private onTimeout(key: string, lookup: Lookup): void {
+    const { clock, peers } = this.options;
+    const isAwaitingPeers = lookup.asked === 0 && peers.hasPeers();
+    if (lookup.query.acknowledgement === undefined || !isAwaitingPeers)
+      return this.endWithoutPlacement(key, lookup);
+    lookup.timer = clock.schedule(LOOKUP_TIMEOUT_MS, () => this.onTimeout(key, lookup));
+  }
+
   private endWithoutPlacement(key: string, lookup: Lookup): void {
     const { asked, unansweredPeers } = lookup;
     const isSyn = lookup.query.acknowledgement === undefined;
