Let a placement in vain yield to the record of the daemon that saw the handshake

Change: a contested flow whose handshake was not seen here yields to a record. It does not ask peers: the first packet after the handshake of each contested flow would wait.

--- a/src/cookie-edge/forwarding/contest-rule.test.ts
+++ b/src/cookie-edge/forwarding/contest-rule.test.ts
@@ -2,6 +2,7 @@
 import {
   contestAfterPacket,
   contestOfNewFlow,
+  mayBeOpenElsewhere,
   shouldShare,
   showsHandshake,
   type FlowContest,
@@ -44,6 +45,12 @@
   t.false(shouldShare('shared', 'open'));
 });
 
+test('a contested flow may be open elsewhere until its handshake is seen', (t) => {
+  t.true(mayBeOpenElsewhere('contested', 'opening'));
+  t.false(mayBeOpenElsewhere('none', 'opening'));
+  t.false(mayBeOpenElsewhere('contested', 'open'));
+});
+
 test('a flow that was adopted by an opening cookie shows nothing to peers', (t) => {
   t.false(showsHandshake({ handshake: 'unseen', hasEstablishedCookie: false }));
   t.true(showsHandshake({ handshake: 'unseen', hasEstablishedCookie: true }));
--- a/src/cookie-edge/forwarding/contest-rule.ts
+++ b/src/cookie-edge/forwarding/contest-rule.ts
@@ -12,7 +12,8 @@
  * elsewhere, once a peer has asked about its opening, or once a packet came with the cookie of another back end. It is
  * shared when its caller has sent a packet other than a SYN, and again if a packet moves it. A flow that was adopted by
  * an opening cookie which no peer could confirm is shared only once an established cookie shows that its back end holds
- * it, so that a guess replaces no record of a peer. Until then it shows nothing to a peer that asks.
+ * it, so that a guess replaces no record of a peer. Until then it shows nothing to a peer that asks. A contested flow
+ * whose handshake was not seen here yields to a record of a peer that saw it.
  */
 import type { FlowPhase } from './flow-cache.js';
 import type { HandshakeEvidence } from './handshake-evidence.js';
@@ -52,6 +53,14 @@
   return contest === 'contested' && phase === 'open';
 }
 
+/**
+ * Returns true if a record of a peer may know more than a cached flow: its SYN was sent from here, but its handshake
+ * may have passed another daemon.
+ */
+export function mayBeOpenElsewhere(contest: FlowContest, phase: FlowPhase): boolean {
+  return phase === 'opening' && contest !== 'none';
+}
+
 /** Returns true if a cached flow is known to have opened at its back end. */
 export function showsHandshake({ handshake, hasEstablishedCookie }: KnownHandshake): boolean {
   return handshake !== 'unseen' || hasEstablishedCookie;
--- a/src/cookie-edge/forwarding/mid-flow-handler.ts
+++ b/src/cookie-edge/forwarding/mid-flow-handler.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../../observability/event.js';
 import type { LocalBackendStates } from '../backend-health/index.js';
 import type { KnownBackend, RoutingKnowledge } from '../routing/index.js';
-import { contestAfterPacket } from './contest-rule.js';
+import { contestAfterPacket, mayBeOpenElsewhere } from './contest-rule.js';
 import type { CookieRegistry } from './cookie-registry.js';
 import type { CookieStatistics } from './cookie-statistics.js';
 import { COOKIE_FLOW_EVENTS } from './events.js';
@@ -47,9 +47,12 @@
   onMidFlowPacket(packet: CookiePacket, flow: Flow | undefined, nowMs: number, waitedMs: number): void {
     const { cookies, sharedHandshakes } = this.options;
     const cookieBackend = this.cookieBackendOf(packet);
-    if (flow || !cookieBackend || !cookies.isOpeningCookie(packet.cookie, cookieBackend))
+    const isSeenHere = flow !== undefined && !mayBeOpenElsewhere(flow.contest, flow.phase);
+    if (isSeenHere || !cookieBackend || !cookies.isOpeningCookie(packet.cookie, cookieBackend))
       return this.forward(packet, flow, cookieBackend, nowMs);
-    const backend = sharedHandshakes.findBackend(packet, cookieBackend, { nowMs, waitedMs });
+    const backend = flow
+      ? sharedHandshakes.applyRecordOf(packet, cookieBackend, nowMs)
+      : sharedHandshakes.findBackend(packet, cookieBackend, { nowMs, waitedMs });
     if (backend) this.forward(packet, flow, backend, nowMs);
   }
 
--- a/src/cookie-edge/forwarding/moved-opening.test.ts
+++ b/src/cookie-edge/forwarding/moved-opening.test.ts
@@ -252,3 +252,19 @@
   cluster.kill(1);
   t.is(nextBackend(cluster, 0, openingCookieOfAnother(cluster, opened.backend)), opened.backend);
 });
+
+// Guards against a daemon that placed a retransmission itself, and whose flow opened elsewhere through another daemon.
+test('a placement that was in vain does not lead the open flow astray', (t) => {
+  const cluster = new ForwarderCluster(t, 3);
+  const first = cluster.daemon(0).open(PORT)!;
+  cluster.areAnswersLost = true;
+  const other = cluster.daemon(1);
+  drain(other, first.backend!);
+  other.open(PORT, 1);
+  cluster.clock.advance(100);
+  const second = other.sent.at(-1)!;
+  t.not(second.backend, first.backend);
+  acknowledge(cluster, first.cookie);
+  t.is(nextBackend(cluster, 0, second.cookie), first.backend);
+  t.is(nextBackend(cluster, 1, second.cookie), first.backend);
+});
--- a/src/cookie-edge/forwarding/shared-handshakes.ts
+++ b/src/cookie-edge/forwarding/shared-handshakes.ts
@@ -46,12 +46,17 @@
    * undefined while peers are asked; the edge then delivers the packet again.
    */
   findBackend(packet: CookiePacket, cookieBackend: KnownBackend, arrival: Arrival): KnownBackend | undefined {
-    const recordedBackend = this.recordedBackendOf(packet, arrival.nowMs);
-    if (recordedBackend) {
-      this.logFound(packet, recordedBackend, cookieBackend);
-      return recordedBackend;
-    }
-    return packet.ack && this.isLookupPending(packet, arrival) ? undefined : cookieBackend;
+    const { records } = this.options;
+    const isRecorded = records.find(packet, packet.acknowledgement, arrival.nowMs) !== undefined;
+    if (!isRecorded && packet.ack && this.isLookupPending(packet, arrival)) return undefined;
+    return this.applyRecordOf(packet, cookieBackend, arrival.nowMs);
+  }
+
+  /** Returns the back end at which a packet's flow opened, as far as it is recorded, otherwise that of its cookie. */
+  applyRecordOf(packet: CookiePacket, cookieBackend: KnownBackend, nowMs: number): KnownBackend {
+    const recordedBackend = this.recordedBackendOf(packet, nowMs);
+    if (recordedBackend) this.logFound(packet, recordedBackend, cookieBackend);
+    return recordedBackend ?? cookieBackend;
   }
 
   /** Returns the back end at which a packet's flow opened, as far as this daemon has a record of it. */
