Let a daemon without seeds decide at once

What callers saw: at a daemon that has no seeds, packets with an opening cookie of an unknown flow waited for up to a second after its start.

Cause: such a daemon counted as one that searches for its first peer, although it has nobody to ask. The packet waited, its back end, a stand-in that refuses connections, was declared dead meanwhile, and the packet was answered with a reset.

Change: only a daemon with seeds searches for peers.

--- a/src/cookie-edge/spreading/gossip-node.ts
+++ b/src/cookie-edge/spreading/gossip-node.ts
@@ -150,9 +150,11 @@
     return this.peers.size;
   }
 
-  /** True for a daemon that has just started and knows no peer yet. */
+  /** True for a daemon that has just started, has seeds and knows no peer yet. Without seeds it is alone. */
   get isSearchingPeers(): boolean {
-    return this.peers.size === 0 && this.options.clock.now() - this.startedAtMs < PEER_SEARCH_MS;
+    const { clock, seeds } = this.options;
+    if (this.peers.size > 0 || seeds().length === 0) return false;
+    return clock.now() - this.startedAtMs < PEER_SEARCH_MS;
   }
 
   /** Estimated number of daemons, including this one. */
--- a/src/cookie-edge/spreading/opening-queries.test.ts
+++ b/src/cookie-edge/spreading/opening-queries.test.ts
@@ -62,3 +62,10 @@
   await alone.clock.advanceAsync(5, 5);
   t.false(single.isSearchingPeers);
 });
+
+// Guards against packets that wait for peers at a daemon that has none.
+test('a daemon without seeds does not search for peers', (t) => {
+  const cluster = new SpreadingCluster(1);
+  cluster.seeds.length = 0;
+  t.false(cluster.daemons[0]!.gossipNode.isSearchingPeers);
+});
